Set down the folders, the core types and the first path through the kernel

Cause: the repository is empty; parts written in parallel need one contract. Change: a workspace of five crates, the design page, the deterministic kernel with its plug-in registries and a thin arrive-ask-grant-start path, the control thread around it, the registries of adapters, subcommands and bench roles. Conclusion: the shape compiles and one request can travel through the kernel.

--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,14 @@
+//! Stand-ins for outside systems, a fault proxy, a load tool and experiments.
+//!
+//! Each role of the `hornbeamloom-bench` binary is a [`role::Plugin`] registered by its own file.
+//!
+//! ```
+//! use hornbeamloom_bench::role;
+//!
+//! let names: Vec<&str> = inventory::iter::<role::Plugin>.into_iter().map(|p| p.name).collect();
+//! assert!(names.contains(&"daemon"));
+//! ```
+
+pub mod role;
+
+mod daemon;
--- /dev/null
+++ b/crates/ctl/src/command.rs
@@ -0,0 +1,75 @@
+//! The registry of subcommands.
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+use crate::client::{Client, Error};
+
+/// A subcommand, registered by its own file.
+#[derive(Debug, Clone, Copy)]
+pub struct Plugin {
+    /// Its name on the command line.
+    pub name: &'static str,
+    /// One line for the list of subcommands.
+    pub help: &'static str,
+    /// Runs it with its own arguments.
+    pub run: fn(&Client, &[&str]) -> Result<(), Error>,
+}
+
+inventory::collect!(Plugin);
+
+/// Control hornbeamloom: declare resources and follow them.
+#[derive(Debug, FromArgs)]
+struct Args {
+    /// base URL of an operators' address (default: $HORNBEAMLOOM_SERVER or http://127.0.0.1:8200)
+    #[argh(option)]
+    server: Option<String>,
+    /// operator key (default: $HORNBEAMLOOM_KEY)
+    #[argh(option)]
+    key: Option<String>,
+    /// the subcommand and its arguments
+    #[argh(positional, greedy)]
+    command: Vec<String>,
+}
+
+/// Runs the command line of this process.
+pub fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    let server = args
+        .server
+        .or_else(|| std::env::var("HORNBEAMLOOM_SERVER").ok());
+    let key = args.key.or_else(|| std::env::var("HORNBEAMLOOM_KEY").ok());
+    let client = Client::new(server.as_deref().unwrap_or("http://127.0.0.1:8200"))
+        .with_key(key.as_deref().unwrap_or_default());
+    let words: Vec<&str> = args.command.iter().map(String::as_str).collect();
+    match run(&client, &words) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("hornbeamctl: {error}");
+            ExitCode::from(error.exit_status())
+        }
+    }
+}
+
+fn run(client: &Client, words: &[&str]) -> Result<(), Error> {
+    let Some((name, rest)) = words.split_first() else {
+        return Err(Error::Usage(list()));
+    };
+    match inventory::iter::<Plugin>
+        .into_iter()
+        .find(|plugin| plugin.name == *name)
+    {
+        Some(plugin) => (plugin.run)(client, rest),
+        None => Err(Error::Usage(list())),
+    }
+}
+
+fn list() -> String {
+    let mut plugins: Vec<&Plugin> = inventory::iter::<Plugin>.into_iter().collect();
+    plugins.sort_by_key(|plugin| plugin.name);
+    let lines = plugins
+        .iter()
+        .map(|plugin| format!("\n  {:<10} {}", plugin.name, plugin.help));
+    format!("expected a subcommand:{}", lines.collect::<String>())
+}
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,13 @@
+//! The `hornbeamctl` command-line tool.
+//!
+//! Each subcommand is a [`command::Plugin`] registered by its own file. It talks to one daemon's
+//! operators' address by HTTP; a daemon elsewhere answers for the whole fleet.
+//!
+//! ```
+//! use hornbeamloom_ctl::client::Error;
+//!
+//! assert_eq!(Error::Usage("expected a file".to_owned()).exit_status(), 2);
+//! ```
+
+pub mod client;
+pub mod command;
--- /dev/null
+++ b/crates/daemon/src/control.rs
@@ -0,0 +1,470 @@
+//! The control thread: an actor that owns the kernel.
+//!
+//! Every change of control state happens here. Adapters send typed inputs, and the actor passes
+//! the kernel's outcomes on to them. Nothing here waits for a socket.
+
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
+use std::time::Instant;
+
+use hornbeamloom_kernel::event::{Count, Event, Vm};
+use hornbeamloom_kernel::ids::{Millis, Name, Revision};
+use hornbeamloom_kernel::intent::Intent;
+use hornbeamloom_kernel::kernel::{Kernel, State};
+use hornbeamloom_kernel::map::Map;
+use hornbeamloom_kernel::outcome::{Counter, Outcome, Refusal, Start};
+use hornbeamloom_kernel::peer::{Delta, Message};
+use hornbeamloom_kernel::reconcile;
+use hornbeamloom_kernel::request::{End, Id, Repeat, View};
+use hornbeamloom_kernel::store::{Answer, CallId, Stored};
+use hornbeamloom_kernel::target::{CacheBatch, Report, Silence};
+use tokio::sync::{mpsc, oneshot, watch};
+use xtra::prelude::*;
+
+/// Time between two accounts of running requests, in milliseconds.
+const PROGRESS_MS: u64 = 500;
+
+/// A request as the caller adapter hands it over.
+#[derive(Debug)]
+pub struct Arrival {
+    /// Its id.
+    pub id: Id,
+    /// Organisation of the caller's key.
+    pub organisation: Name,
+    /// Service called.
+    pub service: Name,
+    /// Estimated prompt length in tokens.
+    pub prompt_tokens: u32,
+    /// Bound on the output in tokens.
+    pub max_tokens: Option<u32>,
+    /// Hash of service, method, path and body.
+    pub fingerprint: u64,
+    /// Hashes of growing prompt prefixes.
+    pub prefixes: Vec<u64>,
+    /// The idempotency key of a call that runs at most once.
+    pub once: Option<Name>,
+    /// Where verdicts go.
+    pub verdicts: mpsc::UnboundedSender<Verdict>,
+    /// Output tokens delivered, counted by the traffic task.
+    pub tokens: Arc<AtomicU32>,
+}
+
+/// What the kernel decided about a request.
+#[derive(Debug)]
+pub enum Verdict {
+    /// Start an attempt.
+    Start(Start),
+    /// Refuse it.
+    Refuse(Refusal),
+    /// Answer from a kept outcome.
+    Replay(Stored),
+}
+
+/// An owned input for the control thread.
+#[derive(Debug)]
+pub enum Input {
+    /// A wake-up.
+    Tick,
+    /// A request arrived.
+    Arrive(Box<Arrival>),
+    /// The first byte of an attempt may have left.
+    Began {
+        /// The request.
+        id: Id,
+        /// The attempt.
+        attempt: u32,
+    },
+    /// An attempt ended.
+    Ended {
+        /// The request.
+        id: Id,
+        /// The attempt.
+        attempt: u32,
+        /// How.
+        end: End,
+        /// Time to the first token in milliseconds.
+        first_token_ms: Option<u32>,
+        /// The answer to keep.
+        stored: Option<Stored>,
+    },
+    /// The caller went away.
+    Departed(Id),
+    /// A target's report.
+    Report(Name, Result<Report, Silence>),
+    /// Prefix-cache events.
+    Cache(Name, CacheBatch),
+    /// The answer to an order.
+    Ordered(reconcile::Order, reconcile::Answer),
+    /// A message from a peer.
+    Peer(Name, Message),
+    /// The answer to a store call.
+    Store(CallId, Answer),
+    /// Resources from the table.
+    Changes(Delta),
+    /// The head revision, not newer than ours.
+    Head(Revision),
+    /// The table could not be read.
+    StoreDown,
+    /// The platform's list.
+    Vms(Vec<Vm>),
+    /// Lift a quarantine.
+    Lift(u64),
+    /// Shut down gracefully.
+    Stop,
+}
+
+/// Reads something from the control state.
+struct Query<T>(fn(&State, Millis, &str) -> T, String);
+
+/// The way to the control thread.
+#[derive(Debug, Clone)]
+pub struct Control {
+    address: Address<Actor>,
+}
+
+impl Control {
+    /// Queues an input; never waits for it to be handled.
+    pub fn tell(&self, input: Input) {
+        // A closed mailbox means that the process is exiting.
+        drop(self.address.send(input).detach());
+    }
+
+    /// Computes an answer from the control state; `None` while exiting.
+    ///
+    /// `read` runs on the control thread and should be short.
+    pub async fn ask<T: Send + 'static>(
+        &self,
+        read: fn(&State, Millis, &str) -> T,
+        argument: &str,
+    ) -> Option<T> {
+        self.address
+            .send(Query(read, argument.to_owned()))
+            .await
+            .ok()
+    }
+}
+
+/// One running request of this VM.
+struct Running {
+    verdicts: mpsc::UnboundedSender<Verdict>,
+    tokens: Arc<AtomicU32>,
+}
+
+/// Where outcomes go.
+pub(crate) struct Port {
+    pub(crate) takes: fn(&Outcome) -> bool,
+    pub(crate) inbox: mpsc::UnboundedSender<Outcome>,
+}
+
+/// The actor that owns the kernel.
+#[derive(xtra::Actor)]
+pub(crate) struct Actor {
+    kernel: Kernel,
+    started: Instant,
+    requests: Map<Id, Running>,
+    ports: Vec<Port>,
+    intent: watch::Sender<Arc<Intent>>,
+    wakeup: watch::Sender<Option<Millis>>,
+    drained: Option<oneshot::Sender<()>>,
+    progress_at: Millis,
+    outcomes: Vec<Outcome>,
+}
+
+/// The far ends of the actor's channels.
+pub(crate) struct Ends {
+    pub(crate) intent: watch::Receiver<Arc<Intent>>,
+    pub(crate) drained: oneshot::Receiver<()>,
+}
+
+/// Starts the control thread.
+pub(crate) fn spawn(kernel: Kernel, ports: Vec<Port>) -> std::io::Result<(Control, Ends)> {
+    let (intent_sender, intent) = watch::channel(Arc::new(Intent::default()));
+    let (wakeup_sender, wakeup) = watch::channel(Some(Millis(0)));
+    let (drained_sender, drained) = oneshot::channel();
+    let (address, mailbox) = Mailbox::<Actor>::unbounded();
+    let started = Instant::now();
+    let control = Control { address };
+    let ticker = control.clone();
+    let actor = Actor {
+        kernel,
+        started,
+        requests: Map::default(),
+        ports,
+        intent: intent_sender,
+        wakeup: wakeup_sender,
+        drained: Some(drained_sender),
+        progress_at: Millis(0),
+        outcomes: Vec::new(),
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .build()?;
+    std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || {
+            runtime.block_on(async move {
+                tokio::spawn(tick(ticker, wakeup, started));
+                xtra::run(mailbox, actor).await;
+            });
+        })?;
+    Ok((control, Ends { intent, drained }))
+}
+
+/// Sends a `Tick` whenever the kernel's wake-up time or the next progress account is due.
+async fn tick(control: Control, mut wakeup: watch::Receiver<Option<Millis>>, started: Instant) {
+    let mut accounts = tokio::time::interval(std::time::Duration::from_millis(PROGRESS_MS));
+    accounts.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        let due = *wakeup.borrow_and_update();
+        let sleep = async {
+            match due {
+                Some(at) => {
+                    let at = started + std::time::Duration::from_millis(at.0.max(1));
+                    tokio::time::sleep_until(at.into()).await;
+                }
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            _ = sleep => {
+                control.tell(Input::Tick);
+                // The next wake-up is known once the tick was handled.
+                if wakeup.changed().await.is_err() { return; }
+            }
+            _ = accounts.tick() => control.tell(Input::Tick),
+            changed = wakeup.changed() => if changed.is_err() { return; },
+        }
+    }
+}
+
+impl Actor {
+    fn now(&self) -> Millis {
+        let ms = self.started.elapsed().as_millis();
+        Millis(u64::try_from(ms).unwrap_or(u64::MAX))
+    }
+
+    fn handle_event(&mut self, event: Event<'_>) {
+        let now = self.now();
+        self.kernel.handle(event, now, &mut self.outcomes);
+    }
+
+    fn dispatch(&mut self) {
+        let mut outcomes = std::mem::take(&mut self.outcomes);
+        for outcome in outcomes.drain(..) {
+            self.deliver(outcome);
+        }
+        self.outcomes = outcomes;
+        self.wakeup.send_replace(self.kernel.next_wakeup());
+    }
+
+    fn deliver(&mut self, outcome: Outcome) {
+        match outcome {
+            Outcome::Start(start) => {
+                let id = start.id.clone();
+                self.verdict(&id, Verdict::Start(start));
+            }
+            Outcome::Refuse { id, refusal } => {
+                self.verdict(&id, Verdict::Refuse(refusal));
+                self.requests.remove(&id);
+            }
+            Outcome::Replay { id, stored } => {
+                self.verdict(&id, Verdict::Replay(stored));
+                self.requests.remove(&id);
+            }
+            Outcome::Count(counter) => count(counter),
+            Outcome::Log { warn: true, text } => log::warn!("{text}"),
+            Outcome::Log { warn: false, text } => log::info!("{text}"),
+            Outcome::Publish => {
+                self.intent
+                    .send_replace(Arc::new(self.kernel.state().intent.clone()));
+            }
+            Outcome::Drained => {
+                if let Some(drained) = self.drained.take() {
+                    // The receiver is gone only when the process is exiting anyway.
+                    let _ = drained.send(());
+                }
+            }
+            other => self.forward(other),
+        }
+    }
+
+    fn forward(&self, outcome: Outcome) {
+        let port = self.ports.iter().find(|port| (port.takes)(&outcome));
+        match port {
+            // A closed inbox means that the adapter is gone, which happens only on exit.
+            Some(port) => drop(port.inbox.send(outcome)),
+            None => count(Counter::Ignored("outcome_without_adapter")),
+        }
+    }
+
+    fn verdict(&self, id: &Id, verdict: Verdict) {
+        if let Some(running) = self.requests.get(id) {
+            // The task is gone when its caller left; the kernel hears of that by `Departed`.
+            let _ = running.verdicts.send(verdict);
+        }
+    }
+
+    fn account(&mut self) {
+        let now = self.now();
+        if now.since(self.progress_at) < PROGRESS_MS {
+            return;
+        }
+        self.progress_at = now;
+        let counts: Vec<Count> = self
+            .requests
+            .iter()
+            .map(|(id, running)| Count {
+                id: id.clone(),
+                tokens: running.tokens.load(Ordering::Relaxed),
+            })
+            .collect();
+        if !counts.is_empty() {
+            self.handle_event(Event::Progress(&counts));
+        }
+    }
+
+    fn arrive(&mut self, arrival: Arrival) {
+        let running = Running {
+            verdicts: arrival.verdicts.clone(),
+            tokens: arrival.tokens.clone(),
+        };
+        self.requests.insert(arrival.id.clone(), running);
+        let repeat = match &arrival.once {
+            Some(key) => Repeat::Once { key },
+            None => Repeat::Free,
+        };
+        self.handle_event(Event::Arrive(View {
+            id: &arrival.id,
+            organisation: &arrival.organisation,
+            service: &arrival.service,
+            prompt_tokens: arrival.prompt_tokens,
+            max_tokens: arrival.max_tokens,
+            fingerprint: arrival.fingerprint,
+            prefixes: &arrival.prefixes,
+            repeat,
+        }));
+    }
+
+    fn ended(
+        &mut self,
+        id: &Id,
+        attempt: u32,
+        end: End,
+        first_token_ms: Option<u32>,
+        stored: Option<&Stored>,
+    ) {
+        let tokens = self
+            .requests
+            .get(id)
+            .map_or(0, |running| running.tokens.load(Ordering::Relaxed));
+        self.handle_event(Event::Ended {
+            id,
+            attempt,
+            end,
+            tokens,
+            first_token_ms,
+            stored,
+        });
+        if matches!(end, End::Complete | End::Cancelled) {
+            self.requests.remove(id);
+        }
+    }
+
+    fn apply(&mut self, input: Input) {
+        match input {
+            Input::Tick => self.handle_event(Event::Tick),
+            Input::Arrive(arrival) => self.arrive(*arrival),
+            Input::Began { id, attempt } => self.handle_event(Event::Began { id: &id, attempt }),
+            Input::Ended {
+                id,
+                attempt,
+                end,
+                first_token_ms,
+                stored,
+            } => {
+                self.ended(&id, attempt, end, first_token_ms, stored.as_ref());
+            }
+            Input::Departed(id) => {
+                self.handle_event(Event::Departed { id: &id });
+                self.requests.remove(&id);
+            }
+            Input::Report(target, report) => {
+                let report = report.as_ref().map_err(|silence| *silence);
+                self.handle_event(Event::Report {
+                    target: &target,
+                    report,
+                });
+            }
+            Input::Cache(target, batch) => {
+                self.handle_event(Event::Cache {
+                    target: &target,
+                    batch: &batch,
+                });
+            }
+            Input::Ordered(order, answer) => {
+                let target = &order.target;
+                self.handle_event(Event::Ordered {
+                    target,
+                    order: &order,
+                    answer,
+                });
+            }
+            Input::Peer(from, message) => {
+                self.handle_event(Event::Peer {
+                    from: &from,
+                    message: &message,
+                });
+            }
+            Input::Store(call, answer) => {
+                self.handle_event(Event::Store {
+                    call,
+                    answer: &answer,
+                });
+            }
+            Input::Changes(delta) => self.handle_event(Event::Changes(&delta)),
+            Input::Head(revision) => self.handle_event(Event::Head(revision)),
+            Input::StoreDown => self.handle_event(Event::StoreDown),
+            Input::Vms(vms) => self.handle_event(Event::Vms(&vms)),
+            Input::Lift(fingerprint) => self.handle_event(Event::Lift { fingerprint }),
+            Input::Stop => self.handle_event(Event::Stop),
+        }
+    }
+}
+
+impl Handler<Input> for Actor {
+    type Return = ();
+
+    async fn handle(&mut self, input: Input, _ctx: &mut Context<Self>) {
+        self.apply(input);
+        self.account();
+        self.dispatch();
+    }
+}
+
+impl<T: Send + 'static> Handler<Query<T>> for Actor {
+    type Return = T;
+
+    async fn handle(&mut self, query: Query<T>, _ctx: &mut Context<Self>) -> T {
+        (query.0)(self.kernel.state(), self.now(), &query.1)
+    }
+}
+
+/// Increments the metric of a kernel counter.
+fn count(counter: Counter) {
+    match counter {
+        Counter::Refusal(reason) => {
+            metrics::counter!("hornbeamloom_refusals_total", "reason" => reason.as_str())
+                .increment(1);
+        }
+        Counter::Retry(retry) => {
+            metrics::counter!("hornbeamloom_retries_total", "reason" => retry.as_str())
+                .increment(1);
+        }
+        Counter::Ignored(what) => {
+            metrics::counter!("hornbeamloom_ignored_total", "input" => what).increment(1);
+        }
+        Counter::Event(what) => {
+            metrics::counter!("hornbeamloom_events_total", "event" => what).increment(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/edge.rs
@@ -0,0 +1,84 @@
+//! The registry of adapters and what they share.
+//!
+//! An adapter translates between one outside party (callers, operators, peers, the platform,
+//! engines) and the control thread. It registers itself from its own file.
+
+use std::sync::Arc;
+
+use hornbeamloom_kernel::intent::Intent;
+use hornbeamloom_kernel::kernel::Identity;
+use hornbeamloom_kernel::outcome::Outcome;
+use tokio::sync::{mpsc, watch};
+
+use crate::control::Control;
+use crate::settings::Settings;
+
+/// What every adapter may use.
+#[derive(Debug, Clone)]
+pub struct Context {
+    /// The checked settings, replaced on SIGHUP.
+    pub settings: watch::Receiver<Arc<Settings>>,
+    /// Who this VM is.
+    pub identity: Identity,
+    /// The way to the control thread.
+    pub control: Control,
+    /// The resources in force, published by the control thread.
+    pub intent: watch::Receiver<Arc<Intent>>,
+    /// Becomes true when a graceful shutdown begins.
+    pub stopping: watch::Receiver<bool>,
+}
+
+/// Outcomes meant for one adapter.
+pub type Inbox = mpsc::UnboundedReceiver<Outcome>;
+
+/// An adapter could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// An address could not be bound.
+    #[error("cannot listen on {address} for {purpose}: {source}")]
+    Bind {
+        /// The setting's value.
+        address: String,
+        /// The setting's purpose.
+        purpose: &'static str,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// Anything else that the settings make impossible.
+    #[error("{0}")]
+    Setting(String),
+}
+
+/// Binds a listener for one purpose.
+pub fn bind(address: &str, purpose: &'static str) -> Result<tokio::net::TcpListener, Error> {
+    let fail = |source| Error::Bind {
+        address: address.to_owned(),
+        purpose,
+        source,
+    };
+    let listener = std::net::TcpListener::bind(address).map_err(fail)?;
+    listener.set_nonblocking(true).map_err(fail)?;
+    tokio::net::TcpListener::from_std(listener).map_err(fail)
+}
+
+/// An adapter.
+#[derive(Debug, Clone, Copy)]
+pub struct Plugin {
+    /// Unique name.
+    pub name: &'static str,
+    /// Start order; lower first.
+    pub rank: u16,
+    /// Which outcomes it takes; each outcome goes to the first adapter that takes it.
+    pub takes: fn(&Outcome) -> bool,
+    /// Binds its sockets and spawns its tasks on the current runtime.
+    pub start: fn(Context, Inbox) -> Result<(), Error>,
+}
+
+inventory::collect!(Plugin);
+
+/// All registered adapters in rank order.
+pub(crate) fn all() -> Vec<Plugin> {
+    let mut plugins: Vec<Plugin> = inventory::iter::<Plugin>.into_iter().copied().collect();
+    plugins.sort_by_key(|plugin| (plugin.rank, plugin.name));
+    plugins
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,28 @@
+//! The hornbeamloom daemon: adapters around the deterministic kernel.
+//!
+//! One control thread owns all control state ([`control`]); adapters registered as
+//! [`edge::Plugin`]s translate between the outside and that thread. Decisions are left to
+//! `hornbeamloom-kernel`, encodings to `hornbeamloom-wire`.
+//!
+//! ```
+//! let text = "
+//! vm: entry-a1
+//! zone: lodz-a
+//! listen: {callers: '127.0.0.1:8100', operators: '127.0.0.1:8200', peers: '127.0.0.1:8300'}
+//! platform:
+//!   table: 'http://127.0.0.1:8400'
+//!   objects: 'http://127.0.0.1:8400'
+//!   vms: 'http://127.0.0.1:8400'
+//! keys: {operator: [op], peer: [peer]}
+//! ";
+//! let settings = hornbeamloom_daemon::settings::parse(text).unwrap();
+//! assert_eq!(&*settings.vm, "entry-a1");
+//! ```
+
+pub mod control;
+pub mod edge;
+pub mod run;
+pub mod settings;
+
+/// The parts of a daemon use these names for its collections.
+pub use hornbeamloom_kernel::map;
--- /dev/null
+++ b/crates/daemon/src/settings.rs
@@ -0,0 +1,140 @@
+//! Settings of one daemon, read from YAML and checked whole before anything is bound.
+
+use std::path::Path;
+
+use hornbeamloom_kernel::ids::Name;
+use serde::Deserialize;
+
+/// Everything that a daemon is told at its start.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of this VM, unique in the fleet.
+    pub vm: Name,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Addresses to listen on.
+    pub listen: Listen,
+    /// The platform's services.
+    pub platform: Platform,
+    /// Peers to contact first, as `IP:port`.
+    #[serde(default)]
+    pub peers: Vec<Name>,
+    /// Keys of operators and peers.
+    pub keys: Keys,
+    /// Logging.
+    #[serde(default)]
+    pub log: Log,
+    /// Time after SIGTERM in which new requests are still accepted, in seconds.
+    #[serde(default = "settle_s")]
+    pub settle_s: u64,
+    /// Longest graceful shutdown in seconds; unlimited if absent.
+    #[serde(default)]
+    pub shutdown_limit_s: Option<u64>,
+    /// Limits on what callers may send.
+    #[serde(default)]
+    pub limits: Limits,
+}
+
+/// Addresses to listen on, as `IP:port`.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// For callers.
+    pub callers: Name,
+    /// For operators.
+    pub operators: Name,
+    /// For peers.
+    pub peers: Name,
+}
+
+/// Base URLs of the platform's services.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Platform {
+    /// The transactional table.
+    pub table: Name,
+    /// The object store.
+    pub objects: Name,
+    /// The list of VMs.
+    pub vms: Name,
+}
+
+/// Keys; the first of each list is presented, all are accepted.
+#[derive(Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Keys {
+    /// Operator keys.
+    pub operator: Vec<String>,
+    /// Peer keys.
+    pub peer: Vec<String>,
+}
+
+impl std::fmt::Debug for Keys {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Keys(..)")
+    }
+}
+
+/// Logging.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Log {
+    /// `error`, `warn`, `info`, `debug` or `trace`.
+    pub level: String,
+}
+
+impl Default for Log {
+    fn default() -> Log {
+        Log {
+            level: "info".to_owned(),
+        }
+    }
+}
+
+/// Limits on what callers may send.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Largest request body in bytes.
+    pub body_bytes: u64,
+    /// Time to send a request's header, in seconds.
+    pub header_s: u64,
+    /// Open caller connections.
+    pub connections: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            body_bytes: 1 << 20,
+            header_s: 10,
+            connections: 4096,
+        }
+    }
+}
+
+fn settle_s() -> u64 {
+    10
+}
+
+/// The settings cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The file could not be read.
+    #[error("cannot read the settings file: {0}")]
+    Read(#[from] std::io::Error),
+    /// The text is not a settings file.
+    #[error("settings: {0}")]
+    Parse(#[from] serde_yaml_ng::Error),
+}
+
+/// Reads and checks a settings file.
+pub fn read(path: &Path) -> Result<Settings, Error> {
+    parse(&std::fs::read_to_string(path)?)
+}
+
+/// Reads and checks the text of a settings file.
+pub fn parse(text: &str) -> Result<Settings, Error> {
+    Ok(serde_yaml_ng::from_str(text)?)
+}
--- /dev/null
+++ b/crates/kernel/src/compact.rs
@@ -0,0 +1,105 @@
+//! Hand-written serde for the types that make up most of the control traffic.
+//!
+//! Both are written as sequences without field names: a progress entry is sent twice a second for
+//! every running request, a gossip entry up to 150 times a round.
+
+use std::fmt;
+
+use serde::de::{self, SeqAccess, Visitor};
+use serde::ser::SerializeTuple;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+use crate::ids::Incarnation;
+use crate::peer::{Entry, Progress};
+
+const PROGRESS_FIELDS: usize = 3;
+const ENTRY_FIELDS: usize = 9;
+
+impl Serialize for Progress {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut tuple = serializer.serialize_tuple(PROGRESS_FIELDS)?;
+        tuple.serialize_element(&self.incarnation.0)?;
+        tuple.serialize_element(&self.counter)?;
+        tuple.serialize_element(&self.tokens)?;
+        tuple.end()
+    }
+}
+
+impl<'de> Deserialize<'de> for Progress {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Progress, D::Error> {
+        deserializer.deserialize_tuple(PROGRESS_FIELDS, ProgressVisitor)
+    }
+}
+
+struct ProgressVisitor;
+
+impl<'de> Visitor<'de> for ProgressVisitor {
+    type Value = Progress;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("incarnation, counter and tokens")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Progress, A::Error> {
+        Ok(Progress {
+            incarnation: Incarnation(field(&mut seq, 0, &self)?),
+            counter: field(&mut seq, 1, &self)?,
+            tokens: field(&mut seq, 2, &self)?,
+        })
+    }
+}
+
+impl Serialize for Entry {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut tuple = serializer.serialize_tuple(ENTRY_FIELDS)?;
+        tuple.serialize_element(&self.vm)?;
+        tuple.serialize_element(&self.zone)?;
+        tuple.serialize_element(&self.peer_address)?;
+        tuple.serialize_element(&self.caller_address)?;
+        tuple.serialize_element(&self.incarnation)?;
+        tuple.serialize_element(&self.heartbeat)?;
+        tuple.serialize_element(&self.revision)?;
+        tuple.serialize_element(&self.standing)?;
+        tuple.serialize_element(&self.pools)?;
+        tuple.end()
+    }
+}
+
+impl<'de> Deserialize<'de> for Entry {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Entry, D::Error> {
+        deserializer.deserialize_tuple(ENTRY_FIELDS, EntryVisitor)
+    }
+}
+
+struct EntryVisitor;
+
+impl<'de> Visitor<'de> for EntryVisitor {
+    type Value = Entry;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the fields of a membership entry in order")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Entry, A::Error> {
+        Ok(Entry {
+            vm: field(&mut seq, 0, &self)?,
+            zone: field(&mut seq, 1, &self)?,
+            peer_address: field(&mut seq, 2, &self)?,
+            caller_address: field(&mut seq, 3, &self)?,
+            incarnation: field(&mut seq, 4, &self)?,
+            heartbeat: field(&mut seq, 5, &self)?,
+            revision: field(&mut seq, 6, &self)?,
+            standing: field(&mut seq, 7, &self)?,
+            pools: field(&mut seq, 8, &self)?,
+        })
+    }
+}
+
+fn field<'de, T, A>(seq: &mut A, ix: usize, expected: &dyn de::Expected) -> Result<T, A::Error>
+where
+    T: Deserialize<'de>,
+    A: SeqAccess<'de>,
+{
+    seq.next_element()?
+        .ok_or_else(|| de::Error::invalid_length(ix, expected))
+}
--- /dev/null
+++ b/crates/kernel/src/eligible.rs
@@ -0,0 +1,13 @@
+//! Removes targets that must not take new work.
+
+use crate::peer::Ask;
+use crate::plugin::policy;
+
+inventory::submit! {
+    policy::Plugin { name: "eligible", rank: 10, stage: policy::Stage::Filter(filter) }
+}
+
+fn filter(view: &policy::View<'_>, ask: &Ask, target: usize) -> bool {
+    let slot = &view.pool.targets[target];
+    !slot.spec.leaving && !ask.exclude.contains(&slot.name) && slot.running < slot.spec.warm_limit
+}
--- /dev/null
+++ b/crates/kernel/src/ids.rs
@@ -0,0 +1,60 @@
+//! Small value types shared by every module.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// A stored name: of a VM, zone, organisation, service or target.
+///
+/// Signatures take `&str`; this type appears only where a name is kept.
+pub type Name = Arc<str>;
+
+/// Monotonic time in milliseconds since the process started.
+///
+/// ```
+/// use hornbeamloom_kernel::ids::Millis;
+///
+/// let sent = Millis(1_000);
+/// assert_eq!(Millis(1_250).since(sent), 250);
+/// assert_eq!(sent.since(Millis(1_250)), 0);
+/// assert_eq!(sent.after(50), Millis(1_050));
+/// ```
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Millis(pub u64);
+
+impl Millis {
+    /// Milliseconds from `earlier` to `self`, zero if `earlier` is later.
+    pub fn since(self, earlier: Millis) -> u64 {
+        self.0.saturating_sub(earlier.0)
+    }
+
+    /// The instant `ms` milliseconds later.
+    pub fn after(self, ms: u64) -> Millis {
+        Millis(self.0.saturating_add(ms))
+    }
+}
+
+/// A fencing token: grows with every change of a lease's holder.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Fence(pub u64);
+
+/// A revision of the table: totally ordered, never decreasing on one VM.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Revision(pub u64);
+
+/// The start of one process on one VM; a restart has a higher one.
+///
+/// Incarnations of different VMs are never compared.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Incarnation(pub u64);
--- /dev/null
+++ b/crates/kernel/src/least_outstanding.rs
@@ -0,0 +1,12 @@
+//! Prefers the target with the fewest running requests.
+
+use crate::peer::Ask;
+use crate::plugin::policy;
+
+inventory::submit! {
+    policy::Plugin { name: "least-outstanding", rank: 30, stage: policy::Stage::Score(score) }
+}
+
+fn score(view: &policy::View<'_>, _ask: &Ask, target: usize) -> i64 {
+    -i64::from(view.pool.targets[target].running)
+}
--- /dev/null
+++ b/crates/kernel/src/lib.rs
@@ -0,0 +1,64 @@
+//! The decisions of hornbeamloom as a deterministic state machine.
+//!
+//! A [`kernel::Kernel`] takes one [`event::Event`] at a time together with the current time and
+//! answers with [`outcome::Outcome`]s. It has no I/O, no clock, no codec and no random source of
+//! its own, so that a daemon, a fuzzer, a replay or another front end can drive the same code.
+//!
+//! ```
+//! use hornbeamloom_kernel::event::Event;
+//! use hornbeamloom_kernel::ids::{Incarnation, Millis};
+//! use hornbeamloom_kernel::kernel::{Identity, Kernel};
+//! use hornbeamloom_kernel::outcome::{Outcome, Reason};
+//! use hornbeamloom_kernel::request::{Id, Repeat, View};
+//!
+//! let mut kernel = Kernel::new(Identity::new("entry-1", "lodz-a", Incarnation(1)));
+//! let id = Id::new("entry-1", Incarnation(1), 1);
+//! let view = View {
+//!     id: &id,
+//!     organisation: "parlour-1",
+//!     service: "pisarz-modelu",
+//!     prompt_tokens: 12,
+//!     max_tokens: None,
+//!     fingerprint: 7,
+//!     prefixes: &[],
+//!     repeat: Repeat::Free,
+//! };
+//! let mut out = Vec::new();
+//! kernel.handle(Event::Arrive(view), Millis(1), &mut out);
+//! // No such service was declared.
+//! assert!(out.iter().any(|outcome| matches!(
+//!     outcome,
+//!     Outcome::Refuse { refusal, .. } if refusal.reason == Reason::NotFound
+//! )));
+//! ```
+//!
+//! Encodings are left to `hornbeamloom-wire`, sockets and threads to `hornbeamloom-daemon`.
+
+mod cases;
+mod compact;
+
+pub mod claim;
+pub mod entry;
+pub mod event;
+pub mod explain;
+pub mod ids;
+pub mod intent;
+pub mod kernel;
+pub mod lease;
+pub mod map;
+pub mod member;
+pub mod outcome;
+pub mod peer;
+pub mod plugin;
+pub mod pool;
+pub mod quarantine;
+pub mod reconcile;
+pub mod request;
+pub mod resource;
+pub mod store;
+pub mod stream;
+pub mod target;
+
+mod eligible;
+mod fair;
+mod least_outstanding;
--- /dev/null
+++ b/crates/kernel/src/peer.rs
@@ -0,0 +1,268 @@
+//! What daemons say to each other.
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{Fence, Incarnation, Millis, Name, Revision};
+use crate::outcome::Refusal;
+use crate::request::{Class, End, Id};
+use crate::{pool, resource};
+
+/// A message between two daemons.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// Membership and revisions.
+    Gossip(Gossip),
+    /// Changes of resources.
+    Delta(Delta),
+    /// Asks for the changes after a revision.
+    Pull {
+        /// The asker's revision.
+        from: Revision,
+    },
+    /// Asks the owner of a pool for a start.
+    Ask(Ask),
+    /// Lets a request start.
+    Grant(Grant),
+    /// The owner will not let a request start.
+    Refuse {
+        /// The request.
+        id: Id,
+        /// The attempt it answers.
+        attempt: u32,
+        /// Why.
+        refusal: Refusal,
+    },
+    /// The request no longer wants a start.
+    Withdraw {
+        /// The pool asked.
+        pool: pool::Key,
+        /// The request.
+        id: Id,
+    },
+    /// Accounts of running requests; also keeps their ledger entries alive.
+    Progress {
+        /// The pool they run in.
+        pool: pool::Key,
+        /// One entry a running request.
+        entries: Vec<Progress>,
+    },
+    /// An attempt ended.
+    Release(Release),
+    /// A new holder asks what runs in its pool.
+    Hello {
+        /// The pool.
+        pool: pool::Key,
+        /// The new holder's fencing token.
+        fence: Fence,
+    },
+    /// Answers `Hello`.
+    Inventory {
+        /// The pool.
+        pool: pool::Key,
+        /// The token of the `Hello`.
+        fence: Fence,
+        /// What runs in the pool from the sender.
+        running: Vec<Running>,
+    },
+    /// A holder that stops gives its state to a successor.
+    Handover(pool::Snapshot),
+    /// A target died while these bodies ran on it.
+    Death(Death),
+    /// A quarantine entry was made or lifted.
+    Quarantine {
+        /// The body.
+        fingerprint: u64,
+        /// Organisation that sent it.
+        organisation: Name,
+        /// Service it was sent to.
+        service: Name,
+        /// Deaths counted.
+        deaths: u32,
+        /// Time left in milliseconds; zero lifts it.
+        remaining_ms: u64,
+    },
+    /// The targets of a pool as its owner sees them, for VMs of its zone.
+    Targets {
+        /// The pool.
+        pool: pool::Key,
+        /// Names of warm targets.
+        warm: Vec<Name>,
+        /// Names of cold targets.
+        cold: Vec<Name>,
+    },
+}
+
+/// Membership and revisions.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Gossip {
+    /// Entries about the sender (first) and others.
+    pub entries: Vec<Entry>,
+}
+
+/// Whether a VM takes requests.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Standing {
+    /// Started, without a configuration so far.
+    #[default]
+    Joining,
+    /// Serving.
+    Serving,
+    /// Shutting down gracefully.
+    Leaving,
+}
+
+/// What is known about one VM.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Entry {
+    /// The VM.
+    pub vm: Name,
+    /// Its availability zone.
+    pub zone: Name,
+    /// `IP:port` for peers.
+    pub peer_address: Name,
+    /// `IP:port` for callers.
+    pub caller_address: Name,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Grows with every gossip round of the VM.
+    pub heartbeat: u64,
+    /// Revision in force there.
+    pub revision: Revision,
+    /// Its standing.
+    pub standing: Standing,
+    /// Pools that it owns, with the fencing tokens.
+    pub pools: Vec<(pool::Key, Fence)>,
+}
+
+/// Changes of resources from one revision to another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Delta {
+    /// Applies to a VM at this revision or later, or to any VM if `complete`.
+    pub from: Revision,
+    /// The revision reached.
+    pub to: Revision,
+    /// Whether `records` is the whole set of resources.
+    pub complete: bool,
+    /// Changed records, tombstones included.
+    pub records: Vec<resource::Record>,
+}
+
+/// A request for a start.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Ask {
+    /// The pool.
+    pub pool: pool::Key,
+    /// The request.
+    pub id: Id,
+    /// Counts the starts asked for by this request.
+    pub attempt: u32,
+    /// Organisation.
+    pub organisation: Name,
+    /// Prompt length in tokens.
+    pub prompt_tokens: u32,
+    /// Bound on the output in tokens.
+    pub max_tokens: Option<u32>,
+    /// Latency class.
+    pub class: Class,
+    /// Body fingerprint.
+    pub fingerprint: u64,
+    /// Prefix hashes, shortest first.
+    pub prefixes: Vec<u64>,
+    /// Milliseconds that it has waited before this message.
+    pub waited_ms: u64,
+    /// Milliseconds that it may still wait.
+    pub patience_ms: u64,
+    /// Targets that it must not be sent to.
+    pub exclude: Vec<Name>,
+}
+
+/// Permission to start one attempt on one target.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Grant {
+    /// The pool.
+    pub pool: pool::Key,
+    /// The request.
+    pub id: Id,
+    /// The attempt.
+    pub attempt: u32,
+    /// The target.
+    pub target: Name,
+    /// Its address, for a VM whose resources are behind.
+    pub address: String,
+    /// Fencing token of the owner; zero from a scheduler without a lease.
+    pub fence: Fence,
+    /// Engine priority: lower runs first.
+    pub priority: i32,
+}
+
+/// The account of one running request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Progress {
+    /// Incarnation part of the request id; the sender is the VM part.
+    pub incarnation: Incarnation,
+    /// Counter part of the request id.
+    pub counter: u64,
+    /// Output tokens so far.
+    pub tokens: u32,
+}
+
+/// The end of one attempt.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Release {
+    /// The pool.
+    pub pool: pool::Key,
+    /// The request.
+    pub id: Id,
+    /// The attempt.
+    pub attempt: u32,
+    /// The target it ran on.
+    pub target: Name,
+    /// How it ended.
+    pub end: End,
+    /// Output tokens in all.
+    pub tokens: u32,
+    /// Time from the send to the first token in milliseconds, if one came.
+    pub first_token_ms: Option<u32>,
+}
+
+/// One running request in an inventory.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Running {
+    /// The question it came from.
+    pub ask: Ask,
+    /// The target it runs on.
+    pub target: Name,
+    /// Output tokens so far.
+    pub tokens: u32,
+}
+
+/// A target's death.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Death {
+    /// The target.
+    pub target: Name,
+    /// The start of the target that died.
+    pub start_id: u64,
+    /// Fingerprints that ran there, with organisation and service.
+    pub running: Vec<Suspect>,
+    /// How long ago, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// A body that ran on a target when it died.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspect {
+    /// The body.
+    pub fingerprint: u64,
+    /// Organisation that sent it.
+    pub organisation: Name,
+    /// Service it was sent to.
+    pub service: Name,
+}
+
+impl Ask {
+    /// When the request arrived, on the clock of the VM whose time is `now`.
+    pub fn arrived(&self, now: Millis) -> Millis {
+        Millis(now.0.saturating_sub(self.waited_ms))
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/resource.rs
@@ -0,0 +1,280 @@
+//! Typed resources: what operators declare.
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{Name, Revision};
+use crate::map::Map;
+
+/// The kinds of resource.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Kind {
+    /// A customer with its caller keys and weight.
+    Organisation,
+    /// A model service or a plain service.
+    Service,
+    /// An availability zone.
+    AvailabilityZone,
+    /// An engine or a plain-service back end.
+    Target,
+    /// Limits, policy and wanted models.
+    Configuration,
+}
+
+impl Kind {
+    /// Every kind, in the order in which a file of resources is applied.
+    pub const ALL: [Kind; 5] = [
+        Kind::Configuration,
+        Kind::Organisation,
+        Kind::AvailabilityZone,
+        Kind::Service,
+        Kind::Target,
+    ];
+
+    /// The lower-case plural used in paths and keys.
+    pub fn plural(self) -> &'static str {
+        match self {
+            Kind::Organisation => "organisations",
+            Kind::Service => "services",
+            Kind::AvailabilityZone => "availabilityzones",
+            Kind::Target => "targets",
+            Kind::Configuration => "configurations",
+        }
+    }
+
+    /// The kind with this plural name.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::resource::Kind;
+    ///
+    /// assert_eq!(Kind::from_plural("targets"), Some(Kind::Target));
+    /// assert_eq!(Kind::from_plural("pods"), None);
+    /// ```
+    pub fn from_plural(plural: &str) -> Option<Kind> {
+        Kind::ALL.into_iter().find(|kind| kind.plural() == plural)
+    }
+}
+
+/// A named reference to a resource.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Key {
+    /// The kind.
+    pub kind: Kind,
+    /// The name, unique within the kind.
+    pub name: Name,
+}
+
+/// One stored version of a resource, or its tombstone.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// What it is.
+    pub key: Key,
+    /// The table revision of this version.
+    pub version: Revision,
+    /// Counts changes of the specification, from 1.
+    pub generation: u64,
+    /// Free labels set by operators.
+    #[serde(default)]
+    pub labels: std::collections::BTreeMap<String, String>,
+    /// The specification, or `None` for a tombstone.
+    pub spec: Option<Spec>,
+}
+
+/// The specification of a resource.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "kind", content = "spec")]
+pub enum Spec {
+    /// An organisation.
+    Organisation(Organisation),
+    /// A service.
+    Service(Service),
+    /// An availability zone.
+    AvailabilityZone(AvailabilityZone),
+    /// A target.
+    Target(Target),
+    /// A configuration.
+    Configuration(Configuration),
+}
+
+impl Spec {
+    /// The kind of this specification.
+    pub fn kind(&self) -> Kind {
+        match self {
+            Spec::Organisation(_) => Kind::Organisation,
+            Spec::Service(_) => Kind::Service,
+            Spec::AvailabilityZone(_) => Kind::AvailabilityZone,
+            Spec::Target(_) => Kind::Target,
+            Spec::Configuration(_) => Kind::Configuration,
+        }
+    }
+}
+
+/// A customer organisation.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase", deny_unknown_fields)]
+pub struct Organisation {
+    /// Share of service relative to other organisations, 1 to 1,000.
+    #[serde(default = "one")]
+    pub weight: u32,
+    /// The caller keys of the organisation, replaceable without a stop.
+    #[serde(default)]
+    pub keys: Vec<String>,
+    /// Services that it may call; empty allows all.
+    #[serde(default)]
+    pub services: Vec<Name>,
+}
+
+/// What kind of back ends a service has.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub enum Protocol {
+    /// OpenAI-compatible model engines.
+    #[default]
+    Model,
+    /// Plain HTTP.
+    Plain,
+}
+
+/// A service offered to callers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase", deny_unknown_fields)]
+pub struct Service {
+    /// Protocol of the service's targets.
+    #[serde(default)]
+    pub protocol: Protocol,
+    /// All requests are of the short class.
+    #[serde(default)]
+    pub interactive: bool,
+    /// HTTP methods whose calls run at most once (plain services).
+    #[serde(default)]
+    pub once_methods: Vec<String>,
+    /// Longest wait in the queue, in milliseconds.
+    #[serde(default = "queue_ms")]
+    pub queue_ms: u64,
+    /// The configuration that governs the service; the one named `default` if absent.
+    #[serde(default)]
+    pub configuration: Option<Name>,
+}
+
+/// Whether a zone takes part in serving.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub enum Presence {
+    /// It serves.
+    #[default]
+    In,
+    /// It was taken out: no new work.
+    Out,
+}
+
+/// An availability zone.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase", deny_unknown_fields)]
+pub struct AvailabilityZone {
+    /// The region that the zone belongs to.
+    pub region: Name,
+    /// Whether the zone takes new work.
+    #[serde(default)]
+    pub state: Presence,
+}
+
+/// One engine or plain-service back end.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase", deny_unknown_fields)]
+pub struct Target {
+    /// The service it belongs to.
+    pub service: Name,
+    /// The availability zone it stands in.
+    pub zone: Name,
+    /// `IP:port` of its HTTP interface.
+    pub address: String,
+    /// Concurrent requests it can carry in cold start.
+    #[serde(default = "one")]
+    pub cold_limit: u32,
+    /// Concurrent requests it can carry when warm.
+    #[serde(default = "warm_limit")]
+    pub warm_limit: u32,
+    /// KV cache size in tokens; zero for plain services (no KV limit).
+    #[serde(default)]
+    pub kv_tokens: u64,
+    /// Whether it refuses orders that carry an old fencing token.
+    #[serde(default)]
+    pub fencing: bool,
+    /// Whether it is leaving and takes no new work.
+    #[serde(default)]
+    pub leaving: bool,
+    /// The role wanted, for example `decode`; unset leaves it alone.
+    #[serde(default)]
+    pub role: Option<Name>,
+}
+
+/// Names of the policies in use at the stages that choose.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase", deny_unknown_fields, default)]
+pub struct Policy {
+    /// The `Order` policy: `fair` or `fifo`.
+    pub order: Name,
+    /// The `Score` policies, added up.
+    pub score: Vec<Name>,
+    /// `Admit` and `Filter` policies that are switched off, for baselines and tests.
+    pub off: Vec<Name>,
+}
+
+impl Default for Policy {
+    fn default() -> Policy {
+        let score = vec!["kvload".into(), "affinity".into()];
+        Policy {
+            order: "fair".into(),
+            score,
+            off: Vec::new(),
+        }
+    }
+}
+
+/// Limits, policy and wanted engine state of the services that name it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase", deny_unknown_fields, default)]
+pub struct Configuration {
+    /// Queued requests per organisation and pool.
+    pub organisation_queue: u32,
+    /// Queued requests per pool.
+    pub pool_queue: u32,
+    /// Part of KV capacity that projections may fill, in percent.
+    pub kv_percent: u32,
+    /// Models wanted on the engines of the services, as `name@version`.
+    pub models: Vec<Name>,
+    /// Adapters wanted on the engines of the services.
+    pub adapters: Vec<Name>,
+    /// Engines that may load from the weight store at a time, over all VMs.
+    pub load_slots: u32,
+    /// The policies in use.
+    pub policy: Policy,
+}
+
+impl Default for Configuration {
+    fn default() -> Configuration {
+        Configuration {
+            organisation_queue: 64,
+            pool_queue: 1024,
+            kv_percent: 90,
+            models: Vec::new(),
+            adapters: Vec::new(),
+            load_slots: 2,
+            policy: Policy::default(),
+        }
+    }
+}
+
+fn one() -> u32 {
+    1
+}
+
+fn warm_limit() -> u32 {
+    32
+}
+
+fn queue_ms() -> u64 {
+    30_000
+}
+
+/// The resources in force, looked up by key.
+pub type Book = Map<Key, Record>;
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Encodings and message types at the edges of hornbeamloom.
