--- /dev/null
+++ b/crates/wire/src/error.rs
@@ -0,0 +1,59 @@
+//! The JSON body of a refusal.
+
+use hornbeamloom_kernel::outcome::Ran;
+use serde::{Serialize, Serializer};
+
+/// Why a request was not answered, as a caller reads it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct Body<'a> {
+    /// Broad class, for example `rate_limit_error`.
+    #[serde(rename = "type")]
+    pub class: &'a str,
+    /// Stable reason, for example `pool_queue`.
+    pub reason: &'a str,
+    /// One sentence for people.
+    pub message: &'a str,
+    /// The request's id.
+    pub request_id: &'a str,
+    /// Whether any of it may have run: written as `not_run` true, false or `"unknown"`.
+    #[serde(rename = "not_run", serialize_with = "not_run")]
+    pub ran: Ran,
+    /// When to try again, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
+}
+
+#[derive(Serialize)]
+struct Outer<'a> {
+    error: &'a Body<'a>,
+}
+
+fn not_run<S: Serializer>(ran: &Ran, serializer: S) -> Result<S::Ok, S::Error> {
+    match ran {
+        Ran::No => serializer.serialize_bool(true),
+        Ran::Yes => serializer.serialize_bool(false),
+        Ran::Unknown => serializer.serialize_str("unknown"),
+    }
+}
+
+/// Writes `{"error": …}` as one line of JSON.
+///
+/// ```
+/// use hornbeamloom_kernel::outcome::Ran;
+/// use hornbeamloom_wire::error::{write, Body};
+///
+/// let body = Body {
+///     class: "rate_limit_error",
+///     reason: "pool_queue",
+///     message: "the queue is full",
+///     request_id: "entry-1-1-1",
+///     ran: Ran::No,
+///     retry_after_ms: Some(250),
+/// };
+/// let text = write(&body);
+/// assert!(text.starts_with(r#"{"error":{"type":"rate_limit_error""#));
+/// assert!(text.contains(r#""not_run":true"#));
+/// ```
+pub fn write(body: &Body<'_>) -> String {
+    serde_json::to_string(&Outer { error: body }).expect("strings and numbers always serialise")
+}
--- /dev/null
+++ b/crates/wire/src/openai.rs
@@ -0,0 +1,400 @@
+//! OpenAI-compatible requests, chunks and whole answers, in both forms.
+
+use std::borrow::Cow;
+use std::fmt;
+
+use serde::de::{MapAccess, Visitor};
+use serde::{Deserialize, Deserializer};
+use serde_json::value::RawValue;
+use serde_json::{Map, Value};
+
+/// Bytes of prompt text estimated per token.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// Prompt bytes covered by one step of the prefix hashes.
+pub const PREFIX_BYTES: usize = 256;
+
+/// Most prefix hashes taken of one prompt.
+pub const PREFIXES_MAX: usize = 64;
+
+/// Offset basis and prime of the 64-bit FNV-1a hash.
+const FNV: (u64, u64) = (0xcbf2_9ce4_8422_2325, 0x0000_0100_0000_01b3);
+
+/// The two forms of a generation request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Form {
+    /// `/v1/completions`
+    Completion,
+    /// `/v1/chat/completions`
+    Chat,
+}
+
+impl Form {
+    /// The path of the form.
+    pub fn path(self) -> &'static str {
+        match self {
+            Form::Completion => "/v1/completions",
+            Form::Chat => "/v1/chat/completions",
+        }
+    }
+}
+
+/// The text is not a usable request or answer.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// Not JSON of the expected shape.
+    #[error("{0}")]
+    Json(#[from] serde_json::Error),
+    /// A field has an unusable value.
+    #[error("{0}")]
+    Field(&'static str),
+}
+
+/// A generation request as read from its body.
+#[derive(Debug, Deserialize)]
+pub struct Call<'a> {
+    /// The service called.
+    #[serde(borrow)]
+    pub model: Cow<'a, str>,
+    /// Whether the caller wants a stream.
+    #[serde(default)]
+    pub stream: bool,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    max_completion_tokens: Option<u32>,
+    #[serde(borrow, default)]
+    prompt: Option<Prompt<'a>>,
+    #[serde(borrow, default)]
+    messages: Option<Vec<Turn<'a>>>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum Prompt<'a> {
+    Text(#[serde(borrow)] Cow<'a, str>),
+    Tokens(Vec<u32>),
+    Texts(Vec<Cow<'a, str>>),
+    TokenLists(Vec<Vec<u32>>),
+}
+
+#[derive(Debug, Deserialize)]
+struct Turn<'a> {
+    #[serde(borrow, default)]
+    role: Cow<'a, str>,
+    #[serde(borrow, default)]
+    content: Option<Content<'a>>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum Content<'a> {
+    Text(#[serde(borrow)] Cow<'a, str>),
+    Parts(Vec<Part<'a>>),
+}
+
+#[derive(Debug, Deserialize)]
+struct Part<'a> {
+    #[serde(borrow, default)]
+    text: Cow<'a, str>,
+}
+
+/// Reads a request of the given form.
+///
+/// ```
+/// use hornbeamloom_wire::openai::{read, Form};
+///
+/// let body = br#"{"model": "menu-model", "prompt": "Monday:", "max_tokens": 8, "stream": true}"#;
+/// let call = read(Form::Completion, body).unwrap();
+/// assert_eq!((&*call.model, call.stream), ("menu-model", true));
+/// assert_eq!(call.max_tokens(), Some(8));
+/// assert_eq!(call.prompt_tokens(), 2);
+/// ```
+pub fn read(form: Form, body: &[u8]) -> Result<Call<'_>, Error> {
+    let call: Call<'_> = serde_json::from_slice(body)?;
+    if call.max_tokens() == Some(0) {
+        return Err(Error::Field("max_tokens must be at least 1"));
+    }
+    let has_prompt = match form {
+        Form::Completion => call.prompt.is_some(),
+        Form::Chat => call.messages.as_ref().is_some_and(|list| !list.is_empty()),
+    };
+    match (has_prompt, form) {
+        (true, _) => Ok(call),
+        (false, Form::Completion) => Err(Error::Field("prompt is missing")),
+        (false, Form::Chat) => Err(Error::Field("messages is missing or empty")),
+    }
+}
+
+impl Call<'_> {
+    /// The caller's bound on the output in tokens.
+    pub fn max_tokens(&self) -> Option<u32> {
+        self.max_completion_tokens.or(self.max_tokens)
+    }
+
+    /// An estimate of the prompt's length in tokens, at least 1.
+    pub fn prompt_tokens(&self) -> u32 {
+        let (mut bytes, mut tokens) = (0, 0);
+        self.visit(&mut |piece| match piece {
+            Piece::Text(text) => bytes += text.len(),
+            Piece::Token(_) => tokens += 1,
+        });
+        let tokens = bytes.div_ceil(BYTES_PER_TOKEN) + tokens;
+        u32::try_from(tokens).unwrap_or(u32::MAX).max(1)
+    }
+
+    /// Hashes of the prompt's first `PREFIX_BYTES`, twice as many, and so on; shortest first.
+    ///
+    /// Each is the 64-bit FNV-1a hash of the prompt text up to there. Text pieces are followed by
+    /// nothing, tokens count as four little-endian bytes, and a chat turn is its role, a line
+    /// feed, its content and a line feed. A part shorter than `PREFIX_BYTES` has no hash.
+    pub fn prefixes(&self) -> Vec<u64> {
+        let mut hashes = Vec::new();
+        let (mut hash, mut length) = (FNV.0, 0);
+        let mut add = |bytes: &[u8]| {
+            for byte in bytes {
+                if hashes.len() == PREFIXES_MAX {
+                    return;
+                }
+                hash = (hash ^ u64::from(*byte)).wrapping_mul(FNV.1);
+                length += 1;
+                if length % PREFIX_BYTES == 0 {
+                    hashes.push(hash);
+                }
+            }
+        };
+        self.visit(&mut |piece| match piece {
+            Piece::Text(text) => add(text.as_bytes()),
+            Piece::Token(token) => add(&token.to_le_bytes()),
+        });
+        hashes
+    }
+
+    fn visit(&self, see: &mut impl FnMut(Piece<'_>)) {
+        match &self.prompt {
+            Some(Prompt::Text(text)) => see(Piece::Text(text)),
+            Some(Prompt::Texts(texts)) => texts.iter().for_each(|text| see(Piece::Text(text))),
+            Some(Prompt::Tokens(tokens)) => {
+                tokens.iter().for_each(|token| see(Piece::Token(*token)))
+            }
+            Some(Prompt::TokenLists(lists)) => {
+                lists
+                    .iter()
+                    .flatten()
+                    .for_each(|token| see(Piece::Token(*token)));
+            }
+            None => {}
+        }
+        for turn in self.messages.iter().flatten() {
+            see(Piece::Text(&turn.role));
+            see(Piece::Text("\n"));
+            match &turn.content {
+                Some(Content::Text(text)) => see(Piece::Text(text)),
+                Some(Content::Parts(parts)) => {
+                    parts.iter().for_each(|part| see(Piece::Text(&part.text)));
+                }
+                None => {}
+            }
+            see(Piece::Text("\n"));
+        }
+    }
+}
+
+enum Piece<'a> {
+    Text(&'a str),
+    Token(u32),
+}
+
+/// The members of a JSON object in order, values unread.
+struct Members<'a>(Vec<(Cow<'a, str>, &'a RawValue)>);
+
+impl<'de> Deserialize<'de> for Members<'de> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Members<'de>, D::Error> {
+        struct Seen;
+        impl<'de> Visitor<'de> for Seen {
+            type Value = Members<'de>;
+
+            fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str("a JSON object")
+            }
+
+            fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Members<'de>, A::Error> {
+                let mut members = Vec::new();
+                while let Some(key) = map.next_key::<Key<'de>>()? {
+                    members.push((key.0, map.next_value::<&'de RawValue>()?));
+                }
+                Ok(Members(members))
+            }
+        }
+        deserializer.deserialize_map(Seen)
+    }
+}
+
+#[derive(Deserialize)]
+struct Key<'a>(#[serde(borrow)] Cow<'a, str>);
+
+/// The body for an engine: the caller's, with `stream` true and the given priority.
+///
+/// ```
+/// let body = hornbeamloom_wire::openai::forward(br#"{"model": "m", "stream": false}"#, 3);
+/// assert_eq!(body.unwrap(), br#"{"model":"m","stream":true,"priority":3}"#);
+/// ```
+pub fn forward(body: &[u8], priority: i32) -> Result<Vec<u8>, Error> {
+    let members: Members<'_> = serde_json::from_slice(body)?;
+    let mut out = Vec::with_capacity(body.len() + 32);
+    out.push(b'{');
+    for (key, value) in &members.0 {
+        if matches!(&**key, "stream" | "priority") {
+            continue;
+        }
+        serde_json::to_writer(&mut out, key)?;
+        out.push(b':');
+        out.extend_from_slice(value.get().as_bytes());
+        out.push(b',');
+    }
+    out.extend_from_slice(format!("\"stream\":true,\"priority\":{priority}}}").as_bytes());
+    Ok(out)
+}
+
+/// One chunk of a streamed answer, as far as routing needs it.
+#[derive(Debug, PartialEq, Eq, Deserialize)]
+pub struct Chunk<'a> {
+    /// The generation.
+    #[serde(borrow)]
+    pub id: Cow<'a, str>,
+    #[serde(borrow, default)]
+    choices: Vec<Choice<'a>>,
+}
+
+#[derive(Debug, PartialEq, Eq, Deserialize)]
+struct Choice<'a> {
+    #[serde(borrow, default)]
+    finish_reason: Option<Cow<'a, str>>,
+}
+
+impl Chunk<'_> {
+    /// Whether this is the last chunk of a choice.
+    pub fn is_last(&self) -> bool {
+        self.choices
+            .iter()
+            .any(|choice| choice.finish_reason.is_some())
+    }
+}
+
+/// Reads a chunk.
+///
+/// ```
+/// use hornbeamloom_wire::openai::chunk;
+///
+/// let text = r#"{"id": "g1", "choices": [{"text": "a", "finish_reason": "stop"}]}"#;
+/// let chunk = chunk(text).unwrap();
+/// assert_eq!(&*chunk.id, "g1");
+/// assert!(chunk.is_last());
+/// ```
+pub fn chunk(text: &str) -> Result<Chunk<'_>, Error> {
+    Ok(serde_json::from_str(text)?)
+}
+
+/// Puts the chunks of a streamed answer together to a whole answer.
+///
+/// ```
+/// use hornbeamloom_wire::openai::{Form, Whole};
+///
+/// let mut whole = Whole::new(Form::Completion);
+/// whole.push(r#"{"id": "g", "choices": [{"index": 0, "text": "He"}]}"#).unwrap();
+/// whole.push(r#"{"id": "g", "choices": [{"index": 0, "text": "llo"}]}"#).unwrap();
+/// let body = whole.finish();
+/// assert!(String::from_utf8(body).unwrap().contains(r#""text":"Hello""#));
+/// ```
+#[derive(Debug)]
+pub struct Whole {
+    form: Form,
+    answer: Map<String, Value>,
+}
+
+impl Whole {
+    /// An answer without chunks.
+    pub fn new(form: Form) -> Whole {
+        Whole {
+            form,
+            answer: Map::new(),
+        }
+    }
+
+    /// Adds the next chunk.
+    pub fn push(&mut self, chunk: &str) -> Result<(), Error> {
+        let chunk: Map<String, Value> = serde_json::from_str(chunk)?;
+        for (key, value) in chunk {
+            match value {
+                Value::Array(choices) if key == "choices" => self.extend(choices)?,
+                Value::Null => {}
+                value => {
+                    self.answer.insert(key, value);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn extend(&mut self, choices: Vec<Value>) -> Result<(), Error> {
+        let is_chat = self.form == Form::Chat;
+        let whole = self
+            .answer
+            .entry("choices")
+            .or_insert_with(|| Value::Array(Vec::new()));
+        for mut choice in choices {
+            if let (true, Value::Object(members)) = (is_chat, &mut choice) {
+                if let Some(delta) = members.remove("delta") {
+                    members.insert("message".to_owned(), delta);
+                }
+            }
+            merge(whole, Value::Array(vec![choice]));
+        }
+        Ok(())
+    }
+
+    /// The JSON text of the whole answer.
+    pub fn finish(mut self) -> Vec<u8> {
+        let object = match self.form {
+            Form::Completion => "text_completion",
+            Form::Chat => "chat.completion",
+        };
+        self.answer.insert("object".to_owned(), object.into());
+        serde_json::to_vec(&self.answer).expect("JSON values always serialise")
+    }
+}
+
+/// Members that each chunk repeats instead of continuing.
+const REPEATED: [&str; 6] = ["id", "type", "role", "name", "index", "finish_reason"];
+
+/// Continues `whole` with `part`: texts are appended, objects merged, arrays merged by `index`.
+fn merge(whole: &mut Value, part: Value) {
+    match (whole, part) {
+        (_, Value::Null) => {}
+        (Value::String(whole), Value::String(part)) => whole.push_str(&part),
+        (Value::Object(whole), Value::Object(part)) => {
+            for (key, value) in part {
+                match whole.get_mut(&key) {
+                    Some(old) if !REPEATED.contains(&key.as_str()) => merge(old, value),
+                    Some(_) if value.is_null() => {}
+                    _ => {
+                        whole.insert(key, value);
+                    }
+                }
+            }
+        }
+        (Value::Array(whole), Value::Array(part)) => {
+            for value in part {
+                let index = value.get("index").cloned();
+                let old = whole
+                    .iter_mut()
+                    .find(|old| index.is_some() && old.get("index") == index.as_ref());
+                match old {
+                    Some(old) => merge(old, value),
+                    None => whole.push(value),
+                }
+            }
+        }
+        (whole, part) => *whole = part,
+    }
+}
--- /dev/null
+++ b/crates/wire/src/sse.rs
@@ -0,0 +1,178 @@
+//! Server-sent events: an incremental parser with a bounded buffer, and a writer.
+//!
+//! Lines may end in LF or CRLF. Source: the HTML standard, section "Server-sent events".
+
+use std::borrow::Cow;
+
+/// One event.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Event<'a> {
+    /// The last `id` field of the event.
+    pub id: Option<&'a str>,
+    /// The last `event` field.
+    pub name: Option<&'a str>,
+    /// All `data` fields, joined by line feeds.
+    pub data: Cow<'a, str>,
+}
+
+/// What the parser found.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Item<'a> {
+    /// An event with data.
+    Event(Event<'a>),
+    /// A block without data: comments, or fields that carry nothing by themselves.
+    Comment,
+}
+
+/// The stream cannot be read on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// One event is longer than the parser's limit.
+    #[error("an event is longer than {0} bytes")]
+    TooLong(usize),
+    /// An event is not UTF-8.
+    #[error("an event is not UTF-8")]
+    Encoding,
+}
+
+/// Splits a byte stream into events.
+///
+/// ```
+/// use hornbeamloom_wire::sse::{Item, Parser};
+///
+/// let mut parser = Parser::new(1024);
+/// parser.push(b": ping\n\nid: 7\ndata: hel");
+/// assert_eq!(parser.next_item(), Ok(Some(Item::Comment)));
+/// assert_eq!(parser.next_item(), Ok(None));
+/// parser.push(b"lo\n\n");
+/// let Ok(Some(Item::Event(event))) = parser.next_item() else { panic!() };
+/// assert_eq!((event.id, &*event.data), (Some("7"), "hello"));
+/// ```
+#[derive(Debug)]
+pub struct Parser {
+    buf: Vec<u8>,
+    start: usize,
+    scanned: usize,
+    limit: usize,
+}
+
+impl Parser {
+    /// A parser that refuses events longer than `limit` bytes.
+    pub fn new(limit: usize) -> Parser {
+        Parser {
+            buf: Vec::new(),
+            start: 0,
+            scanned: 0,
+            limit,
+        }
+    }
+
+    /// Adds received bytes; the items found so far should have been taken before.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buf.drain(..self.start);
+        self.scanned -= self.start;
+        self.start = 0;
+        self.buf.extend_from_slice(bytes);
+    }
+
+    /// Bytes held.
+    pub fn held(&self) -> usize {
+        self.buf.len() - self.start
+    }
+
+    /// The next complete item, or `None` until more bytes are pushed.
+    pub fn next_item(&mut self) -> Result<Option<Item<'_>>, Error> {
+        let Some((end, next)) = self.block() else {
+            return match self.held() > self.limit {
+                true => Err(Error::TooLong(self.limit)),
+                false => Ok(None),
+            };
+        };
+        let begin = std::mem::replace(&mut self.start, next);
+        if end - begin > self.limit {
+            return Err(Error::TooLong(self.limit));
+        }
+        let text = std::str::from_utf8(&self.buf[begin..end]).map_err(|_| Error::Encoding)?;
+        Ok(Some(item(text)))
+    }
+
+    /// The end of the next block and the start of the one after it.
+    fn block(&mut self) -> Option<(usize, usize)> {
+        let mut line = self.scanned.max(self.start);
+        while let Some(length) = self.buf[line..].iter().position(|byte| *byte == b'\n') {
+            let next = line + length + 1;
+            let is_blank = matches!(&self.buf[line..next], b"\n" | b"\r\n");
+            self.scanned = next;
+            if is_blank {
+                return Some((line, next));
+            }
+            line = next;
+        }
+        None
+    }
+}
+
+fn item(block: &str) -> Item<'_> {
+    let mut event = Event {
+        id: None,
+        name: None,
+        data: Cow::Borrowed(""),
+    };
+    let mut has_data = false;
+    for line in block.lines() {
+        let (field, value) = line.split_once(':').unwrap_or((line, ""));
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match field {
+            "id" => event.id = Some(value),
+            "event" => event.name = Some(value),
+            "data" if has_data => {
+                event.data.to_mut().push('\n');
+                event.data.to_mut().push_str(value);
+            }
+            "data" => {
+                event.data = Cow::Borrowed(value);
+                has_data = true;
+            }
+            _ => {}
+        }
+    }
+    match has_data {
+        true => Item::Event(event),
+        false => Item::Comment,
+    }
+}
+
+/// Appends one event to `out`.
+///
+/// ```
+/// let mut out = Vec::new();
+/// hornbeamloom_wire::sse::write(&mut out, Some(3), None, "{}");
+/// assert_eq!(out, b"id: 3\ndata: {}\n\n");
+/// ```
+pub fn write(out: &mut Vec<u8>, id: Option<u64>, name: Option<&str>, data: &str) {
+    if let Some(id) = id {
+        out.extend_from_slice(format!("id: {id}\n").as_bytes());
+    }
+    if let Some(name) = name {
+        out.extend_from_slice(format!("event: {name}\n").as_bytes());
+    }
+    for line in data.split('\n') {
+        out.extend_from_slice(b"data: ");
+        out.extend_from_slice(line.as_bytes());
+        out.push(b'\n');
+    }
+    out.push(b'\n');
+}
+
+/// Appends a comment, which readers skip, to `out`.
+///
+/// ```
+/// let mut out = Vec::new();
+/// hornbeamloom_wire::sse::comment(&mut out, "ping");
+/// assert_eq!(out, b": ping\n\n");
+/// ```
+pub fn comment(out: &mut Vec<u8>, text: &str) {
+    out.extend_from_slice(b": ");
+    out.extend_from_slice(text.as_bytes());
+    out.extend_from_slice(b"\n\n");
+}
