Stream completions from engines to callers through the control thread

Cause: nothing connected callers and engines to the kernel. Change: callers' listener (completions, chat, streams to come back to, health, metrics), one traffic task per request, one attempt module that resumes and cancels, a relay with a bounded replay buffer, SIGHUP and graceful shutdown. Inputs to the control thread were never queued, because the send future was dropped before its first poll; they are now.

--- /dev/null
+++ b/crates/daemon/src/auth.rs
@@ -0,0 +1,45 @@
+//! Caller keys and operator keys.
+
+use hornbeamloom_kernel::ids::Name;
+use hornbeamloom_kernel::intent::Intent;
+use hornbeamloom_kernel::resource::Spec;
+use subtle::ConstantTimeEq;
+use warp::http::{header, HeaderMap};
+
+/// The key in `Authorization: Bearer KEY`.
+pub(crate) fn bearer(headers: &HeaderMap) -> Option<&str> {
+    let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, key) = value.split_once(' ')?;
+    let key = key.trim();
+    (scheme.eq_ignore_ascii_case("bearer") && !key.is_empty()).then_some(key)
+}
+
+/// The organisation that `key` belongs to.
+///
+/// Every key in force is compared in full, so that the time taken does not depend on which one
+/// matches.
+pub(crate) fn organisation(intent: &Intent, key: &str) -> Option<Name> {
+    let mut found = None;
+    for record in intent.records() {
+        let Some(Spec::Organisation(organisation)) = &record.spec else {
+            continue;
+        };
+        for own in &organisation.keys {
+            if is_same(own, key) {
+                found = Some(record.key.name.clone());
+            }
+        }
+    }
+    found
+}
+
+/// Whether `key` is one of `keys`; compares with every one of them.
+pub(crate) fn is_known(keys: &[String], key: &str) -> bool {
+    keys.iter()
+        .fold(false, |known, own| known | is_same(own, key))
+}
+
+fn is_same(own: &str, key: &str) -> bool {
+    // An empty key in a resource must not open the service to everybody.
+    !own.is_empty() && bool::from(own.as_bytes().ct_eq(key.as_bytes()))
+}
--- /dev/null
+++ b/crates/daemon/src/comeback.rs
@@ -0,0 +1,125 @@
+//! Callers that lost their connection: go on with a held stream, here or at its holder.
+
+use std::time::Duration;
+
+use futures_util::TryStreamExt;
+use hornbeamloom_kernel::ids::{Millis, Name};
+use hornbeamloom_kernel::kernel::State;
+use hornbeamloom_kernel::outcome::Ran;
+use hornbeamloom_kernel::request::Id;
+use warp::http::{header, HeaderMap, HeaderValue, StatusCode};
+use warp::reply::{Reply, Response};
+
+use crate::engines::Traffic;
+use crate::refusal::{Problem, REQUEST_ID};
+use crate::{answer, http};
+
+/// Header of a request that another VM forwarded; it is not forwarded again.
+const FORWARDED: &str = "x-forwarded-by-vm";
+
+/// Header that names the last event received.
+const LAST_EVENT_ID: &str = "last-event-id";
+
+/// Longest wait for the holder's answer. It sends a head after 1 s at the latest.
+const HOLDER_HEAD: Duration = Duration::from_secs(3);
+
+/// Answers `GET /v1/streams/{id}`.
+pub(crate) async fn resume(
+    traffic: &Traffic,
+    organisation: &str,
+    id: &str,
+    headers: &HeaderMap,
+) -> Result<Response, Problem> {
+    let id: Id = id.parse().map_err(|_| unknown())?;
+    let next = next(headers)?;
+    if let Some(relay) = traffic.stream(&id) {
+        // A stream of another organisation is not acknowledged at all.
+        if &*relay.organisation != organisation {
+            return Err(unknown());
+        }
+        let reader = relay.attach(next).map_err(|_| missing())?;
+        return answer::stream(reader).await;
+    }
+    if id.vm == traffic.context.identity.vm || headers.contains_key(FORWARDED) {
+        return Err(unknown());
+    }
+    forward(traffic, &id, headers).await
+}
+
+/// The event wanted first.
+fn next(headers: &HeaderMap) -> Result<u64, Problem> {
+    let Some(last) = headers.get(LAST_EVENT_ID) else {
+        return Ok(0);
+    };
+    let last = last.to_str().ok().and_then(|last| last.parse::<u64>().ok());
+    last.and_then(|last| last.checked_add(1))
+        .ok_or(Problem::new(
+            StatusCode::BAD_REQUEST,
+            "invalid_last_event_id",
+            "Last-Event-ID is not a number",
+        ))
+}
+
+/// The callers' address of a VM.
+fn caller_address(state: &State, _now: Millis, vm: &str) -> Option<Name> {
+    let mut members = state.members.iter();
+    let member = members.find(|member| &*member.entry.vm == vm)?;
+    Some(member.entry.caller_address.clone())
+}
+
+async fn forward(traffic: &Traffic, id: &Id, headers: &HeaderMap) -> Result<Response, Problem> {
+    let address = traffic.context.control.ask(caller_address, &id.vm).await;
+    let address = address.flatten().ok_or(unknown())?;
+    let mut request = traffic
+        .client
+        .get(format!("http://{address}/v1/streams/{id}"))
+        .header(FORWARDED, &*traffic.context.identity.vm);
+    for name in ["authorization", LAST_EVENT_ID] {
+        if let Some(value) = headers.get(name) {
+            request = request.header(name, value);
+        }
+    }
+    let sent = http::send(request, Default::default(), HOLDER_HEAD, || {}).await;
+    let answer = sent.map_err(|_| unreachable())?;
+    let status = answer.status();
+    let content_type = answer.headers().get(header::CONTENT_TYPE).cloned();
+    let parts = answer.bytes_stream().map_err(std::io::Error::other);
+    let mut response = warp::reply::stream(parts).into_response();
+    *response.status_mut() = status;
+    if let Some(content_type) = content_type {
+        response
+            .headers_mut()
+            .insert(header::CONTENT_TYPE, content_type);
+    }
+    if let Ok(id) = HeaderValue::from_str(&id.to_string()) {
+        response.headers_mut().insert(REQUEST_ID, id);
+    }
+    Ok(response)
+}
+
+fn unknown() -> Problem {
+    Problem::new(
+        StatusCode::NOT_FOUND,
+        "stream_not_found",
+        "no such stream is held",
+    )
+    .with_ran(Ran::Unknown)
+}
+
+fn missing() -> Problem {
+    Problem::new(
+        StatusCode::GONE,
+        "events_not_held",
+        "the events after this one are no longer held",
+    )
+    .with_ran(Ran::Yes)
+}
+
+fn unreachable() -> Problem {
+    Problem::new(
+        StatusCode::BAD_GATEWAY,
+        "holder_unreachable",
+        "the VM that holds the stream does not answer",
+    )
+    .with_ran(Ran::Unknown)
+}
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use futures_util::FutureExt;
 use hornbeamloom_kernel::event::{Count, Event, Vm};
 use hornbeamloom_kernel::ids::{Millis, Name, Revision};
 use hornbeamloom_kernel::intent::Intent;
@@ -125,8 +126,9 @@
 impl Control {
     /// Queues an input; never waits for it to be handled.
     pub fn tell(&self, input: Input) {
-        // A closed mailbox means that the process is exiting.
-        drop(self.address.send(input).detach());
+        // A message is queued when its future is first polled, and at once because the mailbox is
+        // unbounded. A closed mailbox means that the process is exiting.
+        let _ = self.address.send(input).detach().now_or_never();
     }
 
     /// Computes an answer from the control state; `None` while exiting.
--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -8,7 +8,7 @@
 use hornbeamloom_kernel::intent::Intent;
 use hornbeamloom_kernel::kernel::Identity;
 use hornbeamloom_kernel::outcome::Outcome;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, watch, OwnedSemaphorePermit, Semaphore};
 
 use crate::control::Control;
 use crate::settings::Settings;
@@ -26,6 +26,43 @@
     pub intent: watch::Receiver<Arc<Intent>>,
     /// Becomes true when a graceful shutdown begins.
     pub stopping: watch::Receiver<bool>,
+    /// The end of the process, for servers with open answers.
+    pub exit: Exit,
+}
+
+/// Lets servers finish their open answers before the process exits.
+#[derive(Debug, Clone)]
+pub struct Exit {
+    drained: watch::Receiver<bool>,
+    servers: Arc<Semaphore>,
+}
+
+/// Most servers that can register with [`Exit`].
+const SERVERS_MAX: u32 = 64;
+
+impl Exit {
+    /// An exit that begins when `drained` becomes true.
+    pub fn new(drained: watch::Receiver<bool>) -> Exit {
+        let servers = Arc::new(Semaphore::new(SERVERS_MAX as usize));
+        Exit { drained, servers }
+    }
+
+    /// Resolves when no new work will come and open answers should be finished.
+    pub async fn begun(mut self) {
+        // A sender that is gone means that the process is exiting.
+        let _ = self.drained.wait_for(|drained| *drained).await;
+    }
+
+    /// Registers a server; the process waits until the permit is dropped.
+    pub fn register(&self) -> Option<OwnedSemaphorePermit> {
+        self.servers.clone().try_acquire_owned().ok()
+    }
+
+    /// Resolves when every registered server is done.
+    pub async fn finished(&self) {
+        // The semaphore is never closed.
+        drop(self.servers.acquire_many(SERVERS_MAX).await);
+    }
 }
 
 /// Outcomes meant for one adapter.
--- /dev/null
+++ b/crates/daemon/src/http.rs
@@ -0,0 +1,141 @@
+//! The HTTP client for targets: deadlines, the echoed request id, and when bytes have left.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use reqwest::header::CONTENT_LENGTH;
+use reqwest::{Body, Client, RequestBuilder, Response};
+
+use crate::refusal::REQUEST_ID;
+
+/// Longest time to open a connection.
+pub(crate) const CONNECT: Duration = Duration::from_secs(1);
+
+/// Silence after which a link is given up. Targets send something every 500 ms.
+pub(crate) const SILENCE: Duration = Duration::from_secs(2);
+
+/// Why there is no usable answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Fault {
+    /// No byte of the request left.
+    Unsent,
+    /// The connection was refused, so no process listens there.
+    Refused,
+    /// The connection broke, or the answer was cut short.
+    Broken,
+    /// Nothing came within the deadline.
+    Silent,
+    /// The answer belongs to another request.
+    Crossed,
+    /// The answer is longer than the reader's limit.
+    TooLong,
+}
+
+/// A client that opens a new connection for each exchange.
+///
+/// A connection that fell silent in the pool would cost its next user the whole silence deadline,
+/// and one that delivered a wrong or broken answer must not be used again.
+pub(crate) fn client() -> reqwest::Result<Client> {
+    Client::builder()
+        .connect_timeout(CONNECT)
+        .pool_max_idle_per_host(0)
+        .redirect(reqwest::redirect::Policy::none())
+        .no_proxy()
+        .tcp_nodelay(true)
+        .build()
+}
+
+/// Sends a request with `body` and waits for the head of its answer, at most `deadline`.
+///
+/// `began` runs once the connection is open and before the first byte leaves (for an empty body:
+/// before the connection is opened).
+pub(crate) async fn send(
+    request: RequestBuilder,
+    body: Bytes,
+    deadline: Duration,
+    began: impl FnOnce() + Send + Sync + 'static,
+) -> Result<Response, Fault> {
+    let sent = Arc::new(AtomicBool::new(false));
+    let request = match body.is_empty() {
+        true => {
+            sent.store(true, Ordering::Relaxed);
+            began();
+            request
+        }
+        false => {
+            let sent = sent.clone();
+            // The client polls the body after connecting and before flushing the head.
+            let body = stream::once(async move {
+                sent.store(true, Ordering::Relaxed);
+                began();
+                Ok::<_, std::convert::Infallible>(body)
+            });
+            request.body(Body::wrap_stream(body))
+        }
+    };
+    match tokio::time::timeout(deadline, request.send()).await {
+        Ok(Ok(response)) => Ok(response),
+        Ok(Err(error)) if error.is_connect() && is_refused(&error) => Err(Fault::Refused),
+        Ok(Err(error)) if error.is_connect() => Err(Fault::Unsent),
+        _ if !sent.load(Ordering::Relaxed) => Err(Fault::Unsent),
+        Ok(Err(_)) => Err(Fault::Broken),
+        Err(_) => Err(Fault::Silent),
+    }
+}
+
+/// Adds the length of a body given to [`send`].
+pub(crate) fn with_length(request: RequestBuilder, body: &[u8]) -> RequestBuilder {
+    match body.is_empty() {
+        true => request,
+        false => request.header(CONTENT_LENGTH, body.len()),
+    }
+}
+
+/// Whether the connection was refused by the other host.
+pub(crate) fn is_refused(error: &(dyn std::error::Error + 'static)) -> bool {
+    let mut cause = Some(error);
+    while let Some(error) = cause {
+        let io = error.downcast_ref::<std::io::Error>();
+        if io.is_some_and(|io| io.kind() == std::io::ErrorKind::ConnectionRefused) {
+            return true;
+        }
+        cause = error.source();
+    }
+    false
+}
+
+/// The request id that an answer echoes.
+pub(crate) fn echo(response: &Response) -> Option<&str> {
+    response.headers().get(REQUEST_ID)?.to_str().ok()
+}
+
+/// Reads the whole body, at most `limit` bytes, with at most `silence` between two parts.
+///
+/// A body shorter than its `Content-Length` is [`Fault::Broken`].
+pub(crate) async fn body(
+    mut response: Response,
+    limit: usize,
+    silence: Duration,
+) -> Result<Bytes, Fault> {
+    let declared = response.content_length();
+    if declared.is_some_and(|length| length > limit as u64) {
+        return Err(Fault::TooLong);
+    }
+    let mut body = Vec::new();
+    loop {
+        let part = tokio::time::timeout(silence, response.chunk()).await;
+        match part.map_err(|_| Fault::Silent)? {
+            Ok(Some(part)) if body.len() + part.len() > limit => return Err(Fault::TooLong),
+            Ok(Some(part)) => body.extend_from_slice(&part),
+            Ok(None) => break,
+            Err(_) => return Err(Fault::Broken),
+        }
+    }
+    match declared {
+        Some(length) if length != body.len() as u64 => Err(Fault::Broken),
+        _ => Ok(body.into()),
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -24,5 +24,16 @@
 pub mod run;
 pub mod settings;
 
+mod answer;
+mod attempt;
+mod auth;
+mod callers;
+mod comeback;
+mod engines;
+mod http;
+mod metrics;
+mod refusal;
+mod relay;
+
 /// The parts of a daemon use these names for its collections.
 pub use hornbeamloom_kernel::map;
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,49 @@
+//! The recorder of this process's metrics and their text form.
+
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
+
+/// Upper bounds of the duration buckets, in seconds. 66 ms between tokens and 0.95 s to the first
+/// token are the stated targets, so both are bounds.
+const SECONDS: [f64; 14] = [
+    0.002, 0.005, 0.01, 0.02, 0.04, 0.066, 0.1, 0.25, 0.5, 0.95, 2.0, 5.0, 15.0, 60.0,
+];
+
+/// Time between two rounds that move recorded samples into their buckets.
+const UPKEEP: Duration = Duration::from_secs(5);
+
+/// The process has one recorder; several daemons in one test process share it.
+static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
+
+/// Installs the recorder and keeps it up on the current runtime.
+pub(crate) fn install() -> Result<(), BuildError> {
+    if HANDLE.get().is_none() {
+        let builder = PrometheusBuilder::new().set_buckets(&SECONDS)?;
+        let recorder = builder.build_recorder();
+        let handle = recorder.handle();
+        if ::metrics::set_global_recorder(recorder).is_ok() {
+            // Only the thread that set the recorder gets here.
+            let _ = HANDLE.set(handle);
+        }
+    }
+    tokio::spawn(async {
+        let mut rounds = tokio::time::interval(UPKEEP);
+        loop {
+            rounds.tick().await;
+            if let Some(handle) = HANDLE.get() {
+                handle.run_upkeep();
+            }
+        }
+    });
+    Ok(())
+}
+
+/// All metrics as Prometheus text.
+pub(crate) fn render() -> String {
+    HANDLE
+        .get()
+        .map(PrometheusHandle::render)
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/crates/daemon/src/refusal.rs
@@ -0,0 +1,149 @@
+//! Refusals as HTTP answers.
+
+use hornbeamloom_kernel::outcome::{Ran, Reason, Refusal};
+use hornbeamloom_wire::error;
+use warp::http::{header, HeaderValue, StatusCode};
+use warp::reply::Response;
+
+/// Header that carries the request id in both directions.
+pub(crate) const REQUEST_ID: &str = "x-request-id";
+
+/// Advice for refusals that name no time of their own, in milliseconds.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// A refusal as a caller reads it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Problem {
+    pub(crate) status: StatusCode,
+    pub(crate) reason: &'static str,
+    pub(crate) message: &'static str,
+    pub(crate) ran: Ran,
+    pub(crate) retry_after_ms: Option<u64>,
+}
+
+impl Problem {
+    /// A problem found before anything ran.
+    pub(crate) fn new(status: StatusCode, reason: &'static str, message: &'static str) -> Problem {
+        Problem {
+            status,
+            reason,
+            message,
+            ran: Ran::No,
+            retry_after_ms: None,
+        }
+    }
+
+    /// The same problem with another statement about what ran.
+    pub(crate) fn with_ran(self, ran: Ran) -> Problem {
+        Problem { ran, ..self }
+    }
+
+    /// The problem as JSON text.
+    pub(crate) fn body(&self, request_id: &str) -> String {
+        error::write(&error::Body {
+            class: class(self.status),
+            reason: self.reason,
+            message: self.message,
+            request_id,
+            ran: self.ran,
+            retry_after_ms: self.retry_after_ms,
+        })
+    }
+
+    /// The problem as an answer.
+    pub(crate) fn response(&self, request_id: &str) -> Response {
+        let mut response = Response::new(self.body(request_id).into());
+        *response.status_mut() = self.status;
+        let headers = response.headers_mut();
+        let json = HeaderValue::from_static("application/json");
+        headers.insert(header::CONTENT_TYPE, json);
+        if let Some(ms) = self.retry_after_ms {
+            headers.insert(header::RETRY_AFTER, ms.div_ceil(1_000).max(1).into());
+        }
+        response
+    }
+}
+
+impl From<&Refusal> for Problem {
+    fn from(refusal: &Refusal) -> Problem {
+        let (status, message) = describe(refusal.reason);
+        let is_busy = matches!(
+            status,
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+        );
+        Problem {
+            status,
+            reason: refusal.reason.as_str(),
+            message,
+            ran: refusal.ran,
+            retry_after_ms: refusal.retry_after_ms.or(is_busy.then_some(RETRY_AFTER_MS)),
+        }
+    }
+}
+
+fn describe(reason: Reason) -> (StatusCode, &'static str) {
+    match reason {
+        Reason::NotFound => (StatusCode::NOT_FOUND, "no such service"),
+        Reason::OrganisationQueue => (
+            StatusCode::TOO_MANY_REQUESTS,
+            "the organisation's queue is full",
+        ),
+        Reason::PoolQueue => (
+            StatusCode::TOO_MANY_REQUESTS,
+            "the queue of the service is full",
+        ),
+        Reason::QueueDeadline => (
+            StatusCode::TOO_MANY_REQUESTS,
+            "the request would wait too long",
+        ),
+        Reason::NoTarget => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no target can take the request",
+        ),
+        Reason::Quarantined => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "targets crashed while they ran this body",
+        ),
+        Reason::StoreUnavailable => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the call cannot be registered to run at most once",
+        ),
+        Reason::InProgress => (
+            StatusCode::CONFLICT,
+            "a call with this idempotency key is in progress",
+        ),
+        Reason::KeyReused => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "the idempotency key was used with another body",
+        ),
+        Reason::OutcomeUnknown => (
+            StatusCode::BAD_GATEWAY,
+            "an attempt may have run and its outcome is unknown",
+        ),
+        Reason::RetryBudget => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the target failed and retries are used up",
+        ),
+        Reason::TargetFailed => (
+            StatusCode::BAD_GATEWAY,
+            "the target failed during the answer",
+        ),
+        Reason::TooLarge => (
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "the prompt fits no target of the service",
+        ),
+        Reason::ShuttingDown => (StatusCode::SERVICE_UNAVAILABLE, "this VM is shutting down"),
+    }
+}
+
+/// The broad class of a status, in the terms of the OpenAI protocol.
+fn class(status: StatusCode) -> &'static str {
+    match status {
+        StatusCode::UNAUTHORIZED => "authentication_error",
+        StatusCode::NOT_FOUND => "not_found_error",
+        StatusCode::CONFLICT => "conflict_error",
+        StatusCode::TOO_MANY_REQUESTS => "rate_limit_error",
+        status if status.is_server_error() => "server_error",
+        _ => "invalid_request_error",
+    }
+}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -1,16 +1,17 @@
 //! Puts the parts of a daemon together and runs it to its end.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use argh::FromArgs;
 use hornbeamloom_kernel::ids::Incarnation;
 use hornbeamloom_kernel::kernel::{Identity, Kernel};
-use tokio::sync::{mpsc, watch};
+use tokio::signal::unix::{self, SignalKind};
+use tokio::sync::{mpsc, oneshot, watch};
 
-use crate::control::{self, Input, Port};
+use crate::control::{self, Control, Input, Port};
 use crate::settings::Settings;
 use crate::{edge, settings};
 
@@ -42,7 +43,7 @@
         Ok(runtime) => runtime,
         Err(error) => return refuse(&error),
     };
-    match runtime.block_on(serve(settings)) {
+    match runtime.block_on(serve(settings, &args.config)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => refuse(&error),
     }
@@ -54,50 +55,124 @@
 }
 
 fn start_log(level: &str) {
-    let level = level.parse().unwrap_or(log::LevelFilter::Info);
     let config = simplelog::ConfigBuilder::new()
         .set_time_format_rfc3339()
         .build();
+    // The logger lets everything pass; the level in force is the global one, which can change.
     // A second logger in one process (tests) is not a reason to stop.
-    let _ = simplelog::WriteLogger::init(level, config, std::io::stderr());
+    let _ = simplelog::WriteLogger::init(log::LevelFilter::Trace, config, std::io::stderr());
+    set_log_level(level);
 }
 
-async fn serve(settings: Settings) -> Result<(), edge::Error> {
-    let identity = identify(&settings);
-    let (settings_sender, settings) = watch::channel(Arc::new(settings));
-    let (stopping_sender, stopping) = watch::channel(false);
-    let plugins = edge::all();
-    let (ports, inboxes): (Vec<Port>, Vec<edge::Inbox>) = plugins
-        .iter()
-        .map(|plugin| {
-            let (inbox, receiver) = mpsc::unbounded_channel();
-            (
-                Port {
-                    takes: plugin.takes,
-                    inbox,
-                },
-                receiver,
-            )
+fn set_log_level(level: &str) {
+    log::set_max_level(level.parse().unwrap_or(log::LevelFilter::Info));
+}
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    control: Control,
+    settings: watch::Sender<Arc<Settings>>,
+    stopping: watch::Sender<bool>,
+    drained: watch::Sender<bool>,
+    exit: edge::Exit,
+    done: oneshot::Receiver<()>,
+}
+
+impl Daemon {
+    /// Starts all adapters on the current runtime; nothing runs if one cannot start.
+    pub fn start(settings: Settings) -> Result<Daemon, edge::Error> {
+        let identity = identify(&settings);
+        let (settings_sender, settings) = watch::channel(Arc::new(settings));
+        let (stopping_sender, stopping) = watch::channel(false);
+        let (drained_sender, drained) = watch::channel(false);
+        let exit = edge::Exit::new(drained);
+        let plugins = edge::all();
+        let (ports, inboxes): (Vec<Port>, Vec<edge::Inbox>) = plugins.iter().map(port).unzip();
+        let (control, ends) = control::spawn(Kernel::new(identity.clone()), ports)
+            .map_err(|error| edge::Error::Setting(error.to_string()))?;
+        let context = edge::Context {
+            settings,
+            identity,
+            control: control.clone(),
+            intent: ends.intent,
+            stopping,
+            exit: exit.clone(),
+        };
+        for (plugin, inbox) in plugins.iter().zip(inboxes) {
+            (plugin.start)(context.clone(), inbox)?;
+        }
+        Ok(Daemon {
+            control,
+            settings: settings_sender,
+            stopping: stopping_sender,
+            drained: drained_sender,
+            exit,
+            done: ends.drained,
         })
-        .unzip();
-    let (control, ends) = control::spawn(Kernel::new(identity.clone()), ports)
-        .map_err(|error| edge::Error::Setting(error.to_string()))?;
-    let context = edge::Context {
-        settings,
-        identity,
-        control: control.clone(),
-        intent: ends.intent,
-        stopping,
-    };
-    for (plugin, inbox) in plugins.iter().zip(inboxes) {
-        (plugin.start)(context.clone(), inbox)?;
     }
-    wait_for_stop().await;
-    stopping_sender.send_replace(true);
-    control.tell(Input::Stop);
-    // The control thread drops its end only when the kernel is drained or the process exits.
-    let _ = ends.drained.await;
-    drop(settings_sender);
+
+    /// The way to the control thread.
+    pub fn control(&self) -> &Control {
+        &self.control
+    }
+
+    /// Puts new settings in force, as far as they can change without a restart.
+    ///
+    /// Keys, log level and limits are taken over; everything else stays as it is.
+    pub fn reload(&self, new: &Settings) {
+        let settings = self.settings.borrow().with_reloaded(new);
+        set_log_level(&settings.log.level);
+        self.settings.send_replace(Arc::new(settings));
+    }
+
+    /// Shuts down gracefully: refuses readiness, lets the load balancer notice, finishes all
+    /// work, and stops.
+    pub async fn stop(self) {
+        let settings = self.settings.borrow().clone();
+        self.stopping.send_replace(true);
+        let work = async {
+            tokio::time::sleep(Duration::from_secs(settings.settle_s)).await;
+            self.control.tell(Input::Stop);
+            // The control thread drops its end only when the kernel is drained.
+            let _ = self.done.await;
+            self.drained.send_replace(true);
+            self.exit.finished().await;
+        };
+        match settings.shutdown_limit_s {
+            None => work.await,
+            Some(limit_s) => {
+                let limit = Duration::from_secs(limit_s);
+                if tokio::time::timeout(limit, work).await.is_err() {
+                    log::warn!("shutdown limit reached limit_s={limit_s}");
+                }
+            }
+        }
+    }
+}
+
+fn port(plugin: &edge::Plugin) -> (Port, edge::Inbox) {
+    let (inbox, receiver) = mpsc::unbounded_channel();
+    let takes = plugin.takes;
+    (Port { takes, inbox }, receiver)
+}
+
+async fn serve(settings: Settings, config: &Path) -> Result<(), edge::Error> {
+    let mut signals = Signals::new().map_err(|error| edge::Error::Setting(error.to_string()))?;
+    let daemon = Daemon::start(settings)?;
+    log::info!("started");
+    while let Signal::Reload = signals.next().await {
+        match settings::read(config) {
+            Ok(settings) => {
+                daemon.reload(&settings);
+                log::info!("settings reloaded");
+            }
+            Err(error) => log::warn!("settings not reloaded, the old ones stay: {error}"),
+        }
+    }
+    log::info!("shutting down");
+    daemon.stop().await;
+    log::info!("stopped");
     Ok(())
 }
 
@@ -112,12 +187,32 @@
         .with_seed(incarnation.0)
 }
 
-async fn wait_for_stop() {
-    use tokio::signal::unix::{signal, SignalKind};
-    let mut terminate = signal(SignalKind::terminate()).expect("SIGTERM can be handled");
-    let mut interrupt = signal(SignalKind::interrupt()).expect("SIGINT can be handled");
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+enum Signal {
+    Reload,
+    Stop,
+}
+
+/// The signals that the daemon obeys.
+struct Signals {
+    terminate: unix::Signal,
+    interrupt: unix::Signal,
+    hangup: unix::Signal,
+}
+
+impl Signals {
+    fn new() -> std::io::Result<Signals> {
+        Ok(Signals {
+            terminate: unix::signal(SignalKind::terminate())?,
+            interrupt: unix::signal(SignalKind::interrupt())?,
+            hangup: unix::signal(SignalKind::hangup())?,
+        })
+    }
+
+    async fn next(&mut self) -> Signal {
+        tokio::select! {
+            _ = self.terminate.recv() => Signal::Stop,
+            _ = self.interrupt.recv() => Signal::Stop,
+            _ = self.hangup.recv() => Signal::Reload,
+        }
     }
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -36,6 +36,18 @@
     pub limits: Limits,
 }
 
+impl Settings {
+    /// These settings with everything of `new` that can change without a restart.
+    pub fn with_reloaded(&self, new: &Settings) -> Settings {
+        Settings {
+            keys: new.keys.clone(),
+            log: new.log.clone(),
+            limits: new.limits.clone(),
+            ..self.clone()
+        }
+    }
+}
+
 /// Addresses to listen on, as `IP:port`.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
--- /dev/null
+++ b/crates/daemon/tests/support/mod.rs
@@ -0,0 +1,335 @@
+//! A daemon in the test's own process and scripted targets.
+
+// Each test file uses its own part of this module.
+#![allow(dead_code)]
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use hornbeamloom_daemon::control::Input;
+use hornbeamloom_daemon::run::Daemon;
+use hornbeamloom_daemon::settings;
+use hornbeamloom_kernel::ids::Revision;
+use hornbeamloom_kernel::peer::Delta;
+use hornbeamloom_kernel::resource::{Key, Record, Spec};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Longest wait for anything in a test.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// One step of a scripted answer.
+#[derive(Debug, Clone)]
+pub enum Act {
+    Send(String),
+    Wait(Duration),
+    /// Keep the connection open and silent.
+    Hang,
+}
+
+/// A request that a scripted target received.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    pub method: String,
+    pub path: String,
+    pub id: String,
+    pub body: String,
+    pub head: String,
+}
+
+/// A scripted target; each connection carries one exchange.
+#[derive(Debug, Clone)]
+pub struct Target {
+    pub address: String,
+    seen: Arc<Mutex<Vec<Seen>>>,
+}
+
+impl Target {
+    /// Serves what `script` says for each request; `/metrics` has a warm report.
+    pub async fn start<F>(script: F) -> Target
+    where
+        F: Fn(&Seen, usize) -> Vec<Act> + Clone + Send + 'static,
+    {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let target = Target { address, seen };
+        let own = target.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(stream, own.clone(), script.clone()));
+            }
+        });
+        target
+    }
+
+    /// The requests received so far, reports left out.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.seen.lock().unwrap().clone()
+    }
+
+    /// Waits until a received request fits.
+    pub async fn wait_for(&self, fits: impl Fn(&Seen) -> bool) {
+        let wait = async {
+            while !self.seen().iter().any(&fits) {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, wait)
+            .await
+            .expect("the request came");
+    }
+}
+
+async fn serve<F>(mut stream: TcpStream, target: Target, script: F)
+where
+    F: Fn(&Seen, usize) -> Vec<Act>,
+{
+    let Some(request) = receive(&mut stream).await else {
+        return;
+    };
+    let acts = match request.path.as_str() {
+        "/metrics" => vec![Act::Send(whole(
+            200,
+            "",
+            "engine_start_id 1\nengine_phase{phase=\"warm\"} 1\nengine_kv_tokens 100000\n",
+        ))],
+        path if path.starts_with("/v1/cache_events") => {
+            vec![Act::Send(whole(200, "", "{\"first\": 0}"))]
+        }
+        _ => {
+            let count = {
+                let mut seen = target.seen.lock().unwrap();
+                seen.push(request.clone());
+                seen.len()
+            };
+            script(&request, count)
+        }
+    };
+    for act in acts {
+        match act {
+            Act::Send(text) => {
+                if stream.write_all(text.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+            Act::Wait(time) => tokio::time::sleep(time).await,
+            Act::Hang => std::future::pending().await,
+        }
+    }
+    // The client sees the end of the answer, not a reset.
+    let _ = stream.shutdown().await;
+}
+
+async fn receive(stream: &mut TcpStream) -> Option<Seen> {
+    let mut buf = Vec::new();
+    let end = loop {
+        if let Some(at) = buf.windows(4).position(|part| part == b"\r\n\r\n") {
+            break at + 4;
+        }
+        if stream.read_buf(&mut buf).await.ok()? == 0 {
+            return None;
+        }
+    };
+    let head = String::from_utf8_lossy(&buf[..end]).into_owned();
+    let length: usize = field(&head, "content-length")
+        .and_then(|value| value.parse().ok())
+        .unwrap_or(0);
+    while buf.len() < end + length {
+        if stream.read_buf(&mut buf).await.ok()? == 0 {
+            return None;
+        }
+    }
+    let mut words = head.split(' ');
+    Some(Seen {
+        method: words.next()?.to_owned(),
+        path: words.next()?.to_owned(),
+        id: field(&head, "x-request-id").unwrap_or_default().to_owned(),
+        body: String::from_utf8_lossy(&buf[end..]).into_owned(),
+        head: head.clone(),
+    })
+}
+
+fn field<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    head.lines().find_map(|line| {
+        let (field, value) = line.split_once(':')?;
+        field.eq_ignore_ascii_case(name).then_some(value.trim())
+    })
+}
+
+/// The head of an event stream that ends with its connection.
+pub fn head(request_id: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: {request_id}\r\n\
+         X-Generation-Id: g1\r\nConnection: close\r\n\r\n"
+    )
+}
+
+/// An answer with a declared length.
+pub fn whole(status: u16, request_id: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 {status} X\r\nContent-Type: text/plain\r\nX-Request-Id: {request_id}\r\n\
+         Content-Length: {}\r\nConnection: close\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// The token event number `seq` of a generation, with its number as text.
+pub fn token(generation: &str, seq: u64) -> String {
+    format!(
+        "id: {seq}\ndata: {{\"id\": \"{generation}\", \"choices\": [{{\"index\": 0, \"text\": \"<{seq}>\", \
+         \"finish_reason\": null}}]}}\n\n"
+    )
+}
+
+/// The last token event of generation `g1`, and the end mark.
+pub fn last(seq: u64) -> String {
+    token("g1", seq).replace("null", "\"stop\"") + "data: [DONE]\n\n"
+}
+
+/// A daemon with its callers' address.
+pub struct Rig {
+    pub daemon: Daemon,
+    pub url: String,
+    pub client: reqwest::Client,
+}
+
+/// A port that was free a moment ago.
+fn port() -> u16 {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap().port()
+}
+
+/// Settings text with free ports and `more` lines.
+pub fn settings_text(more: &str) -> String {
+    let (callers, operators, peers) = (port(), port(), port());
+    format!(
+        "vm: entry-1\nzone: z\n\
+         listen: {{callers: '127.0.0.1:{callers}', operators: '127.0.0.1:{operators}', \
+         peers: '127.0.0.1:{peers}'}}\n\
+         platform: {{table: 'http://127.0.0.1:1', objects: 'http://127.0.0.1:1', \
+         vms: 'http://127.0.0.1:1'}}\n\
+         keys: {{operator: [op-key], peer: [peer-key]}}\nsettle_s: 0\n{more}"
+    )
+}
+
+impl Rig {
+    /// A daemon that knows `target` as engine of `model` and back end of `desk`.
+    pub async fn start(target: &Target) -> Rig {
+        Rig::with_settings(target, "").await
+    }
+
+    /// The same with further lines of settings.
+    pub async fn with_settings(target: &Target, more: &str) -> Rig {
+        let settings = settings::parse(&settings_text(more)).unwrap();
+        let url = format!("http://{}", settings.listen.callers);
+        let daemon = Daemon::start(settings).unwrap();
+        let client = reqwest::Client::builder().no_proxy().build().unwrap();
+        daemon
+            .control()
+            .tell(Input::Changes(resources(&target.address)));
+        let rig = Rig {
+            daemon,
+            url,
+            client,
+        };
+        rig.wait_until_ready().await;
+        rig
+    }
+
+    async fn wait_until_ready(&self) {
+        let wait = async {
+            loop {
+                let answer = self.client.get(format!("{}/readyz", self.url)).send().await;
+                if answer.is_ok_and(|answer| answer.status() == 200) {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, wait)
+            .await
+            .expect("the daemon is ready");
+    }
+
+    /// Starts a request with the caller's key.
+    pub fn post(&self, path: &str, body: &str) -> reqwest::RequestBuilder {
+        self.client
+            .post(format!("{}{path}", self.url))
+            .bearer_auth("key-1")
+            .body(body.to_owned())
+    }
+
+    /// Streams a completion to its end.
+    pub async fn stream(&self) -> (u16, String) {
+        let body = r#"{"model": "model", "prompt": "p", "stream": true}"#;
+        let request = self.post("/v1/completions", body).send();
+        let answer = tokio::time::timeout(PATIENCE, request)
+            .await
+            .unwrap()
+            .unwrap();
+        let status = answer.status().as_u16();
+        let text = tokio::time::timeout(PATIENCE, answer.text()).await.unwrap();
+        (status, text.unwrap())
+    }
+}
+
+/// The texts of the token events of a stream, put together.
+pub fn tokens(stream: &str) -> String {
+    let texts = stream.split("\"text\": \"").skip(1);
+    texts.filter_map(|rest| rest.split('"').next()).collect()
+}
+
+/// One organisation, one zone, a model service, a plain service, a target for each.
+pub fn resources(address: &str) -> Delta {
+    let specs = [
+        (
+            "org-1",
+            r#"{"kind": "Organisation", "spec": {"keys": ["key-1"]}}"#.to_owned(),
+        ),
+        (
+            "org-2",
+            r#"{"kind": "Organisation", "spec": {"keys": ["key-2"]}}"#.to_owned(),
+        ),
+        (
+            "z",
+            r#"{"kind": "AvailabilityZone", "spec": {"region": "r"}}"#.to_owned(),
+        ),
+        (
+            "model",
+            r#"{"kind": "Service", "spec": {"queueMs": 20000}}"#.to_owned(),
+        ),
+        (
+            "desk",
+            r#"{"kind": "Service", "spec": {"protocol": "plain", "onceMethods": ["PUT"]}}"#
+                .to_owned(),
+        ),
+        ("engine-1", target("model", address)),
+        ("desk-1", target("desk", address)),
+    ];
+    let records = specs.iter().map(|(name, spec)| {
+        let spec: Spec = serde_json::from_str(spec).unwrap();
+        Record {
+            key: Key {
+                kind: spec.kind(),
+                name: (*name).into(),
+            },
+            version: Revision(5),
+            generation: 1,
+            labels: Default::default(),
+            spec: Some(spec),
+        }
+    });
+    Delta {
+        from: Revision(0),
+        to: Revision(5),
+        complete: true,
+        records: records.collect(),
+    }
+}
+
+fn target(service: &str, address: &str) -> String {
+    format!(
+        r#"{{"kind": "Target", "spec": {{"service": "{service}", "zone": "z", "address": "{address}", "coldLimit": 8}}}}"#
+    )
+}
