Add stand-ins for the engine, the plain service and the platform

Cause: a request cannot be served end to end without the outside systems. Conclusion: ready for the adapters.

--- /dev/null
+++ b/crates/bench/src/host.rs
@@ -0,0 +1,41 @@
+//! What every stand-in shares: arguments, a runtime, a listener and the fault interface.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use warp::Filter;
+
+use crate::role::Error;
+
+/// Parses the arguments of a role.
+pub(crate) fn parse<T: FromArgs>(role: &str, words: &[&str]) -> Result<T, Error> {
+    T::from_args(&[&format!("hornbeamloom-bench {role}")], words)
+        .map_err(|exit| Error::Usage(exit.output))
+}
+
+/// Runs an asynchronous role to its end.
+pub(crate) fn block_on<F>(role: F) -> Result<ExitCode, Error>
+where
+    F: std::future::Future<Output = Result<ExitCode, Error>>,
+{
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()?
+        .block_on(role)
+}
+
+/// Serves `routes` on `address` and prints the bound address on one line.
+///
+/// Port 0 takes a free port; tests and experiments read the line.
+pub(crate) async fn serve<F>(address: SocketAddr, routes: F) -> Result<ExitCode, Error>
+where
+    F: Filter<Error = warp::Rejection> + Clone + Send + Sync + 'static,
+    F::Extract: warp::Reply,
+{
+    let listener = tokio::net::TcpListener::bind(address).await?;
+    println!("listening {}", listener.local_addr()?);
+    warp::serve(routes).incoming(listener).run().await;
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -11,4 +11,11 @@
 
 pub mod role;
 
+mod batch;
+mod cache;
 mod daemon;
+mod engine;
+mod host;
+mod platform;
+mod service;
+mod table;
--- /dev/null
+++ b/crates/bench/src/service.rs
@@ -0,0 +1,232 @@
+//! A stand-in for a plain service that counts runs by idempotency key.
+//!
+//! `GET /_runs` gives the counts. `POST /_fault` takes `{"drop_answers": N}` (run the next N calls
+//! and cut their connections), `{"truncate": N}` (cut the next N bodies short),
+//! `{"delay_ms": N}`, `{"phase": "leaving"}`, `{"cold_s": N}` and `{"die": true}`.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use argh::FromArgs;
+use bytes::Bytes;
+use futures_util::stream;
+use serde::Deserialize;
+use serde_json::json;
+use warp::http::{HeaderMap, Method, StatusCode};
+use warp::{Filter, Reply};
+
+use crate::{host, role};
+
+/// Exit status after a crash that the stand-in plays.
+const CRASH: i32 = 70;
+
+inventory::submit! {
+    role::Plugin { name: "service", help: "stand-in for a plain service", run }
+}
+
+/// Stand-in for a plain service.
+#[derive(Debug, FromArgs)]
+struct Args {
+    /// address to listen on
+    #[argh(option)]
+    listen: SocketAddr,
+    /// duration of a call in milliseconds
+    #[argh(option, default = "20")]
+    delay_ms: u64,
+    /// duration of the cold start in seconds
+    #[argh(option, default = "0.0")]
+    cold_s: f64,
+    /// calls that it can carry in cold start; more end the process
+    #[argh(option, default = "2")]
+    cold_limit: u32,
+}
+
+fn run(words: &[&str]) -> Result<ExitCode, role::Error> {
+    let args: Args = host::parse("service", words)?;
+    host::block_on(async move { host::serve(args.listen, routes(Service::new(&args))).await })
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct Fault {
+    drop_answers: u32,
+    truncate: u32,
+    delay_ms: Option<u64>,
+    phase: Option<String>,
+    cold_s: Option<f64>,
+    die: bool,
+}
+
+struct State {
+    start_id: u128,
+    runs: BTreeMap<String, u32>,
+    total: u64,
+    running: u32,
+    drop_answers: u32,
+    truncate: u32,
+    delay: Duration,
+    cold_until: Instant,
+    cold_limit: u32,
+    leaving: bool,
+}
+
+/// The stand-in's shared state; the lock is never held across an await.
+#[derive(Clone)]
+struct Service(Arc<Mutex<State>>);
+
+/// How the answer to one call is spoiled.
+enum Spoil {
+    Nothing,
+    Drop,
+    Truncate,
+}
+
+impl Service {
+    fn new(args: &Args) -> Service {
+        let since_epoch = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        Service(Arc::new(Mutex::new(State {
+            start_id: since_epoch.unwrap_or_default().as_millis(),
+            runs: BTreeMap::new(),
+            total: 0,
+            running: 0,
+            drop_answers: 0,
+            truncate: 0,
+            delay: Duration::from_millis(args.delay_ms),
+            cold_until: Instant::now() + Duration::from_secs_f64(args.cold_s),
+            cold_limit: args.cold_limit,
+            leaving: false,
+        })))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn begin(&self, key: &str) -> (Duration, u32, Spoil) {
+        let mut state = self.lock();
+        state.total += 1;
+        state.running += 1;
+        if Instant::now() < state.cold_until && state.running > state.cold_limit {
+            eprintln!("service: overloaded in cold start");
+            std::process::exit(CRASH);
+        }
+        let runs = state.runs.entry(key.to_owned()).or_default();
+        *runs += 1;
+        let run = *runs;
+        let spoil = if state.drop_answers > 0 {
+            state.drop_answers -= 1;
+            Spoil::Drop
+        } else if state.truncate > 0 {
+            state.truncate -= 1;
+            Spoil::Truncate
+        } else {
+            Spoil::Nothing
+        };
+        (state.delay, run, spoil)
+    }
+
+    async fn call(
+        self,
+        method: Method,
+        path: warp::path::FullPath,
+        headers: HeaderMap,
+        body: Bytes,
+    ) -> warp::reply::Response {
+        let header = |name| {
+            headers
+                .get(name)
+                .and_then(|value| value.to_str().ok())
+                .unwrap_or("")
+        };
+        let (delay, run, spoil) = self.begin(header("idempotency-key"));
+        tokio::time::sleep(delay).await;
+        self.lock().running -= 1;
+        let text = json!({
+            "method": method.as_str(),
+            "path": path.as_str(),
+            "body": String::from_utf8_lossy(&body),
+            "run": run,
+        })
+        .to_string();
+        let reply = match spoil {
+            Spoil::Nothing => text.into_response(),
+            Spoil::Drop => cut("", text.len()),
+            Spoil::Truncate => cut(&text[..text.len() / 2], text.len()),
+        };
+        let reply = warp::reply::with_header(reply, "content-type", "application/json");
+        let request_id = header("x-request-id").to_owned();
+        warp::reply::with_header(reply, "x-request-id", request_id).into_response()
+    }
+
+    fn metrics(self) -> String {
+        let state = self.lock();
+        let phase = match (state.leaving, Instant::now() < state.cold_until) {
+            (true, _) => "leaving",
+            (_, true) => "cold",
+            _ => "warm",
+        };
+        format!(
+            "engine_start_id {}\nengine_phase{{phase=\"{phase}\"}} 1\n\
+             vllm:num_requests_running {}\nrequests_total {}\n",
+            state.start_id, state.running, state.total
+        )
+    }
+
+    fn fault(self, fault: Fault) -> StatusCode {
+        if fault.die {
+            std::process::exit(CRASH);
+        }
+        let mut state = self.lock();
+        state.drop_answers += fault.drop_answers;
+        state.truncate += fault.truncate;
+        if let Some(delay_ms) = fault.delay_ms {
+            state.delay = Duration::from_millis(delay_ms);
+        }
+        if let Some(phase) = fault.phase {
+            state.leaving = phase == "leaving";
+        }
+        if let Some(cold_s) = fault.cold_s {
+            state.cold_until = Instant::now() + Duration::from_secs_f64(cold_s);
+        }
+        StatusCode::OK
+    }
+}
+
+/// An answer that announces `length` bytes and ends after `text`.
+fn cut(text: &str, length: usize) -> warp::reply::Response {
+    let parts = [Ok(Bytes::from(text.to_owned())), Err(Cut)];
+    let reply = warp::reply::stream(stream::iter(parts));
+    warp::reply::with_header(reply, "content-length", length).into_response()
+}
+
+/// Ends a body early, which cuts the connection.
+#[derive(Debug, thiserror::Error)]
+#[error("the answer is cut")]
+struct Cut;
+
+fn routes(
+    service: Service,
+) -> impl Filter<Extract = (impl Reply,), Error = warp::Rejection> + Clone {
+    let own = warp::any().map(move || service.clone());
+    let metrics = warp::path!("metrics")
+        .and(own.clone())
+        .map(Service::metrics);
+    let runs = warp::path!("_runs")
+        .and(own.clone())
+        .map(|service: Service| warp::reply::json(&service.lock().runs));
+    let fault = warp::path!("_fault")
+        .and(warp::post())
+        .and(own.clone())
+        .and(warp::body::json())
+        .map(Service::fault);
+    let call = own
+        .and(warp::method())
+        .and(warp::path::full())
+        .and(warp::header::headers_cloned())
+        .and(warp::body::bytes())
+        .then(Service::call);
+    metrics.or(runs).or(fault).or(call)
+}
