Add the fault proxy, process handling and the `up` role

Cause: tests and users need stand-ins and daemons started as processes. Conclusion: the process-level tests can be written against this.

--- /dev/null
+++ b/crates/bench/src/cluster.rs
@@ -0,0 +1,452 @@
+//! Stand-ins and daemons as processes on loopback, for `up`, experiments and tests.
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use serde_json::{json, Value};
+
+use crate::process::Process;
+use crate::role::Error;
+
+/// Operator key of every cluster.
+pub const OPERATOR_KEY: &str = "operator-key";
+/// How long daemons may take to be ready.
+const READY_MAX: Duration = Duration::from_secs(30);
+/// How often readiness is looked for.
+const READY_POLL: Duration = Duration::from_millis(50);
+
+/// What kind of stand-in a target is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stand {
+    /// A model engine.
+    Engine,
+    /// A plain service.
+    Service,
+}
+
+/// A target to start.
+#[derive(Debug, Clone)]
+pub struct Target {
+    /// Its name.
+    pub name: String,
+    /// Its service.
+    pub service: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Its kind.
+    pub stand: Stand,
+    /// Further arguments of the stand-in.
+    pub arguments: Vec<String>,
+    /// Further fields of the target's specification.
+    pub spec: Value,
+}
+
+impl Target {
+    /// An engine with the stand-in's default sizes.
+    pub fn engine(name: &str, service: &str, zone: &str) -> Target {
+        Target {
+            name: name.to_owned(),
+            service: service.to_owned(),
+            zone: zone.to_owned(),
+            stand: Stand::Engine,
+            arguments: Vec::new(),
+            spec: json!({"coldLimit": 2, "warmLimit": 32, "kvTokens": 20_000}),
+        }
+    }
+
+    /// A plain service.
+    pub fn service(name: &str, service: &str, zone: &str) -> Target {
+        let spec = json!({"coldLimit": 2, "warmLimit": 64});
+        Target {
+            stand: Stand::Service,
+            spec,
+            ..Target::engine(name, service, zone)
+        }
+    }
+
+    /// The same target with further arguments of the stand-in.
+    pub fn with_arguments(mut self, arguments: &[&str]) -> Target {
+        self.arguments
+            .extend(arguments.iter().map(|argument| (*argument).to_owned()));
+        self
+    }
+
+    /// The same target with one field of its specification set.
+    pub fn with_spec(mut self, field: &str, value: Value) -> Target {
+        self.spec[field] = value;
+        self
+    }
+}
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    /// Its VM name.
+    pub vm: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Its process.
+    pub process: Process,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where operators reach it.
+    pub operators: SocketAddr,
+    /// Where peers reach it.
+    pub peers: SocketAddr,
+    settings: PathBuf,
+}
+
+/// A running stand-in.
+#[derive(Debug)]
+pub struct Running {
+    /// Its target name.
+    pub name: String,
+    /// Its process.
+    pub process: Process,
+    /// Its address.
+    pub address: SocketAddr,
+    arguments: Vec<String>,
+}
+
+/// A running fault proxy.
+#[derive(Debug)]
+pub struct Proxy {
+    /// Its process.
+    pub process: Process,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its control address.
+    pub control: SocketAddr,
+}
+
+/// A set of processes and the folder with their files.
+#[derive(Debug)]
+pub struct Cluster {
+    /// The platform stand-in.
+    pub platform: Running,
+    /// Target stand-ins.
+    pub targets: Vec<Running>,
+    /// Daemons.
+    pub daemons: Vec<Daemon>,
+    /// Where daemons reach the platform; a proxy's address in some tests.
+    pub platform_address: SocketAddr,
+    /// The HTTP client of the bench.
+    pub client: reqwest::Client,
+    bench: PathBuf,
+    daemon: Vec<String>,
+    folder: PathBuf,
+}
+
+impl Cluster {
+    /// Starts a platform stand-in and nothing else.
+    ///
+    /// `bench` is the `hornbeamloom-bench` binary, which also runs the daemons.
+    ///
+    /// # Errors
+    ///
+    /// A process or file of the cluster cannot be started or written.
+    pub fn new(bench: &Path) -> Result<Cluster, Error> {
+        let folder = scratch_folder()?;
+        let arguments = ["platform", "--listen", "127.0.0.1:0"]
+            .map(str::to_owned)
+            .to_vec();
+        let platform = stand_in(bench, "platform", arguments, &folder)?;
+        Ok(Cluster {
+            platform_address: platform.address,
+            platform,
+            targets: Vec::new(),
+            daemons: Vec::new(),
+            client: reqwest::Client::new(),
+            bench: bench.to_owned(),
+            daemon: vec![bench.display().to_string(), "daemon".to_owned()],
+            folder,
+        })
+    }
+
+    /// The same cluster with daemons from the `hornbeamloomd` binary.
+    pub fn with_daemon(mut self, daemon: &Path) -> Cluster {
+        self.daemon = vec![daemon.display().to_string()];
+        self
+    }
+
+    /// The folder with settings and logs.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    /// Starts a target stand-in.
+    ///
+    /// # Errors
+    ///
+    /// The process does not start.
+    pub fn start_target(&mut self, target: &Target) -> Result<SocketAddr, Error> {
+        let role = match target.stand {
+            Stand::Engine => "engine",
+            Stand::Service => "service",
+        };
+        let mut arguments = [role, "--listen", "127.0.0.1:0"]
+            .map(str::to_owned)
+            .to_vec();
+        arguments.extend(target.arguments.iter().cloned());
+        let running = stand_in(&self.bench, &target.name, arguments, &self.folder)?;
+        let address = running.address;
+        self.targets.push(running);
+        Ok(address)
+    }
+
+    /// Starts a dead target again at its old address.
+    ///
+    /// # Errors
+    ///
+    /// There is no such target or the process does not start.
+    pub fn restart_target(&mut self, name: &str) -> Result<(), Error> {
+        let (bench, folder) = (self.bench.clone(), self.folder.clone());
+        let target = self.target(name)?;
+        target.process.kill();
+        let mut arguments = target.arguments.clone();
+        arguments[2] = target.address.to_string();
+        *target = stand_in(&bench, name, arguments, &folder)?;
+        Ok(())
+    }
+
+    /// The running target `name`.
+    ///
+    /// # Errors
+    ///
+    /// There is no such target.
+    pub fn target(&mut self, name: &str) -> Result<&mut Running, Error> {
+        let found = self.targets.iter_mut().find(|target| target.name == name);
+        found.ok_or_else(|| Error::Failed(format!("no target {name}")))
+    }
+
+    /// The resource that declares a target at `address`.
+    pub fn target_resource(target: &Target, address: SocketAddr) -> Value {
+        let mut spec = target.spec.clone();
+        spec["service"] = json!(target.service);
+        spec["zone"] = json!(target.zone);
+        spec["address"] = json!(address.to_string());
+        resource("Target", &target.name, spec)
+    }
+
+    /// Starts a daemon whose seeds are the daemons that already run.
+    ///
+    /// # Errors
+    ///
+    /// Its settings cannot be written or the process does not start.
+    pub fn start_daemon(&mut self, vm: &str, zone: &str) -> Result<(), Error> {
+        let addresses = free_addresses(3)?;
+        let seeds: Vec<String> = self
+            .daemons
+            .iter()
+            .take(3)
+            .map(|daemon| daemon.peers.to_string())
+            .collect();
+        let platform = format!("http://{}", self.platform_address);
+        let settings = json!({
+            "vm": vm,
+            "zone": zone,
+            "listen": {
+                "callers": addresses[0].to_string(),
+                "operators": addresses[1].to_string(),
+                "peers": addresses[2].to_string(),
+            },
+            "platform": {"table": platform, "objects": platform, "vms": platform},
+            "peers": seeds,
+            "keys": {"operator": [OPERATOR_KEY], "peer": ["peer-key"]},
+            "settle_s": 1,
+        });
+        let path = self.folder.join(format!("{vm}.yaml"));
+        let text = serde_yaml_ng::to_string(&settings)
+            .map_err(|error| Error::Failed(error.to_string()))?;
+        std::fs::write(&path, text)?;
+        let process = self.spawn_daemon(vm, &path)?;
+        self.daemons.push(Daemon {
+            vm: vm.to_owned(),
+            zone: zone.to_owned(),
+            process,
+            callers: addresses[0],
+            operators: addresses[1],
+            peers: addresses[2],
+            settings: path,
+        });
+        Ok(())
+    }
+
+    /// Ends a daemon at once and starts it again with the same settings.
+    ///
+    /// # Errors
+    ///
+    /// The process does not start.
+    pub fn restart_daemon(&mut self, ix: usize) -> Result<(), Error> {
+        self.daemons[ix].process.kill();
+        let (vm, settings) = (
+            self.daemons[ix].vm.clone(),
+            self.daemons[ix].settings.clone(),
+        );
+        self.daemons[ix].process = self.spawn_daemon(&vm, &settings)?;
+        Ok(())
+    }
+
+    fn spawn_daemon(&self, vm: &str, settings: &Path) -> Result<Process, Error> {
+        let settings = settings.display().to_string();
+        let mut arguments: Vec<&str> = self.daemon[1..].iter().map(String::as_str).collect();
+        arguments.extend(["--config", &settings]);
+        let log = self.folder.join(format!("{vm}.log"));
+        Process::start(Path::new(&self.daemon[0]), vm, &arguments, &log)
+    }
+
+    /// Starts a fault proxy in front of `to`.
+    ///
+    /// # Errors
+    ///
+    /// The process does not start.
+    pub fn start_proxy(&self, to: SocketAddr) -> Result<Proxy, Error> {
+        let to = to.to_string();
+        let local = "127.0.0.1:0";
+        let arguments = ["proxy", "--listen", local, "--control", local, "--to", &to];
+        let log = self.folder.join("proxy.log");
+        let mut process = Process::start(&self.bench, "proxy", &arguments, &log)?;
+        let address = process.read_address("proxying")?;
+        let control = process.read_address("listening")?;
+        Ok(Proxy {
+            process,
+            address,
+            control,
+        })
+    }
+
+    /// Creates a resource through the first daemon, trying again until it is taken.
+    ///
+    /// # Errors
+    ///
+    /// It was not taken in time; the last answer is in the text.
+    pub async fn apply(&self, resource: &Value) -> Result<(), Error> {
+        let kind = resource["kind"].as_str().unwrap_or_default().to_lowercase();
+        let url = format!("http://{}/apis/v1/{kind}s", self.daemons[0].operators);
+        let mut last = String::new();
+        let started = Instant::now();
+        while started.elapsed() < READY_MAX {
+            let sent = self
+                .client
+                .post(&url)
+                .bearer_auth(OPERATOR_KEY)
+                .json(resource)
+                .send()
+                .await;
+            match sent {
+                Ok(answer) if answer.status().is_success() => return Ok(()),
+                Ok(answer) => last = answer.text().await.unwrap_or_default(),
+                Err(error) => last = error.to_string(),
+            }
+            tokio::time::sleep(READY_POLL).await;
+        }
+        Err(Error::Failed(format!("{kind} was not accepted: {last}")))
+    }
+
+    /// Waits until every daemon is ready.
+    ///
+    /// # Errors
+    ///
+    /// One was not ready in time.
+    pub async fn wait_ready(&self) -> Result<(), Error> {
+        for daemon in &self.daemons {
+            let url = format!("http://{}/readyz", daemon.callers);
+            let started = Instant::now();
+            while !self.is_ok(&url).await {
+                if started.elapsed() > READY_MAX {
+                    return Err(Error::Failed(format!("{} did not become ready", daemon.vm)));
+                }
+                tokio::time::sleep(READY_POLL).await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn is_ok(&self, url: &str) -> bool {
+        matches!(self.client.get(url).send().await, Ok(answer) if answer.status().is_success())
+    }
+
+    /// Gives a fault order to a stand-in or to a proxy's control address.
+    ///
+    /// # Errors
+    ///
+    /// The order was not taken.
+    pub async fn fault(&self, address: SocketAddr, order: &Value) -> Result<(), Error> {
+        let sent = self
+            .client
+            .post(format!("http://{address}/_fault"))
+            .json(order)
+            .send()
+            .await;
+        match sent.and_then(reqwest::Response::error_for_status) {
+            Ok(_) => Ok(()),
+            Err(error) => Err(Error::Failed(error.to_string())),
+        }
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            // A folder that stays behind is harmless.
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+/// A resource in the form of the resource API.
+///
+/// ```
+/// let zone = hornbeamloom_bench::cluster::resource(
+///     "AvailabilityZone",
+///     "lodz-a",
+///     serde_json::json!({"region": "pl-centrum"}),
+/// );
+/// assert_eq!(zone["metadata"]["name"], "lodz-a");
+/// ```
+pub fn resource(kind: &str, name: &str, spec: Value) -> Value {
+    json!({
+        "apiVersion": "hornbeamloom/v1",
+        "kind": kind,
+        "metadata": {"name": name},
+        "spec": spec,
+    })
+}
+
+fn stand_in(
+    bench: &Path,
+    name: &str,
+    arguments: Vec<String>,
+    folder: &Path,
+) -> Result<Running, Error> {
+    let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let log = folder.join(format!("{name}.log"));
+    let mut process = Process::start(bench, name, &words, &log)?;
+    let address = process.read_address("listening")?;
+    Ok(Running {
+        name: name.to_owned(),
+        process,
+        address,
+        arguments,
+    })
+}
+
+fn scratch_folder() -> Result<PathBuf, Error> {
+    let mut bytes = [0; 8];
+    getrandom::fill(&mut bytes).map_err(|error| Error::Failed(error.to_string()))?;
+    let folder = std::env::temp_dir().join(format!("hornbeamloom-{:x}", u64::from_ne_bytes(bytes)));
+    std::fs::create_dir_all(&folder)?;
+    Ok(folder)
+}
+
+/// Loopback addresses that were free a moment ago.
+fn free_addresses(count: usize) -> Result<Vec<SocketAddr>, Error> {
+    let listeners: Vec<TcpListener> = (0..count)
+        .map(|_| TcpListener::bind("127.0.0.1:0"))
+        .collect::<Result<_, _>>()?;
+    Ok(listeners
+        .iter()
+        .map(TcpListener::local_addr)
+        .collect::<Result<_, _>>()?)
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,6 +9,8 @@
 //! assert!(names.contains(&"daemon"));
 //! ```
 
+pub mod cluster;
+pub mod process;
 pub mod role;
 
 mod batch;
@@ -17,5 +19,7 @@
 mod engine;
 mod host;
 mod platform;
+mod proxy;
 mod service;
 mod table;
+mod up;
--- /dev/null
+++ b/crates/bench/src/process.rs
@@ -0,0 +1,128 @@
+//! A child process of a test bench, ended when dropped.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::{self, Signal};
+use nix::unistd::Pid;
+
+use crate::role::Error;
+
+/// How long a process may take to say that it listens.
+const START_MAX: Duration = Duration::from_secs(20);
+/// How often an exit is looked for.
+const EXIT_POLL: Duration = Duration::from_millis(20);
+
+/// A running child process.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    name: String,
+}
+
+impl Process {
+    /// Starts `program` with `arguments`; its standard error goes to `log`.
+    ///
+    /// # Errors
+    ///
+    /// The program or the log file cannot be opened.
+    pub fn start(
+        program: &Path,
+        name: &str,
+        arguments: &[&str],
+        log: &Path,
+    ) -> Result<Process, Error> {
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(log)?;
+        let child = Command::new(program)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(log)
+            .spawn()?;
+        Ok(Process {
+            child,
+            name: name.to_owned(),
+        })
+    }
+
+    /// Reads standard output up to the line `LABEL ADDRESS` and returns the address.
+    ///
+    /// # Errors
+    ///
+    /// The process ended before it printed the line.
+    pub fn read_address(&mut self, label: &str) -> Result<SocketAddr, Error> {
+        let failed = || Error::Failed(format!("{} did not start", self.name));
+        let stdout = self.child.stdout.as_mut().ok_or_else(failed)?;
+        let mut line = String::new();
+        let mut lines = BufReader::with_capacity(1, stdout);
+        let started = Instant::now();
+        while started.elapsed() < START_MAX {
+            line.clear();
+            if lines.read_line(&mut line)? == 0 {
+                break;
+            }
+            let address = line.trim().strip_prefix(label).map(str::trim);
+            if let Some(Ok(address)) = address.map(str::parse) {
+                return Ok(address);
+            }
+        }
+        Err(failed())
+    }
+
+    /// The process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal, if the process still runs.
+    pub fn signal(&mut self, signal: Signal) {
+        let Ok(None) = self.child.try_wait() else {
+            return;
+        };
+        if let Ok(pid) = i32::try_from(self.child.id()) {
+            // The process may have ended by itself in between.
+            let _ = signal::kill(Pid::from_raw(pid), signal);
+        }
+    }
+
+    /// Asks for a graceful shutdown.
+    pub fn terminate(&mut self) {
+        self.signal(Signal::SIGTERM);
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        self.signal(Signal::SIGKILL);
+        // Reaps the child; it was just killed or has ended before.
+        let _ = self.child.wait();
+    }
+
+    /// The exit status, if the process has ended.
+    pub fn status(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
+    /// Waits up to `limit` for the process to end.
+    pub async fn wait(&mut self, limit: Duration) -> Option<ExitStatus> {
+        let started = Instant::now();
+        while started.elapsed() < limit {
+            if let Some(status) = self.status() {
+                return Some(status);
+            }
+            tokio::time::sleep(EXIT_POLL).await;
+        }
+        None
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/bench/src/up.rs
@@ -0,0 +1,87 @@
+//! A small cluster to try the system with.
+
+use std::process::ExitCode;
+
+use serde_json::json;
+
+use crate::cluster::{resource, Cluster, Target, OPERATOR_KEY};
+use crate::{host, role};
+
+const SERVICE: &str = "pisarz-modelu";
+const ORDER_DESK: &str = "biuro-zlecen";
+const CALLER_KEY: &str = "parlour-1-key";
+const ZONES: [&str; 2] = ["lodz-a", "lodz-b"];
+
+inventory::submit! {
+    role::Plugin { name: "up", help: "stand-ins and three daemons to try", run }
+}
+
+fn run(_words: &[&str]) -> Result<ExitCode, role::Error> {
+    host::block_on(async {
+        let bench = std::env::current_exe()?;
+        let mut cluster = Cluster::new(&bench)?;
+        for (vm, zone) in [
+            ("entry-a1", ZONES[0]),
+            ("entry-a2", ZONES[0]),
+            ("entry-b1", ZONES[1]),
+        ] {
+            cluster.start_daemon(vm, zone)?;
+        }
+        declare(&mut cluster).await?;
+        cluster.wait_ready().await?;
+        print_help(&cluster);
+        tokio::signal::ctrl_c().await?;
+        Ok(ExitCode::SUCCESS)
+    })
+}
+
+async fn declare(cluster: &mut Cluster) -> Result<(), role::Error> {
+    for zone in ZONES {
+        let spec = json!({"region": "pl-centrum"});
+        cluster
+            .apply(&resource("AvailabilityZone", zone, spec))
+            .await?;
+    }
+    cluster
+        .apply(&resource("Service", SERVICE, json!({"protocol": "model"})))
+        .await?;
+    let spec = json!({"protocol": "plain", "onceMethods": ["POST"]});
+    cluster
+        .apply(&resource("Service", ORDER_DESK, spec))
+        .await?;
+    let spec = json!({"weight": 1, "keys": [CALLER_KEY]});
+    cluster
+        .apply(&resource("Organisation", "parlour-1", spec))
+        .await?;
+    for target in targets() {
+        let address = cluster.start_target(&target)?;
+        cluster
+            .apply(&Cluster::target_resource(&target, address))
+            .await?;
+    }
+    Ok(())
+}
+
+fn targets() -> Vec<Target> {
+    vec![
+        Target::engine("engine-a1", SERVICE, ZONES[0]),
+        Target::engine("engine-a2", SERVICE, ZONES[0]),
+        Target::engine("engine-b1", SERVICE, ZONES[1]),
+        Target::service("desk-a1", ORDER_DESK, ZONES[0]),
+        Target::service("desk-b1", ORDER_DESK, ZONES[1]),
+    ]
+}
+
+fn print_help(cluster: &Cluster) {
+    let daemon = &cluster.daemons[0];
+    println!("Three daemons in two availability zones are ready. Try:\n");
+    println!("  curl -N http://{}/v1/completions \\", daemon.callers);
+    println!("    -H 'Authorization: Bearer {CALLER_KEY}' -H 'Content-Type: application/json' \\");
+    println!("    -d '{{\"model\": \"{SERVICE}\", \"prompt\": \"len=20\", \"stream\": true}}'\n");
+    println!(
+        "  hornbeamctl --server http://{} --key {OPERATOR_KEY} status\n",
+        daemon.operators
+    );
+    println!("Settings and logs: {}", cluster.folder().display());
+    println!("Ctrl-C stops everything.");
+}
