Add experiments with open-loop load, records, reports and comparison

Cause: policies can only be judged against baselines on the same load. Conclusion: ready for the first measurement.

--- a/crates/bench/src/host.rs
+++ b/crates/bench/src/host.rs
@@ -8,19 +8,21 @@
 
 use crate::role::Error;
 
+/// Threads of a role; an experiment runs dozens of stand-ins on one machine.
+const WORKERS: usize = 2;
+
 /// Parses the arguments of a role.
 pub(crate) fn parse<T: FromArgs>(role: &str, words: &[&str]) -> Result<T, Error> {
     T::from_args(&[&format!("hornbeamloom-bench {role}")], words)
         .map_err(|exit| Error::Usage(exit.output))
 }
 
-/// Runs an asynchronous role to its end.
-pub(crate) fn block_on<F>(role: F) -> Result<ExitCode, Error>
-where
-    F: std::future::Future<Output = Result<ExitCode, Error>>,
-{
+/// Runs an asynchronous role, or a part of one, to its end.
+pub(crate) fn block_on<T>(
+    role: impl std::future::Future<Output = Result<T, Error>>,
+) -> Result<T, Error> {
     tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
+        .worker_threads(WORKERS)
         .enable_all()
         .build()?
         .block_on(role)
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -15,11 +15,17 @@
 
 mod batch;
 mod cache;
+mod compare;
 mod daemon;
 mod engine;
+mod experiment;
 mod host;
+mod load;
 mod platform;
 mod proxy;
+mod record;
+mod report;
+mod run;
 mod service;
 mod table;
 mod up;
--- /dev/null
+++ b/crates/bench/src/record.rs
@@ -0,0 +1,336 @@
+//! The record of one run of one variant, computed from its samples.
+
+use std::collections::BTreeMap;
+
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+
+use crate::experiment::{Event, Experiment};
+use crate::load::{End, Sample};
+use crate::role::Error;
+
+/// A gap between tokens above this counts as a stall, in microseconds.
+const STALL_US: u64 = 250_000;
+/// Largest time that histograms hold, in microseconds.
+const TIME_MAX_US: u64 = 600_000_000;
+/// Output tokens weigh this much against prompt tokens in service received.
+const OUTPUT_WEIGHT: u64 = 2;
+
+/// Quantiles of a time in milliseconds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Quantiles {
+    /// Samples.
+    pub count: u64,
+    /// Median.
+    pub p50: f64,
+    /// 95 in 100.
+    pub p95: f64,
+    /// 99 in 100.
+    pub p99: f64,
+    /// 999 in 1,000.
+    pub p999: f64,
+}
+
+/// What callers of one organisation saw.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Organisation {
+    /// Requests.
+    pub requests: u64,
+    /// Answered whole.
+    pub whole: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Lost.
+    pub lost: u64,
+    /// Service received in weighted tokens.
+    pub service: u64,
+    /// Time to the first token.
+    pub first: Quantiles,
+    /// Time between tokens.
+    pub between: Quantiles,
+}
+
+/// One second of a run.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Second {
+    /// Requests that started.
+    pub started: u64,
+    /// Requests answered whole.
+    pub whole: u64,
+    /// Tokens that arrived.
+    pub tokens: u64,
+    /// Refusals.
+    pub refused: u64,
+    /// Lost requests.
+    pub lost: u64,
+}
+
+/// The result of one variant.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Run {
+    /// Name of the variant.
+    pub variant: String,
+    /// Requests that count.
+    pub requests: u64,
+    /// Answered whole.
+    pub whole: u64,
+    /// Refusals by reason.
+    pub refusals: BTreeMap<String, u64>,
+    /// Lost requests by cause.
+    pub lost: BTreeMap<String, u64>,
+    /// Stall time in all, in seconds.
+    pub stall_s: f64,
+    /// Stall time for each answer, in milliseconds.
+    pub stall_ms_per_answer: f64,
+    /// Preemptions at the engines during the samples.
+    pub preemptions: u64,
+    /// Time to the first token by kind of request.
+    pub first: BTreeMap<String, Quantiles>,
+    /// Time between tokens by kind of request.
+    pub between: BTreeMap<String, Quantiles>,
+    /// Time between tokens of all kinds.
+    pub between_all: Quantiles,
+    /// Jain index of service over demand by organisation.
+    pub jain: f64,
+    /// Service over demand of the organisation that got least, against the mean.
+    pub worst_share: f64,
+    /// By organisation.
+    pub organisations: BTreeMap<String, Organisation>,
+    /// Second by second since the samples started.
+    pub seconds: Vec<Second>,
+    /// Processor time of the daemons for 1,000 tokens, in milliseconds.
+    pub daemon_cpu_ms_per_1000: f64,
+}
+
+/// The record of an experiment.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Record {
+    /// Name of the experiment.
+    pub experiment: String,
+    /// Its seed.
+    pub seed: u64,
+    /// What happened meanwhile.
+    pub events: Vec<Event>,
+    /// One run a variant.
+    pub runs: Vec<Run>,
+}
+
+/// Figures that do not come from samples.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Outside {
+    pub(crate) preemptions: u64,
+    pub(crate) daemon_cpu_ms: f64,
+}
+
+/// Computes the result of one variant.
+pub(crate) fn compute(
+    experiment: &Experiment,
+    variant: &str,
+    samples: &[Sample],
+    outside: Outside,
+) -> Result<Run, Error> {
+    let warmup = std::time::Duration::from_secs(experiment.warmup_s);
+    let counted: Vec<&Sample> = samples
+        .iter()
+        .filter(|sample| sample.plan.at >= warmup)
+        .collect();
+    let mut run = Run {
+        variant: variant.to_owned(),
+        ..Run::default()
+    };
+    count(&mut run, &counted);
+    stall(&mut run, &counted);
+    run.preemptions = outside.preemptions;
+    let all_tokens: u64 = samples.iter().map(|sample| sample.tokens).sum();
+    run.daemon_cpu_ms_per_1000 = outside.daemon_cpu_ms * 1_000.0 / all_tokens.max(1) as f64;
+    for (ix, traffic) in experiment.traffic.iter().enumerate() {
+        let of_kind = || {
+            counted
+                .iter()
+                .copied()
+                .filter(|sample| sample.plan.traffic == ix)
+        };
+        run.first.insert(traffic.name.clone(), first(of_kind())?);
+        run.between
+            .insert(traffic.name.clone(), between(of_kind())?);
+    }
+    run.between_all = between(counted.iter().copied())?;
+    for (ix, organisation) in experiment.organisations.iter().enumerate() {
+        let own: Vec<&Sample> = counted
+            .iter()
+            .copied()
+            .filter(|sample| sample.plan.organisation == ix)
+            .collect();
+        run.organisations.insert(
+            organisation.name.clone(),
+            by_organisation(experiment, &own)?,
+        );
+    }
+    share(&mut run, experiment, &counted);
+    run.seconds = seconds(experiment, samples);
+    Ok(run)
+}
+
+fn count(run: &mut Run, samples: &[&Sample]) {
+    run.requests = samples.len() as u64;
+    for sample in samples {
+        match &sample.end {
+            End::Whole => run.whole += 1,
+            End::Refused(reason) => *run.refusals.entry(reason.clone()).or_default() += 1,
+            End::Lost(cause) => *run.lost.entry(cause.clone()).or_default() += 1,
+        }
+    }
+}
+
+fn stall(run: &mut Run, samples: &[&Sample]) {
+    let gaps = samples.iter().flat_map(|sample| &sample.gaps);
+    let stalled_us: u64 = gaps
+        .map(|gap| u64::try_from(gap.as_micros()).unwrap_or(u64::MAX))
+        .filter(|us| *us > STALL_US)
+        .sum();
+    run.stall_s = stalled_us as f64 / 1e6;
+    let streams = samples.iter().filter(|sample| sample.tokens > 0).count();
+    run.stall_ms_per_answer = stalled_us as f64 / 1e3 / streams.max(1) as f64;
+}
+
+fn histogram(times: impl Iterator<Item = std::time::Duration>) -> Result<Quantiles, Error> {
+    let failed = |error: String| Error::Failed(format!("histogram: {error}"));
+    let mut histogram = Histogram::<u64>::new_with_bounds(1, TIME_MAX_US, 3)
+        .map_err(|error| failed(error.to_string()))?;
+    for time in times {
+        histogram.saturating_record(u64::try_from(time.as_micros()).unwrap_or(u64::MAX));
+    }
+    let ms = |quantile| histogram.value_at_quantile(quantile) as f64 / 1e3;
+    Ok(Quantiles {
+        count: histogram.len(),
+        p50: ms(0.5),
+        p95: ms(0.95),
+        p99: ms(0.99),
+        p999: ms(0.999),
+    })
+}
+
+fn first<'a>(samples: impl Iterator<Item = &'a Sample>) -> Result<Quantiles, Error> {
+    histogram(samples.filter_map(|sample| sample.first))
+}
+
+fn between<'a>(samples: impl Iterator<Item = &'a Sample>) -> Result<Quantiles, Error> {
+    histogram(samples.flat_map(|sample| sample.gaps.iter().copied()))
+}
+
+fn by_organisation(experiment: &Experiment, own: &[&Sample]) -> Result<Organisation, Error> {
+    let ended =
+        |wanted: fn(&End) -> bool| own.iter().filter(|sample| wanted(&sample.end)).count() as u64;
+    Ok(Organisation {
+        requests: own.len() as u64,
+        whole: ended(|end| *end == End::Whole),
+        refused: ended(|end| matches!(end, End::Refused(_))),
+        lost: ended(|end| matches!(end, End::Lost(_))),
+        service: own
+            .iter()
+            .map(|sample| service(experiment, sample, sample.tokens))
+            .sum(),
+        first: first(own.iter().copied())?,
+        between: between(own.iter().copied())?,
+    })
+}
+
+fn service(experiment: &Experiment, sample: &Sample, tokens: u64) -> u64 {
+    let prompt = u64::from(experiment.traffic[sample.plan.traffic].prompt);
+    if tokens == 0 {
+        return 0;
+    }
+    prompt + OUTPUT_WEIGHT * tokens
+}
+
+/// Compares each organisation's service with its max-min fair share of all service given.
+fn share(run: &mut Run, experiment: &Experiment, samples: &[&Sample]) {
+    let mut demands = vec![0_u64; experiment.organisations.len()];
+    for sample in samples {
+        demands[sample.plan.organisation] += service(experiment, sample, sample.plan.length);
+    }
+    let given: u64 = run
+        .organisations
+        .values()
+        .map(|organisation| organisation.service)
+        .sum();
+    let shares = fair_shares(&demands, given);
+    let mut ratios = Vec::new();
+    for (organisation, share) in experiment.organisations.iter().zip(shares) {
+        let received = run
+            .organisations
+            .get(&organisation.name)
+            .map_or(0, |it| it.service);
+        if share > 0.0 {
+            ratios.push(received as f64 / share);
+        }
+    }
+    let (sum, squares) = ratios.iter().fold((0.0, 0.0), |(sum, squares), ratio| {
+        (sum + ratio, squares + ratio * ratio)
+    });
+    run.jain = if squares > 0.0 {
+        sum * sum / (ratios.len() as f64 * squares)
+    } else {
+        0.0
+    };
+    run.worst_share = ratios.into_iter().fold(f64::INFINITY, f64::min);
+}
+
+/// Max-min fair division of `given` among organisations that want `demands`.
+fn fair_shares(demands: &[u64], given: u64) -> Vec<f64> {
+    let mut order: Vec<usize> = (0..demands.len()).collect();
+    order.sort_by_key(|&ix| demands[ix]);
+    let mut shares = vec![0.0; demands.len()];
+    let mut rem = given as f64;
+    for (done, ix) in order.into_iter().enumerate() {
+        let equal = rem / (demands.len() - done) as f64;
+        shares[ix] = equal.min(demands[ix] as f64);
+        rem -= shares[ix];
+    }
+    shares
+}
+
+fn seconds(experiment: &Experiment, samples: &[Sample]) -> Vec<Second> {
+    let length = usize::try_from(experiment.duration_s).unwrap_or(usize::MAX);
+    let mut seconds = vec![Second::default(); length];
+    let slot = |at: std::time::Duration| {
+        at.as_secs()
+            .checked_sub(experiment.warmup_s)
+            .and_then(|ix| usize::try_from(ix).ok())
+    };
+    for sample in samples {
+        if let Some(second) = slot(sample.plan.at).and_then(|ix| seconds.get_mut(ix)) {
+            second.started += 1;
+        }
+        let Some(second) = slot(sample.ended_at).and_then(|ix| seconds.get_mut(ix)) else {
+            continue;
+        };
+        match sample.end {
+            End::Whole => second.whole += 1,
+            End::Refused(_) => second.refused += 1,
+            End::Lost(_) => second.lost += 1,
+        }
+    }
+    for at in samples.iter().flat_map(token_times) {
+        if let Some(second) = slot(at).and_then(|ix| seconds.get_mut(ix)) {
+            second.tokens += 1;
+        }
+    }
+    seconds
+}
+
+/// When each token of a sample arrived, since the start of the load.
+fn token_times(sample: &Sample) -> impl Iterator<Item = std::time::Duration> + '_ {
+    let first = sample
+        .first
+        .filter(|_| sample.tokens > 0)
+        .map(|first| sample.plan.at + first);
+    let gaps = sample.gaps.iter();
+    first.into_iter().flat_map(move |first| {
+        let rest = gaps.clone().scan(first, |at, gap| {
+            *at += *gap;
+            Some(*at)
+        });
+        std::iter::once(first).chain(rest)
+    })
+}
--- /dev/null
+++ b/crates/bench/src/report.rs
@@ -0,0 +1,141 @@
+//! Writes a record as JSON, as a readable page and as plots.
+
+use std::fmt::Write as _;
+use std::path::Path;
+
+use plotters::prelude::*;
+
+use crate::record::{Quantiles, Record, Run};
+use crate::role::Error;
+
+const PLOT_SIZE: (u32, u32) = (900, 360);
+
+/// Writes `NAME.json`, `NAME.md` and one plot a variant into `folder`.
+pub(crate) fn write(record: &Record, folder: &Path) -> Result<(), Error> {
+    std::fs::create_dir_all(folder)?;
+    let json = serde_json::to_string_pretty(record).map_err(failed)?;
+    std::fs::write(folder.join(format!("{}.json", record.experiment)), json)?;
+    std::fs::write(
+        folder.join(format!("{}.md", record.experiment)),
+        text(record),
+    )?;
+    for run in &record.runs {
+        let path = folder.join(format!("{}-{}.svg", record.experiment, run.variant));
+        plot(run, &path)?;
+    }
+    Ok(())
+}
+
+fn failed(error: impl std::fmt::Display) -> Error {
+    Error::Failed(error.to_string())
+}
+
+/// The record as a readable page.
+pub(crate) fn text(record: &Record) -> String {
+    let mut page = format!("# {} (seed {})\n", record.experiment, record.seed);
+    for event in &record.events {
+        page += &format!("\n- at {} s: {:?}", event.at_s, event.action);
+    }
+    page += "\n\n| variant | requests | whole | refused | lost | stall s | stall ms/answer \
+             | preemptions | between p50 | p95 | p99 | p99.9 ms | Jain | worst share \
+             | CPU ms/1000 tokens |\n|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n";
+    for run in &record.runs {
+        page += &row(run);
+    }
+    for run in &record.runs {
+        page += &details(run);
+    }
+    page
+}
+
+fn row(run: &Run) -> String {
+    let between = &run.between_all;
+    format!(
+        "| {} | {} | {} | {} | {} | {:.1} | {:.1} | {} | {:.1} | {:.1} | {:.1} | {:.1} | {:.3} \
+         | {:.3} | {:.2} |\n",
+        run.variant,
+        run.requests,
+        run.whole,
+        run.refusals.values().sum::<u64>(),
+        run.lost.values().sum::<u64>(),
+        run.stall_s,
+        run.stall_ms_per_answer,
+        run.preemptions,
+        between.p50,
+        between.p95,
+        between.p99,
+        between.p999,
+        run.jain,
+        run.worst_share,
+        run.daemon_cpu_ms_per_1000,
+    )
+}
+
+fn details(run: &Run) -> String {
+    let mut page = format!(
+        "\n## {}\n\nTime to first token or answer, ms:\n\n",
+        run.variant
+    );
+    page += "| kind | count | p50 | p95 | p99 | p99.9 |\n|---|---|---|---|---|---|\n";
+    for (kind, quantiles) in &run.first {
+        page += &quantile_row(kind, quantiles);
+    }
+    page += "\n| organisation | requests | whole | refused | lost | service | first p95 ms \
+             | between p99 ms |\n|---|---|---|---|---|---|---|---|\n";
+    for (name, it) in &run.organisations {
+        // Writing to a string cannot fail.
+        let _ = writeln!(
+            page,
+            "| {name} | {} | {} | {} | {} | {} | {:.1} | {:.1} |",
+            it.requests, it.whole, it.refused, it.lost, it.service, it.first.p95, it.between.p99,
+        );
+    }
+    page += &format!("\nRefusals: {:?}\n\nLost: {:?}\n", run.refusals, run.lost);
+    page
+}
+
+fn quantile_row(name: &str, it: &Quantiles) -> String {
+    format!(
+        "| {name} | {} | {:.1} | {:.1} | {:.1} | {:.1} |\n",
+        it.count, it.p50, it.p95, it.p99, it.p999
+    )
+}
+
+/// Tokens, refusals and lost requests second by second.
+fn plot(run: &Run, path: &Path) -> Result<(), Error> {
+    let area = SVGBackend::new(path, PLOT_SIZE).into_drawing_area();
+    area.fill(&WHITE).map_err(failed)?;
+    let top = run
+        .seconds
+        .iter()
+        .map(|second| second.tokens)
+        .max()
+        .unwrap_or(0) as f64
+        * 1.1
+        + 1.0;
+    let mut chart = ChartBuilder::on(&area)
+        .margin(10)
+        .x_label_area_size(30)
+        .y_label_area_size(60)
+        .build_cartesian_2d(0.0..run.seconds.len() as f64, 0.0..top)
+        .map_err(failed)?;
+    chart
+        .configure_mesh()
+        .x_desc("seconds")
+        .y_desc("tokens/s")
+        .draw()
+        .map_err(failed)?;
+    let line = |value: fn(&crate::record::Second) -> u64, scale: f64| {
+        let points = run.seconds.iter().enumerate();
+        points.map(move |(ix, second)| (ix as f64, value(second) as f64 * scale))
+    };
+    chart
+        .draw_series(LineSeries::new(line(|second| second.tokens, 1.0), &BLUE))
+        .map_err(failed)?;
+    let events = LineSeries::new(
+        line(|second| second.refused + second.lost, top / 50.0),
+        &RED,
+    );
+    chart.draw_series(events).map_err(failed)?;
+    area.present().map_err(failed)
+}
