Carry messages between daemons over WebSocket links

Cause: several daemons could not exchange messages. Change: wire::frame encodes version, sender, kind and message as one CBOR array; unknown versions and kinds, malformed and oversized frames are error values. daemon::link sends over one WebSocket a peer with a bounded queue, heartbeats, abandonment after 2 s of silence, jittered backoff and close after 30 s unused; daemon::uplink checks the peer key in constant time and delivers frames; daemon::peers registers both as an adapter.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -21,8 +21,11 @@
 
 pub mod control;
 pub mod edge;
+pub mod link;
+pub mod peers;
 pub mod run;
 pub mod settings;
+pub mod uplink;
 
 /// The parts of a daemon use these names for its collections.
 pub use hornbeamloom_kernel::map;
--- /dev/null
+++ b/crates/daemon/src/link.rs
@@ -0,0 +1,289 @@
+//! One link to a peer: a bounded send queue and the WebSocket that empties it.
+//!
+//! The queue is shared between the task that routes outcomes and the task of the link. Its lock is
+//! held only while frames are moved in memory, never across an await.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use hornbeamloom_kernel::ids::Name;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::{timeout, Instant};
+use tokio_tungstenite::tungstenite::client::IntoClientRequest;
+use tokio_tungstenite::tungstenite::http::header::AUTHORIZATION;
+use tokio_tungstenite::tungstenite::http::HeaderValue;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::tungstenite::{self, Message};
+use tokio_tungstenite::WebSocketStream;
+
+/// Time between two heartbeats on an open link.
+pub const HEARTBEAT: Duration = Duration::from_millis(500);
+/// A link from which nothing arrived for this long is abandoned.
+pub const SILENCE: Duration = Duration::from_secs(2);
+/// A link without messages for this long is closed.
+pub const UNUSED: Duration = Duration::from_secs(30);
+/// First wait before a link is opened again; doubles up to `BACKOFF_MAX`.
+const BACKOFF_MIN: Duration = Duration::from_millis(50);
+/// Longest wait before a link is opened again; the other end may be back at any time.
+const BACKOFF_MAX: Duration = Duration::from_secs(2);
+/// Frames waiting on one link. A busy link carries some hundred frames a second, so this is
+/// several times what accumulates before a silent link is abandoned.
+pub const QUEUE_FRAMES: usize = 1_024;
+/// Bytes waiting on one link (4 MiB): at least four frames of the largest size.
+pub const QUEUE_BYTES: usize = 4 << 20;
+/// Label of heartbeats in the metrics.
+const HEARTBEAT_KIND: &str = "heartbeat";
+/// Label of gossip, which is the first to be dropped: the next round replaces it.
+const GOSSIP_KIND: &str = "gossip";
+
+/// An encoded frame waiting to be sent.
+#[derive(Debug, Clone)]
+pub struct Outgoing {
+    /// Kind of its message.
+    pub kind: &'static str,
+    /// The frame.
+    pub bytes: Bytes,
+}
+
+#[derive(Debug, Default)]
+struct Waiting {
+    frames: VecDeque<Outgoing>,
+    bytes: usize,
+    is_closed: bool,
+}
+
+/// A bounded queue of frames to one peer.
+#[derive(Debug, Default)]
+pub struct Queue {
+    waiting: Mutex<Waiting>,
+    added: Notify,
+}
+
+impl Queue {
+    /// An empty queue.
+    pub fn new() -> Queue {
+        Queue::default()
+    }
+
+    /// Adds a frame and drops others where a bound is exceeded, the oldest gossip first.
+    ///
+    /// Returns the kinds dropped, or gives the frame back if the queue was closed.
+    ///
+    /// ```
+    /// use hornbeamloom_daemon::link::{Outgoing, Queue};
+    ///
+    /// let queue = Queue::new();
+    /// let frame = Outgoing { kind: "ask", bytes: vec![1, 2, 3].into() };
+    /// assert!(queue.push(frame).unwrap().is_empty());
+    /// assert_eq!(queue.pop().unwrap().kind, "ask");
+    /// ```
+    pub fn push(&self, frame: Outgoing) -> Result<Vec<&'static str>, Outgoing> {
+        let mut waiting = self.lock();
+        if waiting.is_closed {
+            return Err(frame);
+        }
+        waiting.bytes += frame.bytes.len();
+        waiting.frames.push_back(frame);
+        let mut dropped = Vec::new();
+        while waiting.frames.len() > QUEUE_FRAMES || waiting.bytes > QUEUE_BYTES {
+            dropped.extend(waiting.drop_one());
+        }
+        drop(waiting);
+        self.added.notify_one();
+        Ok(dropped)
+    }
+
+    /// Takes the oldest frame.
+    pub fn pop(&self) -> Option<Outgoing> {
+        let mut waiting = self.lock();
+        let frame = waiting.frames.pop_front()?;
+        waiting.bytes -= frame.bytes.len();
+        Some(frame)
+    }
+
+    /// Closes the queue if it is empty; returns whether it did.
+    fn close_if_empty(&self) -> bool {
+        let mut waiting = self.lock();
+        waiting.is_closed = waiting.frames.is_empty();
+        waiting.is_closed
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Waiting> {
+        // The lock is held only for moves that cannot panic half-way.
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Waiting {
+    fn drop_one(&mut self) -> Option<&'static str> {
+        let gossip = self
+            .frames
+            .iter()
+            .position(|frame| frame.kind == GOSSIP_KIND);
+        let frame = self.frames.remove(gossip.unwrap_or(0))?;
+        self.bytes -= frame.bytes.len();
+        Some(frame.kind)
+    }
+}
+
+/// Where a link leads and how it introduces itself.
+#[derive(Clone)]
+pub struct Peer {
+    /// Its `IP:port`.
+    pub address: Name,
+    /// The peer key to present.
+    pub key: String,
+}
+
+/// Why a link ended.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Error {
+    /// Nothing was to be sent for [`UNUSED`].
+    #[error("unused")]
+    Unused,
+    /// Nothing arrived for [`SILENCE`].
+    #[error("silent for {} s", SILENCE.as_secs())]
+    Silent,
+    /// The other end closed it.
+    #[error("closed by the peer")]
+    Closed,
+    /// The connection could not be opened.
+    #[error("cannot connect: {0}")]
+    Connect(#[from] std::io::Error),
+    /// The connection broke.
+    #[error("{0}")]
+    Broken(#[from] tungstenite::Error),
+}
+
+impl Error {
+    fn as_str(&self) -> &'static str {
+        match self {
+            Error::Unused => "link_unused",
+            Error::Silent => "link_silent",
+            Error::Closed => "link_closed",
+            Error::Connect(_) => "link_refused",
+            Error::Broken(_) => "link_broken",
+        }
+    }
+}
+
+/// Keeps a link to `peer` until it is unused, and opens it again whenever it fails.
+///
+/// `peer` gives the address and key at each attempt, so that a replaced key is used at once.
+pub async fn run(peer: impl Fn() -> Peer, queue: Arc<Queue>) {
+    let mut backoff = BACKOFF_MIN;
+    loop {
+        let opened = Instant::now();
+        let error = match open(&peer()).await {
+            Ok(socket) => send_all(socket, &queue).await,
+            Err(error) => error,
+        };
+        count_event(error.as_str());
+        let is_idle = matches!(error, Error::Unused) || opened.elapsed() > UNUSED;
+        if is_idle && queue.close_if_empty() {
+            return;
+        }
+        if opened.elapsed() > SILENCE {
+            backoff = BACKOFF_MIN;
+        }
+        log::debug!("peer={} link ended: {error}", peer().address);
+        tokio::time::sleep(jittered(backoff)).await;
+        backoff = (backoff * 2).min(BACKOFF_MAX);
+    }
+}
+
+/// Limits of the WebSocket layer: nothing larger than a frame is read into memory.
+pub(crate) fn limits() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(hornbeamloom_wire::frame::MAX_BYTES))
+        .max_frame_size(Some(hornbeamloom_wire::frame::MAX_BYTES))
+}
+
+async fn open(peer: &Peer) -> Result<WebSocketStream<TcpStream>, Error> {
+    let opening = async {
+        let stream = TcpStream::connect(&*peer.address).await?;
+        stream.set_nodelay(true)?;
+        let mut request = format!("ws://{}/peers", peer.address).into_client_request()?;
+        let key = HeaderValue::from_str(&format!("Bearer {}", peer.key))
+            .map_err(tungstenite::http::Error::from)
+            .map_err(tungstenite::Error::from)?;
+        request.headers_mut().insert(AUTHORIZATION, key);
+        let (socket, _) =
+            tokio_tungstenite::client_async_with_config(request, stream, Some(limits())).await?;
+        Ok(socket)
+    };
+    timeout(SILENCE, opening)
+        .await
+        .unwrap_or(Err(Error::Silent))
+}
+
+/// Sends what the queue holds until the link fails or is unused.
+async fn send_all(socket: WebSocketStream<TcpStream>, queue: &Queue) -> Error {
+    let (mut sink, mut stream) = socket.split();
+    let mut heartbeat = tokio::time::interval(HEARTBEAT);
+    heartbeat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut heard = Instant::now();
+    let mut used = Instant::now();
+    loop {
+        let message = tokio::select! {
+            read = stream.next() => match read {
+                Some(Ok(message)) => {
+                    count_bytes("received", HEARTBEAT_KIND, message.len());
+                    heard = Instant::now();
+                    continue;
+                }
+                Some(Err(error)) => return error.into(),
+                None => return Error::Closed,
+            },
+            _ = queue.added.notified() => None,
+            _ = heartbeat.tick() => Some(Message::Ping(Bytes::new())),
+            _ = tokio::time::sleep_until(heard + SILENCE) => return Error::Silent,
+            _ = tokio::time::sleep_until(used + UNUSED) => return Error::Unused,
+        };
+        let sending = async {
+            if let Some(ping) = message {
+                count_bytes("sent", HEARTBEAT_KIND, ping.len());
+                sink.feed(ping).await?;
+            }
+            while let Some(frame) = queue.pop() {
+                used = Instant::now();
+                count_bytes("sent", frame.kind, frame.bytes.len());
+                sink.feed(Message::Binary(frame.bytes)).await?;
+            }
+            sink.flush().await
+        };
+        // A full socket buffer that does not empty is the same fault as a link without answers.
+        match timeout(SILENCE, sending).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => return error.into(),
+            Err(_) => return Error::Silent,
+        }
+    }
+}
+
+/// Between half of `wait` and all of it, so that many VMs do not reconnect at the same instant.
+fn jittered(wait: Duration) -> Duration {
+    // Without random bytes the full wait is used.
+    let random = getrandom::u32().unwrap_or(u32::MAX);
+    wait.mul_f64(0.5 + 0.5 * f64::from(random) / f64::from(u32::MAX))
+}
+
+/// Counts the payload bytes of one message.
+pub(crate) fn count_bytes(direction: &'static str, kind: &'static str, bytes: usize) {
+    metrics::counter!("hornbeamloom_peer_bytes_total", "direction" => direction, "kind" => kind)
+        .increment(bytes as u64);
+}
+
+/// Counts an event by a fixed label.
+pub(crate) fn count_event(event: &'static str) {
+    metrics::counter!("hornbeamloom_events_total", "event" => event).increment(1);
+}
+
+/// Counts an ignored input by a fixed label.
+pub(crate) fn count_ignored(input: &'static str) {
+    metrics::counter!("hornbeamloom_ignored_total", "input" => input).increment(1);
+}
--- /dev/null
+++ b/crates/daemon/src/uplink.rs
@@ -0,0 +1,143 @@
+//! Links that peers opened to this VM: the key check and the receipt of frames.
+
+use std::sync::Arc;
+
+use futures_util::{SinkExt, StreamExt};
+use hornbeamloom_kernel::ids::Name;
+use hornbeamloom_kernel::peer::Message as Peer;
+use hornbeamloom_wire::frame;
+use subtle::{Choice, ConstantTimeEq};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::{timeout, Instant};
+use tokio_tungstenite::tungstenite::handshake::server::{ErrorResponse, Request, Response};
+use tokio_tungstenite::tungstenite::http::header::AUTHORIZATION;
+use tokio_tungstenite::tungstenite::http::StatusCode;
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::WebSocketStream;
+
+use crate::link::{self, SILENCE};
+use crate::settings::Settings;
+
+/// Links accepted at a time; more than the fleet of the two-year scale opens.
+const MAX_ACCEPTED: usize = 1_024;
+
+/// What is done with the frames of peers.
+#[derive(Debug, Clone)]
+pub struct Receiver<D> {
+    /// This VM's name; frames under it from elsewhere are ignored.
+    pub own: Name,
+    /// The peer keys.
+    pub settings: watch::Receiver<Arc<Settings>>,
+    /// Takes the sender and the message.
+    pub deliver: D,
+}
+
+/// Accepts links until the process exits and serves each in a task of its own.
+pub async fn accept<D>(listener: TcpListener, receiver: Receiver<D>)
+where
+    D: Fn(Name, Peer) + Clone + Send + Sync + 'static,
+{
+    let places = Arc::new(tokio::sync::Semaphore::new(MAX_ACCEPTED));
+    loop {
+        // The semaphore is never closed.
+        let Ok(place) = places.clone().acquire_owned().await else {
+            return;
+        };
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                // Descriptors may be used up; a pause keeps the loop from spinning.
+                log::warn!("cannot accept a peer: {error}");
+                tokio::time::sleep(link::HEARTBEAT).await;
+                continue;
+            }
+        };
+        let receiver = receiver.clone();
+        tokio::spawn(async move {
+            serve(&receiver, stream).await;
+            drop(place);
+        });
+    }
+}
+
+async fn serve(receiver: &Receiver<impl Fn(Name, Peer)>, stream: TcpStream) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let settings = receiver.settings.borrow().clone();
+    // The size of the refusal is set by tungstenite's callback type.
+    #[allow(clippy::result_large_err)]
+    let check = move |request: &Request, response: Response| match is_peer(&settings, request) {
+        true => Ok(response),
+        false => Err(refusal()),
+    };
+    let shake =
+        tokio_tungstenite::accept_hdr_async_with_config(stream, check, Some(link::limits()));
+    match timeout(SILENCE, shake).await {
+        Ok(Ok(socket)) => receive(receiver, socket).await,
+        Ok(Err(_)) | Err(_) => link::count_event("peer_handshake_failed"),
+    }
+}
+
+fn refusal() -> ErrorResponse {
+    let mut refusal = ErrorResponse::new(Some("unknown peer key".to_owned()));
+    *refusal.status_mut() = StatusCode::UNAUTHORIZED;
+    refusal
+}
+
+/// Whether the request carries one of the peer keys; the time taken does not depend on how much of
+/// a key matches.
+fn is_peer(settings: &Settings, request: &Request) -> bool {
+    let presented = request
+        .headers()
+        .get(AUTHORIZATION)
+        .and_then(|value| value.as_bytes().strip_prefix(b"Bearer "));
+    let Some(presented) = presented else {
+        return false;
+    };
+    let matched = settings
+        .keys
+        .peer
+        .iter()
+        .fold(Choice::from(0), |matched, key| {
+            matched | key.as_bytes().ct_eq(presented)
+        });
+    matched.into()
+}
+
+/// Passes on what arrives over one link until it is silent or closed.
+async fn receive(receiver: &Receiver<impl Fn(Name, Peer)>, mut socket: WebSocketStream<TcpStream>) {
+    let mut heard = Instant::now();
+    loop {
+        let read = tokio::time::timeout_at(heard + SILENCE, socket.next()).await;
+        match read {
+            Ok(Some(Ok(Message::Binary(bytes)))) => received(receiver, &bytes),
+            Ok(Some(Ok(Message::Ping(_)))) => {
+                link::count_bytes("received", "heartbeat", 0);
+                // The answer was queued by the library; it must leave without further traffic.
+                if timeout(SILENCE, socket.flush()).await.is_err() {
+                    return;
+                }
+            }
+            Ok(Some(Ok(_))) => link::count_ignored("peer_frame_type"),
+            Ok(Some(Err(_)) | None) => return,
+            Err(_) => return link::count_event("accepted_link_silent"),
+        }
+        heard = Instant::now();
+    }
+}
+
+fn received(receiver: &Receiver<impl Fn(Name, Peer)>, bytes: &[u8]) {
+    match frame::decode(bytes) {
+        Ok(frame) if frame.sender == receiver.own => link::count_ignored("frame_from_own_name"),
+        Ok(frame) => {
+            link::count_bytes("received", frame::kind(&frame.message), bytes.len());
+            (receiver.deliver)(frame.sender, frame.message);
+        }
+        Err(error) => {
+            link::count_bytes("received", "ignored", bytes.len());
+            link::count_ignored(error.as_str());
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/link.rs
@@ -0,0 +1,242 @@
+//! Links between daemons over loopback connections.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use hornbeamloom_daemon::link::{self, Outgoing, Peer, Queue, QUEUE_BYTES, QUEUE_FRAMES};
+use hornbeamloom_daemon::settings::{self, Settings};
+use hornbeamloom_daemon::uplink::{self, Receiver};
+use hornbeamloom_kernel::cases;
+use hornbeamloom_kernel::ids::{Name, Revision};
+use hornbeamloom_kernel::peer::Message;
+use hornbeamloom_wire::frame;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+
+/// No test waits longer than this for something that has to happen.
+const DEADLINE: Duration = Duration::from_secs(30);
+
+fn settings() -> Arc<Settings> {
+    let text = "
+vm: entry-a1
+zone: lodz-a
+listen: {callers: '127.0.0.1:0', operators: '127.0.0.1:0', peers: '127.0.0.1:0'}
+platform: {table: 'http://127.0.0.1:1', objects: 'http://127.0.0.1:1', vms: 'http://127.0.0.1:1'}
+keys: {operator: [op], peer: [new-key, old-key]}
+";
+    Arc::new(settings::parse(text).unwrap())
+}
+
+type Delivered = mpsc::UnboundedReceiver<(Name, Message)>;
+
+/// Serves peers on `listener` and gives what they send.
+fn serve(listener: TcpListener) -> (Delivered, tokio::task::JoinHandle<()>) {
+    let (sender, delivered) = mpsc::unbounded_channel();
+    let receiver = Receiver {
+        own: "entry-a1".into(),
+        settings: watch::channel(settings()).1,
+        deliver: move |from, message| drop(sender.send((from, message))),
+    };
+    (delivered, tokio::spawn(uplink::accept(listener, receiver)))
+}
+
+fn connect(address: &str, key: &str) -> Arc<Queue> {
+    let queue = Arc::new(Queue::new());
+    let (address, key): (Name, String) = (address.into(), key.into());
+    let peer = move || Peer {
+        address: address.clone(),
+        key: key.clone(),
+    };
+    tokio::spawn(link::run(peer, queue.clone()));
+    queue
+}
+
+fn pull(sender: &str, from: u64) -> Outgoing {
+    let message = Message::Pull {
+        from: Revision(from),
+    };
+    Outgoing {
+        kind: "pull",
+        bytes: frame::encode(sender, &message).unwrap().into(),
+    }
+}
+
+async fn next(delivered: &mut Delivered) -> Option<(Name, Message)> {
+    tokio::time::timeout(DEADLINE, delivered.recv())
+        .await
+        .ok()
+        .flatten()
+}
+
+fn run(test: impl std::future::Future<Output = ()>) {
+    tokio::runtime::Runtime::new().unwrap().block_on(test);
+}
+
+async fn listen() -> (TcpListener, String) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    (listener, address)
+}
+
+/// Guards against a link that loses frames, or that works only with the key presented first.
+fn carries_frames(key: &'static str) {
+    run(async move {
+        let (listener, address) = listen().await;
+        let (mut delivered, _) = serve(listener);
+        let queue = connect(&address, key);
+        for from in 0..3 {
+            queue.push(pull("entry-b1", from)).unwrap();
+        }
+        for from in 0..3 {
+            let (sender, message) = next(&mut delivered).await.unwrap();
+            assert_eq!(&*sender, "entry-b1");
+            assert_eq!(
+                message,
+                Message::Pull {
+                    from: Revision(from)
+                }
+            );
+        }
+    });
+}
+
+cases! {
+    carries_frames;
+    link_with_the_first_key_carries_frames: ("new-key");
+    link_with_a_key_being_replaced_carries_frames: ("old-key");
+}
+
+/// Guards against a stranger who is taken for a peer: the frame of the second, valid link has to be
+/// the first that arrives, though the stranger's was queued before.
+fn is_not_delivered(key: &'static str, sender: &'static str) {
+    run(async move {
+        let (listener, address) = listen().await;
+        let (mut delivered, _) = serve(listener);
+        let stranger = connect(&address, key);
+        stranger.push(pull(sender, 1)).unwrap();
+        // The stranger's frame leaves the queue only over an open link.
+        tokio::time::sleep(link::HEARTBEAT).await;
+        let peer = connect(&address, "new-key");
+        peer.push(pull("entry-b1", 2)).unwrap();
+        let (_, message) = next(&mut delivered).await.unwrap();
+        assert_eq!(message, Message::Pull { from: Revision(2) });
+    });
+}
+
+cases! {
+    is_not_delivered;
+    frame_under_a_wrong_key_is_not_delivered: ("new-kez", "entry-c1");
+    frame_under_an_empty_key_is_not_delivered: ("", "entry-c1");
+    frame_under_a_prefix_of_the_key_is_not_delivered: ("new", "entry-c1");
+    frame_under_the_receivers_own_name_is_not_delivered: ("new-key", "entry-a1");
+}
+
+/// Guards against an open connection that went silent and holds up all later frames.
+#[test]
+fn silent_link_is_abandoned_and_a_new_one_opened() {
+    run(async {
+        let (listener, address) = listen().await;
+        let queue = connect(&address, "new-key");
+        queue.push(pull("entry-b1", 1)).unwrap();
+        // Held open and never answered.
+        let silent = tokio::time::timeout(DEADLINE, listener.accept()).await;
+        let silent = silent.unwrap().unwrap();
+        let (mut delivered, _) = serve(listener);
+        let (_, message) = next(&mut delivered).await.unwrap();
+        assert_eq!(message, Message::Pull { from: Revision(1) });
+        drop(silent);
+    });
+}
+
+/// Guards against a link that stays open after the answers stopped: a relay forwards bytes both
+/// ways, then only towards the peer.
+#[test]
+fn link_without_answers_is_abandoned_and_a_new_one_opened() {
+    run(async {
+        let (peer, peer_address) = listen().await;
+        let (mut delivered, _) = serve(peer);
+        let (relay, address) = listen().await;
+        let opened = Arc::new(AtomicUsize::new(0));
+        let count = opened.clone();
+        tokio::spawn(async move {
+            while let Ok((near, _)) = relay.accept().await {
+                count.fetch_add(1, Ordering::SeqCst);
+                let far = tokio::net::TcpStream::connect(&peer_address).await.unwrap();
+                tokio::spawn(relay_one_way_after_handshake(near, far));
+            }
+        });
+        let queue = connect(&address, "new-key");
+        queue.push(pull("entry-b1", 1)).unwrap();
+        next(&mut delivered).await.unwrap();
+        let reopened = async {
+            while opened.load(Ordering::SeqCst) < 2 {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::time::timeout(DEADLINE, reopened).await.unwrap();
+    });
+}
+
+async fn relay_one_way_after_handshake(near: tokio::net::TcpStream, far: tokio::net::TcpStream) {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let (mut near_read, mut near_write) = near.into_split();
+    let (mut far_read, mut far_write) = far.into_split();
+    let back = async move {
+        let mut buf = [0; 4096];
+        let read = far_read.read(&mut buf).await.unwrap_or(0);
+        // Only the answer to the handshake comes back; the connection stays open.
+        near_write.write_all(&buf[..read]).await.unwrap_or(());
+        std::future::pending::<()>().await;
+        drop((far_read, near_write));
+    };
+    let forward = tokio::io::copy(&mut near_read, &mut far_write);
+    tokio::select! {
+        _ = forward => {}
+        () = back => {}
+    }
+}
+
+/// Guards against a link that never comes back after its peer was restarted.
+#[test]
+fn link_is_opened_again_after_the_peer_restarted() {
+    run(async {
+        let (listener, address) = listen().await;
+        drop(listener);
+        let queue = connect(&address, "new-key");
+        queue.push(pull("entry-b1", 1)).unwrap();
+        tokio::time::sleep(link::HEARTBEAT).await;
+        let listener = TcpListener::bind(&address).await.unwrap();
+        let (mut delivered, _) = serve(listener);
+        assert!(next(&mut delivered).await.is_some());
+    });
+}
+
+fn outgoing(kind: &'static str, bytes: usize) -> Outgoing {
+    Outgoing {
+        kind,
+        bytes: vec![0; bytes].into(),
+    }
+}
+
+/// Guards against memory that grows with a stalled link, and against requests lost to gossip that
+/// the next round replaces anyway.
+fn is_bounded(first: &'static str, others: &'static str, bytes: usize, dropped: &'static str) {
+    let queue = Queue::new();
+    let fits = QUEUE_FRAMES.min(QUEUE_BYTES / bytes);
+    queue.push(outgoing(others, bytes)).unwrap();
+    queue.push(outgoing(first, bytes)).unwrap();
+    for _ in 2..fits {
+        assert!(queue.push(outgoing(others, bytes)).unwrap().is_empty());
+    }
+    assert_eq!(queue.push(outgoing(others, bytes)).unwrap(), vec![dropped]);
+    let held = std::iter::from_fn(|| queue.pop()).count();
+    assert_eq!(held, fits);
+}
+
+cases! {
+    is_bounded;
+    oldest_gossip_is_dropped_when_frames_are_too_many: ("gossip", "ask", 16, "gossip");
+    oldest_gossip_is_dropped_when_bytes_are_too_many: ("gossip", "ask", 64 << 10, "gossip");
+    oldest_frame_is_dropped_where_no_gossip_waits: ("grant", "ask", 16, "ask");
+}
--- /dev/null
+++ b/crates/wire/tests/frame.rs
@@ -0,0 +1,285 @@
+//! Frames between daemons: what is written is read, and nothing else is taken for a frame.
+
+use hornbeamloom_kernel::cases;
+use hornbeamloom_kernel::ids::{Fence, Incarnation, Revision};
+use hornbeamloom_kernel::outcome::{Reason, Refusal};
+use hornbeamloom_kernel::peer::{
+    Ask, Death, Delta, Entry, Gossip, Grant, Message, Progress, Release, Running, Standing, Suspect,
+};
+use hornbeamloom_kernel::pool::Key;
+use hornbeamloom_kernel::request::{Class, End, Id};
+use hornbeamloom_kernel::resource::{self, Kind, Record, Spec};
+use hornbeamloom_wire::frame::{self, Error};
+use quickcheck::{Arbitrary, Gen};
+
+fn pool() -> Key {
+    Key::new("menu-model", "riga-a")
+}
+
+fn id() -> Id {
+    Id::new("entry-b1", Incarnation(0x18f), 42)
+}
+
+fn gossip() -> Message {
+    let entry = Entry {
+        vm: "entry-b1".into(),
+        zone: "riga-a".into(),
+        peer_address: "127.0.0.1:8300".into(),
+        caller_address: "127.0.0.1:8100".into(),
+        incarnation: Incarnation(1_700_000_000_000),
+        heartbeat: 77,
+        revision: Revision(12),
+        standing: Standing::Serving,
+        pools: vec![(pool(), Fence(4))],
+    };
+    Message::Gossip(Gossip {
+        entries: vec![entry],
+    })
+}
+
+fn delta() -> Message {
+    let zone = resource::AvailabilityZone {
+        region: "riga".into(),
+        state: resource::Presence::Out,
+    };
+    let record = Record {
+        key: resource::Key {
+            kind: Kind::AvailabilityZone,
+            name: "riga-a".into(),
+        },
+        version: Revision(12),
+        generation: 2,
+        labels: [("team".to_owned(), "soma".to_owned())].into(),
+        spec: Some(Spec::AvailabilityZone(zone)),
+    };
+    Message::Delta(Delta {
+        from: Revision(3),
+        to: Revision(12),
+        complete: false,
+        records: vec![record],
+    })
+}
+
+fn ask() -> Ask {
+    Ask {
+        pool: pool(),
+        id: id(),
+        attempt: 2,
+        organisation: "kitchen-1".into(),
+        prompt_tokens: 400,
+        max_tokens: Some(90),
+        class: Class::Short,
+        fingerprint: u64::MAX,
+        prefixes: vec![1, 2],
+        waited_ms: 10,
+        patience_ms: 30_000,
+        exclude: vec!["engine-1".into()],
+    }
+}
+
+fn release() -> Message {
+    Message::Release(Release {
+        pool: pool(),
+        id: id(),
+        attempt: 1,
+        target: "engine-1".into(),
+        end: End::Complete,
+        tokens: 9,
+        first_token_ms: None,
+    })
+}
+
+fn grant() -> Message {
+    Message::Grant(Grant {
+        pool: pool(),
+        id: id(),
+        attempt: 1,
+        target: "engine-1".into(),
+        address: "127.0.0.1:9000".into(),
+        fence: Fence(4),
+        priority: -1,
+    })
+}
+
+fn progress() -> Message {
+    Message::Progress {
+        pool: pool(),
+        entries: vec![Progress {
+            incarnation: Incarnation(0x18f),
+            counter: 42,
+            tokens: 7,
+        }],
+    }
+}
+
+fn refuse() -> Message {
+    Message::Refuse {
+        id: id(),
+        attempt: 1,
+        refusal: Refusal::new(Reason::PoolQueue).with_retry_after(900),
+    }
+}
+
+fn inventory() -> Message {
+    let running = Running {
+        ask: ask(),
+        target: "engine-1".into(),
+        tokens: 3,
+    };
+    Message::Inventory {
+        pool: pool(),
+        fence: Fence(5),
+        running: vec![running],
+    }
+}
+
+fn death() -> Message {
+    Message::Death(Death {
+        target: "engine-1".into(),
+        start_id: 9,
+        running: vec![Suspect {
+            fingerprint: 3,
+            organisation: "kitchen-1".into(),
+            service: "menu-model".into(),
+        }],
+        age_ms: 12,
+    })
+}
+
+fn targets() -> Message {
+    Message::Targets {
+        pool: pool(),
+        warm: vec!["engine-1".into()],
+        cold: vec!["engine-2".into()],
+    }
+}
+
+fn samples() -> Vec<Message> {
+    vec![
+        gossip(),
+        delta(),
+        Message::Ask(ask()),
+        grant(),
+        progress(),
+        refuse(),
+        inventory(),
+        release(),
+        death(),
+        targets(),
+        Message::Pull { from: Revision(3) },
+        Message::Withdraw {
+            pool: pool(),
+            id: id(),
+        },
+        Message::Hello {
+            pool: pool(),
+            fence: Fence(5),
+        },
+    ]
+}
+
+/// Guards against a message that one daemon writes and another cannot read.
+fn is_read_back(message: Message) {
+    let bytes = frame::encode("entry-b1", &message).unwrap();
+    let frame = frame::decode(&bytes).unwrap();
+    assert_eq!(&*frame.sender, "entry-b1");
+    assert_eq!(frame.message, message);
+    assert!(frame::KINDS.contains(&frame::kind(&message)));
+}
+
+cases! {
+    is_read_back;
+    gossip_is_read_back: (gossip());
+    delta_is_read_back: (delta());
+    pull_is_read_back: (Message::Pull { from: Revision(3) });
+    ask_is_read_back: (Message::Ask(ask()));
+    grant_is_read_back: (grant());
+    refusal_is_read_back: (refuse());
+    progress_is_read_back: (progress());
+    release_is_read_back: (release());
+    inventory_is_read_back: (inventory());
+    death_is_read_back: (death());
+    targets_are_read_back: (targets());
+}
+
+/// Guards against an input that ends the reader, or that passes for a frame of this version.
+fn is_skipped(bytes: Vec<u8>, label: &str) {
+    let error = frame::decode(&bytes).unwrap_err();
+    assert_eq!(error.as_str(), label, "{error}");
+}
+
+fn tuple(value: &impl serde::Serialize) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(value, &mut bytes).unwrap();
+    bytes
+}
+
+cases! {
+    is_skipped;
+    newer_version_is_skipped: (tuple(&(2, "entry-b1", "gossip", [1, 2])), "frame_version");
+    newer_version_of_another_length_is_skipped: (tuple(&(2,)), "frame_version");
+    unknown_kind_is_skipped: (tuple(&(1, "entry-b1", "census", 5)), "frame_kind");
+    kind_that_does_not_match_is_skipped:
+        (tuple(&(1, "entry-b1", "ask", Message::Pull { from: Revision(1) })), "frame_malformed");
+    missing_message_is_skipped: (tuple(&(1, "entry-b1", "gossip")), "frame_malformed");
+    empty_input_is_skipped: (Vec::new(), "frame_malformed");
+    text_is_skipped: (b"GET / HTTP/1.1".to_vec(), "frame_malformed");
+    deep_nesting_is_skipped: (vec![0x81; 100_000], "frame_malformed");
+    announced_length_without_bytes_is_skipped:
+        (vec![0x84, 1, 0x7b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff], "frame_malformed");
+    oversized_input_is_skipped: (vec![0; frame::MAX_BYTES + 1], "frame_oversized");
+}
+
+/// Guards against a message that the peer would have to refuse by its size.
+#[test]
+fn oversized_message_is_not_encoded() {
+    let message = Message::Targets {
+        pool: pool(),
+        warm: vec!["engine".into(); frame::MAX_BYTES / 6],
+        cold: Vec::new(),
+    };
+    assert!(matches!(
+        frame::encode("entry-b1", &message),
+        Err(Error::Oversized(bytes)) if bytes > frame::MAX_BYTES
+    ));
+}
+
+/// Guards against a panic on arbitrary or damaged input. A decoded frame is encoded again without
+/// loss.
+fn never_panics(seed: u64) {
+    const ROUNDS: usize = 2_000;
+    let mut gen = Gen::from_size_and_seed(200, seed);
+    let samples = samples();
+    for round in 0..ROUNDS {
+        let sample = &samples[round % samples.len()];
+        let mut bytes = frame::encode("entry-b1", sample).unwrap();
+        damage(&mut bytes, &mut gen);
+        if let Ok(frame) = frame::decode(&bytes) {
+            let again = frame::encode(&frame.sender, &frame.message).unwrap();
+            assert_eq!(
+                frame::decode(&again),
+                Ok(frame),
+                "seed {seed} round {round}"
+            );
+        }
+        let noise = Vec::<u8>::arbitrary(&mut gen);
+        drop(frame::decode(&noise));
+    }
+}
+
+fn damage(bytes: &mut Vec<u8>, gen: &mut Gen) {
+    let at = usize::arbitrary(gen) % bytes.len();
+    match u8::arbitrary(gen) % 4 {
+        0 => bytes.truncate(at),
+        1 => bytes[at] = u8::arbitrary(gen),
+        2 => bytes.insert(at, u8::arbitrary(gen)),
+        _ => drop(bytes.remove(at)),
+    }
+}
+
+cases! {
+    never_panics;
+    damaged_frames_of_seed_1_never_panic: (1);
+    damaged_frames_of_seed_2_never_panic: (2);
+    damaged_frames_of_seed_3_never_panic: (3);
+}
