--- a/crates/kernel/src/compact.rs
+++ b/crates/kernel/src/compact.rs
@@ -1,7 +1,7 @@
 //! Hand-written serde for the types that make up most of the control traffic.
 //!
-//! Both are written as sequences without field names: a progress entry is sent twice a second for
-//! every running request, a gossip entry up to 150 times a round.
+//! They are written as sequences without field names: a progress entry is sent twice a second for
+//! every running request, a gossip entry or heartbeat up to 150 times a round.
 
 use std::fmt;
 
@@ -9,11 +9,12 @@
 use serde::ser::SerializeTuple;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
-use crate::ids::Incarnation;
-use crate::peer::{Entry, Progress};
+use crate::ids::{Incarnation, Revision};
+use crate::peer::{Beat, Entry, Progress};
 
 const PROGRESS_FIELDS: usize = 3;
 const ENTRY_FIELDS: usize = 9;
+const BEAT_FIELDS: usize = 4;
 
 impl Serialize for Progress {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
@@ -95,6 +96,42 @@
     }
 }
 
+impl Serialize for Beat {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut tuple = serializer.serialize_tuple(BEAT_FIELDS)?;
+        tuple.serialize_element(&self.vm)?;
+        tuple.serialize_element(&self.incarnation.0)?;
+        tuple.serialize_element(&self.heartbeat)?;
+        tuple.serialize_element(&self.revision.0)?;
+        tuple.end()
+    }
+}
+
+impl<'de> Deserialize<'de> for Beat {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Beat, D::Error> {
+        deserializer.deserialize_tuple(BEAT_FIELDS, BeatVisitor)
+    }
+}
+
+struct BeatVisitor;
+
+impl<'de> Visitor<'de> for BeatVisitor {
+    type Value = Beat;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("VM, incarnation, heartbeat and revision")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Beat, A::Error> {
+        Ok(Beat {
+            vm: field(&mut seq, 0, &self)?,
+            incarnation: Incarnation(field(&mut seq, 1, &self)?),
+            heartbeat: field(&mut seq, 2, &self)?,
+            revision: Revision(field(&mut seq, 3, &self)?),
+        })
+    }
+}
+
 fn field<'de, T, A>(seq: &mut A, ix: usize, expected: &dyn de::Expected) -> Result<T, A::Error>
 where
     T: Deserialize<'de>,
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -61,4 +61,8 @@
 
 mod eligible;
 mod fair;
+mod gossip;
 mod least_outstanding;
+mod random;
+mod rank;
+mod watch;
--- a/crates/kernel/src/peer.rs
+++ b/crates/kernel/src/peer.rs
@@ -97,6 +97,22 @@
 pub struct Gossip {
     /// Entries about the sender (first) and others.
     pub entries: Vec<Entry>,
+    /// Heartbeats of VMs whose entries did not change otherwise.
+    #[serde(default)]
+    pub beats: Vec<Beat>,
+}
+
+/// The part of an entry that changes all the time.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Beat {
+    /// The VM.
+    pub vm: Name,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Its heartbeat counter.
+    pub heartbeat: u64,
+    /// Revision in force there.
+    pub revision: Revision,
 }
 
 /// Whether a VM takes requests.
--- /dev/null
+++ b/crates/kernel/tests/fleet/mod.rs
@@ -0,0 +1,462 @@
+//! Several kernels joined by plain queues, with a table whose faults are set by the test.
+//!
+//! Time is logical and advances in steps; each VM has a clock of its own that started at another
+//! moment.
+
+// Each test file uses a part of this module.
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use hornbeamloom_kernel::event::{Event, Vm};
+use hornbeamloom_kernel::ids::{Fence, Incarnation, Millis, Name, Revision};
+use hornbeamloom_kernel::kernel::{Identity, Kernel};
+use hornbeamloom_kernel::map::Map;
+use hornbeamloom_kernel::outcome::{Counter, Outcome};
+use hornbeamloom_kernel::peer::{Delta, Message};
+use hornbeamloom_kernel::pool::Key;
+use hornbeamloom_kernel::reconcile::Order;
+use hornbeamloom_kernel::resource::{self, Kind, Record, Spec};
+use hornbeamloom_kernel::store::{
+    self, Answer, Call, Condition, Family, Op, Value, Write, Written,
+};
+
+/// Logical time between two turns of every VM.
+pub const STEP_MS: u64 = 20;
+/// Time that an answer of the table takes.
+const STORE_MS: u64 = 40;
+/// Difference between the clocks of two neighbouring VMs.
+const CLOCK_MS: u64 = 1_234;
+
+/// How the table treats one VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Store {
+    Up,
+    /// No effect, and the VM hears so.
+    Down,
+    /// Writes take effect; answers to writes are lost, and the VM hears so.
+    WriteAnswersLost,
+    /// Writes take effect; no call is answered.
+    Silent,
+}
+
+#[derive(Debug)]
+pub struct Node {
+    pub name: Name,
+    pub kernel: Kernel,
+    pub paused: bool,
+    pub gone: bool,
+    pub store: Store,
+    pub counts: Map<String, u64>,
+    pub orders: Vec<(Millis, Order)>,
+    /// Messages sent, by kind, with the largest number of gossip items.
+    pub sent: u64,
+    pub most_items: usize,
+    clock: u64,
+    inbox: VecDeque<(Name, Message)>,
+    answers: VecDeque<(u64, store::CallId, Answer)>,
+}
+
+#[derive(Debug, Default)]
+pub struct Fleet {
+    pub now: u64,
+    pub nodes: Vec<Node>,
+    /// Directed pairs of names between which nothing passes.
+    pub cut: BTreeSet<(Name, Name)>,
+    pub table: BTreeMap<String, (store::Key, Revision, Value)>,
+    /// Highest token with which each pool was held, and by which VM.
+    held: Map<Key, (Fence, Name)>,
+    /// Calls to the table so far.
+    pub calls: u64,
+    revision: u64,
+}
+
+pub fn name(text: &str) -> Name {
+    text.into()
+}
+
+pub fn address(vm: &str) -> String {
+    format!("peers-of-{vm}")
+}
+
+impl Fleet {
+    /// VMs `a1` to `aN` of zone `riga-a` that know `a1` as a seed.
+    pub fn of_zone(count: usize) -> Fleet {
+        let mut fleet = Fleet::default();
+        for ix in 1..=count {
+            fleet.join(&format!("a{ix}"), "riga-a", 1);
+        }
+        fleet
+    }
+
+    /// Starts a VM; a VM of the same name is replaced.
+    pub fn join(&mut self, vm: &str, zone: &str, incarnation: u64) {
+        let identity = Identity::new(vm, zone, Incarnation(incarnation))
+            .with_addresses(&address(vm), "")
+            .with_seeds(vec![name(&address("a1"))])
+            .with_seed(7);
+        let clock = CLOCK_MS * self.nodes.len() as u64 + 1;
+        let node = Node {
+            name: name(vm),
+            kernel: Kernel::new(identity),
+            paused: false,
+            gone: false,
+            store: Store::Up,
+            counts: Map::default(),
+            orders: Vec::new(),
+            sent: 0,
+            most_items: 0,
+            clock,
+            inbox: VecDeque::new(),
+            answers: VecDeque::new(),
+        };
+        match self.nodes.iter_mut().find(|node| *node.name == *vm) {
+            Some(old) => *old = node,
+            None => self.nodes.push(node),
+        }
+    }
+
+    pub fn node(&mut self, vm: &str) -> &mut Node {
+        self.nodes
+            .iter_mut()
+            .find(|node| *node.name == *vm)
+            .unwrap()
+    }
+
+    /// The VM's own time.
+    pub fn clock(&self, vm: &str) -> Millis {
+        let node = self.nodes.iter().find(|node| *node.name == *vm).unwrap();
+        Millis(self.now + node.clock)
+    }
+
+    /// Gives every VM the same resources as one revision of the table.
+    pub fn declare(&mut self, specs: &[(&str, Spec)]) {
+        self.revision += 1;
+        let delta = delta(self.revision - 1, self.revision, specs);
+        for ix in 0..self.nodes.len() {
+            self.event(ix, Event::Changes(&delta));
+        }
+    }
+
+    /// Cuts all links between two groups, both ways.
+    pub fn partition(&mut self, left: &[&str], right: &[&str]) {
+        for one in left {
+            for other in right {
+                self.cut.insert((name(one), name(other)));
+                self.cut.insert((name(other), name(one)));
+            }
+        }
+    }
+
+    pub fn event(&mut self, ix: usize, event: Event<'_>) {
+        let mut out = Vec::new();
+        let now = Millis(self.now + self.nodes[ix].clock);
+        self.nodes[ix].kernel.handle(event, now, &mut out);
+        for outcome in out {
+            self.carry_out(ix, outcome);
+        }
+    }
+
+    pub fn event_at(&mut self, vm: &str, event: Event<'_>) {
+        let ix = self
+            .nodes
+            .iter()
+            .position(|node| *node.name == *vm)
+            .unwrap();
+        self.event(ix, event);
+    }
+
+    pub fn list(&mut self, vms: &[&str]) {
+        let vms: Vec<Vm> = vms
+            .iter()
+            .map(|vm| Vm {
+                name: name(vm),
+                leaving: false,
+            })
+            .collect();
+        for ix in 0..self.nodes.len() {
+            self.event(ix, Event::Vms(&vms));
+        }
+    }
+
+    /// Lets `ms` pass and checks after every step that each pool has one holder at most.
+    pub fn run(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += STEP_MS;
+            for ix in 0..self.nodes.len() {
+                self.turn(ix);
+            }
+            self.check();
+        }
+    }
+
+    fn turn(&mut self, ix: usize) {
+        if self.nodes[ix].paused || self.nodes[ix].gone {
+            return;
+        }
+        let inbox: Vec<_> = self.nodes[ix].inbox.drain(..).collect();
+        for (from, message) in inbox {
+            let message = &message;
+            self.event(
+                ix,
+                Event::Peer {
+                    from: &from,
+                    message,
+                },
+            );
+        }
+        while self.nodes[ix]
+            .answers
+            .front()
+            .is_some_and(|(at, ..)| *at <= self.now)
+        {
+            let (_, call, answer) = self.nodes[ix].answers.pop_front().unwrap();
+            let answer = &answer;
+            self.event(ix, Event::Store { call, answer });
+        }
+        let node = &self.nodes[ix];
+        let now = Millis(self.now + node.clock);
+        if node.kernel.next_wakeup().is_some_and(|at| at <= now) {
+            self.event(ix, Event::Tick);
+        }
+    }
+
+    fn carry_out(&mut self, ix: usize, outcome: Outcome) {
+        match outcome {
+            Outcome::Send {
+                address: to,
+                message,
+                ..
+            } => self.send(ix, &to, message),
+            Outcome::Store(call) => self.store(ix, call),
+            Outcome::Order(order) => {
+                let now = Millis(self.now);
+                self.nodes[ix].orders.push((now, order));
+            }
+            Outcome::Count(Counter::Ignored(what) | Counter::Event(what)) => {
+                *self.nodes[ix].counts.entry(what.to_owned()).or_default() += 1;
+            }
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, ix: usize, to: &str, message: Message) {
+        let from = self.nodes[ix].name.clone();
+        self.nodes[ix].sent += 1;
+        if let Message::Gossip(gossip) = &message {
+            let items = gossip.entries.len() + gossip.beats.len();
+            self.nodes[ix].most_items = self.nodes[ix].most_items.max(items);
+        }
+        let Some(node) = self.nodes.iter_mut().find(|node| address(&node.name) == to) else {
+            return;
+        };
+        if !node.gone && !self.cut.contains(&(from.clone(), node.name.clone())) {
+            node.inbox.push_back((from, message));
+        }
+    }
+
+    fn store(&mut self, ix: usize, call: Call) {
+        self.calls += 1;
+        let mode = self.nodes[ix].store;
+        let is_write = matches!(call.op, Op::Write(_));
+        let answer = match mode {
+            Store::Down => Answer::Unavailable,
+            _ => self.perform(&call.op),
+        };
+        let answer = match mode {
+            Store::Silent => return,
+            Store::WriteAnswersLost if is_write => Answer::Unknown,
+            _ => answer,
+        };
+        let at = self.now + STORE_MS;
+        self.nodes[ix].answers.push_back((at, call.id, answer));
+    }
+
+    fn perform(&mut self, op: &Op) -> Answer {
+        match op {
+            Op::Read(key) => Answer::Read(self.record(key)),
+            Op::List(family) => {
+                let records = self.table.values().filter(|(key, ..)| belongs(key, family));
+                Answer::Listed(records.map(record).collect())
+            }
+            Op::Write(writes) => {
+                Answer::Written(writes.iter().map(|write| self.write(write)).collect())
+            }
+        }
+    }
+
+    fn record(&self, key: &store::Key) -> Option<store::Record> {
+        self.table.get(&format!("{key:?}")).map(record)
+    }
+
+    pub fn write(&mut self, write: &Write) -> Written {
+        let found = self.record(&write.key);
+        let version = found.as_ref().map(|found| found.version);
+        let holds = match write.condition {
+            Condition::Absent => version.is_none(),
+            Condition::Version(wanted) => version == Some(wanted),
+            Condition::Any => true,
+        };
+        if !holds {
+            return Written::Conflict(found);
+        }
+        self.revision += 1;
+        let revision = Revision(self.revision);
+        let place = format!("{:?}", write.key);
+        match &write.value {
+            Some(value) => self
+                .table
+                .insert(place, (write.key.clone(), revision, value.clone())),
+            None => self.table.remove(&place),
+        };
+        Written::Applied(revision)
+    }
+
+    /// The running VMs that act as holder of the pool at this moment.
+    pub fn holders(&self, pool: &Key) -> Vec<(Name, Fence)> {
+        let running = self.nodes.iter().filter(|node| !node.paused && !node.gone);
+        running
+            .filter_map(|node| {
+                let now = Millis(self.now + node.clock);
+                let fence = node.kernel.state().leases.fence(pool, now)?;
+                Some((node.name.clone(), fence))
+            })
+            .collect()
+    }
+
+    pub fn holder(&self, pool: &Key) -> Option<Name> {
+        self.holders(pool).first().map(|(vm, _)| vm.clone())
+    }
+
+    fn check(&mut self) {
+        let pools: BTreeSet<Key> = self
+            .table
+            .values()
+            .filter_map(|(key, ..)| match key {
+                store::Key::Lease(pool) => Some(pool.clone()),
+                _ => None,
+            })
+            .collect();
+        for pool in pools {
+            let holders = self.holders(&pool);
+            assert!(
+                holders.len() <= 1,
+                "two holders at {}: {holders:?}",
+                self.now
+            );
+            let Some((vm, fence)) = holders.into_iter().next() else {
+                continue;
+            };
+            let known = self.held.entry(pool).or_insert((fence, vm.clone()));
+            assert!(fence >= known.0, "fence went back at {}", self.now);
+            assert!(
+                fence > known.0 || vm == known.1,
+                "fence of two VMs at {}",
+                self.now
+            );
+            *known = (fence, vm);
+        }
+    }
+}
+
+impl Node {
+    pub fn count(&self, what: &str) -> u64 {
+        self.counts.get(what).copied().unwrap_or(0)
+    }
+}
+
+fn record((key, version, value): &(store::Key, Revision, Value)) -> store::Record {
+    store::Record {
+        key: key.clone(),
+        version: *version,
+        value: Some(value.clone()),
+    }
+}
+
+fn belongs(key: &store::Key, family: &Family) -> bool {
+    match (key, family) {
+        (store::Key::Lease(pool), Family::Leases { zone }) => pool.zone == *zone,
+        (store::Key::Quarantine(_), Family::Quarantine) => true,
+        (store::Key::Slot(_), Family::Slots) => true,
+        _ => false,
+    }
+}
+
+pub fn pool() -> Key {
+    Key::new("menu-model", "riga-a")
+}
+
+pub fn spec_key(key: &str, spec: &Spec) -> resource::Key {
+    resource::Key {
+        kind: spec.kind(),
+        name: key.into(),
+    }
+}
+
+pub fn record_of(key: &str, version: u64, spec: Spec) -> Record {
+    Record {
+        key: spec_key(key, &spec),
+        version: Revision(version),
+        generation: 1,
+        labels: Default::default(),
+        spec: Some(spec),
+    }
+}
+
+pub fn tombstone(kind: Kind, key: &str, version: u64) -> Record {
+    Record {
+        key: resource::Key {
+            kind,
+            name: key.into(),
+        },
+        version: Revision(version),
+        generation: 1,
+        labels: Default::default(),
+        spec: None,
+    }
+}
+
+pub fn delta(from: u64, to: u64, specs: &[(&str, Spec)]) -> Delta {
+    let records = specs
+        .iter()
+        .map(|(key, spec)| record_of(key, to, spec.clone()));
+    Delta {
+        from: Revision(from),
+        to: Revision(to),
+        complete: false,
+        records: records.collect(),
+    }
+}
+
+pub fn service() -> Spec {
+    serde_json::from_str(r#"{"kind": "Service", "spec": {}}"#).unwrap()
+}
+
+pub fn zone() -> Spec {
+    serde_json::from_str(r#"{"kind": "AvailabilityZone", "spec": {"region": "riga"}}"#).unwrap()
+}
+
+pub fn target(service: &str, zone: &str, more: &str) -> Spec {
+    let text = format!(
+        r#"{{"kind": "Target", "spec":
+            {{"service": "{service}", "zone": "{zone}", "address": "127.0.0.1:1"{more}}}}}"#
+    );
+    serde_json::from_str(&text).unwrap()
+}
+
+pub fn configuration(fields: &str) -> Spec {
+    serde_json::from_str(&format!(
+        r#"{{"kind": "Configuration", "spec": {{{fields}}}}}"#
+    ))
+    .unwrap()
+}
+
+/// One service in zone `riga-a` with one engine.
+pub fn one_pool() -> Vec<(&'static str, Spec)> {
+    vec![
+        ("riga-a", zone()),
+        ("menu-model", service()),
+        ("engine-1", target("menu-model", "riga-a", "")),
+    ]
+}
--- /dev/null
+++ b/crates/kernel/tests/lease.rs
@@ -0,0 +1,298 @@
+//! Pool ownership: never two holders, always one again. `Fleet::run` checks the first after each
+//! step.
+
+mod fleet;
+
+use fleet::{one_pool, pool, Fleet, Store};
+use hornbeamloom_kernel::cases;
+use hornbeamloom_kernel::event::Event;
+use hornbeamloom_kernel::ids::{Incarnation, Name};
+use hornbeamloom_kernel::lease::{HOLD_MS, RENEW_MS, TAKEOVER_MS};
+use hornbeamloom_kernel::pool::Key;
+
+/// Enough for gossip, the wait of every rank and a list of leases.
+const SETTLE_MS: u64 = 8_000;
+
+/// Three VMs, one of which holds the pool.
+fn settled() -> (Fleet, Name) {
+    let mut fleet = Fleet::of_zone(3);
+    fleet.declare(&one_pool());
+    fleet.run(SETTLE_MS);
+    let holder = fleet.holder(&pool()).expect("a free pool gets a holder");
+    (fleet, holder)
+}
+
+fn others(fleet: &Fleet, holder: &Name) -> Vec<Name> {
+    let names = fleet.nodes.iter().map(|node| node.name.clone());
+    names.filter(|name| name != holder).collect()
+}
+
+/// Guards against a paused holder that goes on as holder after another VM took over: whatever the
+/// pause, the check of the fleet finds one holder at most, and a pool that was taken over stays
+/// with the new holder.
+fn paused_holder_gives_up(pause_ms: u64, is_taken_over: bool) {
+    let (mut fleet, holder) = settled();
+    fleet.node(&holder).paused = true;
+    fleet.run(pause_ms);
+    let meanwhile = fleet.holder(&pool());
+    assert_eq!(meanwhile.is_some(), is_taken_over);
+    fleet.node(&holder).paused = false;
+    let now = fleet.clock(&holder);
+    let lease = &fleet.node(&holder).kernel.state().leases;
+    // Asked before any event was handled after the pause.
+    let is_lapsed = pause_ms > HOLD_MS;
+    assert_eq!(lease.fence(&pool(), now).is_none(), is_lapsed);
+    fleet.run(SETTLE_MS);
+    let after = fleet.holder(&pool()).unwrap();
+    assert_eq!(after, meanwhile.unwrap_or(holder));
+}
+
+cases! {
+    paused_holder_gives_up;
+    holder_paused_for_1_s_keeps_the_pool: (1_000, false);
+    holder_paused_for_6_s_does_not_act_before_it_renewed: (6_000, false);
+    holder_paused_for_20_s_has_lost_the_pool: (20_000, true);
+}
+
+/// Guards against a holder that stops acting, or acts without a lease, because answers of the table
+/// are lost: a read back shows that the renewal took effect.
+#[test]
+fn holder_reads_lost_renewal_answers_back() {
+    let (mut fleet, holder) = settled();
+    fleet.node(&holder).store = Store::WriteAnswersLost;
+    for _ in 0..20 {
+        fleet.run(RENEW_MS);
+        assert_eq!(fleet.holder(&pool()).as_ref(), Some(&holder));
+    }
+    assert_eq!(fleet.node(&holder).count("lease_lost"), 0);
+}
+
+/// Guards against a holder that trusts writes without answers, and against a stuck one: with no
+/// answers at all the hold ends, the pool moves when the record stands still, and the old holder
+/// follows when it is answered again.
+#[test]
+fn holder_without_any_answer_lets_the_pool_go() {
+    let (mut fleet, holder) = settled();
+    fleet.node(&holder).store = Store::Silent;
+    fleet.run(HOLD_MS);
+    assert_ne!(fleet.holder(&pool()).as_ref(), Some(&holder));
+    fleet.run(TAKEOVER_MS + SETTLE_MS);
+    let next = fleet.holder(&pool()).expect("the pool is taken over");
+    assert_ne!(next, holder);
+    fleet.node(&holder).store = Store::Up;
+    fleet.run(SETTLE_MS);
+    assert_eq!(fleet.holder(&pool()), Some(next));
+}
+
+/// Guards against cold grants and orders without a lease while the store is down, and against a
+/// pool that is left alone: the last holder is still named as the scheduler of warm targets.
+#[test]
+fn store_outage_ends_the_hold_and_keeps_the_last_holder() {
+    let (mut fleet, holder) = settled();
+    let fence = fleet.holders(&pool())[0].1;
+    for node in &mut fleet.nodes {
+        node.store = Store::Down;
+    }
+    fleet.run(HOLD_MS + RENEW_MS);
+    assert_eq!(fleet.holder(&pool()), None);
+    fleet.run(60_000);
+    for node in &fleet.nodes {
+        let owner = node.kernel.state().members.owner(&pool());
+        assert_eq!(owner, Some((&holder, fence)));
+    }
+    assert_eq!(
+        fleet
+            .node(&holder)
+            .kernel
+            .state()
+            .leases
+            .last_fence(&pool()),
+        Some(fence)
+    );
+    for node in &mut fleet.nodes {
+        node.store = Store::Up;
+    }
+    fleet.run(SETTLE_MS);
+    assert_eq!(fleet.holders(&pool()), vec![(holder, fence)]);
+}
+
+/// Guards against two observers that both see the record stand still and both take over.
+#[test]
+fn one_of_two_observers_that_race_wins() {
+    let mut fleet = Fleet::of_zone(3);
+    // Without gossip every VM ranks itself first.
+    fleet.partition(&["a1"], &["a2", "a3"]);
+    fleet.partition(&["a2"], &["a3"]);
+    fleet.declare(&one_pool());
+    fleet.run(SETTLE_MS);
+    let holder = fleet.holder(&pool()).unwrap();
+    fleet.node(&holder).gone = true;
+    fleet.run(TAKEOVER_MS + SETTLE_MS);
+    let next = fleet.holders(&pool());
+    assert_eq!(next.len(), 1);
+    assert_eq!(next[0].1 .0, 2);
+}
+
+/// Guards against a restarted VM that waits for the lease of its earlier start, and against one
+/// that goes on with the earlier start's fencing token.
+fn restarted_holder_takes_over_at_once(incarnation: u64, expected: Incarnation) {
+    let (mut fleet, holder) = settled();
+    let fence = fleet.holders(&pool())[0].1;
+    let zone = "riga-a";
+    fleet.join(&holder, zone, incarnation);
+    let specs = one_pool();
+    let revision = fleet.nodes[0].kernel.state().intent.revision.0;
+    let revision = revision.max(1);
+    let delta = fleet::delta(0, revision, &specs);
+    fleet.event_at(&holder, Event::Changes(&delta));
+    fleet.run(RENEW_MS);
+    let held = fleet.holders(&pool());
+    assert_eq!(held.len(), 1);
+    assert_eq!(held[0].0, holder);
+    assert!(held[0].1 > fence);
+    let identity = &fleet.node(&holder).kernel.state().identity;
+    assert_eq!(identity.incarnation, expected);
+}
+
+cases! {
+    restarted_holder_takes_over_at_once;
+    restart_with_a_later_clock_takes_over: (2, Incarnation(2));
+    restart_with_an_earlier_clock_takes_over_under_a_higher_incarnation: (0, Incarnation(2));
+}
+
+/// Guards against a dead holder whose pool nobody takes.
+#[test]
+fn pool_of_a_dead_holder_is_taken_over() {
+    let (mut fleet, holder) = settled();
+    fleet.node(&holder).gone = true;
+    fleet.run(TAKEOVER_MS + SETTLE_MS);
+    let next = fleet.holder(&pool()).unwrap();
+    assert_ne!(next, holder);
+    let owner = fleet.node(&next).kernel.state().members.owner(&pool());
+    assert_eq!(owner.map(|(vm, _)| vm.clone()), Some(next));
+}
+
+/// Guards against a holder that VMs believe dead for want of gossip: the view frees no lease.
+#[test]
+fn holder_that_is_dead_in_a_view_keeps_its_lease() {
+    let (mut fleet, holder) = settled();
+    let others = others(&fleet, &holder);
+    let others: Vec<&str> = others.iter().map(|vm| &**vm).collect();
+    fleet.partition(&[&holder], &others);
+    fleet.run(4 * TAKEOVER_MS);
+    assert_eq!(fleet.holder(&pool()), Some(holder.clone()));
+    let members = &fleet.node(others[0]).kernel.state().members;
+    assert!(!members.is_reachable(&holder));
+    assert_eq!(members.owner(&pool()), None);
+}
+
+/// Guards against a planned stop that leaves the pool without a holder for the take-over time, and
+/// against a stopping VM that takes pools.
+#[test]
+fn stopping_holder_hands_over_and_releases() {
+    let (mut fleet, holder) = settled();
+    fleet.event_at(&holder, Event::Stop);
+    let leases = &fleet.node(&holder).kernel.state().leases;
+    let successor = leases.successor(&pool()).cloned().expect("two VMs remain");
+    assert_ne!(successor, holder);
+    fleet.run(TAKEOVER_MS / 2);
+    let next = fleet.holder(&pool()).expect("the pool moved at once");
+    assert_eq!(next, successor);
+    let now = fleet.clock(&holder);
+    assert!(fleet.node(&holder).kernel.state().leases.is_released(now));
+    fleet.node(&next).gone = true;
+    fleet.run(TAKEOVER_MS + SETTLE_MS);
+    assert_ne!(fleet.holder(&pool()), Some(holder));
+}
+
+/// Guards against a stop that never ends while the store is down.
+#[test]
+fn stopping_holder_gives_up_releasing_while_the_store_is_down() {
+    let (mut fleet, holder) = settled();
+    fleet.node(&holder).store = Store::Down;
+    fleet.event_at(&holder, Event::Stop);
+    fleet.run(1_000);
+    let now = fleet.clock(&holder);
+    assert!(!fleet.node(&holder).kernel.state().leases.is_released(now));
+    fleet.run(SETTLE_MS);
+    let now = fleet.clock(&holder);
+    assert!(fleet.node(&holder).kernel.state().leases.is_released(now));
+}
+
+fn many_pools(count: usize) -> Vec<(String, hornbeamloom_kernel::resource::Spec)> {
+    let mut specs = vec![("riga-a".to_owned(), fleet::zone())];
+    for ix in 0..count {
+        let service = format!("model-{ix}");
+        specs.push((
+            format!("engine-{ix}"),
+            fleet::target(&service, "riga-a", ""),
+        ));
+        specs.push((service, fleet::service()));
+    }
+    specs
+}
+
+fn declare_many(fleet: &mut Fleet, count: usize) {
+    let specs = many_pools(count);
+    let specs: Vec<_> = specs
+        .iter()
+        .map(|(key, spec)| (&**key, spec.clone()))
+        .collect();
+    fleet.declare(&specs);
+}
+
+fn loads(fleet: &Fleet, count: usize) -> Vec<usize> {
+    let keys: Vec<Key> = (0..count)
+        .map(|ix| Key::new(&format!("model-{ix}"), "riga-a"))
+        .collect();
+    let holders: Vec<Name> = keys.iter().filter_map(|key| fleet.holder(key)).collect();
+    assert_eq!(holders.len(), count, "every pool has a holder");
+    let load = |vm: &Name| holders.iter().filter(|holder| *holder == vm).count();
+    fleet.nodes.iter().map(|node| load(&node.name)).collect()
+}
+
+/// Guards against one VM that keeps the pools it took when it was alone.
+#[test]
+fn pools_move_to_vms_that_join_later() {
+    const POOLS: usize = 12;
+    let mut fleet = Fleet::of_zone(1);
+    declare_many(&mut fleet, POOLS);
+    fleet.run(SETTLE_MS);
+    assert_eq!(loads(&fleet, POOLS), vec![POOLS]);
+    for vm in ["a2", "a3"] {
+        fleet.join(vm, "riga-a", 1);
+    }
+    fleet.run(120_000);
+    // At most two above the average of four.
+    assert!(loads(&fleet, POOLS).iter().all(|load| *load <= 6));
+}
+
+/// Guards against renewals that take one call a pool.
+#[test]
+fn renewals_of_many_pools_leave_in_batches() {
+    const POOLS: usize = 30;
+    let mut fleet = Fleet::of_zone(1);
+    declare_many(&mut fleet, POOLS);
+    fleet.run(SETTLE_MS);
+    let before = fleet.calls;
+    fleet.run(10 * RENEW_MS);
+    // One batch of renewals every 2 s and a list every second, with half as many again to spare.
+    let calls = fleet.calls - before;
+    assert!(calls <= 50, "{calls} calls");
+}
+
+/// Guards against leases on pools that no target or another zone belongs to.
+#[test]
+fn only_own_zone_pools_with_targets_are_taken() {
+    let mut fleet = Fleet::of_zone(1);
+    let mut specs = one_pool();
+    specs.push(("riga-b", fleet::zone()));
+    specs.push(("idle-model", fleet::service()));
+    specs.push(("engine-2", fleet::target("menu-model", "riga-b", "")));
+    fleet.declare(&specs);
+    fleet.run(3 * SETTLE_MS);
+    let now = fleet.clock("a1");
+    let held = fleet.node("a1").kernel.state().leases.held(now);
+    let held: Vec<Key> = held.into_iter().map(|(key, _)| key.clone()).collect();
+    assert_eq!(held, vec![pool()]);
+}
