--- /dev/null
+++ b/crates/kernel/src/ask.rs
@@ -0,0 +1,350 @@
+//! The dialogue of an entry VM with the owners of pools, until a grant or a refusal.
+
+use crate::entry::{self, Phase, RETRY_AFTER_MS};
+use crate::ids::{Millis, Name};
+use crate::kernel::{Outbox, State};
+use crate::map::Map;
+use crate::outcome::{Counter, Reason, Refusal, Retry};
+use crate::peer::{Ask, Message};
+use crate::request::Id;
+use crate::route;
+
+/// Time after which an unanswered ask is sent again, in milliseconds.
+const REPEAT_MS: u64 = 500;
+/// Silence after which an owner is taken to be unreachable, in milliseconds.
+const SILENCE_MS: u64 = 1_000;
+/// Time for which an owner that was silent is not asked, in milliseconds.
+const AVOID_MS: u64 = 3_000;
+/// Time in fallback without a grant after which another zone is tried, in milliseconds.
+const FALLBACK_MS: u64 = 1_000;
+/// A repeat that is sent this long after the one before shows that this process was paused.
+const PAUSE_MS: u64 = 1_000;
+/// Age beyond which a grant must not be used, in milliseconds.
+pub(crate) const GRANT_MS: u64 = 2_000;
+/// Least time between two acknowledgements to one VM, in milliseconds.
+const ACK_MS: u64 = 250;
+/// VMs of which contact is remembered.
+const CONTACTS_MAX: usize = 4_096;
+
+/// The ask that waits for an answer.
+#[derive(Debug)]
+pub(crate) struct Asking {
+    /// The VM asked.
+    pub(crate) to: Name,
+    /// This VM was asked because the pool has no reachable owner.
+    is_fallback: bool,
+    /// When this VM was asked first.
+    since: Millis,
+    /// When the last ask was sent.
+    pub(crate) last: Millis,
+}
+
+/// Contact with the VMs that are asked or that ask.
+#[derive(Debug, Default)]
+pub(crate) struct Owners {
+    heard: Map<Name, Millis>,
+    silent: Map<Name, Millis>,
+    acks: Map<Name, Millis>,
+}
+
+impl Owners {
+    /// Records an answer of a VM.
+    pub(crate) fn heard(&mut self, vm: &str, now: Millis) {
+        remember(&mut self.heard, vm, now);
+        self.silent.remove(vm);
+    }
+
+    fn last_heard(&self, vm: &str) -> Millis {
+        self.heard.get(vm).copied().unwrap_or_default()
+    }
+
+    /// VMs that did not answer lately.
+    pub(crate) fn silent(&self, now: Millis) -> Vec<Name> {
+        let is_silent = |at: Millis| now.since(at) < AVOID_MS;
+        let silent = self.silent.iter().filter(|(_, at)| is_silent(**at));
+        silent.map(|(vm, _)| vm.clone()).collect()
+    }
+}
+
+fn remember(map: &mut Map<Name, Millis>, vm: &str, now: Millis) {
+    if let Some(at) = map.get_mut(vm) {
+        *at = now;
+        return;
+    }
+    if map.len() >= CONTACTS_MAX {
+        map.clear();
+    }
+    map.insert(vm.into(), now);
+}
+
+/// Tells another VM that its asks arrive, so that a long wait in the queue is not taken for a
+/// lost owner.
+pub(crate) fn acknowledge(state: &mut State, from: &str, ask: &Ask, now: Millis, out: &mut Outbox) {
+    if *from == *state.identity.vm {
+        return;
+    }
+    let acks = &mut state.entry.owners.acks;
+    let is_recent = acks.get(from).is_some_and(|at| now.since(*at) < ACK_MS);
+    if is_recent {
+        return;
+    }
+    remember(acks, from, now);
+    let pool = ask.pool.clone();
+    out.send(&from.into(), Message::Ack { pool });
+}
+
+/// Asks for a start in the best pool that has not refused, or refuses the request.
+pub(crate) fn next(state: &mut State, id: &Id, now: Millis, out: &mut Outbox) {
+    let silent = state.entry.owners.silent(now);
+    let Some(request) = state.entry.requests.get(id) else {
+        return;
+    };
+    let view = entry::route_view(state, &silent);
+    match route::next(&view, &request.ask, &request.tried) {
+        Some(hop) => go(state, id, hop, now, out),
+        None => exhausted(state, id, now, out),
+    }
+}
+
+/// Asks the VM of `hop` under a new attempt number.
+fn go(state: &mut State, id: &Id, hop: route::Hop, now: Millis, out: &mut Outbox) {
+    let Some(request) = state.entry.requests.get_mut(id) else {
+        return;
+    };
+    let fallback = if hop.fallback { " in fallback" } else { "" };
+    let text = format!("asked {} for {}{fallback}", hop.to, hop.pool.zone);
+    state.log.note(now, id, text);
+    request.ask.attempt += 1;
+    request.ask.pool = hop.pool;
+    request.phase = Phase::Asking(Asking {
+        to: hop.to,
+        is_fallback: hop.fallback,
+        since: now,
+        last: now,
+    });
+    send(state, id, now, out);
+}
+
+/// Sends the ask of a request that is in phase `Asking`.
+fn send(state: &mut State, id: &Id, now: Millis, out: &mut Outbox) {
+    let Some(request) = state.entry.requests.get_mut(id) else {
+        return;
+    };
+    let Phase::Asking(asking) = &mut request.phase else {
+        return;
+    };
+    asking.last = now;
+    request.ask.waited_ms = now.since(request.arrived);
+    request.ask.patience_ms = request.deadline.since(now);
+    out.send(&asking.to, Message::Ask(request.ask.clone()));
+    let due = now.after(REPEAT_MS).min(request.deadline);
+    state.entry.set_timer(id, due);
+}
+
+/// No zone is left: allows excluded targets once more or refuses.
+fn exhausted(state: &mut State, id: &Id, now: Millis, out: &mut Outbox) {
+    let Some(request) = state.entry.requests.get_mut(id) else {
+        return;
+    };
+    let may_relax =
+        !request.is_relaxed && request.refusal.is_none() && !request.ask.exclude.is_empty();
+    if may_relax {
+        request.is_relaxed = true;
+        request.ask.exclude.clear();
+        let text = "no other target: the excluded ones are allowed again".to_owned();
+        state.log.note(now, id, text);
+        return wait(state, id, now);
+    }
+    let refusal = request
+        .refusal
+        .take()
+        .unwrap_or_else(|| Refusal::new(Reason::NoTarget).with_retry_after(RETRY_AFTER_MS));
+    entry::refuse(state, id, refusal, now, out);
+}
+
+/// Lets a request wait before it asks again.
+pub(crate) fn wait(state: &mut State, id: &Id, now: Millis) {
+    let Some(request) = state.entry.requests.get_mut(id) else {
+        return;
+    };
+    request.phase = Phase::Waiting;
+    let (retries, deadline) = (request.retries, request.deadline);
+    let delay = state.entry.backoff(state.identity.seed, retries);
+    state.entry.set_timer(id, now.after(delay).min(deadline));
+}
+
+/// The timer of an unanswered ask: repeats it, goes elsewhere or gives up.
+pub(crate) fn again(state: &mut State, id: &Id, now: Millis, out: &mut Outbox) {
+    let Some(request) = state.entry.requests.get(id) else {
+        return;
+    };
+    let Phase::Asking(asking) = &request.phase else {
+        return;
+    };
+    if now >= request.deadline {
+        return expire(state, id, now, out);
+    }
+    match step(state, &request.ask, asking, now) {
+        Step::Repeat => send(state, id, now, out),
+        Step::Renew => renew(state, id, now, out),
+        Step::Silent => give_up(state, id, now, out),
+        Step::Elsewhere => {
+            withdraw(state, id, out);
+            next(state, id, now, out);
+        }
+        Step::Spill => spill(state, id, now, out),
+    }
+}
+
+/// What to do about an ask that is still unanswered.
+enum Step {
+    /// Send it again.
+    Repeat,
+    /// Send it under a new attempt number.
+    Renew,
+    /// The owner does not answer.
+    Silent,
+    /// Another VM has become the one to ask.
+    Elsewhere,
+    /// Try another zone, if there is one.
+    Spill,
+}
+
+fn step(state: &State, ask: &Ask, asking: &Asking, now: Millis) -> Step {
+    if now.since(asking.last) > PAUSE_MS {
+        // A grant sent before the pause could otherwise pass for a fresh one.
+        return Step::Renew;
+    }
+    if state.intent.is_out(&ask.pool.zone) {
+        return Step::Elsewhere;
+    }
+    let own = state.members.own();
+    let silent = state.entry.owners.silent(now);
+    let owner = route::owner(&entry::route_view(state, &silent), &ask.pool);
+    if owner.is_some_and(|owner| *owner != asking.to) {
+        return Step::Elsewhere;
+    }
+    if asking.to != *own {
+        let answered = state.entry.owners.last_heard(&asking.to).max(asking.since);
+        return match (now.since(answered) >= SILENCE_MS, owner) {
+            (true, _) => Step::Silent,
+            (false, None) => Step::Elsewhere,
+            (false, Some(_)) => Step::Repeat,
+        };
+    }
+    match asking.is_fallback && owner.is_none() && now.since(asking.since) >= FALLBACK_MS {
+        true => Step::Spill,
+        false => Step::Repeat,
+    }
+}
+
+fn renew(state: &mut State, id: &Id, now: Millis, out: &mut Outbox) {
+    withdraw(state, id, out);
+    if let Some(request) = state.entry.requests.get_mut(id) {
+        request.ask.attempt += 1;
+        if let Phase::Asking(asking) = &mut request.phase {
+            asking.since = now;
+        }
+    }
+    send(state, id, now, out);
+}
+
+fn give_up(state: &mut State, id: &Id, now: Millis, out: &mut Outbox) {
+    let to = match state.entry.requests.get(id).map(|request| &request.phase) {
+        Some(Phase::Asking(asking)) => asking.to.clone(),
+        _ => return,
+    };
+    out.count(Counter::Retry(Retry::AskTimeout));
+    state.log.note(now, id, format!("no answer from {to}"));
+    remember(&mut state.entry.owners.silent, &to, now);
+    withdraw(state, id, out);
+    next(state, id, now, out);
+}
+
+/// Leaves a fallback that grants nothing for another zone; stays if there is none.
+fn spill(state: &mut State, id: &Id, now: Millis, out: &mut Outbox) {
+    let silent = state.entry.owners.silent(now);
+    let Some(request) = state.entry.requests.get(id) else {
+        return;
+    };
+    let mut tried = request.tried.clone();
+    tried.push(request.ask.pool.zone.clone());
+    let view = entry::route_view(state, &silent);
+    match route::next(&view, &request.ask, &tried).filter(|hop| !hop.fallback) {
+        Some(hop) => {
+            withdraw(state, id, out);
+            go(state, id, hop, now, out);
+        }
+        None => send(state, id, now, out),
+    }
+}
+
+/// Takes an unanswered ask back.
+pub(crate) fn withdraw(state: &State, id: &Id, out: &mut Outbox) {
+    let Some(request) = state.entry.requests.get(id) else {
+        return;
+    };
+    if let Phase::Asking(asking) = &request.phase {
+        let (pool, id) = (request.ask.pool.clone(), id.clone());
+        out.send(&asking.to, Message::Withdraw { pool, id });
+    }
+}
+
+/// The request has waited as long as its service allows.
+pub(crate) fn expire(state: &mut State, id: &Id, now: Millis, out: &mut Outbox) {
+    withdraw(state, id, out);
+    let refusal = Refusal::new(Reason::QueueDeadline).with_retry_after(RETRY_AFTER_MS);
+    entry::refuse(state, id, refusal, now, out);
+}
+
+/// An owner will not let a request start.
+pub(crate) fn refused(
+    state: &mut State,
+    from: &str,
+    id: &Id,
+    attempt: u32,
+    refusal: &Refusal,
+    now: Millis,
+    out: &mut Outbox,
+) {
+    let Some(request) = state.entry.requests.get_mut(id) else {
+        return;
+    };
+    let is_awaited = match &request.phase {
+        Phase::Asking(asking) => *asking.to == *from && request.ask.attempt == attempt,
+        _ => false,
+    };
+    if !is_awaited {
+        return out.count(Counter::Ignored("refusal"));
+    }
+    let zone = request.ask.pool.zone.clone();
+    let reason = refusal.reason;
+    let text = format!("{from} refused for {zone}: {}", reason.as_str());
+    state.log.note(now, id, text);
+    if !may_spill(reason) {
+        return entry::refuse(state, id, refusal.clone(), now, out);
+    }
+    request.tried.push(zone);
+    request.refusal.get_or_insert_with(|| refusal.clone());
+    next(state, id, now, out);
+}
+
+/// Whether another pool may accept what one pool refused for this reason.
+fn may_spill(reason: Reason) -> bool {
+    match reason {
+        Reason::OrganisationQueue
+        | Reason::PoolQueue
+        | Reason::QueueDeadline
+        | Reason::NoTarget
+        | Reason::TooLarge
+        | Reason::ShuttingDown => true,
+        Reason::NotFound
+        | Reason::Quarantined
+        | Reason::StoreUnavailable
+        | Reason::InProgress
+        | Reason::KeyReused
+        | Reason::OutcomeUnknown
+        | Reason::RetryBudget
+        | Reason::TargetFailed => false,
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/attempt.rs
@@ -0,0 +1,432 @@
+//! One attempt at a target: from the grant over its progress to its end or its repetition.
+
+use std::collections::BTreeMap;
+
+use crate::ask::{self, GRANT_MS};
+use crate::entry::{self, Phase, Request};
+use crate::event::Count;
+use crate::ids::{Fence, Millis, Name};
+use crate::kernel::{Outbox, State};
+use crate::outcome::{Counter, Outcome, Ran, Reason, Refusal, Retry, Start};
+use crate::peer::{Grant, Message, Progress, Release, Running};
+use crate::pool;
+use crate::request::{End, Id};
+use crate::store::Stored;
+use crate::{claim, quarantine};
+
+/// Attempts of one request that may fail after a grant.
+const RETRIES_MAX: u32 = 8;
+/// Targets that one request excludes at most; the oldest are allowed again.
+const EXCLUDE_MAX: usize = 16;
+/// Least time for a repeated request to wait for its next start, in milliseconds.
+const PATIENCE_MIN_MS: u64 = 2_000;
+
+/// A running attempt.
+#[derive(Debug)]
+pub(crate) struct Run {
+    target: Name,
+    granter: Name,
+    has_begun: bool,
+    tokens: u32,
+    /// Waiting time that was left at the start, in milliseconds.
+    patience_ms: u64,
+}
+
+/// The end of an attempt as the traffic task reports it.
+#[derive(Debug)]
+pub(crate) struct Ended<'a> {
+    pub(crate) id: &'a Id,
+    pub(crate) attempt: u32,
+    pub(crate) end: End,
+    pub(crate) tokens: u32,
+    pub(crate) first_token_ms: Option<u32>,
+    pub(crate) stored: Option<&'a Stored>,
+}
+
+/// Why a grant is not used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Unusable {
+    /// It is too old.
+    Expired,
+    /// Its zone was taken out or its target is leaving.
+    Left,
+    /// The body was quarantined meanwhile.
+    Quarantined,
+}
+
+/// What follows from the end of an attempt.
+#[derive(Debug, PartialEq, Eq)]
+enum Verdict {
+    /// The answer is complete.
+    Finish,
+    /// The caller is gone.
+    Cancel,
+    /// Ask again without that target.
+    Repeat { why: Retry, is_charged: bool },
+    /// Refuse.
+    Fail(Ran),
+}
+
+/// Starts the attempt that an owner granted, if the grant may still be used.
+pub(crate) fn granted(state: &mut State, from: &str, grant: &Grant, now: Millis, out: &mut Outbox) {
+    let Some(request) = state.entry.requests.get(&grant.id) else {
+        return release_unused(from, grant, out);
+    };
+    match &request.phase {
+        Phase::Running(run)
+            if run.target == grant.target && request.ask.attempt == grant.attempt =>
+        {
+            out.count(Counter::Ignored("duplicate_grant"));
+        }
+        Phase::Asking(asking) if request.ask.attempt == grant.attempt => {
+            match check(state, request, asking.last, grant, now) {
+                Ok(()) => start(state, from, grant, now, out),
+                Err(unusable) => decline(state, from, grant, unusable, now, out),
+            }
+        }
+        _ => {
+            out.count(Counter::Ignored("late_grant"));
+            release_unused(from, grant, out);
+        }
+    }
+}
+
+/// Checks a grant at the moment of the start: the owner may have been behind when it sent it.
+fn check(
+    state: &State,
+    request: &Request,
+    asked: Millis,
+    grant: &Grant,
+    now: Millis,
+) -> Result<(), Unusable> {
+    if now.since(asked) >= GRANT_MS {
+        return Err(Unusable::Expired);
+    }
+    let target = state.intent.target(&grant.target);
+    let is_leaving = target.is_some_and(|target| target.leaving);
+    let is_out = target.is_some_and(|target| state.intent.is_out(&target.zone));
+    if is_leaving || is_out || state.intent.is_out(&grant.pool.zone) {
+        return Err(Unusable::Left);
+    }
+    if state
+        .quarantine
+        .is_quarantined(request.ask.fingerprint, now)
+    {
+        return Err(Unusable::Quarantined);
+    }
+    Ok(())
+}
+
+fn start(state: &mut State, from: &str, grant: &Grant, now: Millis, out: &mut Outbox) {
+    let Some(request) = state.entry.requests.get_mut(&grant.id) else {
+        return;
+    };
+    request.phase = Phase::Running(Run {
+        target: grant.target.clone(),
+        granter: from.into(),
+        has_begun: false,
+        tokens: 0,
+        patience_ms: request.deadline.since(now),
+    });
+    let text = format!("started on {} by grant of {from}", grant.target);
+    state.log.note(now, &grant.id, text);
+    state.entry.clear_timer(&grant.id);
+    out.push(Outcome::Start(Start {
+        id: grant.id.clone(),
+        attempt: grant.attempt,
+        target: grant.target.clone(),
+        address: grant.address.clone(),
+        priority: grant.priority,
+        fence: grant.fence,
+    }));
+}
+
+/// Gives a grant back and asks again.
+fn decline(
+    state: &mut State,
+    from: &str,
+    grant: &Grant,
+    unusable: Unusable,
+    now: Millis,
+    out: &mut Outbox,
+) {
+    release_unused(from, grant, out);
+    let id = &grant.id;
+    let text = format!("grant of {} not used: {unusable:?}", grant.target);
+    state.log.note(now, id, text);
+    match unusable {
+        Unusable::Expired => {
+            out.count(Counter::Retry(Retry::GrantExpired));
+            ask::next(state, id, now, out);
+        }
+        Unusable::Left => {
+            out.count(Counter::Retry(Retry::TargetLeft));
+            exclude(state, id, &grant.target);
+            ask::wait(state, id, now);
+        }
+        Unusable::Quarantined => {
+            entry::refuse(state, id, Refusal::new(Reason::Quarantined), now, out);
+        }
+    }
+}
+
+fn release_unused(from: &str, grant: &Grant, out: &mut Outbox) {
+    let release = Release {
+        pool: grant.pool.clone(),
+        id: grant.id.clone(),
+        attempt: grant.attempt,
+        target: grant.target.clone(),
+        end: End::Unsent,
+        tokens: 0,
+        first_token_ms: None,
+    };
+    out.send(&from.into(), Message::Release(release));
+}
+
+fn exclude(state: &mut State, id: &Id, target: &Name) {
+    let Some(request) = state.entry.requests.get_mut(id) else {
+        return;
+    };
+    let exclude = &mut request.ask.exclude;
+    if exclude.len() == EXCLUDE_MAX {
+        exclude.remove(0);
+    }
+    exclude.push(target.clone());
+}
+
+/// The first byte of an attempt may have left.
+pub(crate) fn began(state: &mut State, id: &Id, attempt: u32) {
+    let request = state.entry.requests.get_mut(id);
+    if let Some(request) = request.filter(|request| request.ask.attempt == attempt) {
+        if let Phase::Running(run) = &mut request.phase {
+            run.has_begun = true;
+        }
+    }
+}
+
+/// The VMs that account for a run: the one that granted it and the pool's present owner.
+fn accountants(state: &State, pool: &pool::Key, run: &Run) -> Vec<Name> {
+    let mut vms = vec![run.granter.clone()];
+    if let Some((owner, _)) = state.members.owner(pool) {
+        if *owner != run.granter {
+            vms.push(owner.clone());
+        }
+    }
+    vms
+}
+
+/// Tells each owner how far the requests of its pool have come.
+pub(crate) fn progress(state: &mut State, counts: &[Count], out: &mut Outbox) {
+    let mut batches: BTreeMap<(Name, pool::Key), Vec<Progress>> = BTreeMap::new();
+    for count in counts {
+        let Some(request) = state.entry.requests.get_mut(&count.id) else {
+            continue;
+        };
+        let Phase::Running(run) = &mut request.phase else {
+            continue;
+        };
+        run.tokens = run.tokens.max(count.tokens);
+        let entry = Progress {
+            incarnation: count.id.incarnation,
+            counter: count.id.counter,
+            tokens: run.tokens,
+        };
+        let Some(request) = state.entry.requests.get(&count.id) else {
+            continue;
+        };
+        let Phase::Running(run) = &request.phase else {
+            continue;
+        };
+        for vm in accountants(state, &request.ask.pool, run) {
+            let batch = batches.entry((vm, request.ask.pool.clone()));
+            batch.or_default().push(entry);
+        }
+    }
+    for ((vm, pool), entries) in batches {
+        out.send(&vm, Message::Progress { pool, entries });
+    }
+}
+
+/// Answers a new holder of a pool with what runs there from this VM, even if that is nothing.
+pub(crate) fn inventory(
+    state: &State,
+    from: &str,
+    pool: &pool::Key,
+    fence: Fence,
+    out: &mut Outbox,
+) {
+    let mut running: Vec<Running> = state
+        .entry
+        .requests
+        .values()
+        .filter(|request| request.ask.pool == *pool)
+        .filter_map(|request| match &request.phase {
+            Phase::Running(run) => Some(Running {
+                ask: request.ask.clone(),
+                target: run.target.clone(),
+                tokens: run.tokens,
+            }),
+            _ => None,
+        })
+        .collect();
+    running.sort_by(|a, b| a.ask.id.cmp(&b.ask.id));
+    let pool = pool.clone();
+    let inventory = Message::Inventory {
+        pool,
+        fence,
+        running,
+    };
+    out.send(&from.into(), inventory);
+}
+
+/// Follows the end of an attempt.
+pub(crate) fn ended(state: &mut State, ended: &Ended<'_>, now: Millis, out: &mut Outbox) {
+    let Some(request) = state.entry.requests.get(ended.id) else {
+        // The caller of a call that runs at most once went away before the answer came.
+        return claim::late(state, ended.id, ended.stored, now, out);
+    };
+    let Phase::Running(run) = &request.phase else {
+        return out.count(Counter::Ignored("end_without_attempt"));
+    };
+    if request.ask.attempt != ended.attempt {
+        return out.count(Counter::Ignored("end_of_old_attempt"));
+    }
+    let tokens = ended.tokens.max(run.tokens);
+    let verdict = judge(ended.end, tokens, request.is_once);
+    release(state, request, run, ended, tokens, out);
+    let text = format!("{:?} on {} after {tokens} tokens", ended.end, run.target);
+    state.log.note(now, ended.id, text);
+    match verdict {
+        Verdict::Finish => finish(state, ended, now, out),
+        Verdict::Cancel => cancel(state, ended.id, now, out),
+        Verdict::Repeat { why, is_charged } => {
+            let has_run = matches!(ended.end, End::Broken | End::Died);
+            repeat(state, ended.id, why, is_charged, has_run, now, out);
+        }
+        Verdict::Fail(ran) => {
+            let refusal = Refusal::new(Reason::TargetFailed).with_ran(ran);
+            entry::refuse(state, ended.id, refusal, now, out);
+        }
+    }
+}
+
+/// Decides what follows from the end of an attempt.
+///
+/// After a token another generation would give the caller two answers in one stream; a call that
+/// runs at most once is repeated only if no byte of it can have left.
+fn judge(end: End, tokens: u32, is_once: bool) -> Verdict {
+    let repeat = |why, is_charged| Verdict::Repeat { why, is_charged };
+    match end {
+        End::Complete => Verdict::Finish,
+        End::Cancelled => Verdict::Cancel,
+        _ if tokens > 0 => Verdict::Fail(Ran::Yes),
+        End::Unsent => repeat(Retry::TargetBroken, false),
+        End::Rejected => repeat(Retry::TargetRejected, true),
+        End::Broken | End::Died if is_once => Verdict::Fail(Ran::Unknown),
+        End::Broken => repeat(Retry::TargetBroken, true),
+        End::Died => repeat(Retry::TargetDied, true),
+    }
+}
+
+fn release(
+    state: &State,
+    request: &Request,
+    run: &Run,
+    ended: &Ended<'_>,
+    tokens: u32,
+    out: &mut Outbox,
+) {
+    for vm in accountants(state, &request.ask.pool, run) {
+        let release = Release {
+            pool: request.ask.pool.clone(),
+            id: ended.id.clone(),
+            attempt: ended.attempt,
+            target: run.target.clone(),
+            end: ended.end,
+            tokens,
+            first_token_ms: ended.first_token_ms,
+        };
+        out.send(&vm, Message::Release(release));
+    }
+}
+
+fn finish(state: &mut State, ended: &Ended<'_>, now: Millis, out: &mut Outbox) {
+    let Some(request) = state.entry.remove(ended.id) else {
+        return;
+    };
+    quarantine::completed(state, request.ask.fingerprint, now, out);
+    if request.is_once {
+        claim::complete(state, ended.id, ended.stored, now, out);
+    }
+}
+
+/// Asks again without the target that failed, as far as the budget allows.
+fn repeat(
+    state: &mut State,
+    id: &Id,
+    why: Retry,
+    is_charged: bool,
+    has_run: bool,
+    now: Millis,
+    out: &mut Outbox,
+) {
+    let Some(request) = state.entry.requests.get_mut(id) else {
+        return;
+    };
+    request.may_have_run |= has_run;
+    request.retries += 1;
+    let is_last = request.retries > RETRIES_MAX;
+    if is_last || (is_charged && !state.entry.spend_retry(now)) {
+        let refusal = Refusal::new(Reason::RetryBudget).with_retry_after(entry::RETRY_AFTER_MS);
+        return entry::refuse(state, id, refusal, now, out);
+    }
+    out.count(Counter::Retry(why));
+    let Some(request) = state.entry.requests.get_mut(id) else {
+        return;
+    };
+    request.tried.clear();
+    request.refusal = None;
+    if let Phase::Running(run) = &request.phase {
+        let target = run.target.clone();
+        request.deadline = now.after(run.patience_ms.max(PATIENCE_MIN_MS));
+        exclude(state, id, &target);
+    }
+    ask::wait(state, id, now);
+}
+
+/// The caller went away.
+pub(crate) fn departed(state: &mut State, id: &Id, now: Millis, out: &mut Outbox) {
+    let Some(request) = state.entry.requests.get(id) else {
+        return;
+    };
+    match &request.phase {
+        Phase::Running(run) => {
+            let ended = Ended {
+                id,
+                attempt: request.ask.attempt,
+                end: End::Cancelled,
+                tokens: run.tokens,
+                first_token_ms: None,
+                stored: None,
+            };
+            release(state, request, run, &ended, run.tokens, out);
+        }
+        Phase::Asking(_) => ask::withdraw(state, id, out),
+        Phase::Claiming | Phase::Waiting => {}
+    }
+    state.log.note(now, id, "the caller went away".to_owned());
+    cancel(state, id, now, out);
+}
+
+/// Forgets a request whose caller is gone.
+fn cancel(state: &mut State, id: &Id, now: Millis, out: &mut Outbox) {
+    let Some(request) = state.entry.remove(id) else {
+        return;
+    };
+    let has_begun = matches!(&request.phase, Phase::Running(run) if run.has_begun);
+    match (request.is_once, has_begun || request.may_have_run) {
+        (true, true) => claim::orphan(state, id, now),
+        (true, false) => claim::discard(state, id, now, out),
+        (false, _) => {}
+    }
+}
--- a/crates/kernel/src/entry.rs
+++ b/crates/kernel/src/entry.rs
@@ -1,165 +1,389 @@
-//! The entry VM's side of a request: ask for a start, check it, follow the attempt.
+//! The entry VM's side of a request: accept it, keep its state, answer or refuse it.
+//!
+//! `ask` holds the dialogue with the owners of pools, `attempt` what follows a grant, `claim` the
+//! claims of calls that run at most once.
+
+use std::collections::BTreeSet;
 
 use crate::event::Event;
 use crate::ids::{Millis, Name};
 use crate::kernel::{Outbox, State};
 use crate::map::Map;
-use crate::outcome::{Counter, Outcome, Reason, Refusal, Start};
-use crate::peer::{Ask, Grant, Message, Release};
+use crate::outcome::{Counter, Outcome, Ran, Reason, Refusal};
+use crate::peer::{Ask, Message};
 use crate::plugin::control;
-use crate::pool;
-use crate::request::{Class, End, Id, View};
+use crate::request::{Class, Id, Repeat, View};
+use crate::{ask, attempt, claim, pool, retry, route};
+
+/// Requests that this VM carries at a time; the daemon accepts 4,096 connections by default.
+const REQUESTS_MAX: usize = 8_192;
+/// Longest wait for a claim to be written, in milliseconds.
+const CLAIM_WAIT_MS: u64 = 5_000;
+/// Longest wait of a shutdown for outcomes of claims to be written, in milliseconds.
+const CLAIMS_DRAIN_MS: u64 = 10_000;
+/// Advice for callers that no target can serve at present, in milliseconds.
+pub(crate) const RETRY_AFTER_MS: u64 = 1_000;
 
 /// Requests accepted by this VM.
 #[derive(Debug, Default)]
 pub struct Table {
-    requests: Map<Id, Request>,
+    pub(crate) requests: Map<Id, Request>,
+    pub(crate) owners: ask::Owners,
+    timers: BTreeSet<(Millis, Id)>,
+    budget: retry::Budget,
+    draws: u64,
+    idle_since: Option<Millis>,
+    is_drained: bool,
 }
 
+/// One request from its arrival to its answer.
 #[derive(Debug)]
-struct Request {
-    ask: Ask,
-    phase: Phase,
+pub(crate) struct Request {
+    /// What is asked of owners; `attempt` counts from 1.
+    pub(crate) ask: Ask,
+    /// When it arrived.
+    pub(crate) arrived: Millis,
+    /// When waiting for a start ends.
+    pub(crate) deadline: Millis,
+    /// It runs at most once.
+    pub(crate) is_once: bool,
+    /// An attempt that ended may have run in part.
+    pub(crate) may_have_run: bool,
+    /// Attempts that failed after a grant.
+    pub(crate) retries: u32,
+    /// The targets in `ask.exclude` were allowed again because no other was left.
+    pub(crate) is_relaxed: bool,
+    /// Zones that refused it.
+    pub(crate) tried: Vec<Name>,
+    /// What the first of these zones answered.
+    pub(crate) refusal: Option<Refusal>,
+    /// Where it stands.
+    pub(crate) phase: Phase,
+    due: Option<Millis>,
 }
 
+/// Where a request stands.
 #[derive(Debug)]
-enum Phase {
-    Asking,
-    Running { target: Name },
+pub(crate) enum Phase {
+    /// Its claim is being written.
+    Claiming,
+    /// An owner was asked for a start.
+    Asking(ask::Asking),
+    /// It waits before it asks again.
+    Waiting,
+    /// An attempt runs.
+    Running(attempt::Run),
 }
 
 inventory::submit! {
-    control::Plugin { name: "entry", rank: 50, handle, wakeup: |_| None }
+    control::Plugin { name: "entry", rank: 50, handle, wakeup }
+}
+
+fn wakeup(state: &State) -> Option<Millis> {
+    let table = &state.entry;
+    let drain = table
+        .idle_since
+        .filter(|_| !table.is_drained)
+        .map(|since| since.after(CLAIMS_DRAIN_MS));
+    let timer = table.timers.first().map(|(at, _)| *at);
+    timer.into_iter().chain(drain).min()
 }
 
 fn handle(state: &mut State, event: &Event<'_>, now: Millis, out: &mut Outbox) {
     match event {
+        Event::Tick => run_timers(state, now, out),
         Event::Arrive(view) => arrive(state, view, now, out),
-        Event::Peer {
-            message: Message::Grant(grant),
-            ..
-        } => granted(state, grant, now, out),
-        Event::Peer {
-            message: Message::Refuse { id, refusal, .. },
-            ..
-        } => {
-            refused(state, id, refusal, out);
-        }
+        Event::Departed { id } => attempt::departed(state, id, now, out),
+        Event::Began { id, attempt } => attempt::began(state, id, *attempt),
+        Event::Progress(counts) => attempt::progress(state, counts, out),
         Event::Ended {
             id,
+            attempt,
             end,
             tokens,
             first_token_ms,
-            ..
+            stored,
         } => {
-            ended(state, id, *end, *tokens, *first_token_ms, out);
+            let ended = attempt::Ended {
+                id,
+                attempt: *attempt,
+                end: *end,
+                tokens: *tokens,
+                first_token_ms: *first_token_ms,
+                stored: *stored,
+            };
+            attempt::ended(state, &ended, now, out);
         }
+        Event::Peer { from, message } => hear(state, from, message, now, out),
+        _ => {}
+    }
+    drain(state, now, out);
+}
+
+fn hear(state: &mut State, from: &str, message: &Message, now: Millis, out: &mut Outbox) {
+    match message {
+        Message::Ask(ask) => ask::acknowledge(state, from, ask, now, out),
+        Message::Ack { .. } => state.entry.owners.heard(from, now),
+        Message::Grant(grant) => {
+            state.entry.owners.heard(from, now);
+            attempt::granted(state, from, grant, now, out);
+        }
+        Message::Refuse {
+            id,
+            attempt,
+            refusal,
+        } => {
+            state.entry.owners.heard(from, now);
+            ask::refused(state, from, id, *attempt, refusal, now, out);
+        }
+        Message::Hello { pool, fence } => attempt::inventory(state, from, pool, *fence, out),
         _ => {}
     }
 }
 
 fn arrive(state: &mut State, view: &View<'_>, now: Millis, out: &mut Outbox) {
-    let Some(service) = state.intent.service(view.service) else {
-        return refuse(out, view.id, Refusal::new(Reason::NotFound));
+    state.entry.budget.arrive(now);
+    let request = match accept(state, view, now) {
+        Ok(request) => request,
+        Err(refusal) => {
+            let text = format!("refused on arrival: {}", refusal.reason.as_str());
+            state.log.note(now, view.id, text);
+            return answer(out, view.id, refusal);
+        }
+    };
+    let deadline = request.deadline;
+    state.entry.requests.insert(view.id.clone(), request);
+    match view.repeat {
+        Repeat::Free => ask::next(state, view.id, now, out),
+        Repeat::Once { key } => {
+            let due = deadline.min(now.after(CLAIM_WAIT_MS));
+            state.entry.set_timer(view.id, due);
+            claim::begin(state, view, key, now, out);
+        }
+    }
+}
+
+fn accept(state: &State, view: &View<'_>, now: Millis) -> Result<Request, Refusal> {
+    let service = state.intent.service(view.service);
+    let service = service.ok_or_else(|| Refusal::new(Reason::NotFound))?;
+    if !may_call(state, view) {
+        return Err(Refusal::new(Reason::NotFound));
+    }
+    if state.quarantine.is_quarantined(view.fingerprint, now) {
+        return Err(Refusal::new(Reason::Quarantined));
+    }
+    if state.entry.is_drained {
+        return Err(Refusal::new(Reason::ShuttingDown).with_retry_after(RETRY_AFTER_MS));
+    }
+    if state.entry.requests.len() >= REQUESTS_MAX {
+        return Err(Refusal::new(Reason::PoolQueue).with_retry_after(RETRY_AFTER_MS));
+    }
+    let class = match service.interactive {
+        true => Class::Short,
+        false => Class::Long,
     };
-    let key = pool::Key::new(view.service, &state.identity.zone);
     let ask = Ask {
-        pool: key.clone(),
+        pool: pool::Key::new(view.service, &state.identity.zone),
         id: view.id.clone(),
-        attempt: 1,
+        attempt: 0,
         organisation: view.organisation.into(),
         prompt_tokens: view.prompt_tokens,
         max_tokens: view.max_tokens,
-        class: if service.interactive {
-            Class::Short
-        } else {
-            Class::Long
-        },
+        class,
         fingerprint: view.fingerprint,
         prefixes: view.prefixes.to_vec(),
         waited_ms: 0,
         patience_ms: service.queue_ms,
         exclude: Vec::new(),
     };
-    let owner = match state.members.owner(&key) {
-        Some((vm, _)) => vm.clone(),
-        None => state.identity.vm.clone(),
-    };
-    state.log.note(
-        now,
-        view.id,
-        format!("asked {owner} for a start in {}", key.zone),
-    );
-    let request = Request {
-        ask: ask.clone(),
-        phase: Phase::Asking,
-    };
-    state.entry.requests.insert(view.id.clone(), request);
-    out.send(&owner, Message::Ask(ask));
+    Ok(Request {
+        ask,
+        arrived: now,
+        deadline: now.after(service.queue_ms),
+        is_once: matches!(view.repeat, Repeat::Once { .. }),
+        may_have_run: false,
+        retries: 0,
+        is_relaxed: false,
+        tried: Vec::new(),
+        refusal: None,
+        phase: Phase::Claiming,
+        due: None,
+    })
 }
 
-fn granted(state: &mut State, grant: &Grant, now: Millis, out: &mut Outbox) {
-    let Some(request) = state.entry.requests.get_mut(&grant.id) else {
-        return;
-    };
-    request.phase = Phase::Running {
-        target: grant.target.clone(),
-    };
-    state
-        .log
-        .note(now, &grant.id, format!("granted target {}", grant.target));
-    out.push(Outcome::Start(Start {
-        id: grant.id.clone(),
-        attempt: grant.attempt,
-        target: grant.target.clone(),
-        address: grant.address.clone(),
-        priority: grant.priority,
-        fence: grant.fence,
-    }));
-}
-
-fn ended(
+/// Whether the organisation may call the service.
+///
+/// The caller adapter has found the organisation by its key, so an organisation that is not
+/// declared here is one of which this VM has not heard yet.
+fn may_call(state: &State, view: &View<'_>) -> bool {
+    let organisation = state.intent.organisation(view.organisation);
+    organisation.is_none_or(|organisation| {
+        let services = &organisation.services;
+        services.is_empty() || services.iter().any(|name| **name == *view.service)
+    })
+}
+
+/// The claim of a call was written: it may run.
+pub(crate) fn claimed(state: &mut State, id: &Id, now: Millis, out: &mut Outbox) {
+    state.log.note(now, id, "claim written".to_owned());
+    ask::next(state, id, now, out);
+}
+
+/// Answers a call from the outcome that an earlier call with its key left.
+pub(crate) fn replay(
     state: &mut State,
     id: &Id,
-    end: End,
-    tokens: u32,
-    first_token_ms: Option<u32>,
+    stored: crate::store::Stored,
+    now: Millis,
     out: &mut Outbox,
 ) {
-    let Some(request) = state.entry.requests.remove(id) else {
+    if state.entry.remove(id).is_none() {
         return;
-    };
-    let Phase::Running { target } = request.phase else {
+    }
+    state
+        .log
+        .note(now, id, "answered from the kept outcome".to_owned());
+    out.count(Counter::Event("replay"));
+    out.push(Outcome::Replay {
+        id: id.clone(),
+        stored,
+    });
+}
+
+/// Refuses a request and ends everything that is kept for it.
+pub(crate) fn refuse(state: &mut State, id: &Id, refusal: Refusal, now: Millis, out: &mut Outbox) {
+    let Some(request) = state.entry.remove(id) else {
         return;
     };
-    let owner = match state.members.owner(&request.ask.pool) {
-        Some((vm, _)) => vm.clone(),
-        None => state.identity.vm.clone(),
-    };
-    let (pool, attempt) = (request.ask.pool, request.ask.attempt);
-    let id = id.clone();
-    let release = Release {
-        pool,
-        id,
-        attempt,
-        target,
-        end,
-        tokens,
-        first_token_ms,
+    let ran = match refusal.ran {
+        Ran::No if request.may_have_run => Ran::Unknown,
+        ran => ran,
     };
-    out.send(&owner, Message::Release(release));
-}
-
-fn refused(state: &mut State, id: &Id, refusal: &Refusal, out: &mut Outbox) {
-    if state.entry.requests.remove(id).is_some() {
-        refuse(out, id, refusal.clone());
+    let text = format!("refused: {}, ran: {ran:?}", refusal.reason.as_str());
+    state.log.note(now, id, text);
+    if request.is_once {
+        match ran {
+            Ran::No => claim::discard(state, id, now, out),
+            Ran::Yes | Ran::Unknown => claim::abandon(state, id, now, out),
+        }
     }
+    answer(out, id, refusal.with_ran(ran));
 }
 
-fn refuse(out: &mut Outbox, id: &Id, refusal: Refusal) {
+fn answer(out: &mut Outbox, id: &Id, refusal: Refusal) {
     out.count(Counter::Refusal(refusal.reason));
     out.push(Outcome::Refuse {
         id: id.clone(),
         refusal,
     });
 }
+
+fn run_timers(state: &mut State, now: Millis, out: &mut Outbox) {
+    let due: Vec<Id> = state
+        .entry
+        .timers
+        .iter()
+        .take_while(|(at, _)| *at <= now)
+        .map(|(_, id)| id.clone())
+        .collect();
+    for id in due {
+        state.entry.clear_timer(&id);
+        let Some(request) = state.entry.requests.get(&id) else {
+            continue;
+        };
+        match request.phase {
+            Phase::Claiming => {
+                let refusal = Refusal::new(Reason::StoreUnavailable);
+                refuse(
+                    state,
+                    &id,
+                    refusal.with_retry_after(RETRY_AFTER_MS),
+                    now,
+                    out,
+                );
+            }
+            Phase::Waiting if now < request.deadline => ask::next(state, &id, now, out),
+            Phase::Waiting => ask::expire(state, &id, now, out),
+            Phase::Asking(_) => ask::again(state, &id, now, out),
+            Phase::Running(_) => {}
+        }
+    }
+}
+
+/// Says once that nothing is left to finish on a VM that stops.
+fn drain(state: &mut State, now: Millis, out: &mut Outbox) {
+    if !state.stopping || state.entry.is_drained {
+        return;
+    }
+    if !state.entry.requests.is_empty() {
+        state.entry.idle_since = None;
+        return;
+    }
+    let since = *state.entry.idle_since.get_or_insert(now);
+    if state.claims.is_settled() || now.since(since) >= CLAIMS_DRAIN_MS {
+        state.entry.is_drained = true;
+        out.push(Outcome::Drained);
+    }
+}
+
+impl Table {
+    /// Number of requests that have no answer yet.
+    pub fn len(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Whether no request is without an answer.
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    /// Number of attempts running at targets.
+    pub fn running(&self) -> usize {
+        let is_running = |request: &&Request| matches!(request.phase, Phase::Running(_));
+        self.requests.values().filter(is_running).count()
+    }
+
+    pub(crate) fn remove(&mut self, id: &Id) -> Option<Request> {
+        self.clear_timer(id);
+        self.requests.remove(id)
+    }
+
+    pub(crate) fn set_timer(&mut self, id: &Id, at: Millis) {
+        self.clear_timer(id);
+        if let Some(request) = self.requests.get_mut(id) {
+            request.due = Some(at);
+            self.timers.insert((at, id.clone()));
+        }
+    }
+
+    pub(crate) fn clear_timer(&mut self, id: &Id) {
+        let due = self
+            .requests
+            .get_mut(id)
+            .and_then(|request| request.due.take());
+        if let Some(at) = due {
+            self.timers.remove(&(at, id.clone()));
+        }
+    }
+
+    /// Takes one retry out of the budget; false if none is left.
+    pub(crate) fn spend_retry(&mut self, now: Millis) -> bool {
+        self.budget.spend(now)
+    }
+
+    /// The jittered delay before a request asks again after `retries` failed attempts.
+    pub(crate) fn backoff(&mut self, seed: u64, retries: u32) -> u64 {
+        self.draws += 1;
+        retry::backoff(retries, retry::draw(seed, self.draws))
+    }
+}
+
+/// The view of the state on which the choice of a pool is made.
+pub(crate) fn route_view<'a>(state: &'a State, silent: &'a [Name]) -> route::View<'a> {
+    route::View {
+        intent: &state.intent,
+        members: &state.members,
+        zone: &state.identity.zone,
+        silent,
+    }
+}
--- a/crates/kernel/src/explain.rs
+++ b/crates/kernel/src/explain.rs
@@ -7,6 +7,8 @@
 
 /// Steps kept in all; the oldest are dropped first.
 const STEPS_MAX: usize = 16_384;
+/// Bytes kept of one step's text.
+const TEXT_MAX: usize = 200;
 
 /// One step in a request's life.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -20,17 +22,30 @@
 }
 
 /// The newest steps of all requests.
+///
+/// ```
+/// use hornbeamloom_kernel::explain::Log;
+/// use hornbeamloom_kernel::ids::{Incarnation, Millis};
+/// use hornbeamloom_kernel::request::Id;
+///
+/// let id = Id::new("entry-1", Incarnation(1), 1);
+/// let mut log = Log::default();
+/// log.note(Millis(5), &id, "asked entry-2".to_owned());
+/// assert_eq!(log.steps(&id).count(), 1);
+/// ```
 #[derive(Debug, Default)]
 pub struct Log {
     steps: VecDeque<Step>,
 }
 
 impl Log {
-    /// Records a step.
-    pub fn note(&mut self, at: Millis, id: &Id, text: String) {
+    /// Records a step; of a long text only the beginning is kept.
+    pub fn note(&mut self, at: Millis, id: &Id, mut text: String) {
         if self.steps.len() == STEPS_MAX {
             self.steps.pop_front();
         }
+        let end = (0..=TEXT_MAX.min(text.len())).rfind(|&ix| text.is_char_boundary(ix));
+        text.truncate(end.unwrap_or(0));
         self.steps.push_back(Step {
             at,
             id: id.clone(),
@@ -42,4 +57,14 @@
     pub fn steps<'a>(&'a self, id: &'a Id) -> impl Iterator<Item = &'a Step> {
         self.steps.iter().filter(move |step| step.id == *id)
     }
+
+    /// Number of steps kept.
+    pub fn len(&self) -> usize {
+        self.steps.len()
+    }
+
+    /// Whether no step is kept.
+    pub fn is_empty(&self) -> bool {
+        self.steps.is_empty()
+    }
 }
--- /dev/null
+++ b/crates/kernel/src/isolate.rs
@@ -0,0 +1,24 @@
+//! Keeps suspects of crashes apart, so that the next death of a target has one suspect.
+
+use crate::peer::Ask;
+use crate::plugin::policy;
+
+inventory::submit! {
+    policy::Plugin { name: "isolate", rank: 30, stage: policy::Stage::Filter(filter) }
+}
+
+/// A suspect runs only on a target where no other suspect runs.
+///
+/// Two requests with the same body are one suspect.
+fn filter(view: &policy::View<'_>, ask: &Ask, target: usize) -> bool {
+    let is_suspect = |fingerprint| view.quarantine.is_suspect(fingerprint, view.now);
+    if !is_suspect(ask.fingerprint) {
+        return true;
+    }
+    let mut running = view.pool.running.values();
+    !running.any(|running| {
+        running.target == target
+            && running.ask.fingerprint != ask.fingerprint
+            && is_suspect(running.ask.fingerprint)
+    })
+}
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -55,10 +55,16 @@
 pub mod reconcile;
 pub mod request;
 pub mod resource;
+pub mod retry;
+pub mod route;
 pub mod store;
 pub mod stream;
 pub mod target;
 
+mod ask;
+mod attempt;
+mod crash;
 mod eligible;
 mod fair;
+mod isolate;
 mod least_outstanding;
--- a/crates/kernel/src/peer.rs
+++ b/crates/kernel/src/peer.rs
@@ -21,6 +21,11 @@
     },
     /// Asks the owner of a pool for a start.
     Ask(Ask),
+    /// Tells the sender of asks that they arrive; sent at most four times a second to one VM.
+    Ack {
+        /// The pool of the ask that it answers.
+        pool: pool::Key,
+    },
     /// Lets a request start.
     Grant(Grant),
     /// The owner will not let a request start.
@@ -76,7 +81,7 @@
         organisation: Name,
         /// Service it was sent to.
         service: Name,
-        /// Deaths counted.
+        /// Deaths counted; zero together with no time left clears a suspect that finished.
         deaths: u32,
         /// Time left in milliseconds; zero lifts it.
         remaining_ms: u64,
--- a/crates/kernel/src/quarantine.rs
+++ b/crates/kernel/src/quarantine.rs
@@ -1,36 +1,672 @@
 //! Crash correlation and quarantine of request bodies.
+//!
+//! A body that ran on a target when it died is a suspect. A second death with it as the only
+//! earlier suspect quarantines it. Every VM counts by itself from the deaths that are broadcast.
 
+use std::collections::VecDeque;
+
+use crate::crash;
 use crate::event::Event;
-use crate::ids::Millis;
+use crate::ids::{Millis, Name, Revision};
 use crate::kernel::{Outbox, State};
-use crate::outcome::{Reason, Refusal};
-use crate::peer::Ask;
+use crate::map::Map;
+use crate::outcome::{Counter, Outcome, Reason, Refusal};
+use crate::peer::{Ask, Death, Message, Suspect};
 use crate::plugin::{control, policy};
+use crate::request::End;
+use crate::retry::draw;
+use crate::store::{self, Answer, Call, CallId, Condition, Family, Key, Op, Value, Write, Written};
+
+/// How long a body is quarantined, in milliseconds.
+const QUARANTINE_MS: u64 = 600_000;
+/// How long a body stays a suspect, in milliseconds.
+const SUSPECT_MS: u64 = 600_000;
+/// Deaths that quarantine a body.
+const DEATHS: u32 = 2;
+/// Bodies remembered; the oldest suspect is dropped first.
+const BODIES_MAX: usize = 4_096;
+/// Deaths remembered to recognise repeated reports.
+const DEATHS_MAX: usize = 1_024;
+/// Time between two readings of the table, in milliseconds.
+const LIST_MS: u64 = 30_000;
+/// Time after which a failed store call is repeated, in milliseconds.
+const RETRY_MS: u64 = 5_000;
+/// Time between two checks for entries that are due, in milliseconds.
+const SWEEP_MS: u64 = 1_000;
 
 /// Suspected and quarantined bodies.
 #[derive(Debug, Default)]
-pub struct Registry {}
+pub struct Registry {
+    pub(crate) watch: crash::Watch,
+    bodies: Map<u64, Body>,
+    deaths: VecDeque<(Name, u64)>,
+    lifted: Map<u64, Lift>,
+    calls: Map<CallId, Pending>,
+    list_at: Millis,
+    swept: Millis,
+}
+
+/// A suspected or quarantined body.
+#[derive(Debug)]
+struct Body {
+    organisation: Name,
+    service: Name,
+    deaths: u32,
+    seen: Millis,
+    /// When the quarantine ends; `None` for a suspect.
+    until: Option<Millis>,
+    /// Its version in the table and when this VM learned it.
+    stored: Option<(Revision, Millis)>,
+    /// When to write it to the table.
+    store_at: Option<Millis>,
+    /// When to delete it from the table, counted from the end of the quarantine.
+    delete_after_ms: u64,
+}
+
+/// A quarantine that was lifted.
+#[derive(Debug)]
+struct Lift {
+    at: Millis,
+    /// When to delete it from the table, if this VM has to.
+    delete_at: Option<Millis>,
+}
+
+/// A store call that waits for its answer.
+#[derive(Debug)]
+enum Pending {
+    List { sent: Millis },
+    Store(u64),
+    Expire(u64),
+    Lift(u64),
+}
+
+/// A suspect or quarantined body as operators see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Entry<'a> {
+    /// The body.
+    pub fingerprint: u64,
+    /// The organisation that sent it.
+    pub organisation: &'a str,
+    /// The service it was sent to.
+    pub service: &'a str,
+    /// Deaths that it was correlated with.
+    pub deaths: u32,
+    /// Milliseconds of quarantine left; `None` for a suspect.
+    pub remaining_ms: Option<u64>,
+}
 
 impl Registry {
     /// Whether a body is quarantined at `now`.
-    pub fn is_quarantined(&self, _fingerprint: u64, _now: Millis) -> bool {
-        false
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::ids::Millis;
+    /// use hornbeamloom_kernel::quarantine::Registry;
+    ///
+    /// assert!(!Registry::default().is_quarantined(7, Millis(0)));
+    /// ```
+    pub fn is_quarantined(&self, fingerprint: u64, now: Millis) -> bool {
+        self.bodies
+            .get(&fingerprint)
+            .is_some_and(|body| body.is_quarantined(now))
+    }
+
+    /// Whether a body ran on a target that died and has not completed since.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::ids::Millis;
+    /// use hornbeamloom_kernel::quarantine::Registry;
+    ///
+    /// assert!(!Registry::default().is_suspect(7, Millis(0)));
+    /// ```
+    pub fn is_suspect(&self, fingerprint: u64, now: Millis) -> bool {
+        self.bodies
+            .get(&fingerprint)
+            .is_some_and(|body| body.is_suspect(now))
+    }
+
+    /// The suspects and quarantined bodies at `now`, by fingerprint.
+    pub fn entries(&self, now: Millis) -> Vec<Entry<'_>> {
+        let bodies = self.bodies.iter().filter(|(_, body)| body.is_suspect(now));
+        let mut entries: Vec<Entry<'_>> = bodies
+            .map(|(fingerprint, body)| Entry {
+                fingerprint: *fingerprint,
+                organisation: &body.organisation,
+                service: &body.service,
+                deaths: body.deaths,
+                remaining_ms: body.until.map(|until| until.since(now)),
+            })
+            .collect();
+        entries.sort_by_key(|entry| entry.fingerprint);
+        entries
+    }
+
+    /// Records a death; false if it is known already.
+    fn record(&mut self, death: &Death) -> bool {
+        let is_known = self
+            .deaths
+            .iter()
+            .any(|(target, start)| *target == death.target && *start == death.start_id);
+        if is_known {
+            return false;
+        }
+        if self.deaths.len() == DEATHS_MAX {
+            self.deaths.pop_front();
+        }
+        self.deaths
+            .push_back((death.target.clone(), death.start_id));
+        true
+    }
+
+    /// Counts a death against one body; true if that quarantines it.
+    fn count(&mut self, suspect: &Suspect, at: Millis, is_ambiguous: bool) -> bool {
+        let body = self.body(suspect.fingerprint, suspect, at);
+        body.seen = body.seen.max(at);
+        if body.until.is_some() || (is_ambiguous && body.deaths > 0) {
+            return false;
+        }
+        body.deaths += 1;
+        if body.deaths < DEATHS {
+            return false;
+        }
+        body.until = Some(at.after(QUARANTINE_MS));
+        true
+    }
+
+    fn body(&mut self, fingerprint: u64, suspect: &Suspect, now: Millis) -> &mut Body {
+        if !self.bodies.contains_key(&fingerprint) && self.bodies.len() >= BODIES_MAX {
+            let oldest = self
+                .bodies
+                .iter()
+                .min_by_key(|(fingerprint, body)| (body.until, body.seen, **fingerprint))
+                .map(|(fingerprint, _)| *fingerprint);
+            oldest.and_then(|fingerprint| self.bodies.remove(&fingerprint));
+        }
+        self.bodies.entry(fingerprint).or_insert_with(|| Body {
+            organisation: suspect.organisation.clone(),
+            service: suspect.service.clone(),
+            deaths: 0,
+            seen: now,
+            until: None,
+            stored: None,
+            store_at: None,
+            delete_after_ms: 0,
+        })
+    }
+}
+
+impl Body {
+    fn is_quarantined(&self, now: Millis) -> bool {
+        self.until.is_some_and(|until| now < until)
+    }
+
+    fn is_suspect(&self, now: Millis) -> bool {
+        match self.until {
+            Some(until) => now < until,
+            None => self.deaths > 0 && now.since(self.seen) < SUSPECT_MS,
+        }
     }
 }
 
 inventory::submit! {
-    control::Plugin { name: "quarantine", rank: 35, handle, wakeup: |_| None }
+    control::Plugin { name: "quarantine", rank: 35, handle, wakeup }
 }
 
 inventory::submit! {
     policy::Plugin { name: "quarantine", rank: 10, stage: policy::Stage::Admit(admit) }
 }
 
-fn handle(_state: &mut State, _event: &Event<'_>, _now: Millis, _out: &mut Outbox) {}
-
 fn admit(view: &policy::View<'_>, ask: &Ask) -> Result<(), Refusal> {
     match view.quarantine.is_quarantined(ask.fingerprint, view.now) {
         true => Err(Refusal::new(Reason::Quarantined)),
         false => Ok(()),
     }
 }
+
+fn wakeup(state: &State) -> Option<Millis> {
+    let registry = &state.quarantine;
+    match registry.bodies.is_empty() && registry.lifted.is_empty() {
+        true => Some(registry.list_at),
+        false => Some(registry.list_at.min(registry.swept.after(SWEEP_MS))),
+    }
+}
+
+fn handle(state: &mut State, event: &Event<'_>, now: Millis, out: &mut Outbox) {
+    match event {
+        Event::Tick => {
+            list(state, now, out);
+            sweep(state, now, out);
+        }
+        Event::Report { target, report } => {
+            if let Some(death) = crash::reported(state, target, *report, now) {
+                observed(state, death, now, out);
+            }
+        }
+        Event::Lift { fingerprint } => lift(state, *fingerprint, now, out),
+        Event::Store { call, answer } => answered(state, *call, answer, now, out),
+        Event::Peer { from, message } => hear(state, from, message, now, out),
+        _ => {}
+    }
+}
+
+fn hear(state: &mut State, from: &str, message: &Message, now: Millis, out: &mut Outbox) {
+    match message {
+        Message::Death(death) => {
+            let is_own = *from == *state.identity.vm;
+            died(state, death, is_own, now, out);
+        }
+        Message::Quarantine {
+            fingerprint,
+            deaths: 0,
+            remaining_ms: 0,
+            ..
+        } => clear(state, *fingerprint, now),
+        Message::Quarantine {
+            fingerprint,
+            remaining_ms: 0,
+            ..
+        } => forget(state, *fingerprint, now),
+        Message::Quarantine {
+            fingerprint,
+            organisation,
+            service,
+            deaths,
+            remaining_ms,
+        } => {
+            let suspect = Suspect {
+                fingerprint: *fingerprint,
+                organisation: organisation.clone(),
+                service: service.clone(),
+            };
+            told(state, &suspect, *deaths, *remaining_ms, now);
+        }
+        Message::Release(release) => {
+            crash::released(state, release, now);
+            if release.end == End::Complete {
+                let pool = state.pools.get(&release.pool);
+                let running = pool.and_then(|pool| pool.running.get(&release.id));
+                let fingerprint = running.map(|running| running.ask.fingerprint);
+                fingerprint
+                    .into_iter()
+                    .for_each(|body| clear(state, body, now));
+            }
+        }
+        _ => {}
+    }
+}
+
+/// This VM saw a target's death: tells every VM, then counts it.
+fn observed(state: &mut State, death: Death, now: Millis, out: &mut Outbox) {
+    if died(state, &death, true, now, out) {
+        out.warn(format!(
+            "target {} died with {} bodies running",
+            death.target,
+            death.running.len()
+        ));
+        broadcast(state, &Message::Death(death), out);
+    }
+}
+
+/// Counts a death; false if it is known already.
+///
+/// Where several earlier suspects ran on the target, none of them is counted again: the death
+/// does not show which of them caused it, and all of them run apart from now on.
+fn died(state: &mut State, death: &Death, is_own: bool, now: Millis, out: &mut Outbox) -> bool {
+    if !state.quarantine.record(death) {
+        return false;
+    }
+    out.count(Counter::Event("target_death"));
+    let registry = &mut state.quarantine;
+    let at = Millis(now.0.saturating_sub(death.age_ms));
+    let running = &death.running[..death.running.len().min(BODIES_MAX)];
+    let earlier = running
+        .iter()
+        .filter(|suspect| registry.is_suspect(suspect.fingerprint, now));
+    let is_ambiguous = earlier.count() > 1;
+    for suspect in running {
+        let is_stale = !state.quarantine.is_suspect(suspect.fingerprint, now);
+        if is_stale {
+            state.quarantine.bodies.remove(&suspect.fingerprint);
+        }
+        if state.quarantine.count(suspect, at, is_ambiguous) {
+            quarantined(state, suspect, is_own, now, out);
+        }
+    }
+    true
+}
+
+fn quarantined(state: &mut State, suspect: &Suspect, is_own: bool, now: Millis, out: &mut Outbox) {
+    let fingerprint = suspect.fingerprint;
+    out.count(Counter::Event("quarantine"));
+    out.warn(format!(
+        "quarantined body {fingerprint:016x} of organisation {}",
+        suspect.organisation
+    ));
+    state.quarantine.lifted.remove(&fingerprint);
+    let delay = stagger(state, fingerprint, is_own);
+    let Some(body) = state.quarantine.bodies.get_mut(&fingerprint) else {
+        return;
+    };
+    body.store_at = Some(now.after(delay));
+    body.delete_after_ms = delay;
+    let message = message(fingerprint, body, now);
+    if is_own {
+        broadcast(state, &message, out);
+        sweep(state, now, out);
+    }
+}
+
+/// Delay of a write that every VM could make; the VM that saw the death makes it at once.
+///
+/// The others find the entry in the table before their delay is over, unless that VM has failed.
+fn stagger(state: &State, fingerprint: u64, is_own: bool) -> u64 {
+    match is_own {
+        true => 0,
+        false => LIST_MS + draw(state.identity.seed, fingerprint) % LIST_MS,
+    }
+}
+
+fn message(fingerprint: u64, body: &Body, now: Millis) -> Message {
+    Message::Quarantine {
+        fingerprint,
+        organisation: body.organisation.clone(),
+        service: body.service.clone(),
+        deaths: body.deaths,
+        remaining_ms: body.until.map_or(0, |until| until.since(now)),
+    }
+}
+
+/// A peer quarantined a body.
+fn told(state: &mut State, suspect: &Suspect, deaths: u32, remaining_ms: u64, now: Millis) {
+    let fingerprint = suspect.fingerprint;
+    let delay = stagger(state, fingerprint, false);
+    state.quarantine.lifted.remove(&fingerprint);
+    let body = state.quarantine.body(fingerprint, suspect, now);
+    let until = now.after(remaining_ms.min(QUARANTINE_MS));
+    body.until = Some(body.until.map_or(until, |current| current.max(until)));
+    body.deaths = body.deaths.max(deaths);
+    body.seen = now;
+    if body.stored.is_none() && body.store_at.is_none() {
+        body.store_at = Some(now.after(delay));
+        body.delete_after_ms = delay;
+    }
+}
+
+/// A request completed here: a suspect with its body is cleared at every VM.
+pub(crate) fn completed(state: &mut State, fingerprint: u64, now: Millis, out: &mut Outbox) {
+    let body = state.quarantine.bodies.get(&fingerprint);
+    let Some(body) = body.filter(|body| body.until.is_none()) else {
+        return;
+    };
+    let message = Message::Quarantine {
+        fingerprint,
+        organisation: body.organisation.clone(),
+        service: body.service.clone(),
+        deaths: 0,
+        remaining_ms: 0,
+    };
+    clear(state, fingerprint, now);
+    broadcast(state, &message, out);
+}
+
+/// Forgets a suspect; a quarantined body stays quarantined.
+fn clear(state: &mut State, fingerprint: u64, _now: Millis) {
+    let bodies = &mut state.quarantine.bodies;
+    if bodies
+        .get(&fingerprint)
+        .is_some_and(|body| body.until.is_none())
+    {
+        bodies.remove(&fingerprint);
+    }
+}
+
+/// Forgets a body whose quarantine was lifted, and for some time also what the table says of it.
+fn forget(state: &mut State, fingerprint: u64, now: Millis) {
+    let registry = &mut state.quarantine;
+    registry.bodies.remove(&fingerprint);
+    if registry.lifted.len() >= BODIES_MAX {
+        registry.lifted.clear();
+    }
+    let (at, delete_at) = (now, None);
+    registry.lifted.insert(fingerprint, Lift { at, delete_at });
+}
+
+/// An operator lifted a quarantine here.
+fn lift(state: &mut State, fingerprint: u64, now: Millis, out: &mut Outbox) {
+    let Some(body) = state.quarantine.bodies.get(&fingerprint) else {
+        return;
+    };
+    let message = Message::Quarantine {
+        fingerprint,
+        organisation: body.organisation.clone(),
+        service: body.service.clone(),
+        deaths: body.deaths.max(1),
+        remaining_ms: 0,
+    };
+    out.log(format!("quarantine of body {fingerprint:016x} lifted"));
+    forget(state, fingerprint, now);
+    if let Some(lift) = state.quarantine.lifted.get_mut(&fingerprint) {
+        lift.delete_at = Some(now);
+    }
+    broadcast(state, &message, out);
+    sweep(state, now, out);
+}
+
+fn broadcast(state: &State, message: &Message, out: &mut Outbox) {
+    let members = state.members.iter().map(|member| &member.entry.vm);
+    let mut vms: Vec<&Name> = members.filter(|vm| **vm != state.identity.vm).collect();
+    vms.sort();
+    for vm in vms {
+        out.send(vm, message.clone());
+    }
+}
+
+fn call(state: &mut State, op: Op, pending: Pending, out: &mut Outbox) {
+    let id = state.call_id();
+    state.quarantine.calls.insert(id, pending);
+    out.push(Outcome::Store(Call { id, op }));
+}
+
+fn list(state: &mut State, now: Millis, out: &mut Outbox) {
+    if now < state.quarantine.list_at {
+        return;
+    }
+    // Answers that never came would otherwise be waited for without a bound.
+    state
+        .quarantine
+        .calls
+        .retain(|_, pending| !matches!(pending, Pending::List { .. }));
+    let jitter = draw(state.identity.seed, now.0) % (LIST_MS / 10);
+    state.quarantine.list_at = now.after(LIST_MS - jitter);
+    let list = Op::List(Family::Quarantine);
+    call(state, list, Pending::List { sent: now }, out);
+}
+
+/// Writes and deletes what is due and drops what has expired.
+fn sweep(state: &mut State, now: Millis, out: &mut Outbox) {
+    state.quarantine.swept = now;
+    let mut due: Vec<(u64, Due)> = Vec::new();
+    for (fingerprint, body) in &state.quarantine.bodies {
+        due.extend(body.due(now).map(|due| (*fingerprint, due)));
+    }
+    for (fingerprint, lift) in &state.quarantine.lifted {
+        due.extend(lift.due(now).map(|due| (*fingerprint, due)));
+    }
+    due.sort_by_key(|(fingerprint, _)| *fingerprint);
+    for (fingerprint, due) in due {
+        act(state, fingerprint, due, now, out);
+    }
+}
+
+/// What is due for one body.
+#[derive(Debug, Clone, Copy)]
+enum Due {
+    Store,
+    Expire(Revision),
+    Drop,
+    DeleteLifted,
+    DropLifted,
+}
+
+impl Body {
+    fn due(&self, now: Millis) -> Option<Due> {
+        let Some(until) = self.until else {
+            return (!self.is_suspect(now)).then_some(Due::Drop);
+        };
+        if now < until {
+            let is_due = self.store_at.is_some_and(|at| at <= now);
+            return is_due.then_some(Due::Store);
+        }
+        match self.stored {
+            None => Some(Due::Drop),
+            Some((version, _)) if now >= until.after(self.delete_after_ms) => {
+                Some(Due::Expire(version))
+            }
+            Some(_) => None,
+        }
+    }
+}
+
+impl Lift {
+    fn due(&self, now: Millis) -> Option<Due> {
+        if self.delete_at.is_some_and(|at| at <= now) {
+            return Some(Due::DeleteLifted);
+        }
+        (now.since(self.at) >= QUARANTINE_MS).then_some(Due::DropLifted)
+    }
+}
+
+fn act(state: &mut State, fingerprint: u64, due: Due, now: Millis, out: &mut Outbox) {
+    let write = |condition, value| {
+        let key = Key::Quarantine(fingerprint);
+        Op::Write(vec![Write {
+            key,
+            condition,
+            value,
+        }])
+    };
+    let registry = &mut state.quarantine;
+    match due {
+        Due::Drop => drop(registry.bodies.remove(&fingerprint)),
+        Due::DropLifted => drop(registry.lifted.remove(&fingerprint)),
+        Due::DeleteLifted => {
+            if let Some(lift) = registry.lifted.get_mut(&fingerprint) {
+                lift.delete_at = Some(now.after(RETRY_MS));
+            }
+            let op = write(Condition::Any, None);
+            call(state, op, Pending::Lift(fingerprint), out);
+        }
+        Due::Expire(version) => {
+            if let Some(body) = registry.bodies.get_mut(&fingerprint) {
+                body.delete_after_ms = now.after(RETRY_MS).since(body.until.unwrap_or(now));
+            }
+            let op = write(Condition::Version(version), None);
+            call(state, op, Pending::Expire(fingerprint), out);
+        }
+        Due::Store => {
+            let Some(body) = registry.bodies.get_mut(&fingerprint) else {
+                return;
+            };
+            body.store_at = Some(now.after(RETRY_MS));
+            let value = Value::Quarantine(store::Quarantine {
+                deaths: body.deaths,
+                organisation: body.organisation.clone(),
+                service: body.service.clone(),
+                remaining_s: body
+                    .until
+                    .map_or(0, |until| until.since(now))
+                    .div_ceil(1_000),
+            });
+            let op = write(Condition::Absent, Some(value));
+            call(state, op, Pending::Store(fingerprint), out);
+        }
+    }
+}
+
+fn answered(state: &mut State, id: CallId, answer: &Answer, now: Millis, out: &mut Outbox) {
+    let Some(pending) = state.quarantine.calls.remove(&id) else {
+        return;
+    };
+    let registry = &mut state.quarantine;
+    match (pending, answer) {
+        (Pending::List { sent }, Answer::Listed(records)) => {
+            listed(registry, records, sent, now, out);
+        }
+        (Pending::List { .. }, _) => registry.list_at = now.after(RETRY_MS),
+        (Pending::Store(fingerprint), Answer::Written(written)) => {
+            let version = match written.first() {
+                Some(Written::Applied(version)) => Some(*version),
+                Some(Written::Conflict(Some(record))) => Some(record.version),
+                _ => None,
+            };
+            if let (Some(version), Some(body)) = (version, registry.bodies.get_mut(&fingerprint)) {
+                body.stored = Some((version, now));
+                body.store_at = None;
+            }
+        }
+        (Pending::Expire(fingerprint), Answer::Written(_)) => {
+            registry.bodies.remove(&fingerprint);
+        }
+        (Pending::Lift(fingerprint), Answer::Written(_)) => {
+            if let Some(lift) = registry.lifted.get_mut(&fingerprint) {
+                lift.delete_at = None;
+            }
+        }
+        // Without an answer the write is repeated when it is due again.
+        _ => {}
+    }
+}
+
+/// The entries of the table as they were read by a call sent at `sent`.
+fn listed(
+    registry: &mut Registry,
+    records: &[store::Record],
+    sent: Millis,
+    now: Millis,
+    out: &mut Outbox,
+) {
+    let mut found = crate::map::Set::default();
+    for record in records {
+        match (&record.key, &record.value) {
+            (Key::Quarantine(fingerprint), Some(Value::Quarantine(value))) => {
+                found.insert(*fingerprint);
+                adopt(registry, *fingerprint, value, record.version, now);
+            }
+            _ => out.count(Counter::Ignored("quarantine_record")),
+        }
+    }
+    // What was in the table and is not any more was lifted or has expired.
+    registry.bodies.retain(|fingerprint, body| {
+        let was_stored = body.stored.is_some_and(|(_, learned)| learned < sent);
+        found.contains(fingerprint) || !was_stored
+    });
+}
+
+fn adopt(
+    registry: &mut Registry,
+    fingerprint: u64,
+    value: &store::Quarantine,
+    version: Revision,
+    now: Millis,
+) {
+    if registry.lifted.contains_key(&fingerprint) {
+        return;
+    }
+    let suspect = Suspect {
+        fingerprint,
+        organisation: value.organisation.clone(),
+        service: value.service.clone(),
+    };
+    let body = registry.body(fingerprint, &suspect, now);
+    body.store_at = None;
+    let is_new = body.stored.is_none_or(|(known, _)| known != version);
+    body.stored = Some((version, now));
+    if !is_new {
+        // The remaining time counts from the write, so it is taken only once.
+        return;
+    }
+    let remaining = value.remaining_s.saturating_mul(1_000).min(QUARANTINE_MS);
+    let until = now.after(remaining);
+    body.until = Some(body.until.map_or(until, |current| current.min(until)));
+    body.deaths = body.deaths.max(value.deaths);
+    body.delete_after_ms = body.delete_after_ms.max(LIST_MS);
+}
--- a/crates/kernel/src/stream.rs
+++ b/crates/kernel/src/stream.rs
@@ -1,5 +1,7 @@
 //! Sequence logic of one answer, used by traffic threads.
 
+use std::collections::VecDeque;
+
 /// Where one answer stands: which generation it comes from and which token is next.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Cursor {
@@ -59,3 +61,91 @@
         }
     }
 }
+
+/// Bytes of events that a replay buffer keeps for one stream.
+pub const REPLAY_BYTES: usize = 256 * 1024;
+/// Tries to resume a generation before its stream counts as broken.
+pub const RESUME_TRIES: u32 = 5;
+/// Delay before the first try to resume, in milliseconds; it doubles with each try.
+const RESUME_MS: u64 = 50;
+
+/// The newest events of one answer, for a caller that lost its connection.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Replay {
+    events: VecDeque<Vec<u8>>,
+    first: u64,
+    bytes: usize,
+}
+
+/// The events that a caller asked for are no longer kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("events before number {first} are no longer kept")]
+pub struct TooOld {
+    /// Sequence number of the first event kept.
+    pub first: u64,
+}
+
+impl Replay {
+    /// An empty buffer; its first event has number 0.
+    pub fn new() -> Replay {
+        Replay::default()
+    }
+
+    /// Keeps an event, drops the oldest ones beyond 256 KiB, and gives its sequence number.
+    pub fn push(&mut self, event: &[u8]) -> u64 {
+        self.events.push_back(event.to_owned());
+        self.bytes += event.len();
+        while self.bytes > REPLAY_BYTES {
+            let Some(dropped) = self.events.pop_front() else {
+                break;
+            };
+            self.bytes -= dropped.len();
+            self.first += 1;
+        }
+        self.next().saturating_sub(1)
+    }
+
+    /// Sequence number of the next event.
+    pub fn next(&self) -> u64 {
+        self.first + self.events.len() as u64
+    }
+
+    /// The events after number `seq`, or all for `None`, oldest first with their numbers.
+    ///
+    /// # Errors
+    ///
+    /// [`TooOld`] if one of these events is no longer kept.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::stream::Replay;
+    ///
+    /// let mut replay = Replay::new();
+    /// replay.push(b"a");
+    /// replay.push(b"b");
+    /// let kept: Vec<_> = replay.after(Some(0)).unwrap().collect();
+    /// assert_eq!(kept, [(1, b"b".as_slice())]);
+    /// ```
+    pub fn after(&self, seq: Option<u64>) -> Result<impl Iterator<Item = (u64, &[u8])>, TooOld> {
+        let from = seq.map_or(0, |seq| seq.saturating_add(1));
+        let first = self.first;
+        if from < first {
+            return Err(TooOld { first });
+        }
+        let skipped = usize::try_from(from - first).unwrap_or(usize::MAX);
+        let events = self.events.iter().enumerate().skip(skipped);
+        Ok(events.map(move |(ix, event)| (first + ix as u64, event.as_slice())))
+    }
+}
+
+/// The delay before try number `attempt` (from 0) to resume, in milliseconds; `None` after the last.
+///
+/// ```
+/// use hornbeamloom_kernel::stream::resume_delay;
+///
+/// assert_eq!(resume_delay(0), Some(50));
+/// assert_eq!(resume_delay(4), Some(800));
+/// assert_eq!(resume_delay(5), None);
+/// ```
+pub fn resume_delay(attempt: u32) -> Option<u64> {
+    (attempt < RESUME_TRIES).then(|| RESUME_MS << attempt)
+}
