--- /dev/null
+++ b/crates/kernel/src/affinity.rs
@@ -0,0 +1,17 @@
+//! Prefers a target that is thought to hold the prompt's prefix in its cache.
+
+use crate::peer::Ask;
+use crate::plugin::policy;
+
+/// A wholly cached prompt weighs as much as a third of a target's load.
+const WHOLE_PROMPT: usize = 333;
+
+inventory::submit! {
+    policy::Plugin { name: "affinity", rank: 20, stage: policy::Stage::Score(score) }
+}
+
+fn score(view: &policy::View<'_>, ask: &Ask, target: usize) -> i64 {
+    let cached = view.pool.targets[target].cached(&ask.prefixes);
+    let part = cached * WHOLE_PROMPT / ask.prefixes.len().max(1);
+    part as i64
+}
--- a/crates/kernel/src/eligible.rs
+++ b/crates/kernel/src/eligible.rs
@@ -9,5 +9,9 @@
 
 fn filter(view: &policy::View<'_>, ask: &Ask, target: usize) -> bool {
     let slot = &view.pool.targets[target];
-    !slot.spec.leaving && !ask.exclude.contains(&slot.name) && slot.running < slot.spec.warm_limit
+    !view.pool.out
+        && !slot.is_leaving()
+        && slot.is_healthy(view.now)
+        && !ask.exclude.contains(&slot.name)
+        && slot.running() < slot.spec.warm_limit
 }
--- /dev/null
+++ b/crates/kernel/src/headroom.rs
@@ -0,0 +1,90 @@
+//! Keeps room on each target: KV memory for outputs still to come, and slots for short requests.
+
+use crate::outcome::{Reason, Refusal};
+use crate::peer::Ask;
+use crate::plugin::policy;
+use crate::request::Class;
+use crate::target::Slot;
+
+/// One part in this many of a target's slots and KV is kept for short requests.
+const RESERVE: u64 = 10;
+
+inventory::submit! {
+    policy::Plugin { name: "headroom", rank: 20, stage: policy::Stage::Admit(admit) }
+}
+
+inventory::submit! {
+    policy::Plugin { name: "headroom", rank: 30, stage: policy::Stage::Filter(filter) }
+}
+
+/// Refuses a prompt that does not fit any target of the pool even when it is idle.
+fn admit(view: &policy::View<'_>, ask: &Ask) -> Result<(), Refusal> {
+    let mut targets = view.pool.targets.iter();
+    let fits = |slot: &Slot| {
+        slot.kv_capacity() == 0 || u64::from(ask.prompt_tokens) < usable(view, slot, ask.class)
+    };
+    match view.pool.targets.is_empty() || targets.any(fits) {
+        true => Ok(()),
+        false => Err(Refusal::new(Reason::TooLarge)),
+    }
+}
+
+fn filter(view: &policy::View<'_>, ask: &Ask, target: usize) -> bool {
+    has_slot(view, ask, target) && has_memory(view, ask, target)
+}
+
+fn has_slot(view: &policy::View<'_>, ask: &Ask, target: usize) -> bool {
+    let slot = &view.pool.targets[target];
+    let limit = view.pool.limit(slot);
+    // A target without KV memory serves a plain service, whose calls are of one length.
+    if ask.class == Class::Short || !slot.is_warm() || slot.kv_capacity() == 0 || limit < 2 {
+        return true;
+    }
+    let reserve = (limit / RESERVE as u32).max(1);
+    view.pool.long_running(target) < limit - reserve
+}
+
+fn has_memory(view: &policy::View<'_>, ask: &Ask, target: usize) -> bool {
+    let slot = &view.pool.targets[target];
+    if slot.kv_capacity() == 0 {
+        return true;
+    }
+    if is_held_for_other(view, ask, target) {
+        return false;
+    }
+    let used = slot.kv_use(view.now);
+    // An idle target takes any prompt that fits: nothing else could ever make more room.
+    if slot.work.is_empty() && slot.foreign == 0 {
+        return u64::from(ask.prompt_tokens) < usable(view, slot, ask.class);
+    }
+    used + view.pool.projected(ask) < usable(view, slot, ask.class)
+}
+
+/// Whether a longer wait for memory has reserved the target for another request.
+///
+/// Short requests pass: they have their own part of the memory.
+fn is_held_for_other(view: &policy::View<'_>, ask: &Ask, target: usize) -> bool {
+    let held = view.pool.reserved.as_ref();
+    held.is_some_and(|held| held.target == target && held.id != ask.id && ask.class >= held.class)
+}
+
+/// Whether only memory keeps the request from this target.
+pub(crate) fn lacks_memory(view: &policy::View<'_>, ask: &Ask, target: usize) -> bool {
+    let slot = &view.pool.targets[target];
+    !slot.is_leaving()
+        && slot.is_healthy(view.now)
+        && !ask.exclude.contains(&slot.name)
+        && view.pool.limit(slot) > 0
+        && has_slot(view, ask, target)
+        && !has_memory(view, ask, target)
+}
+
+/// KV tokens of a target that requests of a class may fill.
+fn usable(view: &policy::View<'_>, slot: &Slot, class: Class) -> u64 {
+    let percent = u64::from(view.pool.config.kv_percent);
+    let usable = slot.kv_capacity() * percent / 100;
+    match class {
+        Class::Short => usable,
+        Class::Long => usable - usable / RESERVE,
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/kvload.rs
@@ -0,0 +1,22 @@
+//! Prefers the target whose memory and slots are the least filled.
+
+use crate::peer::Ask;
+use crate::plugin::policy;
+
+/// Scores are in thousandths of a full target.
+const FULL: u64 = 1_000;
+
+inventory::submit! {
+    policy::Plugin { name: "kvload", rank: 10, stage: policy::Stage::Score(score) }
+}
+
+fn score(view: &policy::View<'_>, _ask: &Ask, target: usize) -> i64 {
+    let slot = &view.pool.targets[target];
+    let limit = u64::from(view.pool.limit(slot).max(1));
+    let slots = u64::from(view.pool.occupied(target)) * FULL / limit;
+    let memory = match slot.kv_capacity() {
+        0 => 0,
+        capacity => slot.kv_use(view.now) * FULL / capacity,
+    };
+    -i64::try_from(slots.max(memory)).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/crates/kernel/src/length.rs
@@ -0,0 +1,136 @@
+//! Output lengths seen, by service and organisation, and what they predict.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::Name;
+
+/// Four buckets an octave, up to 2^19 tokens: a bucket is at most a quarter wider than it starts.
+const BUCKETS: usize = 72;
+/// Halving at this weight lets a histogram follow a change within a few thousand answers.
+const WEIGHT_MAX: u32 = 4_096;
+/// Fewer samples above a length than this say too little about it.
+const SAMPLES_MIN: u32 = 16;
+/// Quantile of the expected final length, in percent.
+const QUANTILE_PERCENT: u32 = 70;
+/// Expected output in tokens while nothing was learned.
+const UNKNOWN_TOKENS: u32 = 256;
+
+/// A logarithmic histogram of output lengths in tokens, with decay.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Histogram {
+    counts: Vec<u32>,
+    total: u32,
+}
+
+impl Default for Histogram {
+    fn default() -> Histogram {
+        Histogram {
+            counts: vec![0; BUCKETS],
+            total: 0,
+        }
+    }
+}
+
+impl Histogram {
+    /// Counts one finished output.
+    pub fn record(&mut self, tokens: u32) {
+        if self.total >= WEIGHT_MAX {
+            self.counts.iter_mut().for_each(|count| *count /= 2);
+            self.total = self.counts.iter().sum();
+        }
+        if let Some(count) = self.counts.get_mut(bucket(tokens)) {
+            *count += 1;
+            self.total += 1;
+        }
+    }
+
+    /// The 0.7 quantile of the lengths above `tokens`, if enough of them were seen.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::length::Histogram;
+    ///
+    /// let mut lengths = Histogram::default();
+    /// (0..50).for_each(|_| lengths.record(100));
+    /// (0..50).for_each(|_| lengths.record(1_000));
+    /// assert!(lengths.expected(0).unwrap() >= 1_000);
+    /// assert_eq!(lengths.expected(2_000), None);
+    /// ```
+    pub fn expected(&self, tokens: u32) -> Option<u32> {
+        let start = bucket(tokens.saturating_add(1));
+        let above = self.counts.get(start..).unwrap_or_default();
+        let total: u32 = above.iter().sum();
+        if total < SAMPLES_MIN {
+            return None;
+        }
+        let wanted = (total * QUANTILE_PERCENT).div_ceil(100);
+        let mut seen = 0;
+        let offset = above.iter().position(|count| {
+            seen += count;
+            seen >= wanted
+        })?;
+        Some(upper(start + offset).max(tokens.saturating_add(1)))
+    }
+}
+
+/// The bucket of a length: exact below eight tokens, then four an octave.
+fn bucket(tokens: u32) -> usize {
+    if tokens < 4 {
+        return tokens as usize;
+    }
+    let log = tokens.ilog2();
+    let quarter = (tokens >> (log - 2)) & 3;
+    let ix = 4 * (log - 1) + quarter;
+    (ix as usize).min(BUCKETS - 1)
+}
+
+/// The greatest length in a bucket.
+fn upper(ix: usize) -> u32 {
+    if ix < 4 {
+        return ix as u32;
+    }
+    let (log, quarter) = (ix as u32 / 4 + 1, ix as u32 % 4);
+    ((quarter + 5) << (log - 2)) - 1
+}
+
+/// The lengths of one service's answers in one pool.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lengths {
+    service: Histogram,
+    organisations: BTreeMap<Name, Histogram>,
+}
+
+impl Lengths {
+    /// Counts a complete answer to `organisation`.
+    pub fn record(&mut self, organisation: &Name, tokens: u32) {
+        self.service.record(tokens);
+        self.organisations
+            .entry(organisation.clone())
+            .or_default()
+            .record(tokens);
+    }
+
+    /// The expected final length of an output that has `tokens` so far.
+    ///
+    /// With too few samples of the organisation, those of the whole service count.
+    pub fn expected(&self, organisation: &str, tokens: u32, max_tokens: Option<u32>) -> u32 {
+        let expected = self
+            .learned(organisation, tokens)
+            .unwrap_or_else(|| UNKNOWN_TOKENS.max(tokens.saturating_add(tokens / 2)));
+        expected.min(max_tokens.unwrap_or(u32::MAX)).max(tokens)
+    }
+
+    /// The expected final length, if enough comparable answers were seen.
+    pub fn learned(&self, organisation: &str, tokens: u32) -> Option<u32> {
+        self.organisations
+            .get(organisation)
+            .and_then(|lengths| lengths.expected(tokens))
+            .or_else(|| self.service.expected(tokens))
+    }
+
+    /// Forgets the organisations that `keep` rejects.
+    pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
+        self.organisations.retain(|name, _| keep(name));
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/overload.rs
@@ -0,0 +1,29 @@
+//! Bounds the queue and refuses early what would wait beyond its deadline.
+
+use crate::outcome::{Reason, Refusal};
+use crate::peer::Ask;
+use crate::plugin::policy;
+
+inventory::submit! {
+    policy::Plugin { name: "overload", rank: 30, stage: policy::Stage::Admit(admit) }
+}
+
+fn admit(view: &policy::View<'_>, ask: &Ask) -> Result<(), Refusal> {
+    let pool = view.pool;
+    let refuse = |reason| {
+        let refusal = Refusal::new(reason);
+        Err(refusal.with_retry_after(pool.rate.retry_after(&pool.queue, view.now)))
+    };
+    let waiting = pool.queue.get(&ask.organisation);
+    if waiting.map_or(0, |own| own.len()) >= pool.config.organisation_queue as usize {
+        return refuse(Reason::OrganisationQueue);
+    }
+    if pool.queue.len() >= pool.config.pool_queue as usize {
+        return refuse(Reason::PoolQueue);
+    }
+    let wait = pool.rate.expected_wait(&pool.queue, ask, view.now);
+    if ask.patience_ms == 0 || wait.is_some_and(|wait| wait > ask.patience_ms) {
+        return refuse(Reason::QueueDeadline);
+    }
+    Ok(())
+}
--- a/crates/kernel/src/pool.rs
+++ b/crates/kernel/src/pool.rs
@@ -1,20 +1,36 @@
-//! The owner's side of a request: queue, running work and grants of one pool.
+//! The owner's side of a request: one pool with its queue, running work and targets.
 
-use std::collections::VecDeque;
+use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 
+use crate::accounting;
 use crate::event::Event;
 use crate::ids::{Fence, Millis, Name};
+use crate::intent::Intent;
 use crate::kernel::{Outbox, State};
+use crate::ledger::{Ledger, Running};
+use crate::length::Lengths;
 use crate::map::Map;
-use crate::outcome::Refusal;
-use crate::peer::{Ask, Grant, Message, Release};
+use crate::peer::{Ask, Message};
 use crate::plugin::{control, policy};
-use crate::quarantine::Registry;
-use crate::request::Id;
-use crate::resource;
+use crate::queue::Queue;
+use crate::rate::Rate;
+use crate::request::{Class, Id};
+use crate::resource::{self, Protocol};
+use crate::schedule::{self, Stages};
+use crate::takeover::{self, Hint, Listing, Rights, Takeover, HANDED_PAUSE};
+use crate::target::Slot;
 
+pub use crate::takeover::Snapshot;
+
+/// Interval of periodic work: deadlines, silence, hellos. A quarter of a second keeps the delay of
+/// the queue deadline small against its length.
+const PERIOD: u64 = 250;
+/// A pool that is neither held nor used is forgotten after this time.
+const UNUSED_LIMIT: u64 = 10_000;
+/// An output of at most this many tokens makes a request short.
+const SHORT_TOKENS: u32 = 128;
 /// A pool: one service in one availability zone.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Key {
@@ -34,57 +50,15 @@
     }
 }
 
-/// The state that a holder hands to its successor.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Snapshot {
-    /// The pool.
-    pub pool: Key,
-    /// The leaving holder's fencing token.
-    pub fence: Fence,
-}
-
-/// An organisation's queue and service counter in a pool.
-#[derive(Debug)]
-pub struct Organisation {
-    /// Its name.
-    pub name: Name,
-    /// Its weight.
-    pub weight: u32,
-    /// Service received, in weighted token units.
-    pub served: u64,
-    /// Waiting requests, oldest first.
-    pub queue: VecDeque<Queued>,
-}
-
-/// A waiting request.
-#[derive(Debug)]
-pub struct Queued {
-    /// What was asked.
-    pub ask: Ask,
-    /// When the request arrived at its entry VM.
-    pub arrived: Millis,
-}
-
-/// A target of the pool.
-#[derive(Debug)]
-pub struct Slot {
-    /// Its name.
-    pub name: Name,
-    /// Its specification.
-    pub spec: resource::Target,
-    /// Requests granted to it and not released.
-    pub running: u32,
-}
-
-/// Work granted and not released.
-#[derive(Debug)]
-pub struct Running {
-    /// What was asked.
-    pub ask: Ask,
-    /// Index into the pool's targets.
+/// A target whose free memory is kept for one request.
+#[derive(Debug, Clone)]
+pub struct Reservation {
+    /// The request.
+    pub id: Id,
+    /// Its class.
+    pub class: Class,
+    /// Index of the target.
     pub target: usize,
-    /// Output tokens accounted so far.
-    pub tokens: u32,
 }
 
 /// One pool as its scheduler sees it.
@@ -92,26 +66,60 @@
 pub struct Pool {
     /// Which pool.
     pub key: Key,
-    /// Arena of organisations.
-    pub organisations: Vec<Organisation>,
+    /// What this VM may do in it.
+    pub rights: Rights,
+    /// The newest fencing token under which this VM held it.
+    pub held: Option<Fence>,
+    /// Knowledge of work started by earlier schedulers.
+    pub takeover: Option<Takeover>,
+    /// Waiting requests.
+    pub queue: Queue,
+    /// Running work.
+    pub ledger: Ledger,
     /// Arena of targets.
     pub targets: Vec<Slot>,
-    /// Granted work.
-    pub running: Map<Id, Running>,
+    /// Limits and policy in force.
+    pub config: resource::Configuration,
+    /// The availability zone was taken out.
+    pub out: bool,
+    /// Output lengths seen.
+    pub lengths: Lengths,
+    /// The target held for a request that was passed too often.
+    pub reserved: Option<Reservation>,
+    pub(crate) stages: Stages,
+    pub(crate) passed: Option<(Id, u32)>,
+    pub(crate) turns: u64,
+    pub(crate) used: Millis,
+    pub(crate) polled: Option<Millis>,
+    pub(crate) told: Option<Millis>,
+    pub(crate) rate: Rate,
+    protocol: Protocol,
 }
 
 /// The pools that this VM schedules.
 #[derive(Debug)]
 pub struct Set {
-    pools: Map<Key, Pool>,
+    pub(crate) pools: BTreeMap<Key, Pool>,
+    pub(crate) listing: Listing,
+    pub(crate) snapshots: BTreeMap<Key, (Snapshot, Millis)>,
+    pub(crate) hints: Map<Key, Hint>,
+    handed: BTreeMap<Key, Millis>,
     policies: Vec<policy::Plugin>,
+    revision: crate::ids::Revision,
+    due: Millis,
 }
 
 impl Set {
     pub(crate) fn new(policies: Vec<policy::Plugin>) -> Set {
         Set {
-            pools: Map::default(),
+            pools: BTreeMap::new(),
+            listing: Listing::default(),
+            snapshots: BTreeMap::new(),
+            hints: Map::default(),
+            handed: BTreeMap::new(),
             policies,
+            revision: Default::default(),
+            due: Millis(0),
         }
     }
 
@@ -119,246 +127,421 @@
     pub fn get(&self, key: &Key) -> Option<&Pool> {
         self.pools.get(key)
     }
-}
 
-inventory::submit! {
-    control::Plugin { name: "pool", rank: 60, handle, wakeup: |_| None }
-}
+    /// Every pool scheduled here, by key.
+    pub fn iter(&self) -> impl Iterator<Item = &Pool> {
+        self.pools.values()
+    }
 
-fn handle(state: &mut State, event: &Event<'_>, now: Millis, out: &mut Outbox) {
-    match event {
-        Event::Peer {
-            from,
-            message: Message::Ask(ask),
-        } => asked(state, from, ask, now, out),
-        Event::Peer {
-            message: Message::Release(release),
+    pub(crate) fn get_mut(&mut self, key: &Key) -> Option<&mut Pool> {
+        self.pools.get_mut(key)
+    }
+
+    /// Gives up a pool and returns its state for `Message::Handover` to the successor.
+    ///
+    /// From now on this VM schedules the pool no more, for 10 s even while its lease is valid; the
+    /// caller then writes the lease as released. `None` if this VM does not hold the pool.
+    pub fn hand_over(&mut self, key: &Key, now: Millis) -> Option<Snapshot> {
+        let snapshot = takeover::snapshot(self.pools.get(key)?, now)?;
+        self.pools.remove(key);
+        self.handed.insert(key.clone(), now);
+        Some(snapshot)
+    }
+
+    /// Whether the pool was handed over a short time ago.
+    pub fn is_handed(&self, key: &Key, now: Millis) -> bool {
+        self.handed
+            .get(key)
+            .is_some_and(|at| now.since(*at) < HANDED_PAUSE)
+    }
+
+    /// The pool `key`, created if this VM has not scheduled it so far.
+    pub(crate) fn ensure(&mut self, key: &Key, intent: &Intent, now: Millis) -> &mut Pool {
+        let Set {
+            pools,
+            policies,
+            hints,
             ..
-        } => {
-            released(state, release);
-            schedule(state, &release.pool, now, out);
-        }
-        _ => {}
+        } = self;
+        pools.entry(key.clone()).or_insert_with(|| {
+            let mut pool = Pool::new(key, now);
+            pool.refresh(intent, policies, hints.get(key), now);
+            pool
+        })
     }
 }
 
-fn asked(state: &mut State, from: &str, ask: &Ask, now: Millis, out: &mut Outbox) {
-    let State {
-        pools,
-        intent,
-        quarantine,
-        ..
-    } = state;
-    let pool = pools
-        .pools
-        .entry(ask.pool.clone())
-        .or_insert_with(|| Pool::new(&ask.pool));
-    pool.refresh(intent);
-    if let Err(refusal) = admit(&pools.policies, pool, quarantine, ask, now) {
-        let (id, attempt) = (ask.id.clone(), ask.attempt);
-        return out.send(
-            &from.into(),
-            Message::Refuse {
-                id,
-                attempt,
-                refusal,
-            },
-        );
-    }
-    pool.enqueue(ask, now);
-    schedule(state, &ask.pool, now, out);
+inventory::submit! {
+    control::Plugin { name: "pool", rank: 60, handle, wakeup }
 }
 
-fn released(state: &mut State, release: &Release) {
-    let Some(pool) = state.pools.pools.get_mut(&release.pool) else {
-        return;
-    };
-    let Some(running) = pool.running.remove(&release.id) else {
-        return;
-    };
-    pool.targets[running.target].running -= 1;
+fn wakeup(state: &State) -> Option<Millis> {
+    let pools = &state.pools;
+    (!pools.pools.is_empty()).then_some(pools.due)
 }
 
-fn schedule(state: &mut State, key: &Key, now: Millis, out: &mut Outbox) {
-    let State {
-        pools, quarantine, ..
-    } = state;
-    let Set { pools, policies } = pools;
-    let Some(pool) = pools.get_mut(key) else {
-        return;
-    };
-    while let Some(start) = choose(policies, pool, quarantine, now) {
-        let grant = pool.start(&start);
-        out.send(&grant.id.vm.clone(), Message::Grant(grant));
+fn handle(state: &mut State, event: &Event<'_>, now: Millis, out: &mut Outbox) {
+    if state.pools.revision != state.intent.revision {
+        refresh(state, now);
+    }
+    match event {
+        Event::Peer { from, message } => hear(state, from, message, now, out),
+        Event::Report { target, report } => accounting::report(state, target, *report, now, out),
+        Event::Cache { target, batch } => accounting::cache(state, target, batch),
+        Event::Vms(vms) => accounting::vms(state, vms, now, out),
+        Event::Store { .. } => discover(state, now, out),
+        _ => {}
+    }
+    if state.pools.due <= now {
+        state.pools.due = now.after(PERIOD);
+        discover(state, now, out);
+        periodic(state, now, out);
     }
 }
 
-/// A request and the target chosen for it, as indices into the pool.
-struct Choice {
-    organisation: usize,
-    target: usize,
-}
-
-fn admit(
-    policies: &[policy::Plugin],
-    pool: &Pool,
-    quarantine: &Registry,
-    ask: &Ask,
-    now: Millis,
-) -> Result<(), Refusal> {
-    let view = policy::View {
-        pool,
-        quarantine,
-        now,
-    };
-    for policy in policies {
-        if let policy::Stage::Admit(admit) = policy.stage {
-            admit(&view, ask)?;
+fn hear(state: &mut State, from: &str, message: &Message, now: Millis, out: &mut Outbox) {
+    match message {
+        Message::Ask(ask) => accounting::asked(state, from, ask, now, out),
+        Message::Withdraw { pool, id } => accounting::withdrawn(state, pool, id, now, out),
+        Message::Progress { pool, entries } => {
+            accounting::progress(state, from, pool, entries, now, out);
         }
+        Message::Release(release) => accounting::released(state, release, now, out),
+        Message::Inventory {
+            pool,
+            fence,
+            running,
+        } => {
+            takeover::inventory(state, from, pool, *fence, running, now, out);
+            schedule::run(state, pool, now, out);
+        }
+        Message::Handover(snapshot) => takeover::receive(&mut state.pools, snapshot, now, out),
+        Message::Targets { pool, warm, .. } => hint(state, pool, warm, now),
+        _ => {}
     }
-    Ok(())
 }
 
-fn choose(
-    policies: &[policy::Plugin],
-    pool: &Pool,
-    quarantine: &Registry,
-    now: Millis,
-) -> Option<Choice> {
-    let view = policy::View {
-        pool,
-        quarantine,
-        now,
+/// Keeps the holder's word about its targets, for fallback and take-over.
+fn hint(state: &mut State, key: &Key, warm: &[Name], now: Millis) {
+    if state.intent.service(&key.service).is_none() || key.zone != state.identity.zone {
+        return;
+    }
+    let hint = Hint {
+        warm: warm.iter().cloned().collect(),
+        at: now,
     };
-    let mut backlogged: Vec<usize> = (0..pool.organisations.len())
-        .filter(|&ix| !pool.organisations[ix].queue.is_empty())
-        .collect();
-    backlogged.sort_by_cached_key(|&ix| order(policies, &view, ix));
-    backlogged.into_iter().find_map(|organisation| {
-        let ask = &pool.organisations[organisation].queue.front()?.ask;
-        let target = place(policies, &view, ask)?;
-        Some(Choice {
-            organisation,
-            target,
-        })
-    })
+    if let Some(pool) = state.pools.get_mut(key) {
+        pool.apply_hint(&hint);
+    }
+    state.pools.hints.insert(key.clone(), hint);
 }
 
-fn order(policies: &[policy::Plugin], view: &policy::View<'_>, organisation: usize) -> u64 {
-    let Some(head) = view.pool.organisations[organisation].queue.front() else {
-        return u64::MAX;
-    };
-    policies
-        .iter()
-        .find_map(|policy| match policy.stage {
-            policy::Stage::Order(order) if policy.name == "fair" => {
-                Some(order(view, organisation, &head.ask))
-            }
-            _ => None,
-        })
-        .unwrap_or(u64::MAX)
+/// Brings every pool up to date with the resources in force.
+fn refresh(state: &mut State, now: Millis) {
+    let State { pools, intent, .. } = state;
+    let Set {
+        pools,
+        policies,
+        hints,
+        revision,
+        ..
+    } = pools;
+    *revision = intent.revision;
+    hints.retain(|key, _| intent.service(&key.service).is_some());
+    for pool in pools.values_mut() {
+        pool.refresh(intent, policies, hints.get(&pool.key), now);
+    }
 }
 
-fn place(policies: &[policy::Plugin], view: &policy::View<'_>, ask: &Ask) -> Option<usize> {
-    (0..view.pool.targets.len())
-        .filter(|&target| {
-            policies.iter().all(|policy| match policy.stage {
-                policy::Stage::Filter(filter) => filter(view, ask, target),
-                _ => true,
-            })
-        })
-        .max_by_key(|&target| score(policies, view, ask, target))
+/// Starts to schedule pools whose lease this VM got.
+fn discover(state: &mut State, now: Millis, out: &mut Outbox) {
+    let mut keys: Vec<Key> = state
+        .intent
+        .targets()
+        .iter()
+        .filter(|(_, target)| target.zone == state.identity.zone)
+        .map(|(_, target)| Key::new(&target.service, &target.zone))
+        .collect();
+    keys.sort();
+    keys.dedup();
+    for key in keys {
+        let is_held = state.leases.fence(&key, now).is_some();
+        if is_held && state.pools.get(&key).is_none() && !state.pools.is_handed(&key, now) {
+            let State { pools, intent, .. } = state;
+            pools.ensure(&key, intent, now);
+        }
+        takeover::check(state, &key, now, out);
+    }
 }
 
-fn score(policies: &[policy::Plugin], view: &policy::View<'_>, ask: &Ask, target: usize) -> i64 {
-    policies
-        .iter()
-        .map(|policy| match policy.stage {
-            policy::Stage::Score(score) => score(view, ask, target),
-            _ => 0,
-        })
-        .sum()
+fn periodic(state: &mut State, now: Millis, out: &mut Outbox) {
+    let keys: Vec<Key> = state.pools.pools.keys().cloned().collect();
+    for key in &keys {
+        takeover::check(state, key, now, out);
+        takeover::inquire(state, key, now, out);
+        accounting::expire(state, key, now, out);
+        accounting::poll(state, key, now, out);
+        accounting::tell(state, key, now, out);
+        schedule::run(state, key, now, out);
+    }
+    let pools = &mut state.pools;
+    pools.handed.retain(|_, at| now.since(*at) < HANDED_PAUSE);
+    pools.pools.retain(|_, pool| !pool.is_unused(now));
 }
 
 impl Pool {
-    fn new(key: &Key) -> Pool {
+    fn new(key: &Key, now: Millis) -> Pool {
         Pool {
             key: key.clone(),
-            organisations: Vec::new(),
+            rights: Rights::Fallback { vms: 1 },
+            held: None,
+            takeover: None,
+            queue: Queue::default(),
+            ledger: Ledger::default(),
             targets: Vec::new(),
-            running: Map::default(),
+            config: resource::Configuration::default(),
+            out: false,
+            lengths: Lengths::default(),
+            reserved: None,
+            stages: Stages::default(),
+            passed: None,
+            turns: 0,
+            used: now,
+            polled: None,
+            told: None,
+            protocol: Protocol::Model,
+            rate: Rate::default(),
         }
     }
 
-    fn refresh(&mut self, intent: &crate::intent::Intent) {
-        for (name, spec) in intent.targets() {
-            if spec.service != self.key.service || spec.zone != self.key.zone {
-                continue;
-            }
-            match self.targets.iter_mut().find(|slot| slot.name == *name) {
-                Some(slot) => slot.spec = spec.clone(),
-                None => {
-                    let slot = Slot {
-                        name: name.clone(),
-                        spec: spec.clone(),
-                        running: 0,
-                    };
-                    self.targets.push(slot);
-                }
+    /// What was asked by each request that runs on the target with this index.
+    pub fn running_on(&self, target: usize) -> impl Iterator<Item = &Ask> {
+        let slot = self.targets.get(target).into_iter();
+        slot.flat_map(|slot| &slot.work)
+            .filter_map(|id| self.ledger.get(id))
+            .map(|running| &running.ask)
+    }
+
+    /// Long requests granted to the target with this index and not released.
+    pub fn long_running(&self, target: usize) -> u32 {
+        let asks = self.running_on(target);
+        asks.filter(|ask| ask.class == Class::Long).count() as u32
+    }
+
+    /// Whether all work that earlier schedulers started is known.
+    pub fn is_complete(&self) -> bool {
+        self.takeover
+            .as_ref()
+            .is_some_and(|takeover| takeover.complete)
+    }
+
+    fn is_holder(&self) -> bool {
+        matches!(self.rights, Rights::Holder(_))
+    }
+
+    /// Concurrent requests that may run on a target under this VM's rights.
+    ///
+    /// A cold target needs a valid lease and knowledge of all work that may run there.
+    pub fn limit(&self, slot: &Slot) -> u32 {
+        let warm = slot.spec.warm_limit;
+        match self.rights {
+            Rights::Holder(_) if slot.is_warm() => warm,
+            Rights::Holder(_) if self.is_counted(slot) => slot.ramp.limit.min(warm),
+            Rights::Last if slot.is_warm() => warm,
+            Rights::Fallback { vms } | Rights::Other { vms } if slot.is_warm() => {
+                (warm / vms.max(1)).max(1)
             }
+            _ => 0,
         }
     }
 
-    fn enqueue(&mut self, ask: &Ask, now: Millis) {
-        let queued = Queued {
-            ask: ask.clone(),
-            arrived: ask.arrived(now),
-        };
-        let ix = self.organisation(&ask.organisation);
-        self.organisations[ix].queue.push_back(queued);
+    /// Whether the work on a target is known: from all VMs, or from a report late enough.
+    fn is_counted(&self, slot: &Slot) -> bool {
+        self.takeover.as_ref().is_some_and(|takeover| {
+            takeover.complete
+                || slot
+                    .seen
+                    .as_ref()
+                    .is_some_and(|seen| takeover.covers(seen.at))
+        })
     }
 
-    fn organisation(&mut self, name: &Name) -> usize {
-        let found = self
-            .organisations
-            .iter()
-            .position(|organisation| organisation.name == *name);
-        found.unwrap_or_else(|| {
-            let queue = VecDeque::new();
-            self.organisations.push(Organisation {
-                name: name.clone(),
-                weight: 1,
-                served: 0,
-                queue,
-            });
-            self.organisations.len() - 1
-        })
+    /// Requests that count against the limit of the target with this index.
+    pub fn occupied(&self, target: usize) -> u32 {
+        let slot = &self.targets[target];
+        let is_learning = self.is_holder() && !self.is_complete();
+        match slot.is_warm() && !is_learning {
+            true => slot.running(),
+            false => slot.running() + slot.foreign,
+        }
+    }
+
+    /// Projected KV use of a request that has not started, in tokens.
+    pub fn projected(&self, ask: &Ask) -> u64 {
+        self.projected_at(ask, 0)
+    }
+
+    fn projected_at(&self, ask: &Ask, tokens: u32) -> u64 {
+        let output = self
+            .lengths
+            .expected(&ask.organisation, tokens, ask.max_tokens);
+        u64::from(ask.prompt_tokens) + u64::from(output)
+    }
+
+    /// The class of a request, from its service, its own bound and the lengths seen.
+    pub(crate) fn class(&self, ask: &Ask) -> Class {
+        if self.protocol == Protocol::Plain || ask.class == Class::Short {
+            return ask.class;
+        }
+        let learned = self.lengths.learned(&ask.organisation, 0);
+        let expected = learned.into_iter().chain(ask.max_tokens).min();
+        match expected.is_some_and(|tokens| tokens <= SHORT_TOKENS) {
+            true => Class::Short,
+            false => Class::Long,
+        }
+    }
+
+    pub(crate) fn position(&self, target: &str) -> Option<usize> {
+        self.targets.iter().position(|slot| *slot.name == *target)
+    }
+
+    /// Enters running work in the ledger.
+    pub(crate) fn record(&mut self, mut running: Running) {
+        running.kv = self.projected_at(&running.ask, running.tokens);
+        let slot = &mut self.targets[running.target];
+        slot.kv += running.kv;
+        slot.work.insert(running.ask.id.clone());
+        self.ledger.insert(running);
+    }
+
+    /// Takes running work out of the ledger.
+    pub(crate) fn forget(&mut self, id: &Id, now: Millis) -> Option<Running> {
+        let running = self.ledger.remove(id)?;
+        let slot = &mut self.targets[running.target];
+        slot.kv = slot.kv.saturating_sub(running.kv);
+        if slot.work.remove(id) {
+            slot.note_release(now);
+        }
+        Some(running)
     }
 
-    fn start(&mut self, choice: &Choice) -> Grant {
-        let organisation = &mut self.organisations[choice.organisation];
-        let queued = organisation
-            .queue
-            .pop_front()
-            .expect("a chosen organisation has a request");
-        organisation.served += u64::from(queued.ask.prompt_tokens) + 1;
-        let slot = &mut self.targets[choice.target];
-        slot.running += 1;
-        let grant = Grant {
-            pool: self.key.clone(),
-            id: queued.ask.id.clone(),
-            attempt: queued.ask.attempt,
-            target: slot.name.clone(),
-            address: slot.spec.address.clone(),
-            fence: Fence(0),
-            priority: queued.ask.class as i32,
+    /// Takes in how many tokens a running request has put out.
+    pub(crate) fn advance(&mut self, id: &Id, tokens: u32, now: Millis) {
+        let Some(running) = self.ledger.get(id) else {
+            return;
         };
-        let running = Running {
-            ask: queued.ask,
-            target: choice.target,
-            tokens: 0,
+        let kv = self.projected_at(&running.ask, tokens.max(running.tokens));
+        let (name, before) = (running.ask.organisation.clone(), running.tokens);
+        let slot = &mut self.targets[running.target];
+        slot.kv = slot.kv.saturating_sub(running.kv) + kv;
+        if let Some(running) = self.ledger.get_mut(id) {
+            running.kv = kv;
+            running.tokens = tokens.max(before);
+        }
+        let grown = u64::from(tokens.saturating_sub(before));
+        self.queue.charge(&name, 2 * grown, now);
+    }
+
+    /// Gives up a reservation whose request or target is no longer waited for.
+    pub(crate) fn check_reservation(&mut self) {
+        let is_void = |held: &Reservation| {
+            self.queue.find(&held.id).is_none()
+                || self.targets.get(held.target).is_none_or(Slot::is_leaving)
         };
-        self.running.insert(grant.id.clone(), running);
-        grant
+        if self.reserved.as_ref().is_some_and(is_void) {
+            self.reserved = None;
+        }
+    }
+
+    fn is_unused(&self, now: Millis) -> bool {
+        !self.is_holder()
+            && self.queue.is_empty()
+            && self.ledger.is_empty()
+            && now.since(self.used) >= UNUSED_LIMIT
     }
+
+    /// Brings the pool up to date with the resources in force.
+    fn refresh(
+        &mut self,
+        intent: &Intent,
+        policies: &[policy::Plugin],
+        hint: Option<&Hint>,
+        now: Millis,
+    ) {
+        let service = intent.service(&self.key.service);
+        let named = service.and_then(|service| service.configuration.as_deref());
+        let config = intent.configuration(named.unwrap_or("default"));
+        self.config = config.cloned().unwrap_or_default();
+        self.protocol = service.map_or(Protocol::Model, |service| service.protocol);
+        self.stages = Stages::new(policies, &self.config.policy);
+        let out = intent.is_out(&self.key.zone);
+        if self.out && !out {
+            self.targets.iter_mut().for_each(Slot::chill);
+        }
+        self.out = out;
+        self.refresh_weights(intent);
+        self.refresh_targets(intent, hint, now);
+    }
+
+    pub(crate) fn refresh_weights(&mut self, intent: &Intent) {
+        for organisation in &mut self.queue.organisations {
+            organisation.weight = weight(intent, &organisation.name);
+        }
+    }
+
+    fn refresh_targets(&mut self, intent: &Intent, hint: Option<&Hint>, now: Millis) {
+        let targets = intent.targets();
+        let own: Vec<_> = targets
+            .iter()
+            .filter(|(_, spec)| spec.service == self.key.service && spec.zone == self.key.zone)
+            .collect();
+        for (name, spec) in &own {
+            if let Some(ix) = self.position(name) {
+                self.targets[ix].respecify(spec);
+                continue;
+            }
+            let mut slot = Slot::new(name, spec);
+            if let Some(hint) = hint.filter(|hint| hint.warm.contains(&***name)) {
+                slot.hint_warm(hint.is_fresh(now));
+            }
+            self.targets.push(slot);
+        }
+        for slot in &mut self.targets {
+            slot.absence.removed = !own.iter().any(|(name, _)| **name == slot.name);
+        }
+        self.drop_removed();
+    }
+
+    /// Drops targets whose resource is gone and on which nothing runs.
+    pub(crate) fn drop_removed(&mut self) {
+        let is_gone = |slot: &Slot| slot.absence.removed && slot.work.is_empty();
+        while let Some(gone) = self.targets.iter().position(is_gone) {
+            self.targets.remove(gone);
+            for running in self.ledger.values_mut() {
+                running.target -= usize::from(running.target > gone);
+            }
+            self.reserved = None;
+        }
+    }
+
+    /// Takes the holder's word that targets are warm, where this VM knows nothing itself.
+    fn apply_hint(&mut self, hint: &Hint) {
+        if self.is_holder() {
+            return;
+        }
+        for slot in &mut self.targets {
+            match hint.warm.contains(&slot.name) {
+                true if !slot.is_warm() => slot.hint_warm(true),
+                false if slot.is_warm() => slot.chill(),
+                _ => {}
+            }
+        }
+    }
+}
+
+/// The weight of an organisation; one that is not declared has weight 1.
+pub(crate) fn weight(intent: &Intent, organisation: &str) -> u32 {
+    intent
+        .organisation(organisation)
+        .map_or(1, |organisation| organisation.weight.max(1))
 }
--- /dev/null
+++ b/crates/kernel/src/ramp.rs
@@ -0,0 +1,13 @@
+//! Limits the concurrent work of each target: cold targets strictly, warm ones by their limit.
+
+use crate::peer::Ask;
+use crate::plugin::policy;
+
+inventory::submit! {
+    policy::Plugin { name: "ramp", rank: 20, stage: policy::Stage::Filter(filter) }
+}
+
+fn filter(view: &policy::View<'_>, _ask: &Ask, target: usize) -> bool {
+    let slot = &view.pool.targets[target];
+    view.pool.occupied(target) < view.pool.limit(slot)
+}
--- /dev/null
+++ b/crates/kernel/src/rate.rs
@@ -0,0 +1,73 @@
+//! How fast a pool works off its backlog, and what that means for a new request.
+
+use std::collections::VecDeque;
+
+use crate::ids::Millis;
+use crate::peer::Ask;
+use crate::queue::Queue;
+use crate::request::Class;
+
+/// Starts over which the rate is measured.
+const STARTS: usize = 64;
+/// Fewer starts than this give no rate.
+const STARTS_MIN: usize = 8;
+/// Bounds of the advice on when to try again, in milliseconds.
+const RETRY_AFTER_MIN: u64 = 1_000;
+const RETRY_AFTER_MAX: u64 = 60_000;
+/// Without a measured rate, each waiting request adds this to the advice, in milliseconds.
+const RETRY_AFTER_STEP: u64 = 50;
+
+/// The newest starts of an uninterrupted backlog.
+#[derive(Debug, Default)]
+pub struct Rate {
+    starts: VecDeque<Millis>,
+}
+
+impl Rate {
+    /// Notes a start.
+    pub(crate) fn note(&mut self, now: Millis) {
+        if self.starts.len() == STARTS {
+            self.starts.pop_front();
+        }
+        self.starts.push_back(now);
+    }
+
+    /// Forgets the rate. Without a backlog it shows the demand and not the capacity.
+    pub(crate) fn reset(&mut self) {
+        self.starts.clear();
+    }
+
+    /// Milliseconds in which `starts` starts are expected.
+    fn time_for(&self, starts: u64, now: Millis) -> Option<u64> {
+        let oldest = self.starts.front()?;
+        if self.starts.len() < STARTS_MIN {
+            return None;
+        }
+        let seen = self.starts.len() as u64 - 1;
+        Some(starts.saturating_mul(now.since(*oldest)) / seen)
+    }
+
+    /// Milliseconds that a new request is expected to wait; `None` without a measured rate.
+    pub(crate) fn expected_wait(&self, queue: &Queue, ask: &Ask, now: Millis) -> Option<u64> {
+        let total = queue.len() as u64 + 1;
+        let own = queue.get(&ask.organisation);
+        let ahead = own.map_or(0, |own| match ask.class {
+            Class::Short => own.waiting(Class::Short).len(),
+            Class::Long => own.len(),
+        });
+        let weight = u64::from(own.map_or(1, |own| own.weight)).max(1);
+        let others = queue.organisations.iter();
+        let others = others.filter(|other| !other.is_empty() && other.name != ask.organisation);
+        let weights: u64 = others.map(|other| u64::from(other.weight)).sum();
+        let starts = (ahead as u64 + 1) * (weights + weight) / weight;
+        self.time_for(starts.min(total), now)
+    }
+
+    /// Milliseconds after which a refused request may be tried again.
+    pub(crate) fn retry_after(&self, queue: &Queue, now: Millis) -> u64 {
+        let waiting = queue.len() as u64;
+        let guess = RETRY_AFTER_MIN + waiting * RETRY_AFTER_STEP;
+        let time = self.time_for(waiting, now).unwrap_or(guess);
+        time.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX)
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/round_robin.rs
@@ -0,0 +1,12 @@
+//! Prefers the target whose newest grant is the oldest: a baseline.
+
+use crate::peer::Ask;
+use crate::plugin::policy;
+
+inventory::submit! {
+    policy::Plugin { name: "round-robin", rank: 40, stage: policy::Stage::Score(score) }
+}
+
+fn score(view: &policy::View<'_>, _ask: &Ask, target: usize) -> i64 {
+    -i64::try_from(view.pool.targets[target].turn).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/crates/kernel/src/takeover.rs
@@ -0,0 +1,407 @@
+//! What a scheduler may do in a pool, and how a new holder learns what already runs there.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{Fence, Millis, Name};
+use crate::kernel::{Outbox, State};
+use crate::ledger::Running;
+use crate::length::Lengths;
+use crate::outcome::Counter;
+use crate::peer::{self, Ask, Message, Standing};
+use crate::pool::{Key, Pool, Set};
+use crate::target::{Ramp, REPORT_LAG};
+
+/// How long a snapshot waits for its receiver to become the holder.
+const SNAPSHOT_AGE: u64 = 30_000;
+/// Snapshots kept for pools that are not held yet.
+const SNAPSHOTS_MAX: usize = 64;
+/// After a handover the former holder leaves the pool alone for this time.
+pub(crate) const HANDED_PAUSE: u64 = 10_000;
+/// Interval of `Hello` to a VM that has not answered, at first and after `HELLO_EAGER`.
+const HELLO_INTERVAL: u64 = 1_000;
+const HELLO_SLOW_INTERVAL: u64 = 10_000;
+const HELLO_EAGER: u64 = 10_000;
+/// VMs that left the platform's list are remembered for this time.
+const DEPARTED_AGE: u64 = 3_600_000;
+/// A predecessor's word about warm targets counts by itself for this time, in which the lease lapses
+/// (8 s) and a candidate takes it over. An older word needs a report that confirms it.
+const HINT_AGE: u64 = 20_000;
+
+/// What this VM may do in a pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Rights {
+    /// Everything, under this fencing token.
+    Holder(Fence),
+    /// Its lease lapsed and nobody else is known to hold one: warm targets up to their limits.
+    Last,
+    /// It never held the pool: warm targets up to its share of their limits.
+    Fallback {
+        /// VMs of the pool's zone.
+        vms: u32,
+    },
+    /// Another VM holds the pool: only requests of this VM, which cannot reach the holder.
+    Other {
+        /// VMs of the pool's zone.
+        vms: u32,
+    },
+}
+
+impl Rights {
+    /// The fencing token for grants; zero without a lease.
+    pub fn fence(self) -> Fence {
+        match self {
+            Rights::Holder(fence) => fence,
+            _ => Fence::default(),
+        }
+    }
+}
+
+/// What a holder knows about work that earlier schedulers started.
+#[derive(Debug, Clone)]
+pub struct Takeover {
+    /// When the holder first saw its fencing token.
+    pub at: Millis,
+    /// Every VM that may hold work has answered or is gone.
+    pub complete: bool,
+    answered: BTreeSet<Name>,
+    asked: BTreeMap<Name, Millis>,
+}
+
+/// The platform's list of VMs, as far as it matters for work that may still run.
+#[derive(Debug, Default)]
+pub(crate) struct Listing {
+    /// A list was read.
+    pub(crate) seen: bool,
+    pub(crate) listed: BTreeSet<Name>,
+    pub(crate) departed: BTreeMap<Name, Millis>,
+}
+
+impl Listing {
+    /// Takes in a new list.
+    pub(crate) fn update(&mut self, listed: BTreeSet<Name>, now: Millis) {
+        for gone in self.listed.difference(&listed) {
+            self.departed.insert(gone.clone(), now);
+        }
+        self.departed
+            .retain(|name, at| !listed.contains(name) && now.since(*at) < DEPARTED_AGE);
+        self.listed = listed;
+        self.seen = true;
+    }
+
+    /// Whether the list once had this VM and no longer does.
+    pub(crate) fn is_departed(&self, vm: &str) -> bool {
+        self.departed.contains_key(vm)
+    }
+}
+
+/// The state that a holder hands to its successor.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The pool.
+    pub pool: Key,
+    /// The leaving holder's fencing token.
+    pub fence: Fence,
+    /// The leaving holder knew of all work in the pool.
+    pub complete: bool,
+    /// The fair-share counter at which service stands.
+    pub reached: u64,
+    /// Service counters by organisation.
+    pub served: Vec<(Name, u64)>,
+    /// Waiting requests in order.
+    pub waiting: Vec<Ask>,
+    /// Running requests.
+    pub running: Vec<peer::Running>,
+    /// Ramps by target, with the start of the target that they belong to.
+    pub ramps: Vec<(Name, u64, Ramp)>,
+    /// Output lengths seen.
+    pub lengths: Lengths,
+}
+
+/// The targets of a pool as its holder last described them.
+#[derive(Debug, Clone)]
+pub(crate) struct Hint {
+    pub(crate) warm: BTreeSet<Name>,
+    pub(crate) at: Millis,
+}
+
+impl Hint {
+    pub(crate) fn is_fresh(&self, now: Millis) -> bool {
+        now.since(self.at) <= HINT_AGE
+    }
+}
+
+/// What this VM may do in `pool` at `now`.
+pub(crate) fn rights(state: &State, key: &Key, now: Millis) -> Rights {
+    let handed = state.pools.is_handed(key, now);
+    if let Some(fence) = state.leases.fence(key, now).filter(|_| !handed) {
+        return Rights::Holder(fence);
+    }
+    let vms = zone_vms(state, &key.zone);
+    let held = state.pools.get(key).and_then(|pool| pool.held);
+    let elsewhere = state
+        .members
+        .owner(key)
+        .is_some_and(|(vm, fence)| *vm != state.identity.vm && Some(fence) > held);
+    match held {
+        _ if elsewhere || handed => Rights::Other { vms },
+        Some(_) => Rights::Last,
+        None => Rights::Fallback { vms },
+    }
+}
+
+fn zone_vms(state: &State, zone: &str) -> u32 {
+    let vms = state
+        .members
+        .iter()
+        .filter(|member| *member.entry.zone == *zone && member.entry.standing != Standing::Leaving);
+    vms.count().max(1) as u32
+}
+
+/// Names of all known VMs, sorted.
+pub(crate) fn vms(state: &State) -> Vec<Name> {
+    let mut vms: Vec<Name> = state
+        .members
+        .iter()
+        .map(|member| member.entry.vm.clone())
+        .collect();
+    vms.sort();
+    vms
+}
+
+/// Updates what this VM may do in a pool and reacts to a lease that is new or lost.
+pub(crate) fn check(state: &mut State, key: &Key, now: Millis, out: &mut Outbox) {
+    if state.pools.get(key).is_none() {
+        return;
+    }
+    let rights = rights(state, key, now);
+    let own = state.identity.vm.clone();
+    let Some(pool) = state.pools.get_mut(key) else {
+        return;
+    };
+    pool.rights = rights;
+    match rights {
+        Rights::Holder(fence) if pool.held != Some(fence) => {
+            pool.held = Some(fence);
+            pool.takeover = Some(Takeover::new(now));
+            adopt(state, key, fence, now);
+            inquire(state, key, now, out);
+        }
+        Rights::Other { .. } => {
+            // The holder is asked for these now.
+            pool.takeover = None;
+            pool.held = None;
+            for id in pool.queue.select(|queued| queued.ask.id.vm != own) {
+                pool.queue.remove(&id);
+            }
+        }
+        _ => {}
+    }
+}
+
+/// VMs that may hold work: all members, and what the platform lists that is no target.
+fn suspects(state: &State) -> BTreeSet<Name> {
+    let listed = state.pools.listing.listed.iter();
+    let vms = listed.filter(|name| state.intent.target(name).is_none());
+    vms.cloned().chain(vms_iter(state)).collect()
+}
+
+fn vms_iter(state: &State) -> impl Iterator<Item = Name> + '_ {
+    state.members.iter().map(|member| member.entry.vm.clone())
+}
+
+impl Takeover {
+    fn new(at: Millis) -> Takeover {
+        Takeover {
+            at,
+            complete: false,
+            answered: BTreeSet::new(),
+            asked: BTreeMap::new(),
+        }
+    }
+
+    /// Whether a report that came at `seen` shows all work that started before the take-over.
+    pub fn covers(&self, seen: Millis) -> bool {
+        seen >= self.at.after(REPORT_LAG)
+    }
+
+    /// Takes back that a VM has told everything: it reports work that is not in the ledger.
+    pub(crate) fn doubt(&mut self, vm: &str, now: Millis) {
+        let due = self
+            .asked
+            .get(vm)
+            .is_none_or(|at| now.since(*at) >= HELLO_INTERVAL);
+        if due && self.answered.remove(vm) {
+            self.asked.remove(vm);
+            self.complete = false;
+        }
+    }
+
+    fn is_due(&self, vm: &Name, now: Millis) -> bool {
+        let interval = match now.since(self.at) < HELLO_EAGER {
+            true => HELLO_INTERVAL,
+            false => HELLO_SLOW_INTERVAL,
+        };
+        !self.answered.contains(vm)
+            && self
+                .asked
+                .get(vm)
+                .is_none_or(|at| now.since(*at) >= interval)
+    }
+}
+
+/// Asks the VMs that have not told what they run, and checks whether all have.
+pub(crate) fn inquire(state: &mut State, key: &Key, now: Millis, out: &mut Outbox) {
+    let known = suspects(state);
+    let reachable = vms(state);
+    let State { pools, .. } = state;
+    let Set { pools, listing, .. } = pools;
+    let Some(pool) = pools.get_mut(key) else {
+        return;
+    };
+    let (Rights::Holder(fence), Some(takeover)) = (pool.rights, pool.takeover.as_mut()) else {
+        return;
+    };
+    let is_missing = |vm: &Name| !takeover.answered.contains(vm) && !listing.is_departed(vm);
+    takeover.complete = listing.seen && !known.iter().any(is_missing);
+    takeover.asked.retain(|vm, _| known.contains(vm));
+    for vm in reachable {
+        if takeover.is_due(&vm, now) && !listing.is_departed(&vm) {
+            takeover.asked.insert(vm.clone(), now);
+            let pool = key.clone();
+            out.send(&vm, Message::Hello { pool, fence });
+        }
+    }
+}
+
+/// Takes in what a VM runs in a pool.
+pub(crate) fn inventory(
+    state: &mut State,
+    from: &str,
+    key: &Key,
+    fence: Fence,
+    running: &[peer::Running],
+    now: Millis,
+    out: &mut Outbox,
+) {
+    let Some(pool) = state.pools.get_mut(key) else {
+        return out.count(Counter::Ignored("inventory_without_pool"));
+    };
+    if pool.held != Some(fence) {
+        return out.count(Counter::Ignored("inventory_of_other_lease"));
+    }
+    for work in running.iter().filter(|work| *work.ask.id.vm == *from) {
+        if !restore(pool, work, now) {
+            out.count(Counter::Ignored("inventory_entry"));
+        }
+    }
+    if let Some(takeover) = &mut pool.takeover {
+        takeover.answered.insert(from.into());
+    }
+    inquire(state, key, now, out);
+}
+
+/// Enters work that another scheduler started; says whether it is in the ledger afterwards.
+fn restore(pool: &mut Pool, work: &peer::Running, now: Millis) -> bool {
+    let id = &work.ask.id;
+    let Some(target) = pool.position(&work.target) else {
+        return false;
+    };
+    if pool.ledger.is_ended(id, work.ask.attempt) {
+        return false;
+    }
+    if pool
+        .ledger
+        .get(id)
+        .is_some_and(|known| known.ask.attempt >= work.ask.attempt)
+    {
+        return true;
+    }
+    pool.forget(id, now);
+    pool.queue.remove(id);
+    let mut running = Running::new(work.ask.clone(), target, now);
+    running.tokens = work.tokens;
+    running.confirmed = true;
+    pool.record(running);
+    true
+}
+
+/// The state of a pool that is handed over; it is no longer scheduled here.
+pub(crate) fn snapshot(pool: &Pool, now: Millis) -> Option<Snapshot> {
+    let fence = pool.held?;
+    let served = pool.queue.organisations.iter();
+    let waiting = pool.queue.iter().map(|queued| {
+        let mut ask = queued.ask.clone();
+        ask.waited_ms = now.since(queued.arrived);
+        ask.patience_ms = queued.deadline.since(now);
+        ask
+    });
+    let running = pool.ledger.iter().map(|(_, running)| peer::Running {
+        ask: running.ask.clone(),
+        target: pool.targets[running.target].name.clone(),
+        tokens: running.tokens,
+    });
+    let ramps = pool.targets.iter().filter_map(|slot| {
+        let start = slot.seen.as_ref()?.report.start_id;
+        Some((slot.name.clone(), start, slot.ramp))
+    });
+    Some(Snapshot {
+        pool: pool.key.clone(),
+        fence,
+        complete: pool.is_complete(),
+        reached: pool.queue.reached(),
+        served: served.map(|one| (one.name.clone(), one.served)).collect(),
+        waiting: waiting.collect(),
+        running: running.collect(),
+        ramps: ramps.collect(),
+        lengths: pool.lengths.clone(),
+    })
+}
+
+/// Keeps a snapshot until this VM becomes the holder.
+pub(crate) fn receive(pools: &mut Set, snapshot: &Snapshot, now: Millis, out: &mut Outbox) {
+    let kept = &mut pools.snapshots;
+    kept.retain(|_, (_, at)| now.since(*at) < SNAPSHOT_AGE);
+    if kept.len() >= SNAPSHOTS_MAX && !kept.contains_key(&snapshot.pool) {
+        return out.count(Counter::Ignored("handover"));
+    }
+    kept.insert(snapshot.pool.clone(), (snapshot.clone(), now));
+}
+
+/// Takes over a snapshot if it comes from the direct predecessor.
+fn adopt(state: &mut State, key: &Key, fence: Fence, now: Millis) {
+    let known = suspects(state);
+    let State { pools, intent, .. } = state;
+    let Some((snapshot, at)) = pools.snapshots.remove(key) else {
+        return;
+    };
+    let is_direct = snapshot.fence.0.checked_add(1) == Some(fence.0);
+    if !is_direct || now.since(at) >= SNAPSHOT_AGE {
+        return;
+    }
+    let Some(pool) = pools.get_mut(key) else {
+        return;
+    };
+    pool.queue.adopt(snapshot.reached, &snapshot.served, now);
+    pool.lengths = snapshot.lengths;
+    let mut is_whole = snapshot.complete;
+    for work in &snapshot.running {
+        is_whole &= restore(pool, work, now);
+    }
+    for ask in snapshot.waiting {
+        if pool.ledger.get(&ask.id).is_none() && pool.queue.find(&ask.id).is_none() {
+            pool.queue.push(ask, now);
+        }
+    }
+    for (name, start, ramp) in snapshot.ramps {
+        if let Some(ix) = pool.position(&name) {
+            pool.targets[ix].inherit(start, ramp);
+        }
+    }
+    if let Some(takeover) = pool.takeover.as_mut().filter(|_| is_whole) {
+        // The predecessor knew all work of these VMs.
+        takeover.answered = known;
+    }
+    pool.refresh_weights(intent);
+}
--- a/crates/kernel/src/target.rs
+++ b/crates/kernel/src/target.rs
@@ -1,8 +1,39 @@
 //! A target's own account of itself and its state at the pool's owner.
 
+use std::collections::{BTreeSet, VecDeque};
+
 use serde::{Deserialize, Serialize};
 
-use crate::ids::Name;
+use crate::ids::{Millis, Name};
+use crate::map::Set;
+use crate::peer::Suspect;
+use crate::request::{End, Id};
+use crate::resource;
+
+/// A report may lag what the target does by this much.
+pub const REPORT_LAG: u64 = 3_000;
+/// A first token slower than this many times the median of the warm target is slow.
+const SLOW_FACTOR: u32 = 4;
+/// A first token faster than this is never slow, in milliseconds.
+const SLOW_MIN: u32 = 1_000;
+/// Successive slow first tokens after which a warm target counts as cold.
+const SLOW_ROW: u32 = 3;
+/// First-token times kept for the median.
+const FIRST_TOKENS: usize = 32;
+/// Fewer first-token times give no median.
+const FIRST_TOKENS_MIN: usize = 8;
+/// A target that refused a request gets no other for this time, in milliseconds.
+const REJECTED_PAUSE: u64 = 500;
+/// Successive failed polls after which a target gets no new work.
+const FAILED_ROW: u32 = 3;
+/// Broken attempts are remembered this long, for the death that may explain them.
+const BROKEN_AGE: u64 = 10_000;
+/// Broken attempts remembered.
+const BROKEN_MAX: usize = 64;
+/// Releases remembered within `REPORT_LAG`.
+const RELEASED_MAX: usize = 1_024;
+/// Prefix hashes remembered for one engine; all are dropped beyond that.
+const PREFIXES_MAX: usize = 65_536;
 
 /// What a target says about its readiness.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -64,3 +95,410 @@
     /// Prefix hashes that were evicted.
     pub evicted: Vec<u64>,
 }
+
+/// How far a target has come from cold to warm.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ramp {
+    /// Concurrent requests allowed while it is cold.
+    pub limit: u32,
+    /// Successful answers at this limit.
+    pub answers: u32,
+    /// It carries its full load.
+    pub warm: bool,
+}
+
+impl Ramp {
+    /// A ramp at its start.
+    pub fn cold(spec: &resource::Target) -> Ramp {
+        Ramp {
+            limit: spec.cold_limit.max(1),
+            answers: 0,
+            warm: false,
+        }
+    }
+
+    /// A ramp at its end.
+    pub fn warm(spec: &resource::Target) -> Ramp {
+        Ramp {
+            limit: spec.warm_limit,
+            answers: 0,
+            warm: true,
+        }
+    }
+
+    /// Counts a successful answer of a target that reports warm.
+    fn answered(&mut self, spec: &resource::Target) {
+        if self.warm {
+            return;
+        }
+        self.answers += 1;
+        if self.answers >= self.limit {
+            self.answers = 0;
+            self.limit = self.limit.saturating_mul(2);
+        }
+        if self.limit >= spec.warm_limit {
+            *self = Ramp::warm(spec);
+        }
+    }
+}
+
+/// A report and when it came.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Seen {
+    /// The report.
+    pub report: Report,
+    /// When it came.
+    pub at: Millis,
+}
+
+/// What a report or its absence revealed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Finding {
+    /// Nothing that other parts need to know.
+    None,
+    /// The start of the target that had this id is dead.
+    Died(u64),
+}
+
+/// Why a target gets no new work.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Absence {
+    /// Its resource is gone.
+    pub removed: bool,
+    /// The platform's list says that it leaves.
+    pub platform: bool,
+    /// No process listens at its address.
+    pub down: bool,
+}
+
+/// A target as its pool's scheduler sees it.
+#[derive(Debug)]
+pub struct Slot {
+    /// Its name.
+    pub name: Name,
+    /// Its specification.
+    pub spec: resource::Target,
+    /// Requests granted to it and not released.
+    pub work: BTreeSet<Id>,
+    /// Its way from cold to warm.
+    pub ramp: Ramp,
+    /// The newest report.
+    pub seen: Option<Seen>,
+    /// Requests that it reports beyond those granted here.
+    pub foreign: u32,
+    /// Projected KV use of the granted work, in tokens.
+    pub kv: u64,
+    /// Why it gets no new work, apart from its specification and report.
+    pub absence: Absence,
+    /// Position of its newest grant among all grants of the pool.
+    pub turn: u64,
+    /// It gets no new work before this time.
+    pub paused: Millis,
+    failed: u32,
+    died: Option<u64>,
+    died_at: Option<Millis>,
+    hinted: bool,
+    inherited: Option<u64>,
+    slow: u32,
+    firsts: VecDeque<u32>,
+    released: VecDeque<Millis>,
+    broken: VecDeque<(Millis, Suspect)>,
+    prefixes: Set<u64>,
+    next_event: u64,
+}
+
+impl Slot {
+    /// A target of which nothing is known.
+    pub(crate) fn new(name: &Name, spec: &resource::Target) -> Slot {
+        Slot {
+            name: name.clone(),
+            spec: spec.clone(),
+            work: BTreeSet::new(),
+            ramp: Ramp::cold(spec),
+            seen: None,
+            foreign: 0,
+            kv: 0,
+            absence: Absence::default(),
+            turn: 0,
+            paused: Millis(0),
+            failed: 0,
+            died: None,
+            died_at: None,
+            hinted: false,
+            inherited: None,
+            slow: 0,
+            firsts: VecDeque::new(),
+            released: VecDeque::new(),
+            broken: VecDeque::new(),
+            prefixes: Set::default(),
+            next_event: 0,
+        }
+    }
+
+    /// Requests granted to it and not released.
+    pub fn running(&self) -> u32 {
+        self.work.len() as u32
+    }
+
+    /// Whether it carries its full load.
+    pub fn is_warm(&self) -> bool {
+        self.ramp.warm
+    }
+
+    /// Whether its resource, its report or the platform says that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.spec.leaving
+            || self.absence.removed
+            || self.absence.platform
+            || self.phase() == Some(Phase::Leaving)
+    }
+
+    /// Whether it may get new work as far as its health goes.
+    pub fn is_healthy(&self, now: Millis) -> bool {
+        !self.absence.down && self.failed < FAILED_ROW && self.paused <= now
+    }
+
+    /// The phase of the newest report.
+    pub fn phase(&self) -> Option<Phase> {
+        self.seen.as_ref().map(|seen| seen.report.phase)
+    }
+
+    /// KV capacity in tokens; zero if it has no limit.
+    pub fn kv_capacity(&self) -> u64 {
+        let reported = self.seen.as_ref().map(|seen| seen.report.kv_capacity);
+        reported
+            .filter(|&capacity| capacity > 0)
+            .unwrap_or(self.spec.kv_tokens)
+    }
+
+    /// KV use to plan with: the projection, or what a fresh report shows if that is more.
+    pub fn kv_use(&self, now: Millis) -> u64 {
+        let fresh = self
+            .seen
+            .as_ref()
+            .filter(|seen| now.since(seen.at) <= REPORT_LAG);
+        self.kv.max(fresh.map_or(0, |seen| seen.report.kv_used))
+    }
+
+    /// Number of the request's prefixes, from the shortest, that the engine is thought to hold.
+    pub fn cached(&self, prefixes: &[u64]) -> usize {
+        prefixes
+            .iter()
+            .take_while(|&prefix| self.prefixes.contains(prefix))
+            .count()
+    }
+
+    /// Sends the target back to the start of its ramp.
+    pub(crate) fn chill(&mut self) {
+        self.ramp = Ramp::cold(&self.spec);
+        self.slow = 0;
+        self.firsts.clear();
+    }
+
+    /// Takes over a changed specification.
+    pub(crate) fn respecify(&mut self, spec: &resource::Target) {
+        let returns = self.spec.leaving && !spec.leaving;
+        let moved = self.spec.address != spec.address;
+        let limits = (self.spec.cold_limit, self.spec.warm_limit);
+        self.spec = spec.clone();
+        if moved {
+            self.seen = None;
+            self.forget_prefixes();
+        }
+        if returns || moved || self.absence.removed {
+            self.chill();
+        } else if limits != (spec.cold_limit, spec.warm_limit) {
+            self.ramp = match self.ramp.warm {
+                true => Ramp::warm(spec),
+                false => Ramp::cold(spec),
+            };
+        }
+        self.absence.removed = false;
+    }
+
+    /// Takes over what the platform's list says.
+    pub(crate) fn set_platform(&mut self, leaving: bool) {
+        if self.absence.platform && !leaving {
+            self.chill();
+        }
+        self.absence.platform = leaving;
+    }
+
+    /// Takes in a report.
+    pub(crate) fn report(&mut self, report: &Report, now: Millis) -> Finding {
+        self.failed = 0;
+        let earlier = self.seen.replace(Seen {
+            report: report.clone(),
+            at: now,
+        });
+        let inherited = self.inherited.take();
+        let known = earlier.as_ref().map(|seen| seen.report.start_id);
+        let known = known.or(inherited);
+        let left = earlier.is_some_and(|seen| seen.report.phase == Phase::Leaving);
+        let restarted = known.is_some_and(|known| known != report.start_id);
+        let returns = left && report.phase != Phase::Leaving;
+        if restarted || returns || report.phase == Phase::Cold {
+            self.chill();
+        }
+        if restarted {
+            self.forget_prefixes();
+        }
+        if std::mem::take(&mut self.hinted) && report.phase == Phase::Warm && !restarted {
+            self.ramp = Ramp::warm(&self.spec);
+        }
+        self.absence.down = false;
+        self.foreign = self.beyond_grants(report, now);
+        match known {
+            Some(start) if restarted && self.died != Some(start) => {
+                self.died = Some(start);
+                Finding::Died(start)
+            }
+            _ => Finding::None,
+        }
+    }
+
+    /// Takes a holder's word that the target is warm, at once or when a report confirms it.
+    pub(crate) fn hint_warm(&mut self, is_fresh: bool) {
+        match is_fresh {
+            true => self.ramp = Ramp::warm(&self.spec),
+            false => self.hinted = true,
+        }
+    }
+
+    /// Requests that a report shows beyond those granted here within the report's lag.
+    fn beyond_grants(&mut self, report: &Report, now: Millis) -> u32 {
+        while self
+            .released
+            .front()
+            .is_some_and(|&at| now.since(at) > REPORT_LAG)
+        {
+            self.released.pop_front();
+        }
+        let granted = self.running() + self.released.len() as u32;
+        (report.running + report.waiting).saturating_sub(granted)
+    }
+
+    /// Takes in that there was no report.
+    pub(crate) fn failed(&mut self, silence: Silence) -> Finding {
+        self.failed = self.failed.saturating_add(1);
+        if silence != Silence::Refused {
+            return Finding::None;
+        }
+        self.absence.down = true;
+        let start = self.seen.as_ref().map(|seen| seen.report.start_id);
+        match start {
+            Some(start) if self.died != Some(start) => {
+                self.died = Some(start);
+                self.chill();
+                Finding::Died(start)
+            }
+            _ => Finding::None,
+        }
+    }
+
+    /// Takes in how an attempt ended.
+    pub(crate) fn ended(&mut self, end: End, suspect: Suspect, granted: Millis, now: Millis) {
+        match end {
+            End::Complete if self.phase() == Some(Phase::Warm) => self.ramp.answered(&self.spec),
+            End::Rejected => self.paused = now.after(REJECTED_PAUSE),
+            End::Broken | End::Died if !self.is_blamed(granted) => self.note_broken(suspect, now),
+            _ => {}
+        }
+    }
+
+    /// Takes in the time to a first token in milliseconds.
+    pub(crate) fn first_token(&mut self, first_ms: u32) {
+        if !self.ramp.warm {
+            return;
+        }
+        let median = self.first_token_median();
+        let limit = median.map(|median| median.saturating_mul(SLOW_FACTOR).max(SLOW_MIN));
+        if limit.is_some_and(|limit| first_ms > limit) {
+            self.slow += 1;
+        } else {
+            self.slow = 0;
+            if self.firsts.len() == FIRST_TOKENS {
+                self.firsts.pop_front();
+            }
+            self.firsts.push_back(first_ms);
+        }
+        if self.slow >= SLOW_ROW {
+            self.chill();
+        }
+    }
+
+    fn first_token_median(&self) -> Option<u32> {
+        if self.firsts.len() < FIRST_TOKENS_MIN {
+            return None;
+        }
+        let mut sorted: Vec<u32> = self.firsts.iter().copied().collect();
+        sorted.sort_unstable();
+        sorted.get(sorted.len() / 2).copied()
+    }
+
+    /// Notes that granted work has ended, for comparing later reports with the ledger.
+    pub(crate) fn note_release(&mut self, now: Millis) {
+        if self.released.len() == RELEASED_MAX {
+            self.released.pop_front();
+        }
+        self.released.push_back(now);
+    }
+
+    fn note_broken(&mut self, suspect: Suspect, now: Millis) {
+        if self.broken.len() == BROKEN_MAX {
+            self.broken.pop_front();
+        }
+        self.broken.push_back((now, suspect));
+    }
+
+    /// Whether work granted then is already part of a reported death.
+    pub(crate) fn is_blamed(&self, granted: Millis) -> bool {
+        self.died_at.is_some_and(|died| granted <= died)
+    }
+
+    /// The bodies of recently broken attempts, which a death at `now` explains.
+    pub(crate) fn take_broken(&mut self, now: Millis) -> Vec<Suspect> {
+        self.died_at = Some(now);
+        let broken = std::mem::take(&mut self.broken);
+        let recent = broken
+            .into_iter()
+            .filter(|(at, _)| now.since(*at) <= BROKEN_AGE);
+        recent.map(|(_, suspect)| suspect).collect()
+    }
+
+    /// Takes in prefix-cache events.
+    pub(crate) fn cache(&mut self, batch: &CacheBatch) {
+        if batch.first != self.next_event {
+            self.prefixes.clear();
+        }
+        let events = batch.stored.len() + batch.evicted.len();
+        self.next_event = batch.first + events as u64;
+        self.prefixes.extend(&batch.stored);
+        for prefix in &batch.evicted {
+            self.prefixes.remove(prefix);
+        }
+        if self.prefixes.len() > PREFIXES_MAX {
+            self.prefixes.clear();
+        }
+    }
+
+    fn forget_prefixes(&mut self) {
+        self.prefixes.clear();
+        self.next_event = 0;
+    }
+}
+
+impl Slot {
+    /// Takes over the ramp that an earlier scheduler kept for one start of the target.
+    pub(crate) fn inherit(&mut self, start: u64, ramp: Ramp) {
+        match &self.seen {
+            Some(seen) if seen.report.start_id != start => {}
+            Some(seen) if seen.report.phase == Phase::Cold => {}
+            Some(_) => self.ramp = ramp,
+            None => {
+                self.ramp = ramp;
+                self.inherited = Some(start);
+            }
+        }
+    }
+}
