Test the scheduling of pools through the kernel's entry point

Cause: limits, accounts and ownership of a pool had no tests. A first run showed that short requests could pass a large one for ever, and that the slots of short work were kept free twice. Change: tables of cases for cold limits, take-over, fair share, memory, queue bounds and policies; short requests pass a held target only within their own part of its memory.

--- a/crates/kernel/src/headroom.rs
+++ b/crates/kernel/src/headroom.rs
@@ -60,12 +60,17 @@
     used + view.pool.projected(ask) < usable(view, slot, ask.class)
 }
 
-/// Whether a longer wait for memory has reserved the target for another request.
+/// Whether the target is held for another request, which has waited long for its memory.
 ///
-/// Short requests pass: they have their own part of the memory.
+/// Short requests pass as far as their own part of the memory goes.
 fn is_held_for_other(view: &policy::View<'_>, ask: &Ask, target: usize) -> bool {
     let held = view.pool.reserved.as_ref();
-    held.is_some_and(|held| held.target == target && held.id != ask.id && ask.class >= held.class)
+    let Some(held) = held.filter(|held| held.target == target && held.id != ask.id) else {
+        return false;
+    };
+    let slot = &view.pool.targets[target];
+    ask.class >= held.class
+        || slot.kv_short + view.pool.projected(ask) >= capacity(view, slot) / RESERVE
 }
 
 /// Whether only memory keeps the request from this target.
@@ -79,12 +84,17 @@
         && !has_memory(view, ask, target)
 }
 
-/// KV tokens of a target that requests of a class may fill.
+/// KV tokens of a target that projections may fill.
+fn capacity(view: &policy::View<'_>, slot: &Slot) -> u64 {
+    slot.kv_capacity() * u64::from(view.pool.config.kv_percent) / 100
+}
+
+/// KV tokens of a target that requests of a class may fill together with what runs.
 fn usable(view: &policy::View<'_>, slot: &Slot, class: Class) -> u64 {
-    let percent = u64::from(view.pool.config.kv_percent);
-    let usable = slot.kv_capacity() * percent / 100;
+    let capacity = capacity(view, slot);
     match class {
-        Class::Short => usable,
-        Class::Long => usable - usable / RESERVE,
+        Class::Short => capacity,
+        // What short requests use of their part is not kept free a second time.
+        Class::Long => capacity - (capacity / RESERVE).saturating_sub(slot.kv_short),
     }
 }
--- a/crates/kernel/src/pool.rs
+++ b/crates/kernel/src/pool.rs
@@ -409,7 +409,7 @@
     pub(crate) fn record(&mut self, mut running: Running) {
         running.kv = self.projected_at(&running.ask, running.tokens);
         let slot = &mut self.targets[running.target];
-        slot.kv += running.kv;
+        slot.adjust_kv(running.ask.class, running.kv, 0);
         slot.work.insert(running.ask.id.clone());
         self.ledger.insert(running);
     }
@@ -418,7 +418,7 @@
     pub(crate) fn forget(&mut self, id: &Id, now: Millis) -> Option<Running> {
         let running = self.ledger.remove(id)?;
         let slot = &mut self.targets[running.target];
-        slot.kv = slot.kv.saturating_sub(running.kv);
+        slot.adjust_kv(running.ask.class, 0, running.kv);
         if slot.work.remove(id) {
             slot.note_release(now);
         }
@@ -433,7 +433,7 @@
         let kv = self.projected_at(&running.ask, tokens.max(running.tokens));
         let (name, before) = (running.ask.organisation.clone(), running.tokens);
         let slot = &mut self.targets[running.target];
-        slot.kv = slot.kv.saturating_sub(running.kv) + kv;
+        slot.adjust_kv(running.ask.class, kv, running.kv);
         if let Some(running) = self.ledger.get_mut(id) {
             running.kv = kv;
             running.tokens = tokens.max(before);
--- a/crates/kernel/src/target.rs
+++ b/crates/kernel/src/target.rs
@@ -7,7 +7,7 @@
 use crate::ids::{Millis, Name};
 use crate::map::Set;
 use crate::peer::Suspect;
-use crate::request::{End, Id};
+use crate::request::{Class, End, Id};
 use crate::resource;
 
 /// A report may lag what the target does by this much.
@@ -188,6 +188,8 @@
     pub foreign: u32,
     /// Projected KV use of the granted work, in tokens.
     pub kv: u64,
+    /// The part of it that belongs to short requests.
+    pub kv_short: u64,
     /// Why it gets no new work, apart from its specification and report.
     pub absence: Absence,
     /// Position of its newest grant among all grants of the pool.
@@ -218,6 +220,7 @@
             seen: None,
             foreign: 0,
             kv: 0,
+            kv_short: 0,
             absence: Absence::default(),
             turn: 0,
             paused: Millis(0),
@@ -280,6 +283,14 @@
         self.kv.max(fresh.map_or(0, |seen| seen.report.kv_used))
     }
 
+    /// Adds to the projected KV use and then subtracts from it.
+    pub(crate) fn adjust_kv(&mut self, class: Class, added: u64, removed: u64) {
+        self.kv = (self.kv + added).saturating_sub(removed);
+        if class == Class::Short {
+            self.kv_short = (self.kv_short + added).saturating_sub(removed);
+        }
+    }
+
     /// Number of the request's prefixes, from the shortest, that the engine is thought to hold.
     pub fn cached(&self, prefixes: &[u64]) -> usize {
         prefixes
--- /dev/null
+++ b/crates/kernel/tests/pool/bed.rs
@@ -0,0 +1,526 @@
+//! One kernel that schedules pools, with a table, targets and an entry VM played by the test.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use hornbeamloom_kernel::event::{Event, Vm};
+use hornbeamloom_kernel::ids::{Fence, Incarnation, Millis, Name, Revision};
+use hornbeamloom_kernel::kernel::{Identity, Kernel};
+use hornbeamloom_kernel::outcome::{Counter, Outcome, Reason};
+use hornbeamloom_kernel::peer::{Ask, Delta, Message, Progress, Release, Running};
+use hornbeamloom_kernel::pool::{Key, Pool};
+use hornbeamloom_kernel::request::{Class, End, Id};
+use hornbeamloom_kernel::resource::{self, Configuration, Kind, Record, Spec, Target};
+use hornbeamloom_kernel::store::{self, Answer, Condition, Op, Written};
+use hornbeamloom_kernel::target::{Phase, Report, Silence};
+
+pub const OWNER: &str = "entry-1";
+pub const ENTRY: &str = "entry-2";
+pub const ZONE: &str = "lodz-a";
+pub const SERVICE: &str = "pisarz-modelu";
+
+pub fn key() -> Key {
+    Key::new(SERVICE, ZONE)
+}
+
+/// A target of the pool with its limits and KV tokens.
+pub fn target(cold_limit: u32, warm_limit: u32, kv_tokens: u64) -> Target {
+    Target {
+        service: SERVICE.into(),
+        zone: ZONE.into(),
+        address: "127.0.0.1:9000".into(),
+        cold_limit,
+        warm_limit,
+        kv_tokens,
+        fencing: true,
+        leaving: false,
+        role: None,
+    }
+}
+
+pub fn config(order: &str, score: &[&str], off: &[&str]) -> Configuration {
+    let names = |names: &[&str]| names.iter().map(|name| Name::from(*name)).collect();
+    Configuration {
+        policy: resource::Policy {
+            order: order.into(),
+            score: names(score),
+            off: names(off),
+        },
+        ..Configuration::default()
+    }
+}
+
+/// What the test's targets report.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    pub phase: Phase,
+    pub start_id: u64,
+    /// Requests reported beyond those of the ledger.
+    pub foreign: u32,
+    /// Requests reported whatever the ledger says.
+    pub running: Option<u32>,
+    pub kv_used: u64,
+    pub silence: Option<Silence>,
+}
+
+pub struct Bed {
+    pub kernel: Kernel,
+    pub now: Millis,
+    pub engines: BTreeMap<Name, Engine>,
+    pub store_up: bool,
+    pub counted: Vec<Counter>,
+    pub polled: Vec<Name>,
+    pub sent: Vec<(Name, Message)>,
+    /// Whether the entry VM re-asks and reports progress.
+    pub entry_up: bool,
+    pub tokens: BTreeMap<Id, u32>,
+    asks: BTreeMap<Id, Ask>,
+    records: BTreeMap<Kind, BTreeMap<Name, Spec>>,
+    rows: Vec<store::Record>,
+    revision: u64,
+    counter: u64,
+    entry_due: Millis,
+    pub config: Configuration,
+}
+
+impl Bed {
+    /// A kernel without a lease and with these targets, all of which report `phase`.
+    pub fn idle(targets: &[(&str, Target)], phase: Phase, config: Configuration) -> Bed {
+        let identity = Identity::new(OWNER, ZONE, Incarnation(5)).with_addresses("p", "c");
+        let mut bed = Bed {
+            kernel: Kernel::new(identity),
+            now: Millis(1_000),
+            engines: BTreeMap::new(),
+            store_up: true,
+            counted: Vec::new(),
+            polled: Vec::new(),
+            sent: Vec::new(),
+            entry_up: true,
+            tokens: BTreeMap::new(),
+            asks: BTreeMap::new(),
+            records: BTreeMap::new(),
+            rows: Vec::new(),
+            revision: 0,
+            counter: 0,
+            entry_due: Millis(1_000),
+            config,
+        };
+        let zone = resource::AvailabilityZone {
+            region: "pl-centrum".into(),
+            state: resource::Presence::In,
+        };
+        bed.declare(ZONE, Spec::AvailabilityZone(zone));
+        bed.declare("default", Spec::Configuration(bed.config.clone()));
+        bed.declare(SERVICE, Spec::Service(service()));
+        for (name, spec) in targets {
+            bed.engine(name, phase);
+            bed.declare(name, Spec::Target(spec.clone()));
+        }
+        bed.apply();
+        bed
+    }
+
+    /// A holder of the pool whose knowledge is complete; targets report `phase`.
+    pub fn holder(targets: &[(&str, Target)], phase: Phase, config: Configuration) -> Bed {
+        let mut bed = Bed::idle(targets, phase, config);
+        bed.list(&[OWNER]);
+        bed.become_holder();
+        bed
+    }
+
+    /// A holder whose targets its predecessor had described as warm.
+    pub fn warm(targets: &[(&str, Target)], config: Configuration) -> Bed {
+        let mut bed = Bed::idle(targets, Phase::Warm, config);
+        bed.list(&[OWNER]);
+        let names: Vec<&str> = targets.iter().map(|(name, _)| *name).collect();
+        bed.hint(&names);
+        bed.become_holder();
+        bed
+    }
+
+    /// Says, as the pool's holder, that exactly these targets are warm.
+    pub fn hint(&mut self, warm: &[&str]) {
+        let warm = warm.iter().map(|name| Name::from(*name)).collect();
+        let (pool, cold) = (key(), Vec::new());
+        self.hear("entry-0", Message::Targets { pool, warm, cold });
+    }
+
+    /// Waits for the lease and answers for the kernel's own VM.
+    pub fn become_holder(&mut self) {
+        for _ in 0..200 {
+            self.pass(100);
+            if self.held().is_some() {
+                break;
+            }
+        }
+        self.inventory(OWNER, Vec::new());
+    }
+
+    pub fn held(&self) -> Option<Fence> {
+        self.kernel
+            .state()
+            .pools
+            .get(&key())
+            .and_then(|pool| pool.held)
+    }
+
+    pub fn inventory(&mut self, from: &str, running: Vec<Running>) {
+        let fence = self.held().expect("the pool is held");
+        let pool = key();
+        self.hear(
+            from,
+            Message::Inventory {
+                pool,
+                fence,
+                running,
+            },
+        );
+    }
+
+    fn engine(&mut self, name: &str, phase: Phase) {
+        let engine = Engine {
+            phase,
+            start_id: 1,
+            foreign: 0,
+            running: None,
+            kv_used: 0,
+            silence: None,
+        };
+        self.engines.insert(name.into(), engine);
+    }
+
+    pub fn declare(&mut self, name: &str, spec: Spec) {
+        let records = self.records.entry(spec.kind()).or_default();
+        records.insert(name.into(), spec);
+    }
+
+    pub fn set_target(&mut self, name: &str, spec: Target) {
+        self.declare(name, Spec::Target(spec));
+        self.apply();
+    }
+
+    pub fn set_zone(&mut self, state: resource::Presence) {
+        let region = "pl-centrum".into();
+        let zone = resource::AvailabilityZone { region, state };
+        self.declare(ZONE, Spec::AvailabilityZone(zone));
+        self.apply();
+    }
+
+    pub fn set_weight(&mut self, name: &str, weight: u32) {
+        let organisation = resource::Organisation {
+            weight,
+            keys: Vec::new(),
+            services: Vec::new(),
+        };
+        self.declare(name, Spec::Organisation(organisation));
+        self.apply();
+    }
+
+    /// Puts the declared resources in force under a new revision.
+    pub fn apply(&mut self) {
+        let from = Revision(self.revision);
+        self.revision += 1;
+        let to = Revision(self.revision);
+        let records = self.records.iter().flat_map(|(kind, specs)| {
+            specs.iter().map(move |(name, spec)| Record {
+                key: resource::Key {
+                    kind: *kind,
+                    name: name.clone(),
+                },
+                version: to,
+                generation: to.0,
+                labels: BTreeMap::new(),
+                spec: Some(spec.clone()),
+            })
+        });
+        let delta = Delta {
+            from,
+            to,
+            complete: true,
+            records: records.collect(),
+        };
+        self.handle(Event::Changes(&delta));
+    }
+
+    pub fn list(&mut self, names: &[&str]) {
+        let vms: Vec<Vm> = names
+            .iter()
+            .map(|name| Vm {
+                name: (*name).into(),
+                leaving: false,
+            })
+            .collect();
+        self.handle(Event::Vms(&vms));
+    }
+
+    pub fn hear(&mut self, from: &str, message: Message) {
+        let message = &message;
+        self.handle(Event::Peer { from, message });
+    }
+
+    pub fn handle(&mut self, event: Event<'_>) {
+        let mut out = Vec::new();
+        self.kernel.handle(event, self.now, &mut out);
+        for outcome in out {
+            self.carry_out(outcome);
+        }
+    }
+
+    fn carry_out(&mut self, outcome: Outcome) {
+        match outcome {
+            Outcome::Count(counter) => self.counted.push(counter),
+            Outcome::Send { to, message, .. } => self.sent.push((to, message)),
+            Outcome::Store(call) => {
+                let answer = match self.store_up {
+                    true => self.answer(&call.op),
+                    false => Answer::Unavailable,
+                };
+                let (call, answer) = (call.id, &answer);
+                self.handle(Event::Store { call, answer });
+            }
+            Outcome::Poll { target, .. } => {
+                self.report(&target);
+                self.polled.push(target);
+            }
+            _ => {}
+        }
+    }
+
+    fn answer(&mut self, op: &Op) -> Answer {
+        match op {
+            Op::Read(key) => Answer::Read(self.rows.iter().find(|row| row.key == *key).cloned()),
+            Op::List(_) => Answer::Listed(self.rows.clone()),
+            Op::Write(writes) => {
+                Answer::Written(writes.iter().map(|write| self.write(write)).collect())
+            }
+        }
+    }
+
+    fn write(&mut self, write: &store::Write) -> Written {
+        let found = self.rows.iter().position(|row| row.key == write.key);
+        let version = found.map(|ix| self.rows[ix].version);
+        let applies = match write.condition {
+            Condition::Absent => version.is_none(),
+            Condition::Version(wanted) => version == Some(wanted),
+            Condition::Any => true,
+        };
+        if !applies {
+            return Written::Conflict(found.map(|ix| self.rows[ix].clone()));
+        }
+        if let Some(ix) = found {
+            self.rows.remove(ix);
+        }
+        let version = Revision(1_000_000 + self.now.0 * 100 + self.rows.len() as u64);
+        if let Some(value) = &write.value {
+            self.rows.push(store::Record {
+                key: write.key.clone(),
+                version,
+                value: Some(value.clone()),
+            });
+        }
+        Written::Applied(version)
+    }
+
+    /// Answers a poll of a target.
+    pub fn report(&mut self, name: &str) {
+        let Some(engine) = self.engines.get(name).cloned() else {
+            return;
+        };
+        let running = engine
+            .running
+            .unwrap_or_else(|| engine.foreign + self.on_target(name).len() as u32);
+        let report = Report {
+            start_id: engine.start_id,
+            phase: engine.phase,
+            running,
+            kv_used: engine.kv_used,
+            ..Report::default()
+        };
+        let report = match engine.silence {
+            Some(silence) => Err(silence),
+            None => Ok(&report),
+        };
+        let target = name;
+        self.handle(Event::Report { target, report });
+    }
+
+    /// Lets time pass; wake-ups are served, and the entry VM re-asks and reports progress.
+    pub fn pass(&mut self, ms: u64) {
+        let end = self.now.after(ms);
+        while self.now < end {
+            let wakeup = self.kernel.next_wakeup().unwrap_or(end);
+            let next = wakeup.min(self.entry_due).min(end);
+            self.now = next.max(self.now.after(1));
+            if wakeup <= self.now {
+                self.handle(Event::Tick);
+            }
+            if self.entry_due <= self.now {
+                self.entry_due = self.now.after(500);
+                self.entry_round();
+            }
+        }
+    }
+
+    fn entry_round(&mut self) {
+        if !self.entry_up {
+            return;
+        }
+        let granted: BTreeSet<Id> = self.running().into_iter().map(|(id, _)| id).collect();
+        let entries: Vec<Progress> = granted
+            .iter()
+            .filter(|id| *id.vm == *ENTRY)
+            .map(|id| Progress {
+                incarnation: id.incarnation,
+                counter: id.counter,
+                tokens: self.tokens.get(id).copied().unwrap_or(0),
+            })
+            .collect();
+        let pool = key();
+        self.hear(ENTRY, Message::Progress { pool, entries });
+        self.asks.retain(|id, _| !granted.contains(id));
+        let asks: Vec<Ask> = self.asks.values().cloned().collect();
+        for ask in asks {
+            self.hear(ENTRY, Message::Ask(ask));
+        }
+    }
+
+    /// A request of `organisation` that has not been asked for.
+    pub fn draft(&mut self, organisation: &str) -> Ask {
+        self.counter += 1;
+        Ask {
+            pool: key(),
+            id: Id::new(ENTRY, Incarnation(9), self.counter),
+            attempt: 1,
+            organisation: organisation.into(),
+            prompt_tokens: 10,
+            max_tokens: Some(200),
+            class: Class::Long,
+            fingerprint: self.counter,
+            prefixes: Vec::new(),
+            waited_ms: 0,
+            patience_ms: 30_000,
+            exclude: Vec::new(),
+        }
+    }
+
+    /// Asks once; the entry VM re-asks until there is a grant.
+    pub fn send(&mut self, ask: &Ask) -> Id {
+        self.asks.insert(ask.id.clone(), ask.clone());
+        self.hear(ENTRY, Message::Ask(ask.clone()));
+        ask.id.clone()
+    }
+
+    pub fn ask(&mut self, organisation: &str) -> Id {
+        let ask = self.draft(organisation);
+        self.send(&ask)
+    }
+
+    /// Asks for `n` requests of one organisation.
+    pub fn asks(&mut self, organisation: &str, n: usize) -> Vec<Id> {
+        (0..n).map(|_| self.ask(organisation)).collect()
+    }
+
+    pub fn stop_asking(&mut self) {
+        self.asks.clear();
+    }
+
+    pub fn pool(&self) -> &Pool {
+        let pool = self.kernel.state().pools.get(&key());
+        pool.expect("the pool is scheduled here")
+    }
+
+    /// Every running request with its target.
+    pub fn running(&self) -> Vec<(Id, Name)> {
+        let Some(pool) = self.kernel.state().pools.get(&key()) else {
+            return Vec::new();
+        };
+        let running = pool.ledger.iter();
+        running
+            .map(|(id, running)| (id.clone(), pool.targets[running.target].name.clone()))
+            .collect()
+    }
+
+    pub fn on_target(&self, name: &str) -> Vec<Id> {
+        let running = self.running().into_iter();
+        let here = running.filter(|(_, target)| **target == *name);
+        here.map(|(id, _)| id).collect()
+    }
+
+    pub fn granted(&self, id: &Id) -> Option<Name> {
+        let mut running = self.running().into_iter();
+        running
+            .find(|(other, _)| other == id)
+            .map(|(_, target)| target)
+    }
+
+    pub fn is_waiting(&self, id: &Id) -> bool {
+        let pool = self.kernel.state().pools.get(&key());
+        pool.is_some_and(|pool| pool.queue.find(id).is_some())
+    }
+
+    pub fn end(&mut self, id: &Id, end: End, tokens: u32, first_token_ms: Option<u32>) {
+        let Some(target) = self.granted(id) else {
+            panic!("{id} does not run");
+        };
+        let release = Release {
+            pool: key(),
+            id: id.clone(),
+            attempt: 1,
+            target,
+            end,
+            tokens,
+            first_token_ms,
+        };
+        self.asks.remove(id);
+        self.hear(ENTRY, Message::Release(release));
+    }
+
+    pub fn finish(&mut self, id: &Id) {
+        self.end(id, End::Complete, 50, Some(100));
+    }
+
+    /// Finishes everything that runs now; says how many that were.
+    pub fn finish_all(&mut self) -> usize {
+        let running = self.running();
+        running.iter().for_each(|(id, _)| self.finish(id));
+        running.len()
+    }
+
+    /// The refusals noted for a request, by reason.
+    pub fn refusal(&self, id: &Id) -> Option<Reason> {
+        let reasons = [
+            Reason::OrganisationQueue,
+            Reason::PoolQueue,
+            Reason::QueueDeadline,
+            Reason::NoTarget,
+            Reason::TooLarge,
+        ];
+        let log = &self.kernel.state().log;
+        let text = log
+            .steps(id)
+            .find(|step| step.text.starts_with("refused: "))
+            .map(|step| step.text.clone())?;
+        reasons
+            .into_iter()
+            .find(|reason| text.ends_with(reason.as_str()))
+    }
+
+    pub fn count(&self, label: &str) -> usize {
+        let counted = self.counted.iter();
+        counted
+            .filter(|counter| match counter {
+                Counter::Event(event) | Counter::Ignored(event) => *event == label,
+                _ => false,
+            })
+            .count()
+    }
+}
+
+fn service() -> resource::Service {
+    resource::Service {
+        protocol: resource::Protocol::Model,
+        interactive: false,
+        once_methods: Vec::new(),
+        queue_ms: 30_000,
+        configuration: None,
+    }
+}
--- /dev/null
+++ b/crates/kernel/tests/pool/cold.rs
@@ -0,0 +1,203 @@
+//! Guards against cold targets that get more than they can handle (I2).
+
+use hornbeamloom_kernel::cases;
+use hornbeamloom_kernel::event::{Event, Vm};
+use hornbeamloom_kernel::request::End;
+use hornbeamloom_kernel::resource::{Configuration, Presence};
+use hornbeamloom_kernel::target::{Phase, Silence};
+
+use crate::bed::{target, Bed};
+
+fn cold(limit: u32, warm: u32, phase: Phase) -> Bed {
+    Bed::holder(
+        &[("engine-1", target(limit, warm, 0))],
+        phase,
+        Configuration::default(),
+    )
+}
+
+/// Without the ramp a cold target would get all eight requests.
+fn cold_limit_holds(limit: u32, phase: Phase) {
+    let mut bed = cold(limit, 32, phase);
+    bed.asks("parlour-1", 8);
+    bed.pass(2_000);
+    assert_eq!(bed.running().len(), limit as usize);
+}
+
+cases! {
+    cold_limit_holds;
+    cold_limit_of_one_holds_while_the_report_says_cold: (1, Phase::Cold);
+    cold_limit_of_two_holds_while_the_report_says_cold: (2, Phase::Cold);
+    cold_limit_of_one_holds_for_a_new_target_that_reports_warm: (1, Phase::Warm);
+    cold_limit_of_two_holds_for_a_new_target_that_reports_warm: (2, Phase::Warm);
+}
+
+/// The greatest number of requests running together in each round of answers.
+fn rounds(bed: &mut Bed, rounds: usize) -> Vec<usize> {
+    bed.asks("parlour-1", 60);
+    (0..rounds)
+        .map(|_| {
+            bed.pass(600);
+            bed.finish_all()
+        })
+        .collect()
+}
+
+/// A ramp that jumps, or that moves while the target is cold, overloads the target.
+fn ramp_doubles(limit: u32, warm: u32, phase: Phase, expected: &[usize]) {
+    let mut bed = cold(limit, warm, phase);
+    assert_eq!(rounds(&mut bed, expected.len()), expected);
+}
+
+cases! {
+    ramp_doubles;
+    ramp_doubles_from_one_to_the_warm_limit: (1, 8, Phase::Warm, &[1, 2, 4, 8, 8]);
+    ramp_doubles_from_two_to_the_warm_limit: (2, 6, Phase::Warm, &[2, 4, 6, 6]);
+    ramp_stands_still_while_the_report_says_cold: (2, 8, Phase::Cold, &[2, 2, 2, 2]);
+}
+
+/// Failed answers say nothing about what a cold target can carry.
+fn ramp_ignores(end: End) {
+    let mut bed = cold(1, 8, Phase::Warm);
+    bed.asks("parlour-1", 4);
+    for _ in 0..3 {
+        bed.pass(600);
+        let running = bed.running();
+        running.iter().for_each(|(id, _)| bed.end(id, end, 0, None));
+        assert!(running.len() <= 1);
+    }
+}
+
+cases! {
+    ramp_ignores;
+    ramp_ignores_broken_attempts: (End::Broken);
+    ramp_ignores_rejected_attempts: (End::Rejected);
+    ramp_ignores_cancelled_attempts: (End::Cancelled);
+}
+
+/// Makes a warm target cold in one way.
+type Cooling = fn(&mut Bed);
+
+/// Without detection the warm limit of 8 would stay in force for a target that is cold again.
+fn warm_target_turns_cold(cool: Cooling) {
+    let mut bed = Bed::warm(&[("engine-1", target(1, 8, 0))], Configuration::default());
+    bed.asks("parlour-1", 8);
+    bed.pass(600);
+    assert_eq!(bed.running().len(), 8, "it was warm before");
+    bed.finish_all();
+    cool(&mut bed);
+    bed.pass(4_000);
+    bed.finish_all();
+    bed.asks("parlour-1", 30);
+    let mut ramp = Vec::new();
+    for _ in 0..4 {
+        bed.pass(1_000);
+        ramp.push(bed.finish_all());
+    }
+    assert_eq!(ramp, [1, 2, 4, 8]);
+}
+
+fn restart(bed: &mut Bed) {
+    bed.engines.get_mut("engine-1").unwrap().start_id = 2;
+}
+
+fn report_cold(bed: &mut Bed) {
+    bed.engines.get_mut("engine-1").unwrap().phase = Phase::Cold;
+    bed.pass(1_000);
+    bed.engines.get_mut("engine-1").unwrap().phase = Phase::Warm;
+}
+
+fn report_leaving(bed: &mut Bed) {
+    bed.engines.get_mut("engine-1").unwrap().phase = Phase::Leaving;
+    bed.pass(1_000);
+    bed.engines.get_mut("engine-1").unwrap().phase = Phase::Warm;
+}
+
+fn refuse_polls(bed: &mut Bed) {
+    bed.engines.get_mut("engine-1").unwrap().silence = Some(Silence::Refused);
+    bed.pass(1_000);
+    bed.engines.get_mut("engine-1").unwrap().silence = None;
+}
+
+fn slow_first_tokens(bed: &mut Bed) {
+    let ids = bed.asks("parlour-2", 3);
+    for id in ids {
+        bed.end(&id, End::Complete, 50, Some(1_500));
+    }
+}
+
+fn zone_out_and_in(bed: &mut Bed) {
+    bed.set_zone(Presence::Out);
+    bed.pass(1_000);
+    bed.set_zone(Presence::In);
+}
+
+fn leaving_and_back(bed: &mut Bed) {
+    let mut spec = target(1, 8, 0);
+    spec.leaving = true;
+    bed.set_target("engine-1", spec);
+    bed.pass(1_000);
+    bed.set_target("engine-1", target(1, 8, 0));
+}
+
+fn listed_as_leaving(bed: &mut Bed) {
+    for leaving in [true, false] {
+        let name = "engine-1".into();
+        bed.handle(Event::Vms(&[Vm { name, leaving }]));
+        bed.pass(1_000);
+    }
+    bed.list(&["entry-1", "engine-1"]);
+}
+
+cases! {
+    warm_target_turns_cold;
+    warm_target_is_ramped_again_after_its_start_id_changed: (restart);
+    warm_target_is_ramped_again_after_it_reported_cold: (report_cold);
+    warm_target_is_ramped_again_after_it_reported_leaving: (report_leaving);
+    warm_target_is_ramped_again_after_it_refused_polls: (refuse_polls);
+    warm_target_is_ramped_again_after_three_slow_first_tokens: (slow_first_tokens);
+    warm_target_is_ramped_again_after_its_zone_was_out: (zone_out_and_in);
+    warm_target_is_ramped_again_after_its_resource_was_leaving: (leaving_and_back);
+    warm_target_is_ramped_again_after_the_platform_listed_it_as_leaving: (listed_as_leaving);
+}
+
+/// Work of other clients counts against the cold limit.
+#[test]
+fn reported_work_of_others_takes_places_of_a_cold_target() {
+    let mut bed = cold(2, 8, Phase::Cold);
+    bed.engines.get_mut("engine-1").unwrap().foreign = 1;
+    bed.pass(4_000);
+    bed.asks("parlour-1", 4);
+    bed.pass(2_000);
+    assert_eq!(bed.running().len(), 1);
+}
+
+/// Work started after the target was withdrawn breaks I3 and I7.
+fn gets_nothing(withdraw: Cooling) {
+    let mut bed = Bed::warm(&[("engine-1", target(1, 8, 0))], Configuration::default());
+    withdraw(&mut bed);
+    bed.pass(600);
+    bed.asks("parlour-1", 4);
+    bed.pass(5_000);
+    assert_eq!(bed.running(), []);
+}
+
+cases! {
+    gets_nothing;
+    zone_that_is_out_gets_nothing: (|bed| bed.set_zone(Presence::Out));
+    target_that_its_resource_calls_leaving_gets_nothing: (|bed| {
+        let mut spec = target(1, 8, 0);
+        spec.leaving = true;
+        bed.set_target("engine-1", spec);
+    });
+    target_that_reports_leaving_gets_nothing: (|bed| {
+        bed.engines.get_mut("engine-1").unwrap().phase = Phase::Leaving;
+    });
+    target_that_the_platform_lists_as_leaving_gets_nothing: (|bed| {
+        let (name, leaving) = ("engine-1".into(), true);
+        bed.handle(Event::Vms(&[Vm { name, leaving }]));
+    });
+    target_that_refuses_polls_gets_nothing: (|bed| {
+        bed.engines.get_mut("engine-1").unwrap().silence = Some(Silence::Refused);
+    });
+}
--- /dev/null
+++ b/crates/kernel/tests/pool/main.rs
@@ -0,0 +1,9 @@
+//! The owner's side of scheduling, driven through `Kernel::handle`.
+
+mod bed;
+mod cold;
+mod fair;
+mod memory;
+mod policy;
+mod queue;
+mod takeover;
--- /dev/null
+++ b/crates/kernel/tests/pool/takeover.rs
@@ -0,0 +1,255 @@
+//! Guards against cold grants without a lease or without knowledge of what already runs.
+
+use hornbeamloom_kernel::cases;
+use hornbeamloom_kernel::ids::{Fence, Incarnation};
+use hornbeamloom_kernel::outcome::Outcome;
+use hornbeamloom_kernel::peer::{Message, Running};
+use hornbeamloom_kernel::request::Id;
+use hornbeamloom_kernel::resource::Configuration;
+use hornbeamloom_kernel::target::{Phase, Silence};
+
+use crate::bed::{key, target, Bed, ENTRY, OWNER};
+
+/// A new holder of a cold and a warm target, while another VM has not told what it runs.
+fn new_holder() -> Bed {
+    let targets = [
+        ("engine-cold", target(1, 4, 0)),
+        ("engine-warm", target(1, 4, 0)),
+    ];
+    let mut bed = Bed::idle(&targets, Phase::Warm, Configuration::default());
+    bed.engines.get_mut("engine-cold").unwrap().phase = Phase::Cold;
+    bed.list(&[OWNER, ENTRY]);
+    bed.hint(&["engine-warm"]);
+    bed.become_holder();
+    bed
+}
+
+fn running(bed: &mut Bed, target: &str) -> Running {
+    Running {
+        ask: bed.draft("parlour-1"),
+        target: target.into(),
+        tokens: 5,
+    }
+}
+
+/// A silent VM may run work on the cold target; the warm one is soft and must not wait.
+#[test]
+fn take_over_grants_warm_targets_before_the_inventories() {
+    let mut bed = new_holder();
+    bed.asks("parlour-1", 8);
+    bed.pass(300);
+    assert_eq!(bed.on_target("engine-cold").len(), 0);
+    assert_eq!(bed.on_target("engine-warm").len(), 4);
+}
+
+/// Waiting for ever would waste the cold target.
+#[test]
+fn take_over_grants_cold_targets_after_the_inventories() {
+    let mut bed = new_holder();
+    bed.asks("parlour-1", 8);
+    bed.inventory(ENTRY, Vec::new());
+    assert_eq!(bed.on_target("engine-cold").len(), 1);
+}
+
+/// A grant beside work that an inventory names breaks the limit.
+#[test]
+fn take_over_counts_the_work_of_an_inventory() {
+    let mut bed = new_holder();
+    let work = running(&mut bed, "engine-cold");
+    bed.inventory(ENTRY, vec![work.clone()]);
+    bed.asks("parlour-1", 8);
+    bed.pass(2_000);
+    assert_eq!(bed.on_target("engine-cold"), [work.ask.id]);
+}
+
+/// A VM that the platform no longer lists is gone with its work.
+#[test]
+fn take_over_does_not_wait_for_a_vm_that_left_the_list() {
+    let mut bed = new_holder();
+    bed.asks("parlour-1", 8);
+    bed.list(&[OWNER]);
+    assert_eq!(bed.on_target("engine-cold").len(), 1);
+}
+
+/// A report late enough shows all earlier work, and its count is the floor.
+fn late_report(foreign: u32, expected: usize) {
+    let mut bed = new_holder();
+    bed.engines.get_mut("engine-cold").unwrap().foreign = foreign;
+    bed.asks("parlour-1", 8);
+    bed.pass(2_400);
+    assert_eq!(bed.on_target("engine-cold").len(), 0, "too early");
+    bed.pass(1_600);
+    assert_eq!(bed.on_target("engine-cold").len(), expected);
+}
+
+cases! {
+    late_report;
+    take_over_trusts_a_report_after_its_lag: (0, 1);
+    take_over_takes_the_reported_count_as_floor: (1, 0);
+}
+
+/// Without a lease another VM may count the same cold target as free.
+#[test]
+fn without_a_lease_cold_targets_get_nothing_and_warm_ones_a_share() {
+    let mut bed = Bed::idle(
+        &[("engine-1", target(1, 8, 0)), ("engine-2", target(1, 8, 0))],
+        Phase::Warm,
+        Configuration::default(),
+    );
+    bed.store_up = false;
+    bed.hint(&["engine-2"]);
+    bed.asks("parlour-1", 12);
+    bed.pass(2_000);
+    assert_eq!(bed.on_target("engine-1").len(), 0);
+    assert_eq!(bed.on_target("engine-2").len(), 8);
+}
+
+/// After the lease lapsed the last holder goes on with warm targets only.
+#[test]
+fn lapsed_lease_stops_cold_grants_and_not_warm_ones() {
+    let mut bed = new_holder();
+    bed.inventory(ENTRY, Vec::new());
+    bed.store_up = false;
+    bed.pass(8_000);
+    bed.asks("parlour-1", 8);
+    bed.pass(600);
+    assert_eq!(bed.on_target("engine-cold").len(), 0);
+    assert_eq!(bed.on_target("engine-warm").len(), 4);
+    bed.store_up = true;
+    bed.pass(10_000);
+    assert_eq!(bed.on_target("engine-cold").len(), 1);
+}
+
+/// A holder that was paused beyond its lease must see that on the first event.
+#[test]
+fn paused_holder_grants_no_cold_target_on_waking() {
+    let mut bed = new_holder();
+    bed.inventory(ENTRY, Vec::new());
+    bed.now = bed.now.after(6_000);
+    bed.ask("parlour-1");
+    let id = bed.running()[0].0.clone();
+    assert_eq!(bed.granted(&id).as_deref(), Some("engine-warm"));
+    assert_eq!(bed.pool().ledger.get(&id).unwrap().fence(), Fence(0));
+}
+
+/// Progress of a request that no inventory named means that the ledger is not whole.
+#[test]
+fn unknown_progress_reopens_the_take_over() {
+    let mut bed = new_holder();
+    bed.inventory(ENTRY, Vec::new());
+    let entry = hornbeamloom_kernel::peer::Progress {
+        incarnation: Incarnation(9),
+        counter: 77,
+        tokens: 3,
+    };
+    let (pool, entries) = (key(), vec![entry]);
+    bed.hear(ENTRY, Message::Progress { pool, entries });
+    bed.asks("parlour-1", 8);
+    assert_eq!(bed.on_target("engine-cold").len(), 0);
+    let work = Running {
+        ask: hornbeamloom_kernel::peer::Ask {
+            id: Id::new(ENTRY, Incarnation(9), 77),
+            ..bed.draft("parlour-1")
+        },
+        target: "engine-cold".into(),
+        tokens: 3,
+    };
+    bed.inventory(ENTRY, vec![work]);
+    assert_eq!(bed.on_target("engine-cold").len(), 1);
+}
+
+/// Work on a cold target is not over because its entry VM is silent.
+#[test]
+fn silent_entry_vm_keeps_its_place_on_a_cold_target() {
+    let mut bed = new_holder();
+    bed.inventory(ENTRY, Vec::new());
+    bed.asks("parlour-1", 5);
+    bed.pass(600);
+    bed.entry_up = false;
+    bed.pass(20_000);
+    assert_eq!(bed.on_target("engine-cold").len(), 1, "cold work is kept");
+    assert_eq!(bed.on_target("engine-warm").len(), 0, "warm work is freed");
+    bed.list(&[OWNER]);
+    assert_eq!(bed.on_target("engine-cold").len(), 0);
+}
+
+/// A report that shows less is a sign that silent work has ended.
+#[test]
+fn silent_work_is_freed_by_a_later_report_that_shows_less() {
+    let mut bed = new_holder();
+    bed.inventory(ENTRY, Vec::new());
+    bed.asks("parlour-1", 5);
+    bed.pass(600);
+    bed.entry_up = false;
+    bed.engines.get_mut("engine-cold").unwrap().running = Some(0);
+    bed.pass(6_000);
+    assert_eq!(bed.on_target("engine-cold").len(), 1, "too early");
+    bed.pass(4_500);
+    assert_eq!(bed.on_target("engine-cold").len(), 0);
+}
+
+/// What a holder hands over must not be lost or counted twice at the successor.
+#[test]
+fn handover_carries_queue_ledger_and_ramp() {
+    let mut bed = new_holder();
+    let work = running(&mut bed, "engine-cold");
+    let waiting = bed.draft("parlour-2");
+    let snapshot = hornbeamloom_kernel::pool::Snapshot {
+        pool: key(),
+        fence: Fence(0),
+        complete: true,
+        reached: 4_000,
+        served: vec![("parlour-2".into(), 9_000)],
+        waiting: vec![waiting.clone()],
+        running: vec![work.clone()],
+        ramps: Vec::new(),
+        lengths: Default::default(),
+    };
+    let targets = [("engine-cold", target(1, 4, 0))];
+    let mut next = Bed::idle(&targets, Phase::Cold, Configuration::default());
+    next.list(&[OWNER, ENTRY]);
+    next.hear("entry-0", Message::Handover(snapshot));
+    next.become_holder();
+    assert_eq!(next.held(), Some(Fence(1)));
+    assert_eq!(next.on_target("engine-cold"), [work.ask.id]);
+    assert!(next.is_waiting(&waiting.id));
+    let served = next.pool().queue.get("parlour-2").unwrap().served;
+    assert_eq!(served, 9_000);
+    assert!(next.pool().is_complete(), "the predecessor knew all work");
+}
+
+/// Without the death the crash correlation never learns which bodies ran.
+fn death_is_reported(kill: fn(&mut Bed)) {
+    let mut bed = Bed::warm(&[("engine-1", target(1, 8, 0))], Configuration::default());
+    bed.asks("parlour-1", 3);
+    bed.pass(600);
+    let mut out = Vec::new();
+    kill(&mut bed);
+    let report = hornbeamloom_kernel::target::Report {
+        start_id: 2,
+        phase: Phase::Cold,
+        ..Default::default()
+    };
+    let engine = &bed.engines["engine-1"];
+    let report = match engine.silence {
+        Some(silence) => Err(silence),
+        None => Ok(&report),
+    };
+    let event = hornbeamloom_kernel::event::Event::Report {
+        target: "engine-1",
+        report,
+    };
+    bed.kernel.handle(event, bed.now, &mut out);
+    let died = out.iter().any(|outcome| {
+        matches!(outcome, Outcome::Log { warn: true, text } if text.contains("start_id=1 died"))
+    });
+    assert!(died, "{out:?}");
+}
+
+cases! {
+    death_is_reported;
+    death_is_reported_when_the_start_id_changes: (|_| {});
+    death_is_reported_when_polls_are_refused: (|bed| {
+        bed.engines.get_mut("engine-1").unwrap().silence = Some(Silence::Refused);
+    });
+}
