Give gossip samples of the frame tests their heartbeats

Cause: the frame tests did not compile after the heartbeats were added to gossip. Change: the sample carries one. Conclusion: the workspace's tests compile again.

--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -4,7 +4,8 @@
 use hornbeamloom_kernel::ids::{Fence, Incarnation, Revision};
 use hornbeamloom_kernel::outcome::{Reason, Refusal};
 use hornbeamloom_kernel::peer::{
-    Ask, Death, Delta, Entry, Gossip, Grant, Message, Progress, Release, Running, Standing, Suspect,
+    Ask, Beat, Death, Delta, Entry, Gossip, Grant, Message, Progress, Release, Running, Standing,
+    Suspect,
 };
 use hornbeamloom_kernel::pool::Key;
 use hornbeamloom_kernel::request::{Class, End, Id};
@@ -34,6 +35,12 @@
     };
     Message::Gossip(Gossip {
         entries: vec![entry],
+        beats: vec![Beat {
+            vm: "entry-b2".into(),
+            incarnation: Incarnation(5),
+            heartbeat: 78,
+            revision: Revision(12),
+        }],
     })
 }
 
