Send the freshest heartbeats and test membership

Cause: with heartbeats sent in rotation, a live VM was dead in one view of 120 VMs in two zones. Change: a message carries the heartbeats that moved last, more of the zone of its receiver's kind; the table of removed VMs remembers the last heartbeat instead of the last entry.

--- a/crates/kernel/src/gossip.rs
+++ b/crates/kernel/src/gossip.rs
@@ -3,6 +3,7 @@
 //! A message holds the sender's entry, a few whole entries and more heartbeats, at most [`OTHERS`]
 //! in all, whatever the size of the fleet.
 
+use std::cmp::Reverse;
 use std::collections::VecDeque;
 
 use crate::ids::{Millis, Name};
@@ -18,10 +19,9 @@
 const NEWS: usize = 12;
 /// Unchanged entries in a message, for VMs that missed a change.
 const WINDOW: usize = 2;
-/// Heartbeats of the own zone in a message: its limits are the shortest.
-const OWN_ZONE_BEATS: usize = 24;
-/// Heartbeats of other zones in a message.
-const OTHER_ZONE_BEATS: usize = 10;
+/// Share of heartbeats of other zones in a message to a VM of the own zone, as one in so many: the
+/// limits within a zone are the shortest.
+const OTHER_ZONE_SHARE: usize = 8;
 /// Peers in a round.
 pub(crate) const PEERS: usize = 3;
 /// Peers of the own zone among them.
@@ -73,10 +73,8 @@
     seeds: Vec<Name>,
     own_zone: Ring,
     other_zones: Ring,
-    /// Places of the rotating window of entries and heartbeats, apart from the choice of peers.
+    /// The rotating window of entries.
     entries: Ring,
-    own_beats: Ring,
-    other_beats: Ring,
     /// Changed VMs and in how many more messages they are told.
     news: VecDeque<(Name, usize)>,
 }
@@ -92,8 +90,6 @@
             own_zone: Ring::default(),
             other_zones: Ring::default(),
             entries: Ring::default(),
-            own_beats: Ring::default(),
-            other_beats: Ring::default(),
             news: VecDeque::new(),
         }
     }
@@ -108,23 +104,16 @@
     }
 
     pub(crate) fn join(&mut self, vm: &Name, is_own_zone: bool) {
-        let (peers, beats) = match is_own_zone {
-            true => (&mut self.own_zone, &mut self.own_beats),
-            false => (&mut self.other_zones, &mut self.other_beats),
+        let peers = match is_own_zone {
+            true => &mut self.own_zone,
+            false => &mut self.other_zones,
         };
         peers.join(vm, &mut self.random);
-        beats.join(vm, &mut self.random);
         self.entries.join(vm, &mut self.random);
     }
 
     pub(crate) fn leave(&mut self, vm: &Name) {
-        let rings = [
-            &mut self.own_zone,
-            &mut self.other_zones,
-            &mut self.entries,
-            &mut self.own_beats,
-            &mut self.other_beats,
-        ];
+        let rings = [&mut self.own_zone, &mut self.other_zones, &mut self.entries];
         for ring in rings {
             ring.leave(vm);
         }
@@ -249,50 +238,66 @@
     peers.extend(members.rounds.revive(&members.members));
     peers.extend(members.rounds.unanswered(&members.members));
     for peer in peers {
-        let gossip = compose(members);
+        let gossip = compose(members, &peer);
         out.send(&peer, Message::Gossip(gossip));
     }
 }
 
-fn compose(members: &mut Table) -> Gossip {
+fn compose(members: &mut Table, peer: &str) -> Gossip {
+    let is_own_zone = members
+        .get(peer)
+        .is_none_or(|member| member.entry.zone == members.zone);
+    let entries = whole(members);
+    let room = (1 + OTHERS).saturating_sub(entries.len());
+    let others = match is_own_zone {
+        true => room / OTHER_ZONE_SHARE,
+        false => room / 2,
+    };
+    let mut beats = freshest(members, &entries, false, others);
+    let room = room - beats.len();
+    beats.extend(freshest(members, &entries, true, room));
+    Gossip { entries, beats }
+}
+
+/// The entries that a message carries whole: this VM's, changed ones and a few of the rest.
+fn whole(members: &mut Table) -> Vec<Entry> {
+    let mut vms = vec![members.own.clone()];
+    vms.extend(members.rounds.tell(NEWS));
+    for _ in 0..WINDOW {
+        vms.extend(members.rounds.entries.turn(|_| true));
+    }
+    let mut entries: Vec<Entry> = Vec::new();
+    for vm in vms {
+        let is_told = entries.iter().any(|entry| entry.vm == vm);
+        if let (Some(member), false) = (members.get(&vm), is_told) {
+            entries.push(member.entry.clone());
+        }
+    }
+    entries
+}
+
+/// The heartbeats that moved last, of the own zone or of the others. Older ones are of no use to a
+/// peer that has probably heard newer ones.
+fn freshest(members: &mut Table, told: &[Entry], is_own_zone: bool, count: usize) -> Vec<Beat> {
     let Table {
         members,
-        own,
         rounds,
+        zone,
         ..
     } = members;
-    let mut entries: Vec<Entry> = vec![members[own].entry.clone()];
-    let tell = |vm: &Name, entries: &mut Vec<Entry>| {
-        let is_told = entries.iter().any(|entry| entry.vm == *vm);
-        if let (Some(member), false) = (members.get(vm), is_told) {
-            entries.push(member.entry.clone());
-        }
-    };
-    for vm in rounds.tell(NEWS) {
-        tell(&vm, &mut entries);
-    }
-    for _ in 0..WINDOW {
-        if let Some(vm) = rounds.entries.turn(|_| true) {
-            tell(&vm, &mut entries);
-        }
-    }
-    let mut beats: Vec<Beat> = Vec::new();
-    let mut beat = |ring: &mut Ring, count: usize| {
-        for _ in 0..count.min(ring.vms.len()) {
-            let Some(vm) = ring.turn(|vm| !entries.iter().any(|entry| entry.vm == *vm)) else {
-                return;
-            };
-            beats.extend(
-                members
-                    .get(&vm)
-                    .filter(|member| member.view == View::Alive)
-                    .map(of),
-            );
-        }
-    };
-    beat(&mut rounds.own_beats, OWN_ZONE_BEATS);
-    beat(&mut rounds.other_beats, OTHER_ZONE_BEATS);
-    Gossip { entries, beats }
+    let mut live: Vec<(Reverse<Millis>, u64, &Member)> = members
+        .values()
+        .filter(|member| (member.entry.zone == *zone) == is_own_zone)
+        .filter(|member| member.view == View::Alive)
+        .filter(|member| !told.iter().any(|entry| entry.vm == member.entry.vm))
+        // Those that came in one message moved at the same time; chance decides among them.
+        .map(|member| (Reverse(member.moved), rounds.random.next(), member))
+        .collect();
+    live.sort_by_key(|(moved, chance, _)| (*moved, *chance));
+    live.into_iter()
+        .take(count)
+        .map(|(.., member)| of(member))
+        .collect()
 }
 
 fn of(member: &Member) -> Beat {
--- a/crates/kernel/src/member.rs
+++ b/crates/kernel/src/member.rs
@@ -61,7 +61,7 @@
 pub struct Table {
     pub(crate) members: Map<Name, Member>,
     pub(crate) own: Name,
-    zone: Name,
+    pub(crate) zone: Name,
     /// Highest fencing token heard for each pool.
     owners: Map<pool::Key, (Name, Fence)>,
     listed: Option<Map<Name, bool>>,
@@ -236,7 +236,7 @@
         let Some(member) = self.members.remove(vm) else {
             return;
         };
-        let entry = member.entry;
+        let (entry, beat) = (member.entry, member.beat);
         self.rounds.leave(vm);
         self.own_pools(
             Some(&entry),
@@ -246,7 +246,7 @@
             },
         );
         self.removed
-            .push_back((vm.clone(), entry.incarnation, entry.heartbeat));
+            .push_back((vm.clone(), entry.incarnation, beat));
         if self.removed.len() > REMOVED {
             self.removed.pop_front();
         }
--- a/crates/kernel/tests/fleet/mod.rs
+++ b/crates/kernel/tests/fleet/mod.rs
@@ -149,6 +149,9 @@
     }
 
     pub fn event(&mut self, ix: usize, event: Event<'_>) {
+        if self.nodes[ix].gone {
+            return;
+        }
         let mut out = Vec::new();
         let now = Millis(self.now + self.nodes[ix].clock);
         self.nodes[ix].kernel.handle(event, now, &mut out);
@@ -361,6 +364,10 @@
 }
 
 impl Node {
+    pub fn drop_inbox(&mut self) {
+        self.inbox.clear();
+    }
+
     pub fn count(&self, what: &str) -> u64 {
         self.counts.get(what).copied().unwrap_or(0)
     }
