Keep a withdrawn request's later attempts, and doubt the ledger on any unknown progress

Cause: a withdrawn request could not be asked for again at the same owner, and progress of a later attempt of an ended request did not reopen the inventory. Change: withdrawal remembers nothing; every progress entry outside the ledger asks its VM again; deaths of idle targets are not broadcast; the pool's ledger is the field running.

--- a/crates/kernel/src/accounting.rs
+++ b/crates/kernel/src/accounting.rs
@@ -41,7 +41,7 @@
     if matches!(pool.rights, Rights::Other { .. }) && *from != **own {
         return out.count(Counter::Ignored("ask_not_owner"));
     }
-    if pool.ledger.is_ended(&ask.id, ask.attempt) {
+    if pool.running.is_ended(&ask.id, ask.attempt) {
         return out.count(Counter::Ignored("ask_ended"));
     }
     if is_answered(pool, ask, now, out) {
@@ -57,14 +57,14 @@
 
 /// Deals with an ask for a request that already has a grant; says whether nothing is left to do.
 fn is_answered(pool: &mut Pool, ask: &Ask, now: Millis, out: &mut Outbox) -> bool {
-    let Some(running) = pool.ledger.get(&ask.id) else {
+    let Some(running) = pool.running.get(&ask.id) else {
         return false;
     };
     if running.ask.attempt < ask.attempt {
         // The entry VM has given up the earlier attempt; its release was lost or is late.
         let earlier = running.ask.attempt;
         pool.forget(&ask.id, now);
-        pool.ledger.end(&ask.id, earlier);
+        pool.running.end(&ask.id, earlier);
         return false;
     }
     if running.ask.attempt > ask.attempt || running.confirmed {
@@ -91,7 +91,7 @@
 /// whichever copy the entry VM uses.
 fn resend(pool: &mut Pool, id: &Id, is_fresh: bool, now: Millis, out: &mut Outbox) {
     let rights = pool.rights;
-    let Some(running) = pool.ledger.get_mut(id) else {
+    let Some(running) = pool.running.get_mut(id) else {
         return;
     };
     let Some(grant) = &mut running.grant else {
@@ -170,7 +170,7 @@
     };
     pool.queue.remove(id);
     let is_unused = pool
-        .ledger
+        .running
         .get(id)
         .is_some_and(|running| !running.confirmed);
     if is_unused {
@@ -178,9 +178,6 @@
             take_back(pool, &running, now);
         }
     }
-    if pool.ledger.get(id).is_none() {
-        pool.ledger.end(id, u32::MAX);
-    }
     schedule::run(state, key, now, out);
 }
 
@@ -205,13 +202,13 @@
     let mut is_unknown = false;
     for entry in entries {
         let id = Id::new(from, entry.incarnation, entry.counter);
-        match pool.ledger.get_mut(&id) {
+        match pool.running.get_mut(&id) {
             Some(running) => {
                 running.heard = now;
                 running.confirmed = true;
                 running.silent = None;
             }
-            None => is_unknown |= !pool.ledger.is_ended(&id, 1),
+            None => is_unknown = true,
         }
         pool.advance(&id, entry.tokens, now);
     }
@@ -220,7 +217,7 @@
     }
     // The batch names all that runs: what it has left out for long has ended.
     let left_out = pool
-        .ledger
+        .running
         .select(|running| *running.ask.id.vm == *from && now.since(running.heard) >= SILENCE);
     for id in left_out {
         pool.forget(&id, now);
@@ -239,12 +236,12 @@
     if queued.is_some_and(|attempt| attempt <= release.attempt) && release.end != End::Unsent {
         pool.queue.remove(id);
     }
-    let attempt = pool.ledger.get(id).map(|running| running.ask.attempt);
+    let attempt = pool.running.get(id).map(|running| running.ask.attempt);
     if attempt.is_some_and(|attempt| attempt <= release.attempt) {
         settle(pool, release, now);
     }
     if release.end != End::Unsent {
-        pool.ledger.end(id, release.attempt);
+        pool.running.end(id, release.attempt);
     }
     pool.drop_removed();
     schedule::run(state, &release.pool, now, out);
@@ -314,8 +311,10 @@
     if let Finding::Died(start_id) = finding {
         let death = death(pool, ix, start_id, now);
         out.warn(format!("target={target} start_id={start_id} died"));
-        for vm in takeover::vms(state) {
-            out.send(&vm, Message::Death(death.clone()));
+        // A death of an idle target says nothing about any body.
+        let vms = takeover::vms(state);
+        for vm in vms.iter().filter(|_| !death.running.is_empty()) {
+            out.send(vm, Message::Death(death.clone()));
         }
     }
     schedule::run(state, &key, now, out);
@@ -325,7 +324,7 @@
 fn free_unseen(pool: &mut Pool, target: usize, report: &Report, now: Millis) {
     let shown = (report.running + report.waiting) as usize;
     let excess = pool.targets[target].work.len().saturating_sub(shown);
-    let unseen = pool.ledger.select(|running| {
+    let unseen = pool.running.select(|running| {
         running.target == target
             && running
                 .silent
@@ -342,7 +341,7 @@
     let mut running: Vec<Suspect> = slot
         .work
         .iter()
-        .filter_map(|id| pool.ledger.get(id))
+        .filter_map(|id| pool.running.get(id))
         .filter(|running| !slot.is_blamed(running.granted))
         .map(|running| suspect(&running.ask))
         .collect();
@@ -384,7 +383,7 @@
             }
         }
         let gone = pool
-            .ledger
+            .running
             .select(|running| running.silent.is_some() && departed.contains(&running.ask.id.vm));
         for id in gone {
             pool.forget(&id, now);
@@ -444,7 +443,7 @@
 ) {
     let is_holder = matches!(pool.rights, Rights::Holder(_));
     let targets = &pool.targets;
-    let freed = pool.ledger.select(|running| {
+    let freed = pool.running.select(|running| {
         let id = &running.ask.id;
         let is_over = newest
             .get(&id.vm)
@@ -456,7 +455,7 @@
         pool.forget(&id, now);
         out.count(Counter::Event("work_silent"));
     }
-    for running in pool.ledger.values_mut() {
+    for running in pool.running.values_mut() {
         if running.silent.is_none() && now.since(running.heard) >= SILENCE {
             running.silent = Some(now);
         }
--- a/crates/kernel/src/ledger.rs
+++ b/crates/kernel/src/ledger.rs
@@ -90,6 +90,11 @@
         self.running.iter()
     }
 
+    /// Every running request, in the order of their ids.
+    pub fn values(&self) -> impl Iterator<Item = &Running> {
+        self.running.values()
+    }
+
     pub(crate) fn get_mut(&mut self, id: &Id) -> Option<&mut Running> {
         self.running.get_mut(id)
     }
--- a/crates/kernel/src/pool.rs
+++ b/crates/kernel/src/pool.rs
@@ -9,7 +9,7 @@
 use crate::ids::{Fence, Millis, Name};
 use crate::intent::Intent;
 use crate::kernel::{Outbox, State};
-use crate::ledger::{Ledger, Running};
+use crate::ledger::Ledger;
 use crate::length::Lengths;
 use crate::map::Map;
 use crate::peer::{Ask, Message};
@@ -22,6 +22,7 @@
 use crate::takeover::{self, Hint, Listing, Rights, Takeover, HANDED_PAUSE};
 use crate::target::Slot;
 
+pub use crate::ledger::Running;
 pub use crate::takeover::Snapshot;
 
 /// Interval of periodic work: deadlines, silence, hellos. A quarter of a second keeps the delay of
@@ -75,7 +76,7 @@
     /// Waiting requests.
     pub queue: Queue,
     /// Running work.
-    pub ledger: Ledger,
+    pub running: Ledger,
     /// Arena of targets.
     pub targets: Vec<Slot>,
     /// Limits and policy in force.
@@ -297,7 +298,7 @@
             held: None,
             takeover: None,
             queue: Queue::default(),
-            ledger: Ledger::default(),
+            running: Ledger::default(),
             targets: Vec::new(),
             config: resource::Configuration::default(),
             out: false,
@@ -318,7 +319,7 @@
     pub fn running_on(&self, target: usize) -> impl Iterator<Item = &Ask> {
         let slot = self.targets.get(target).into_iter();
         slot.flat_map(|slot| &slot.work)
-            .filter_map(|id| self.ledger.get(id))
+            .filter_map(|id| self.running.get(id))
             .map(|running| &running.ask)
     }
 
@@ -411,12 +412,12 @@
         let slot = &mut self.targets[running.target];
         slot.adjust_kv(running.ask.class, running.kv, 0);
         slot.work.insert(running.ask.id.clone());
-        self.ledger.insert(running);
+        self.running.insert(running);
     }
 
     /// Takes running work out of the ledger.
     pub(crate) fn forget(&mut self, id: &Id, now: Millis) -> Option<Running> {
-        let running = self.ledger.remove(id)?;
+        let running = self.running.remove(id)?;
         let slot = &mut self.targets[running.target];
         slot.adjust_kv(running.ask.class, 0, running.kv);
         if slot.work.remove(id) {
@@ -427,14 +428,14 @@
 
     /// Takes in how many tokens a running request has put out.
     pub(crate) fn advance(&mut self, id: &Id, tokens: u32, now: Millis) {
-        let Some(running) = self.ledger.get(id) else {
+        let Some(running) = self.running.get(id) else {
             return;
         };
         let kv = self.projected_at(&running.ask, tokens.max(running.tokens));
         let (name, before) = (running.ask.organisation.clone(), running.tokens);
         let slot = &mut self.targets[running.target];
         slot.adjust_kv(running.ask.class, kv, running.kv);
-        if let Some(running) = self.ledger.get_mut(id) {
+        if let Some(running) = self.running.get_mut(id) {
             running.kv = kv;
             running.tokens = tokens.max(before);
         }
@@ -456,7 +457,7 @@
     fn is_unused(&self, now: Millis) -> bool {
         !self.is_holder()
             && self.queue.is_empty()
-            && self.ledger.is_empty()
+            && self.running.is_empty()
             && now.since(self.used) >= UNUSED_LIMIT
     }
 
@@ -517,7 +518,7 @@
         let is_gone = |slot: &Slot| slot.absence.removed && slot.work.is_empty();
         while let Some(gone) = self.targets.iter().position(is_gone) {
             self.targets.remove(gone);
-            for running in self.ledger.values_mut() {
+            for running in self.running.values_mut() {
                 running.target -= usize::from(running.target > gone);
             }
             self.reserved = None;
