--- a/crates/kernel/src/accounting.rs
+++ b/crates/kernel/src/accounting.rs
@@ -20,8 +20,6 @@
 const TELL_INTERVAL: u64 = 1_000;
 /// Bound on a pool's queue whatever its configuration says, to bound memory.
 const QUEUE_MAX: usize = 16_384;
-/// A VM whose heartbeat has not moved for this time is not told.
-const TELL_SILENCE: u64 = 30_000;
 
 /// Takes in that an entry VM asks for a start.
 pub(crate) fn asked(state: &mut State, from: &str, ask: &Ask, now: Millis, out: &mut Outbox) {
@@ -483,12 +481,9 @@
 /// Describes the targets to the VMs of the zone, which use it in fallback.
 pub(crate) fn tell(state: &mut State, key: &Key, now: Millis, out: &mut Outbox) {
     let own = state.identity.vm.clone();
-    let mut vms: Vec<Name> = state
-        .members
-        .iter()
-        .filter(|member| member.entry.zone == key.zone && member.entry.vm != own)
-        .filter(|member| member.entry.standing != Standing::Leaving)
-        .filter(|member| now.since(member.moved) < TELL_SILENCE)
+    let members = state.members.in_zone(&key.zone);
+    let mut vms: Vec<Name> = members
+        .filter(|member| member.entry.vm != own && member.entry.standing != Standing::Leaving)
         .map(|member| member.entry.vm.clone())
         .collect();
     vms.sort();
--- a/crates/kernel/src/pool.rs
+++ b/crates/kernel/src/pool.rs
@@ -185,6 +185,7 @@
     if state.pools.revision != state.intent.revision {
         refresh(state, now);
     }
+    takeover::hand_over(state, now, out);
     match event {
         Event::Peer { from, message } => hear(state, from, message, now, out),
         Event::Report { target, report } => accounting::report(state, target, *report, now, out),
@@ -256,18 +257,10 @@
 
 /// Starts to schedule pools whose lease this VM got.
 fn discover(state: &mut State, now: Millis, out: &mut Outbox) {
-    let mut keys: Vec<Key> = state
-        .intent
-        .targets()
-        .iter()
-        .filter(|(_, target)| target.zone == state.identity.zone)
-        .map(|(_, target)| Key::new(&target.service, &target.zone))
-        .collect();
-    keys.sort();
-    keys.dedup();
+    let held = state.leases.held(now).into_iter();
+    let keys: Vec<Key> = held.map(|(key, _)| key.clone()).collect();
     for key in keys {
-        let is_held = state.leases.fence(&key, now).is_some();
-        if is_held && state.pools.get(&key).is_none() && !state.pools.is_handed(&key, now) {
+        if !state.pools.is_handed(&key, now) {
             let State { pools, intent, .. } = state;
             pools.ensure(&key, intent, now);
         }
@@ -470,8 +463,7 @@
         now: Millis,
     ) {
         let service = intent.service(&self.key.service);
-        let named = service.and_then(|service| service.configuration.as_deref());
-        let config = intent.configuration(named.unwrap_or("default"));
+        let config = intent.governing(&self.key.service);
         self.config = config.cloned().unwrap_or_default();
         self.protocol = service.map_or(Protocol::Model, |service| service.protocol);
         self.stages = Stages::new(policies, &self.config.policy);
@@ -491,18 +483,16 @@
     }
 
     fn refresh_targets(&mut self, intent: &Intent, hint: Option<&Hint>, now: Millis) {
-        let targets = intent.targets();
-        let own: Vec<_> = targets
-            .iter()
-            .filter(|(_, spec)| spec.service == self.key.service && spec.zone == self.key.zone)
+        let own: Vec<(&Name, &resource::Target)> = intent
+            .pool_targets(&self.key.service, &self.key.zone)
             .collect();
-        for (name, spec) in &own {
+        for &(name, spec) in &own {
             if let Some(ix) = self.position(name) {
                 self.targets[ix].respecify(spec);
                 continue;
             }
             let mut slot = Slot::new(name, spec);
-            if let Some(hint) = hint.filter(|hint| hint.warm.contains(&***name)) {
+            if let Some(hint) = hint.filter(|hint| hint.warm.contains(name)) {
                 slot.hint_warm(hint.is_fresh(now));
             }
             self.targets.push(slot);
