--- a/crates/kernel/src/pool.rs
+++ b/crates/kernel/src/pool.rs
@@ -9,7 +9,7 @@
 use crate::ids::{Fence, Millis, Name};
 use crate::intent::Intent;
 use crate::kernel::{Outbox, State};
-use crate::ledger::{Ledger, Running};
+use crate::ledger::Ledger;
 use crate::length::Lengths;
 use crate::map::Map;
 use crate::peer::{Ask, Message};
@@ -22,6 +22,7 @@
 use crate::takeover::{self, Hint, Listing, Rights, Takeover, HANDED_PAUSE};
 use crate::target::Slot;
 
+pub use crate::ledger::Running;
 pub use crate::takeover::Snapshot;
 
 /// Interval of periodic work: deadlines, silence, hellos. A quarter of a second keeps the delay of
@@ -75,7 +76,7 @@
     /// Waiting requests.
     pub queue: Queue,
     /// Running work.
-    pub ledger: Ledger,
+    pub running: Ledger,
     /// Arena of targets.
     pub targets: Vec<Slot>,
     /// Limits and policy in force.
@@ -184,6 +185,7 @@
     if state.pools.revision != state.intent.revision {
         refresh(state, now);
     }
+    takeover::hand_over(state, now, out);
     match event {
         Event::Peer { from, message } => hear(state, from, message, now, out),
         Event::Report { target, report } => accounting::report(state, target, *report, now, out),
@@ -255,18 +257,10 @@
 
 /// Starts to schedule pools whose lease this VM got.
 fn discover(state: &mut State, now: Millis, out: &mut Outbox) {
-    let mut keys: Vec<Key> = state
-        .intent
-        .targets()
-        .iter()
-        .filter(|(_, target)| target.zone == state.identity.zone)
-        .map(|(_, target)| Key::new(&target.service, &target.zone))
-        .collect();
-    keys.sort();
-    keys.dedup();
+    let held = state.leases.held(now).into_iter();
+    let keys: Vec<Key> = held.map(|(key, _)| key.clone()).collect();
     for key in keys {
-        let is_held = state.leases.fence(&key, now).is_some();
-        if is_held && state.pools.get(&key).is_none() && !state.pools.is_handed(&key, now) {
+        if !state.pools.is_handed(&key, now) {
             let State { pools, intent, .. } = state;
             pools.ensure(&key, intent, now);
         }
@@ -297,7 +291,7 @@
             held: None,
             takeover: None,
             queue: Queue::default(),
-            ledger: Ledger::default(),
+            running: Ledger::default(),
             targets: Vec::new(),
             config: resource::Configuration::default(),
             out: false,
@@ -318,7 +312,7 @@
     pub fn running_on(&self, target: usize) -> impl Iterator<Item = &Ask> {
         let slot = self.targets.get(target).into_iter();
         slot.flat_map(|slot| &slot.work)
-            .filter_map(|id| self.ledger.get(id))
+            .filter_map(|id| self.running.get(id))
             .map(|running| &running.ask)
     }
 
@@ -411,12 +405,12 @@
         let slot = &mut self.targets[running.target];
         slot.adjust_kv(running.ask.class, running.kv, 0);
         slot.work.insert(running.ask.id.clone());
-        self.ledger.insert(running);
+        self.running.insert(running);
     }
 
     /// Takes running work out of the ledger.
     pub(crate) fn forget(&mut self, id: &Id, now: Millis) -> Option<Running> {
-        let running = self.ledger.remove(id)?;
+        let running = self.running.remove(id)?;
         let slot = &mut self.targets[running.target];
         slot.adjust_kv(running.ask.class, 0, running.kv);
         if slot.work.remove(id) {
@@ -427,14 +421,14 @@
 
     /// Takes in how many tokens a running request has put out.
     pub(crate) fn advance(&mut self, id: &Id, tokens: u32, now: Millis) {
-        let Some(running) = self.ledger.get(id) else {
+        let Some(running) = self.running.get(id) else {
             return;
         };
         let kv = self.projected_at(&running.ask, tokens.max(running.tokens));
         let (name, before) = (running.ask.organisation.clone(), running.tokens);
         let slot = &mut self.targets[running.target];
         slot.adjust_kv(running.ask.class, kv, running.kv);
-        if let Some(running) = self.ledger.get_mut(id) {
+        if let Some(running) = self.running.get_mut(id) {
             running.kv = kv;
             running.tokens = tokens.max(before);
         }
@@ -456,7 +450,7 @@
     fn is_unused(&self, now: Millis) -> bool {
         !self.is_holder()
             && self.queue.is_empty()
-            && self.ledger.is_empty()
+            && self.running.is_empty()
             && now.since(self.used) >= UNUSED_LIMIT
     }
 
@@ -469,8 +463,7 @@
         now: Millis,
     ) {
         let service = intent.service(&self.key.service);
-        let named = service.and_then(|service| service.configuration.as_deref());
-        let config = intent.configuration(named.unwrap_or("default"));
+        let config = intent.governing(&self.key.service);
         self.config = config.cloned().unwrap_or_default();
         self.protocol = service.map_or(Protocol::Model, |service| service.protocol);
         self.stages = Stages::new(policies, &self.config.policy);
@@ -490,18 +483,16 @@
     }
 
     fn refresh_targets(&mut self, intent: &Intent, hint: Option<&Hint>, now: Millis) {
-        let targets = intent.targets();
-        let own: Vec<_> = targets
-            .iter()
-            .filter(|(_, spec)| spec.service == self.key.service && spec.zone == self.key.zone)
+        let own: Vec<(&Name, &resource::Target)> = intent
+            .pool_targets(&self.key.service, &self.key.zone)
             .collect();
-        for (name, spec) in &own {
+        for &(name, spec) in &own {
             if let Some(ix) = self.position(name) {
                 self.targets[ix].respecify(spec);
                 continue;
             }
             let mut slot = Slot::new(name, spec);
-            if let Some(hint) = hint.filter(|hint| hint.warm.contains(&***name)) {
+            if let Some(hint) = hint.filter(|hint| hint.warm.contains(name)) {
                 slot.hint_warm(hint.is_fresh(now));
             }
             self.targets.push(slot);
@@ -517,7 +508,7 @@
         let is_gone = |slot: &Slot| slot.absence.removed && slot.work.is_empty();
         while let Some(gone) = self.targets.iter().position(is_gone) {
             self.targets.remove(gone);
-            for running in self.ledger.values_mut() {
+            for running in self.running.values_mut() {
                 running.target -= usize::from(running.target > gone);
             }
             self.reserved = None;
--- a/crates/kernel/src/takeover.rs
+++ b/crates/kernel/src/takeover.rs
@@ -9,7 +9,7 @@
 use crate::ledger::Running;
 use crate::length::Lengths;
 use crate::outcome::Counter;
-use crate::peer::{self, Ask, Message, Standing};
+use crate::peer::{self, Ask, Message};
 use crate::pool::{Key, Pool, Set};
 use crate::target::{Ramp, REPORT_LAG};
 
@@ -36,7 +36,7 @@
     Holder(Fence),
     /// Its lease lapsed and nobody else is known to hold one: warm targets up to their limits.
     Last,
-    /// It never held the pool: warm targets up to its share of their limits.
+    /// It never held the pool, or another VM did later: warm targets up to its share of their limits.
     Fallback {
         /// VMs of the pool's zone.
         vms: u32,
@@ -138,25 +138,31 @@
     if let Some(fence) = state.leases.fence(key, now).filter(|_| !handed) {
         return Rights::Holder(fence);
     }
-    let vms = zone_vms(state, &key.zone);
+    let vms = state.members.in_zone(&key.zone).count().max(1) as u32;
     let held = state.pools.get(key).and_then(|pool| pool.held);
-    let elsewhere = state
-        .members
-        .owner(key)
-        .is_some_and(|(vm, fence)| *vm != state.identity.vm && Some(fence) > held);
-    match held {
-        _ if elsewhere || handed => Rights::Other { vms },
-        Some(_) => Rights::Last,
-        None => Rights::Fallback { vms },
+    let owner = state.members.owner(key).map(|(vm, _)| vm);
+    if handed || owner.is_some_and(|vm| *vm != state.identity.vm) {
+        return Rights::Other { vms };
+    }
+    match held.is_some() && state.leases.last_fence(key) == held {
+        true => Rights::Last,
+        false => Rights::Fallback { vms },
     }
 }
 
-fn zone_vms(state: &State, zone: &str) -> u32 {
-    let vms = state
-        .members
+/// Sends the pools that are being handed over to their successors.
+pub(crate) fn hand_over(state: &mut State, now: Millis, out: &mut Outbox) {
+    let State { pools, leases, .. } = state;
+    let leaving: Vec<(Key, Name)> = pools
         .iter()
-        .filter(|member| *member.entry.zone == *zone && member.entry.standing != Standing::Leaving);
-    vms.count().max(1) as u32
+        .filter_map(|pool| Some((pool.key.clone(), leases.successor(&pool.key)?.clone())))
+        .filter(|(key, _)| !pools.is_handed(key, now))
+        .collect();
+    for (key, to) in leaving {
+        if let Some(snapshot) = pools.hand_over(&key, now) {
+            out.send(&to, Message::Handover(snapshot));
+        }
+    }
 }
 
 /// Names of all known VMs, sorted.
@@ -188,10 +194,14 @@
             adopt(state, key, fence, now);
             inquire(state, key, now, out);
         }
+        Rights::Fallback { .. } => {
+            pool.takeover = None;
+            pool.held = None;
+        }
         Rights::Other { .. } => {
-            // The holder is asked for these now.
             pool.takeover = None;
             pool.held = None;
+            // The holder is asked for the requests of other VMs now.
             for id in pool.queue.select(|queued| queued.ask.id.vm != own) {
                 pool.queue.remove(&id);
             }
@@ -308,11 +318,11 @@
     let Some(target) = pool.position(&work.target) else {
         return false;
     };
-    if pool.ledger.is_ended(id, work.ask.attempt) {
+    if pool.running.is_ended(id, work.ask.attempt) {
         return false;
     }
     if pool
-        .ledger
+        .running
         .get(id)
         .is_some_and(|known| known.ask.attempt >= work.ask.attempt)
     {
@@ -337,7 +347,7 @@
         ask.patience_ms = queued.deadline.since(now);
         ask
     });
-    let running = pool.ledger.iter().map(|(_, running)| peer::Running {
+    let running = pool.running.iter().map(|(_, running)| peer::Running {
         ask: running.ask.clone(),
         target: pool.targets[running.target].name.clone(),
         tokens: running.tokens,
@@ -390,7 +400,7 @@
         is_whole &= restore(pool, work, now);
     }
     for ask in snapshot.waiting {
-        if pool.ledger.get(&ask.id).is_none() && pool.queue.find(&ask.id).is_none() {
+        if pool.running.get(&ask.id).is_none() && pool.queue.find(&ask.id).is_none() {
             pool.queue.push(ask, now);
         }
     }
--- a/crates/kernel/tests/pool/bed.rs
+++ b/crates/kernel/tests/pool/bed.rs
@@ -83,14 +83,14 @@
 }
 
 impl Bed {
-    /// A kernel without a lease and with these targets, all of which report `phase`.
+    /// A kernel without a store, and so without a lease, with these targets, all of which report `phase`.
     pub fn idle(targets: &[(&str, Target)], phase: Phase, config: Configuration) -> Bed {
         let identity = Identity::new(OWNER, ZONE, Incarnation(5)).with_addresses("p", "c");
         let mut bed = Bed {
             kernel: Kernel::new(identity),
             now: Millis(1_000),
             engines: BTreeMap::new(),
-            store_up: true,
+            store_up: false,
             counted: Vec::new(),
             polled: Vec::new(),
             sent: Vec::new(),
@@ -146,6 +146,7 @@
 
     /// Waits for the lease and answers for the kernel's own VM.
     pub fn become_holder(&mut self) {
+        self.store_up = true;
         for _ in 0..200 {
             self.pass(100);
             if self.held().is_some() {
@@ -433,7 +434,7 @@
         let Some(pool) = self.kernel.state().pools.get(&key()) else {
             return Vec::new();
         };
-        let running = pool.ledger.iter();
+        let running = pool.running.iter();
         running
             .map(|(id, running)| (id.clone(), pool.targets[running.target].name.clone()))
             .collect()
--- a/crates/kernel/tests/pool/takeover.rs
+++ b/crates/kernel/tests/pool/takeover.rs
@@ -96,7 +96,6 @@
         Phase::Warm,
         Configuration::default(),
     );
-    bed.store_up = false;
     bed.hint(&["engine-2"]);
     bed.asks("parlour-1", 12);
     bed.pass(2_000);
@@ -129,7 +128,7 @@
     bed.ask("parlour-1");
     let id = bed.running()[0].0.clone();
     assert_eq!(bed.granted(&id).as_deref(), Some("engine-warm"));
-    assert_eq!(bed.pool().ledger.get(&id).unwrap().fence(), Fence(0));
+    assert_eq!(bed.pool().running.get(&id).unwrap().fence(), Fence(0));
 }
 
 /// Progress of a request that no inventory named means that the ledger is not whole.
