--- /dev/null
+++ b/crates/ctl/src/apply.rs
@@ -0,0 +1,174 @@
+//! `hornbeamctl apply`: creates and replaces the resources of a file.
+
+use argh::FromArgs;
+use hornbeamloom_kernel::ids::Revision;
+use hornbeamloom_kernel::resource::{Book, Key, Kind, Record};
+use hornbeamloom_kernel::validate;
+use hornbeamloom_wire::manifest::{self, Document};
+use reqwest::Method;
+use serde_json::{json, Value};
+
+use crate::client::{Client, Error};
+use crate::command::{self, Plugin};
+
+inventory::submit! {
+    Plugin { name: "apply", help: "create or replace the resources of a file", run }
+}
+
+/// Create or replace the resources of a YAML or JSON file.
+#[derive(Debug, FromArgs)]
+struct Args {
+    /// the file, with one or more documents; - reads standard input
+    #[argh(option, short = 'f')]
+    file: String,
+    /// check and print what would be done
+    #[argh(switch)]
+    dry_run: bool,
+}
+
+fn run(client: &Client, words: &[&str]) -> Result<(), Error> {
+    let Some(args) = command::parse::<Args>("apply", words)? else {
+        return Ok(());
+    };
+    let documents = documents(&args.file)?;
+    command::block_on(async {
+        match args.dry_run {
+            true => check(client, &documents).await,
+            false => apply(client, &documents).await,
+        }
+    })
+}
+
+/// The documents of a file, in the order in which references need them.
+fn documents(path: &str) -> Result<Vec<Document>, Error> {
+    let text = match path {
+        "-" => std::io::read_to_string(std::io::stdin()),
+        path => std::fs::read_to_string(path),
+    };
+    let text = text.map_err(|source| Error::File {
+        path: path.to_owned(),
+        source,
+    })?;
+    let documents = manifest::read_file(&text);
+    let mut documents = documents.map_err(|error| Error::Usage(format!("{path}: {error}")))?;
+    if let Some(ix) = documents
+        .iter()
+        .position(|document| document.metadata.name.is_none())
+    {
+        let number = ix + 1;
+        let text = format!("{path}: document {number}: metadata.name: is missing");
+        return Err(Error::Usage(text));
+    }
+    documents.sort_by_key(|document| Kind::ALL.iter().position(|kind| *kind == document.kind));
+    Ok(documents)
+}
+
+fn key(document: &Document) -> Key {
+    Key {
+        kind: document.kind,
+        name: document.metadata.name.clone().unwrap_or_default(),
+    }
+}
+
+fn path(key: &Key) -> String {
+    format!("{}/{}", key.kind.plural(), key.name)
+}
+
+async fn apply(client: &Client, documents: &[Document]) -> Result<(), Error> {
+    for document in documents {
+        let path = path(&key(document));
+        let verb = one(client, document, &path).await?;
+        println!("{path} {verb}");
+    }
+    Ok(())
+}
+
+async fn one(client: &Client, document: &Document, path: &str) -> Result<&'static str, Error> {
+    let current = match client.read(path).await {
+        Ok(current) => current,
+        Err(Error::Refused { status: 404, .. }) => {
+            let list = document.kind.plural();
+            client
+                .write(Method::POST, list, Some(&body(document, None)))
+                .await?;
+            return Ok("created");
+        }
+        Err(error) => return Err(error),
+    };
+    let stated = document.metadata.resource_version;
+    let version = match stated {
+        Some(stated) => Some(stated),
+        None => current["metadata"]["resourceVersion"]
+            .as_u64()
+            .map(Revision),
+    };
+    if stated.is_none() && is_same(document, current) {
+        return Ok("unchanged");
+    }
+    let body = body(document, version);
+    client.write(Method::PUT, path, Some(&body)).await?;
+    Ok("configured")
+}
+
+/// Whether the daemon already has this specification, defaults filled in, and these labels.
+fn is_same(document: &Document, current: Value) -> bool {
+    let current = manifest::from_value(current, Some(document.kind));
+    current.is_ok_and(|current| {
+        current.spec == document.spec && current.metadata.labels == document.metadata.labels
+    })
+}
+
+fn body(document: &Document, version: Option<Revision>) -> Value {
+    json!({
+        "apiVersion": manifest::API_VERSION,
+        "kind": document.kind,
+        "metadata": {
+            "name": document.metadata.name,
+            "labels": document.metadata.labels,
+            "resourceVersion": version,
+        },
+        "spec": manifest::spec(&document.spec),
+    })
+}
+
+/// Validates every document against the daemon's resources and the documents before it.
+async fn check(client: &Client, documents: &[Document]) -> Result<(), Error> {
+    let mut book = Book::default();
+    for kind in Kind::ALL {
+        let list = client.read(kind.plural()).await?;
+        let items = list["items"].as_array().cloned().unwrap_or_default();
+        for item in items {
+            if let Ok(document) = manifest::from_value(item, Some(kind)) {
+                book.insert(key(&document), record(&document));
+            }
+        }
+    }
+    for document in documents {
+        let key = key(document);
+        let record = record(document);
+        let path = path(&key);
+        if let Some(fault) = validate::record(&record, &book).first() {
+            return Err(Error::Usage(format!("{path}: {fault}")));
+        }
+        let current = book.insert(key, record.clone());
+        let verb = match current {
+            None => "would be created",
+            Some(current) if current.spec == record.spec && current.labels == record.labels => {
+                "would be unchanged"
+            }
+            Some(_) => "would be configured",
+        };
+        println!("{path} {verb}");
+    }
+    Ok(())
+}
+
+fn record(document: &Document) -> Record {
+    Record {
+        key: key(document),
+        version: document.metadata.resource_version.unwrap_or_default(),
+        generation: document.metadata.generation.unwrap_or(1),
+        labels: document.metadata.labels.clone(),
+        spec: Some(document.spec.clone()),
+    }
+}
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -1,5 +1,17 @@
 //! The resource API as the command line uses it.
 
+use std::time::Duration;
+
+use reqwest::{Method, StatusCode};
+use serde_json::Value;
+
+/// Time to open a connection to the daemon.
+const CONNECT: Duration = Duration::from_secs(2);
+/// Time for one exchange: a write with lost answers takes the daemon at most 8 s.
+const DEADLINE: Duration = Duration::from_secs(15);
+/// Silence after which a watch is broken: bookmarks come every 5 s.
+const SILENCE: Duration = Duration::from_secs(15);
+
 /// A connection to one daemon's operators' address.
 #[derive(Debug, Clone)]
 pub struct Client {
@@ -38,6 +50,95 @@
     pub fn key(&self) -> &str {
         &self.key
     }
+
+    /// Reads a path below `/apis/v1/`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Connect`] and [`Error::Refused`].
+    pub async fn read(&self, path: &str) -> Result<Value, Error> {
+        let request = self.request(Method::GET, path)?.timeout(DEADLINE);
+        let response = request.send().await?;
+        let status = response.status();
+        body(status, &response.bytes().await?)
+    }
+
+    /// Sends a change to a path below `/apis/v1/`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Lost`] if the change may have been applied; otherwise as [`Client::read`].
+    pub async fn write(
+        &self,
+        method: Method,
+        path: &str,
+        document: Option<&Value>,
+    ) -> Result<Value, Error> {
+        let request = self.request(method, path)?.timeout(DEADLINE);
+        let request = match document {
+            Some(document) => request.json(document),
+            None => request,
+        };
+        let response = request.send().await.map_err(lost)?;
+        let status = response.status();
+        body(status, &response.bytes().await.map_err(lost)?)
+    }
+
+    /// Opens a watch below `/apis/v1/`.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::read`].
+    pub async fn watch(&self, path: &str) -> Result<reqwest::Response, Error> {
+        let response = self.request(Method::GET, path)?.send().await?;
+        match response.status().is_success() {
+            true => Ok(response),
+            false => {
+                let status = response.status();
+                body(status, &response.bytes().await?)?;
+                Err(malformed(status))
+            }
+        }
+    }
+
+    fn request(&self, method: Method, path: &str) -> Result<reqwest::RequestBuilder, Error> {
+        let http = reqwest::Client::builder()
+            .no_proxy()
+            .connect_timeout(CONNECT)
+            .read_timeout(SILENCE)
+            .build()?;
+        let url = format!("{}/apis/v1/{path}", self.server);
+        Ok(http.request(method, url).bearer_auth(&self.key))
+    }
+}
+
+/// A write whose connection was never opened was not applied; any other failure leaves it open.
+fn lost(error: reqwest::Error) -> Error {
+    match error.is_connect() || error.is_builder() {
+        true => Error::Connect(error),
+        false => Error::Lost(error),
+    }
+}
+
+fn body(status: StatusCode, bytes: &[u8]) -> Result<Value, Error> {
+    let value: Value = serde_json::from_slice(bytes).map_err(|_| malformed(status))?;
+    if status.is_success() {
+        return Ok(value);
+    }
+    let text = |field: &str| value[field].as_str().unwrap_or_default().to_owned();
+    Err(Error::Refused {
+        status: status.as_u16(),
+        reason: text("reason"),
+        detail: text("detail"),
+    })
+}
+
+fn malformed(status: StatusCode) -> Error {
+    Error::Refused {
+        status: status.as_u16(),
+        reason: "malformed".to_owned(),
+        detail: "the answer is not from a hornbeamloom daemon".to_owned(),
+    }
 }
 
 /// Why a subcommand failed.
@@ -49,6 +150,12 @@
     /// The daemon could not be reached.
     #[error("cannot reach the daemon: {0}")]
     Connect(#[from] reqwest::Error),
+    /// No answer to a change that may have been applied.
+    #[error("no answer, the change may have been applied: {0}")]
+    Lost(reqwest::Error),
+    /// A change is accepted and not in force everywhere in time.
+    #[error("accepted, but not yet in force at: {0}")]
+    Pending(String),
     /// A file could not be read.
     #[error("cannot read {path}: {source}")]
     File {
@@ -75,6 +182,7 @@
         match self {
             Error::Usage(_) | Error::File { .. } => 2,
             Error::Connect(_) => 3,
+            Error::Lost(_) | Error::Pending(_) => 6,
             Error::Refused { status: 409, .. } => 5,
             Error::Refused { status: 504, .. } => 6,
             Error::Refused { .. } => 4,
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -1,5 +1,6 @@
 //! The registry of subcommands.
 
+use std::future::Future;
 use std::process::ExitCode;
 
 use argh::FromArgs;
@@ -33,6 +34,27 @@
     command: Vec<String>,
 }
 
+/// Reads the arguments of a subcommand; `None` after printing its help.
+pub(crate) fn parse<T: FromArgs>(name: &str, words: &[&str]) -> Result<Option<T>, Error> {
+    match T::from_args(&["hornbeamctl", name], words) {
+        Ok(args) => Ok(Some(args)),
+        Err(exit) if exit.status.is_ok() => {
+            println!("{}", exit.output);
+            Ok(None)
+        }
+        Err(exit) => Err(Error::Usage(exit.output)),
+    }
+}
+
+/// Runs a subcommand's work to its end on this thread.
+pub(crate) fn block_on<T>(work: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = runtime.map_err(|error| Error::Usage(format!("cannot start: {error}")))?;
+    runtime.block_on(work)
+}
+
 /// Runs the command line of this process.
 pub fn main() -> ExitCode {
     let args: Args = argh::from_env();
@@ -52,7 +74,20 @@
     }
 }
 
-fn run(client: &Client, words: &[&str]) -> Result<(), Error> {
+/// Runs a subcommand, given its name and arguments.
+///
+/// # Errors
+///
+/// Any [`Error`]; an unknown subcommand is [`Error::Usage`] with the list of subcommands.
+///
+/// ```
+/// use hornbeamloom_ctl::client::Client;
+/// use hornbeamloom_ctl::command;
+///
+/// let client = Client::new("http://127.0.0.1:8200");
+/// assert_eq!(command::run(&client, &["dance"]).unwrap_err().exit_status(), 2);
+/// ```
+pub fn run(client: &Client, words: &[&str]) -> Result<(), Error> {
     let Some((name, rest)) = words.split_first() else {
         return Err(Error::Usage(list()));
     };
--- /dev/null
+++ b/crates/ctl/src/delete.rs
@@ -0,0 +1,41 @@
+//! `hornbeamctl delete`: deletes one resource.
+
+use argh::FromArgs;
+use reqwest::Method;
+
+use crate::client::{Client, Error};
+use crate::command::{self, Plugin};
+use crate::output;
+
+inventory::submit! {
+    Plugin { name: "delete", help: "delete a resource that nothing refers to", run }
+}
+
+/// Delete a resource that nothing refers to.
+#[derive(Debug, FromArgs)]
+struct Args {
+    /// the kind
+    #[argh(positional)]
+    kind: String,
+    /// the name
+    #[argh(positional)]
+    name: String,
+    /// delete only this version
+    #[argh(option)]
+    resource_version: Option<u64>,
+}
+
+fn run(client: &Client, words: &[&str]) -> Result<(), Error> {
+    let Some(args) = command::parse::<Args>("delete", words)? else {
+        return Ok(());
+    };
+    let kind = output::kind(&args.kind)?;
+    let name = format!("{}/{}", kind.plural(), args.name);
+    let path = match args.resource_version {
+        Some(version) => format!("{name}?resourceVersion={version}"),
+        None => name.clone(),
+    };
+    command::block_on(client.write(Method::DELETE, &path, None))?;
+    println!("{name} deleted");
+    Ok(())
+}
--- /dev/null
+++ b/crates/ctl/src/describe.rs
@@ -0,0 +1,44 @@
+//! `hornbeamctl describe`: shows one resource in full, caller keys only counted.
+
+use argh::FromArgs;
+use serde_json::{json, Value};
+
+use crate::client::{Client, Error};
+use crate::command::{self, Plugin};
+use crate::output;
+
+inventory::submit! {
+    Plugin { name: "describe", help: "show one resource with its status", run }
+}
+
+/// Show one resource with its status.
+#[derive(Debug, FromArgs)]
+struct Args {
+    /// the kind
+    #[argh(positional)]
+    kind: String,
+    /// the name
+    #[argh(positional)]
+    name: String,
+}
+
+fn run(client: &Client, words: &[&str]) -> Result<(), Error> {
+    let Some(args) = command::parse::<Args>("describe", words)? else {
+        return Ok(());
+    };
+    let kind = output::kind(&args.kind)?;
+    let path = format!("{}/{}", kind.plural(), args.name);
+    let mut value = command::block_on(client.read(&path))?;
+    hide_keys(&mut value);
+    let text = serde_yaml_ng::to_string(&value);
+    print!("{}", text.map_err(|error| Error::Usage(error.to_string()))?);
+    Ok(())
+}
+
+/// A description is read over shoulders and pasted into tickets, so it holds no caller keys.
+fn hide_keys(value: &mut Value) {
+    if let Some(keys) = value.pointer_mut("/spec/keys") {
+        let count = keys.as_array().map_or(0, Vec::len);
+        *keys = json!(format!("{count} (hidden)"));
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/drain.rs
@@ -0,0 +1,13 @@
+//! `hornbeamctl drain`: takes an availability zone out.
+
+use crate::client::{Client, Error};
+use crate::command::Plugin;
+use crate::zone;
+
+inventory::submit! {
+    Plugin { name: "drain", help: "take an availability zone out: no new work", run }
+}
+
+fn run(client: &Client, words: &[&str]) -> Result<(), Error> {
+    zone::set(client, "drain", words, "out", "drained")
+}
--- /dev/null
+++ b/crates/ctl/src/explain.rs
@@ -0,0 +1,39 @@
+//! `hornbeamctl explain`: why a request went where it did.
+
+use argh::FromArgs;
+
+use crate::client::{Client, Error};
+use crate::command::{self, Plugin};
+use crate::output::{self, cell, Format};
+
+inventory::submit! {
+    Plugin { name: "explain", help: "show why a request went where it did", run }
+}
+
+/// Show why a request went where it did.
+#[derive(Debug, FromArgs)]
+struct Args {
+    /// the request id
+    #[argh(positional)]
+    id: String,
+    /// output: table or json
+    #[argh(option, short = 'o', default = "Format::Table")]
+    output: Format,
+}
+
+fn run(client: &Client, words: &[&str]) -> Result<(), Error> {
+    let Some(args) = command::parse::<Args>("explain", words)? else {
+        return Ok(());
+    };
+    let value = command::block_on(client.read(&format!("explain/{}", args.id)))?;
+    if args.output == Format::Json {
+        output::json(&value);
+        return Ok(());
+    }
+    let steps = value["steps"].as_array().into_iter().flatten();
+    let rows: Vec<Vec<String>> = steps
+        .map(|step| vec![cell(&step["ageMs"]), cell(&step["text"])])
+        .collect();
+    print!("{}", output::table(&["AGE MS", "STEP"], &rows));
+    Ok(())
+}
--- /dev/null
+++ b/crates/ctl/src/get.rs
@@ -0,0 +1,50 @@
+//! `hornbeamctl get`: lists resources of a kind, or shows one.
+
+use argh::FromArgs;
+use serde_json::Value;
+
+use crate::client::{Client, Error};
+use crate::command::{self, Plugin};
+use crate::output::{self, Format};
+
+inventory::submit! {
+    Plugin { name: "get", help: "list the resources of a kind, or show one", run }
+}
+
+/// List the resources of a kind, or show one.
+#[derive(Debug, FromArgs)]
+struct Args {
+    /// the kind
+    #[argh(positional)]
+    kind: String,
+    /// the name
+    #[argh(positional)]
+    name: Option<String>,
+    /// output: table or json
+    #[argh(option, short = 'o', default = "Format::Table")]
+    output: Format,
+}
+
+fn run(client: &Client, words: &[&str]) -> Result<(), Error> {
+    let Some(args) = command::parse::<Args>("get", words)? else {
+        return Ok(());
+    };
+    let kind = output::kind(&args.kind)?;
+    let path = match &args.name {
+        Some(name) => format!("{}/{name}", kind.plural()),
+        None => kind.plural().to_owned(),
+    };
+    let value = command::block_on(client.read(&path))?;
+    match args.output {
+        Format::Json => output::json(&value),
+        Format::Table => print!("{}", output::resources(kind, &items(value, &args.name))),
+    }
+    Ok(())
+}
+
+fn items(value: Value, name: &Option<String>) -> Vec<Value> {
+    match name {
+        Some(_) => vec![value],
+        None => value["items"].as_array().cloned().unwrap_or_default(),
+    }
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -11,3 +11,16 @@
 
 pub mod client;
 pub mod command;
+pub mod output;
+
+mod apply;
+mod delete;
+mod describe;
+mod drain;
+mod explain;
+mod get;
+mod quarantine;
+mod restore;
+mod status;
+mod watch;
+mod zone;
--- /dev/null
+++ b/crates/ctl/src/restore.rs
@@ -0,0 +1,13 @@
+//! `hornbeamctl restore`: lets an availability zone serve again.
+
+use crate::client::{Client, Error};
+use crate::command::Plugin;
+use crate::zone;
+
+inventory::submit! {
+    Plugin { name: "restore", help: "let an availability zone serve again", run }
+}
+
+fn run(client: &Client, words: &[&str]) -> Result<(), Error> {
+    zone::set(client, "restore", words, "in", "restored")
+}
--- /dev/null
+++ b/crates/ctl/src/watch.rs
@@ -0,0 +1,155 @@
+//! `hornbeamctl watch`: follows the resources of a kind.
+
+use std::time::Duration;
+
+use argh::FromArgs;
+use serde_json::Value;
+
+use crate::client::{Client, Error};
+use crate::command::{self, Plugin};
+use crate::output::{self, Format};
+
+/// Reconnections in a row before the watch is given up.
+const RECONNECTIONS_MAX: u32 = 5;
+/// Pause before a reconnection.
+const PAUSE: Duration = Duration::from_secs(1);
+/// Longest line: a resource of 64 KiB with its envelope.
+const LINE_MAX: usize = 1 << 20;
+
+inventory::submit! {
+    Plugin { name: "watch", help: "follow the resources of a kind", run }
+}
+
+/// Follow the resources of a kind until interrupted.
+#[derive(Debug, FromArgs)]
+struct Args {
+    /// the kind
+    #[argh(positional)]
+    kind: String,
+    /// start after this revision instead of with the present resources
+    #[argh(option)]
+    resource_version: Option<u64>,
+    /// end after this many changes
+    #[argh(option)]
+    count: Option<u64>,
+    /// output: table or json
+    #[argh(option, short = 'o', default = "Format::Table")]
+    output: Format,
+}
+
+fn run(client: &Client, words: &[&str]) -> Result<(), Error> {
+    let Some(args) = command::parse::<Args>("watch", words)? else {
+        return Ok(());
+    };
+    let kind = output::kind(&args.kind)?;
+    let mut watch = Watch {
+        plural: kind.plural(),
+        at: args.resource_version,
+        rest: args.count,
+        output: args.output,
+    };
+    command::block_on(follow(client, &mut watch))
+}
+
+struct Watch {
+    plural: &'static str,
+    /// Revision known so far.
+    at: Option<u64>,
+    /// Changes still to be shown, if that is bounded.
+    rest: Option<u64>,
+    output: Format,
+}
+
+impl Watch {
+    fn is_over(&self) -> bool {
+        self.rest == Some(0)
+    }
+}
+
+/// Watches, and resumes where a broken connection ended.
+async fn follow(client: &Client, watch: &mut Watch) -> Result<(), Error> {
+    let mut failures = 0;
+    while !watch.is_over() {
+        let known = watch.at;
+        match once(client, watch).await {
+            Err(error @ Error::Refused { .. }) => return Err(error),
+            Err(error) if failures == RECONNECTIONS_MAX => return Err(error),
+            Err(_) | Ok(()) => {}
+        }
+        failures = if watch.at == known { failures + 1 } else { 0 };
+        if !watch.is_over() {
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+    Ok(())
+}
+
+async fn once(client: &Client, watch: &mut Watch) -> Result<(), Error> {
+    let mut path = format!("{}?watch=true", watch.plural);
+    if let Some(at) = watch.at {
+        path.push_str(&format!("&resourceVersion={at}"));
+    }
+    let mut response = client.watch(&path).await?;
+    let mut buf = Vec::new();
+    while let Some(chunk) = response.chunk().await? {
+        buf.extend_from_slice(&chunk);
+        while let Some(end) = buf.iter().position(|byte| *byte == b'\n') {
+            let line: Vec<u8> = buf.drain(..=end).collect();
+            show(watch, &line)?;
+            if watch.is_over() {
+                return Ok(());
+            }
+        }
+        if buf.len() > LINE_MAX {
+            return Err(refused(502, "malformed", "a line of the watch is too long"));
+        }
+    }
+    Ok(())
+}
+
+fn show(watch: &mut Watch, line: &[u8]) -> Result<(), Error> {
+    let event: Value = serde_json::from_slice(line)
+        .map_err(|_| refused(502, "malformed", "a line of the watch is not JSON"))?;
+    let object = &event["object"];
+    let change = event["type"].as_str().unwrap_or_default();
+    match change {
+        "ERROR" => {
+            let code = object["code"]
+                .as_u64()
+                .and_then(|code| u16::try_from(code).ok());
+            let text = |field: &str| object[field].as_str().unwrap_or_default().to_owned();
+            return Err(refused(
+                code.unwrap_or(500),
+                &text("reason"),
+                &text("detail"),
+            ));
+        }
+        "BOOKMARK" => {
+            // Only a bookmark says that everything up to its revision was sent.
+            watch.at = object["metadata"]["resourceVersion"].as_u64().or(watch.at);
+            return Ok(());
+        }
+        _ => {}
+    }
+    let metadata = &object["metadata"];
+    match watch.output {
+        Format::Json => println!("{event}"),
+        Format::Table => {
+            let (name, version) = (
+                output::cell(&metadata["name"]),
+                output::cell(&metadata["resourceVersion"]),
+            );
+            println!("{change:<9} {}/{name} {version}", watch.plural);
+        }
+    }
+    watch.rest = watch.rest.map(|rest| rest.saturating_sub(1));
+    Ok(())
+}
+
+fn refused(status: u16, reason: &str, detail: &str) -> Error {
+    Error::Refused {
+        status,
+        reason: reason.to_owned(),
+        detail: detail.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/zone.rs
@@ -0,0 +1,70 @@
+//! What `drain` and `restore` share: a change of a zone's state.
+
+use std::time::Duration;
+
+use argh::FromArgs;
+use reqwest::Method;
+use serde_json::{json, Value};
+
+use crate::client::{Client, Error};
+use crate::command;
+
+/// Time between two looks at the status.
+const POLL: Duration = Duration::from_millis(500);
+
+/// Change whether an availability zone takes new work.
+#[derive(Debug, FromArgs)]
+struct Args {
+    /// the availability zone
+    #[argh(positional)]
+    zone: String,
+    /// wait until the change is in force at every VM
+    #[argh(switch)]
+    wait: bool,
+    /// longest wait in seconds
+    #[argh(option, default = "60")]
+    timeout_s: u64,
+}
+
+/// Sets a zone's `spec.state`.
+pub(crate) fn set(
+    client: &Client,
+    name: &str,
+    words: &[&str],
+    state: &str,
+    done: &str,
+) -> Result<(), Error> {
+    let Some(args) = command::parse::<Args>(name, words)? else {
+        return Ok(());
+    };
+    let path = format!("availabilityzones/{}", args.zone);
+    command::block_on(async {
+        let patch = json!({"spec": {"state": state}});
+        let document = client.write(Method::PATCH, &path, Some(&patch)).await?;
+        println!("{path} {done}");
+        match args.wait {
+            true => wait(client, &path, document, args.timeout_s).await,
+            false => Ok(()),
+        }
+    })
+}
+
+/// Waits until the accepted version, or a later one, is in force at every VM.
+async fn wait(client: &Client, path: &str, document: Value, timeout_s: u64) -> Result<(), Error> {
+    let deadline = tokio::time::Instant::now() + Duration::from_secs(timeout_s);
+    let accepted = document["metadata"]["resourceVersion"].as_u64();
+    let mut current = document;
+    loop {
+        let status = &current["status"];
+        let is_seen = current["metadata"]["resourceVersion"].as_u64() >= accepted;
+        if is_seen && status["pendingCount"].as_u64() == Some(0) {
+            println!("{path} in force at every VM");
+            return Ok(());
+        }
+        if tokio::time::Instant::now() >= deadline {
+            return Err(Error::Pending(status["pending"].to_string()));
+        }
+        tokio::time::sleep(POLL).await;
+        current = client.read(path).await?;
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -24,5 +24,15 @@
 pub mod run;
 pub mod settings;
 
+mod failure;
+mod jitter;
+mod operators;
+mod platform;
+mod snapshot;
+mod status;
+mod table;
+mod watch;
+mod write;
+
 /// The parts of a daemon use these names for its collections.
 pub use hornbeamloom_kernel::map;
--- /dev/null
+++ b/crates/daemon/src/platform.rs
@@ -0,0 +1,177 @@
+//! The platform adapter: follows the table's resources, carries out store calls, reads the list
+//! of VMs and keeps a snapshot of the resources in the object store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hornbeamloom_kernel::event::Vm;
+use hornbeamloom_kernel::ids::Revision;
+use hornbeamloom_kernel::outcome::Outcome;
+use hornbeamloom_kernel::store::{Answer, Call};
+use serde::Deserialize;
+use tokio::sync::Semaphore;
+
+use crate::control::Input;
+use crate::edge::{Context, Error, Inbox, Plugin};
+use crate::table::{self, Client, Failure, DEADLINE};
+use crate::{jitter, snapshot};
+
+/// Time between two reads of the head.
+const HEAD_EVERY: Duration = Duration::from_secs(1);
+/// Time between two reads of the head in a large fleet.
+const HEAD_EVERY_LARGE: Duration = Duration::from_secs(2);
+/// Fleets with more VMs read the head less often, to stay within the table's read rate.
+const LARGE_FLEET: usize = 32;
+/// Time between two reads of the list of VMs.
+const VMS_EVERY: Duration = Duration::from_secs(2);
+/// Store calls in flight.
+const CALLS_MAX: usize = 64;
+/// Failed reads of the head after which a VM without resources takes the snapshot; peers, which
+/// may know a newer revision, have had that time to send theirs.
+const SNAPSHOT_AFTER: u32 = 3;
+
+inventory::submit! {
+    Plugin {
+        name: "platform",
+        rank: 40,
+        takes: |outcome| matches!(outcome, Outcome::Store(_)),
+        start,
+    }
+}
+
+fn start(context: Context, inbox: Inbox) -> Result<(), Error> {
+    let http = table::http().map_err(|error| Error::Setting(error.to_string()))?;
+    let platform = context.settings.borrow().platform.clone();
+    let table = Client::new(http.clone(), &platform.table);
+    let objects = snapshot::Store::new(http.clone(), &platform.objects);
+    tokio::spawn(follow(context.clone(), table.clone(), objects.clone()));
+    tokio::spawn(carry_out(context.clone(), table, inbox));
+    tokio::spawn(snapshot::keep(context.clone(), objects));
+    tokio::spawn(list(context, http, platform.vms.to_string()));
+    Ok(())
+}
+
+/// Reads the head, and the changes when it has moved, for as long as the process runs.
+async fn follow(context: Context, table: Client, objects: snapshot::Store) {
+    let mut failures = 0;
+    loop {
+        match read(&context, &table).await {
+            Ok(input) => {
+                failures = 0;
+                context.control.tell(input);
+            }
+            Err(_) => {
+                failures += 1;
+                context.control.tell(Input::StoreDown);
+                if failures >= SNAPSHOT_AFTER {
+                    snapshot::recover(&context, &objects).await;
+                }
+            }
+        }
+        tokio::time::sleep(jitter::around(pause(&context).await)).await;
+    }
+}
+
+async fn read(context: &Context, table: &Client) -> Result<Input, Failure> {
+    let head = table.head().await?;
+    let own = context.intent.borrow().revision;
+    if head > own {
+        let changes = table.changes(own, None).await?;
+        return Ok(Input::Changes(changes.delta()));
+    }
+    if head < own {
+        // The table was restored from an older state; what is in force never reverts.
+        metrics::counter!("hornbeamloom_ignored_total", "input" => "store_regressed").increment(1);
+        log::warn!("ignored=store_regressed head={} own={}", head.0, own.0);
+    }
+    Ok(Input::Head(head))
+}
+
+async fn pause(context: &Context) -> Duration {
+    let count = context
+        .control
+        .ask(|state, _, _| state.members.iter().count(), "")
+        .await;
+    match count {
+        Some(count) if count > LARGE_FLEET => HEAD_EVERY_LARGE,
+        _ => HEAD_EVERY,
+    }
+}
+
+/// Carries out the kernel's store calls.
+async fn carry_out(context: Context, table: Client, mut inbox: Inbox) {
+    let permits = Arc::new(Semaphore::new(CALLS_MAX));
+    while let Some(outcome) = inbox.recv().await {
+        let Outcome::Store(call) = outcome else {
+            continue;
+        };
+        let (context, table, permits) = (context.clone(), table.clone(), permits.clone());
+        tokio::spawn(async move {
+            let Call { id, op } = call;
+            // A call that waits for its turn beyond the deadline was never sent.
+            let answer = match tokio::time::timeout(DEADLINE, permits.acquire()).await {
+                Ok(_permit) => table.carry_out(&op).await,
+                Err(_) => Answer::Unavailable,
+            };
+            context.control.tell(Input::Store(id, answer));
+        });
+    }
+}
+
+/// Reads the platform's list of VMs for as long as the process runs.
+async fn list(context: Context, http: reqwest::Client, base: String) {
+    let url = format!("{}/v1/vms", base.trim_end_matches('/'));
+    loop {
+        match vms(&http, &url).await {
+            Some(vms) => context.control.tell(Input::Vms(vms)),
+            None => {
+                metrics::counter!("hornbeamloom_ignored_total", "input" => "vms").increment(1);
+            }
+        }
+        tokio::time::sleep(jitter::around(VMS_EVERY)).await;
+    }
+}
+
+async fn vms(http: &reqwest::Client, url: &str) -> Option<Vec<Vm>> {
+    #[derive(Deserialize)]
+    struct List {
+        vms: Vec<Vm>,
+    }
+    let response = http.get(url).send().await.ok()?;
+    let response = response.error_for_status().ok()?;
+    let body = table::collect(response).await.ok()?;
+    let list: List = serde_json::from_slice(&body).ok()?;
+    Some(list.vms)
+}
+
+/// Whether this VM, by its own view of its zone, is the one that does work meant for one VM.
+///
+/// Two views may differ for some seconds; the work must be conditional.
+pub(crate) async fn is_first(context: &Context) -> bool {
+    let first = context.control.ask(
+        |state, now, _| {
+            let zone = &state.identity.zone;
+            let own = &state.identity.vm;
+            let is_live = |member: &&hornbeamloom_kernel::member::Member| {
+                member.entry.vm == *own || now.since(member.moved) < GONE_MS
+            };
+            state
+                .members
+                .iter()
+                .filter(|member| member.entry.zone == *zone)
+                .filter(is_live)
+                .all(|member| member.entry.vm >= *own)
+        },
+        "",
+    );
+    first.await.unwrap_or(false)
+}
+
+/// Silence after which a VM of the own zone is passed over, in milliseconds: the limit of
+/// section 3.12 of the design page.
+const GONE_MS: u64 = 6_000;
+
+/// The revision in force on this VM.
+pub(crate) fn revision(context: &Context) -> Revision {
+    context.intent.borrow().revision
+}
--- /dev/null
+++ b/crates/daemon/src/table.rs
@@ -0,0 +1,244 @@
+//! The platform's transactional table over HTTP.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hornbeamloom_kernel::ids::Revision;
+use hornbeamloom_kernel::peer::Delta;
+use hornbeamloom_kernel::resource::Key;
+use hornbeamloom_kernel::store::{Answer, Op};
+use hornbeamloom_wire::etcd::{self, Decided, Done, Found, Malformed, Range, Step, Txn};
+use hornbeamloom_wire::manifest::{self, Stored};
+use hornbeamloom_wire::table;
+
+/// Time for one exchange with the table: the bound of the design page.
+pub(crate) const DEADLINE: Duration = Duration::from_secs(2);
+/// Time to open a connection, short enough that a failed connect is known before the deadline.
+const CONNECT: Duration = Duration::from_secs(1);
+/// Largest answer in bytes: all resources at the two-year scale are under 4 MiB.
+const ANSWER_MAX: usize = 64 << 20;
+
+/// An exchange failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Failure {
+    /// It had no effect: nothing was sent, or it was refused.
+    Unavailable,
+    /// The request may have taken effect.
+    Unknown,
+}
+
+/// A client of one HTTP service of the platform.
+#[derive(Debug, Clone)]
+pub(crate) struct Client {
+    http: reqwest::Client,
+    base: String,
+}
+
+/// An HTTP client for the platform's services.
+pub(crate) fn http() -> Result<reqwest::Client, reqwest::Error> {
+    reqwest::Client::builder()
+        .no_proxy()
+        .connect_timeout(CONNECT)
+        .timeout(DEADLINE)
+        .build()
+}
+
+impl Client {
+    pub(crate) fn new(http: reqwest::Client, base: &str) -> Client {
+        Client {
+            http,
+            base: base.trim_end_matches('/').to_owned(),
+        }
+    }
+
+    async fn post(&self, path: &str, body: Vec<u8>) -> Result<Bytes, Failure> {
+        let request = self
+            .http
+            .post(format!("{}{path}", self.base))
+            .header("content-type", "application/json")
+            .body(body);
+        let response = request.send().await.map_err(|error| classify(&error))?;
+        let status = response.status();
+        if status.is_success() {
+            return collect(response).await;
+        }
+        count("status");
+        // A gateway's 5xx may follow a write that took effect; a 4xx is refused before that.
+        match status.is_server_error() {
+            true => Err(Failure::Unknown),
+            false => Err(Failure::Unavailable),
+        }
+    }
+
+    /// Reads; any failure is `Unavailable`, because a read has no effect.
+    pub(crate) async fn range(&self, range: &Range) -> Result<Found, Failure> {
+        let body = etcd::range_body(range);
+        let bytes = self.post(etcd::RANGE_PATH, body).await;
+        let bytes = bytes.map_err(|_| Failure::Unavailable)?;
+        etcd::read_range(&bytes).map_err(|error| malformed(error, Failure::Unavailable))
+    }
+
+    /// Carries out a transaction.
+    pub(crate) async fn txn(&self, txn: &Txn) -> Result<Decided, Failure> {
+        let bytes = self.post(etcd::TXN_PATH, etcd::txn_body(txn)).await?;
+        etcd::read_txn(&bytes).map_err(|error| malformed(error, Failure::Unknown))
+    }
+
+    /// Carries out one of the kernel's operations.
+    pub(crate) async fn carry_out(&self, op: &Op) -> Answer {
+        let (path, body) = table::request(op);
+        let answer = match self.post(path, body).await {
+            Ok(bytes) => {
+                table::answer(op, &bytes).map_err(|error| malformed(error, Failure::Unknown))
+            }
+            Err(failure) => Err(failure),
+        };
+        match (answer, op) {
+            (Ok(answer), _) => answer,
+            (Err(Failure::Unknown), Op::Write(_)) => Answer::Unknown,
+            (Err(_), _) => Answer::Unavailable,
+        }
+    }
+
+    /// The revision of the head; zero before the first resource.
+    pub(crate) async fn head(&self) -> Result<Revision, Failure> {
+        let found = self.range(&Range::one(table::HEAD)).await?;
+        let version = found.pairs.first().map_or(0, |pair| pair.version);
+        Ok(Revision(version))
+    }
+
+    /// Reads the changes after a revision, consistent at one revision of the table.
+    ///
+    /// `own` is a record whose present version is wanted as well.
+    pub(crate) async fn changes(
+        &self,
+        since: Revision,
+        own: Option<&Key>,
+    ) -> Result<Changes, Failure> {
+        let txn = Txn {
+            success: read_steps(since, own),
+            ..Txn::default()
+        };
+        let decided = self.txn(&txn).await.map_err(|_| Failure::Unavailable)?;
+        Changes::read(since, &decided.steps).map_err(|error| malformed(error, Failure::Unavailable))
+    }
+}
+
+/// The steps whose results [`Changes::read`] takes.
+pub(crate) fn read_steps(since: Revision, own: Option<&Key>) -> Vec<Step> {
+    let resources = Range::prefix(table::RESOURCES).with_modified_since(since.0 + 1);
+    let own = own.map(|key| Range::one(&table::resource_path(key.kind, &key.name)));
+    [Range::one(table::HEAD), resources]
+        .into_iter()
+        .chain(own)
+        .map(Step::Range)
+        .collect()
+}
+
+/// Changes of resources as the table has them at one revision.
+#[derive(Debug)]
+pub(crate) struct Changes {
+    /// The revision before them.
+    pub(crate) since: Revision,
+    /// The configuration revision reached.
+    pub(crate) head: Revision,
+    /// The changed resources.
+    pub(crate) stored: Vec<Stored>,
+    /// Table version of the record asked for; zero if it does not exist.
+    pub(crate) own_version: Revision,
+    /// The record asked for, if it can be understood.
+    pub(crate) own: Option<Stored>,
+}
+
+impl Changes {
+    /// Reads the results of [`read_steps`]; records that cannot be understood are counted and
+    /// left out.
+    pub(crate) fn read(since: Revision, steps: &[Done]) -> Result<Changes, Malformed> {
+        let [Done::Range(head), Done::Range(resources), rest @ ..] = steps else {
+            return Err(Malformed("not the reads asked for"));
+        };
+        let own = match rest {
+            [Done::Range(found), ..] => found.pairs.first(),
+            _ => None,
+        };
+        let changed = |pair: &&etcd::Pair| pair.version > since.0;
+        Ok(Changes {
+            since,
+            head: Revision(head.pairs.first().map_or(0, |pair| pair.version)),
+            stored: resources
+                .pairs
+                .iter()
+                .filter(changed)
+                .filter_map(read)
+                .collect(),
+            own_version: Revision(own.map_or(0, |pair| pair.version)),
+            own: own.and_then(read),
+        })
+    }
+
+    /// The same changes as the kernel takes them.
+    pub(crate) fn delta(&self) -> Delta {
+        let records = self.stored.iter().map(|stored| stored.record.clone());
+        Delta {
+            from: self.since,
+            to: self.head,
+            complete: self.since == Revision(0),
+            records: records.collect(),
+        }
+    }
+}
+
+fn read(pair: &etcd::Pair) -> Option<Stored> {
+    let Some(key) = table::read_resource_path(&pair.key) else {
+        ignore("resource_kind", &pair.key, "unknown kind");
+        return None;
+    };
+    match manifest::read_stored(&key, &pair.value, Revision(pair.version)) {
+        Ok(stored) => Some(stored),
+        Err(error) => {
+            ignore("resource_corrupt", &pair.key, &error.to_string());
+            None
+        }
+    }
+}
+
+fn ignore(what: &'static str, key: &str, problem: &str) {
+    metrics::counter!("hornbeamloom_ignored_total", "input" => what).increment(1);
+    log::warn!("ignored={what} key={key:?} problem={problem:?}");
+}
+
+fn malformed(error: Malformed, failure: Failure) -> Failure {
+    count("malformed");
+    log::warn!("ignored=table_answer problem={:?}", error.0);
+    failure
+}
+
+fn classify(error: &reqwest::Error) -> Failure {
+    if error.is_connect() {
+        count("connect");
+        return Failure::Unavailable;
+    }
+    count(if error.is_timeout() {
+        "timeout"
+    } else {
+        "broken"
+    });
+    Failure::Unknown
+}
+
+fn count(reason: &'static str) {
+    metrics::counter!("hornbeamloom_store_failures_total", "reason" => reason).increment(1);
+}
+
+/// Reads a bounded body.
+pub(crate) async fn collect(mut response: reqwest::Response) -> Result<Bytes, Failure> {
+    let mut body = bytes::BytesMut::new();
+    while let Some(chunk) = response.chunk().await.map_err(|error| classify(&error))? {
+        if body.len() + chunk.len() > ANSWER_MAX {
+            count("oversized");
+            return Err(Failure::Unknown);
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod store;
 pub mod stream;
 pub mod target;
+pub mod validate;
 
 mod eligible;
 mod fair;
--- a/crates/kernel/src/resource.rs
+++ b/crates/kernel/src/resource.rs
@@ -22,11 +22,13 @@
 
 impl Kind {
     /// Every kind, in the order in which a file of resources is applied.
+    ///
+    /// A kind refers only to kinds that stand before it, so references have no cycles.
     pub const ALL: [Kind; 5] = [
         Kind::Configuration,
-        Kind::Organisation,
         Kind::AvailabilityZone,
         Kind::Service,
+        Kind::Organisation,
         Kind::Target,
     ];
 
