--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,6 +9,17 @@
 //! assert!(names.contains(&"daemon"));
 //! ```
 
+pub mod cluster;
+pub mod process;
 pub mod role;
 
+mod batch;
+mod cache;
 mod daemon;
+mod engine;
+mod host;
+mod platform;
+mod proxy;
+mod service;
+mod table;
+mod up;
