--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -64,6 +64,7 @@
 pub mod stream;
 pub mod takeover;
 pub mod target;
+pub mod validate;
 
 mod accounting;
 mod affinity;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,3 +3,6 @@
 pub mod frame;
 
 pub use frame::Frame;
+pub mod etcd;
+pub mod manifest;
+pub mod table;
