--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,3 +6,7 @@
 pub mod etcd;
 pub mod manifest;
 pub mod table;
+pub mod error;
+pub mod openai;
+pub mod report;
+pub mod sse;
