--- a/crates/kernel/src/crash.rs
+++ b/crates/kernel/src/crash.rs
@@ -83,7 +83,7 @@
         return;
     }
     let pool = state.pools.get(&release.pool);
-    let Some(running) = pool.and_then(|pool| pool.ledger.get(&release.id)) else {
+    let Some(running) = pool.and_then(|pool| pool.running.get(&release.id)) else {
         return;
     };
     let suspect = suspect(&running.ask);
@@ -126,7 +126,7 @@
         slot.is_some_and(|slot| *slot.name == *target)
     };
     let running = pool
-        .ledger
+        .running
         .iter()
         .map(|(_, running)| running)
         .filter(runs_there);
--- a/crates/kernel/src/isolate.rs
+++ b/crates/kernel/src/isolate.rs
@@ -15,7 +15,7 @@
     if !is_suspect(ask.fingerprint) {
         return true;
     }
-    let mut running = view.pool.ledger.iter().map(|(_, running)| running);
+    let mut running = view.pool.running.iter().map(|(_, running)| running);
     !running.any(|running| {
         running.target == target
             && running.ask.fingerprint != ask.fingerprint
--- a/crates/kernel/src/quarantine.rs
+++ b/crates/kernel/src/quarantine.rs
@@ -283,7 +283,7 @@
             crash::released(state, release, now);
             if release.end == End::Complete {
                 let pool = state.pools.get(&release.pool);
-                let running = pool.and_then(|pool| pool.ledger.get(&release.id));
+                let running = pool.and_then(|pool| pool.running.get(&release.id));
                 let fingerprint = running.map(|running| running.ask.fingerprint);
                 fingerprint
                     .into_iter()
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,10 +3,10 @@
 pub mod frame;
 
 pub use frame::Frame;
+pub mod error;
 pub mod etcd;
 pub mod manifest;
-pub mod table;
-pub mod error;
 pub mod openai;
 pub mod report;
 pub mod sse;
+pub mod table;
