Test claims of calls that run at most once

Cause: claims had no cases. Change: a table of scripts against a small table with lost answers, lost writes, outages and claims of other processes, and the sizes of batches.

--- /dev/null
+++ b/crates/kernel/tests/claim.rs
@@ -0,0 +1,189 @@
+//! Calls that run at most once: claims, kept outcomes and what lost answers do to them.
+
+mod common;
+
+use common::{Do, Store, World};
+use hornbeamloom_kernel::outcome::{Outcome, Reason};
+use hornbeamloom_kernel::request::End;
+use hornbeamloom_kernel::store::{Key, Op};
+
+/// Runs a script and compares everything that the VM did and what the table says.
+fn does(steps: &[Do], expected: &[&str]) {
+    let mut world = World::new();
+    assert_eq!(world.run(steps), expected);
+}
+
+hornbeamloom_kernel::cases! {
+    does;
+
+    // A call would be sent before other VMs can see its claim (I6).
+    a_call_is_claimed_before_it_is_asked_for: (
+        &[Do::Once(1, "k", 7), Do::Look("k")],
+        &["ask e2 for 1", "claim k is held"],
+    );
+    // A second call with the key would run again instead of getting the first answer (I6).
+    the_same_key_again_gets_the_kept_answer: (
+        &[
+            Do::Once(1, "k", 7), Do::Grant(1, "e2", "t1"), Do::Began(1), Do::Answered(1),
+            Do::Look("k"), Do::Once(2, "k", 7),
+        ],
+        &["ask e2 for 1", "start 1 on t1", "release 1 on t1 Complete to e2", "claim k has an outcome", "replay 2"],
+    );
+    // Two calls with one key would run side by side (I6).
+    the_same_key_while_it_runs_is_refused: (
+        &[Do::Once(1, "k", 7), Do::Once(2, "k", 7)],
+        &["ask e2 for 1", "refuse 2 InProgress ran Unknown"],
+    );
+    // A caller would get the answer to another call (I4).
+    the_same_key_with_another_body_is_refused: (
+        &[
+            Do::Once(1, "k", 7), Do::Once(2, "k", 8), Do::Grant(1, "e2", "t1"), Do::Answered(1),
+            Do::Once(3, "k", 8),
+        ],
+        &[
+            "ask e2 for 1", "refuse 2 KeyReused ran No", "start 1 on t1",
+            "release 1 on t1 Complete to e2", "refuse 3 KeyReused ran No",
+        ],
+    );
+    // A call would run without a claim while the store is down (I6), or be refused as maybe run.
+    a_store_that_is_down_refuses_as_not_run: (
+        &[Do::Store(Store::Down), Do::Once(1, "k", 7), Do::Arrive(2)],
+        &["refuse 1 StoreUnavailable ran No", "ask e2 for 2"],
+    );
+    // A caller would wait for a store that never answers, and its late claim would block the key.
+    a_store_that_never_answers_refuses_in_time: (
+        &[
+            Do::Store(Store::Silent), Do::Once(1, "k", 7), Do::Wait(5_000), Do::Store(Store::Up),
+            Do::Wait(20_000), Do::Once(2, "k", 7),
+        ],
+        &["refuse 1 StoreUnavailable ran No", "ask e2 for 2"],
+    );
+    // A claim whose answer was lost would be refused or block its own key for ever.
+    a_lost_answer_is_read_back: (
+        &[Do::Store(Store::LoseAnswer), Do::Once(1, "k", 7), Do::Look("k")],
+        &["ask e2 for 1", "claim k is held"],
+    );
+    // A call would be taken for claimed although the write was lost (I6).
+    a_lost_write_is_repeated: (
+        &[Do::Store(Store::LoseWrite), Do::Once(1, "k", 7), Do::Look("k"), Do::Wait(1_000), Do::Look("k")],
+        &["claim k is absent", "ask e2 for 1", "claim k is held"],
+    );
+    // A claim whose caller left before the answer would block its key.
+    a_claim_is_deleted_when_its_caller_left: (
+        &[
+            Do::Store(Store::LoseWrite), Do::Once(1, "k", 7), Do::Depart(1),
+            Do::Wait(5_000), Do::Look("k"), Do::Once(2, "k", 7),
+        ],
+        &["claim k is absent", "ask e2 for 2"],
+    );
+    // A call that was refused before the start could never be made with its key again.
+    a_claim_is_deleted_when_nothing_was_sent: (
+        &[Do::Once(1, "k", 7), Do::Refuse(1, "e2", Reason::Quarantined), Do::Look("k")],
+        &["ask e2 for 1", "refuse 1 Quarantined ran No", "claim k is absent"],
+    );
+    // The call would be sent twice after a byte may have left (I6).
+    no_retry_after_a_byte_may_have_left: (
+        &[Do::Once(1, "k", 7), Do::Grant(1, "e2", "t1"), Do::Began(1), Do::End(1, End::Broken, 0), Do::Look("k"), Do::Once(2, "k", 7)],
+        &[
+            "ask e2 for 1", "start 1 on t1", "refuse 1 TargetFailed ran Unknown",
+            "release 1 on t1 Broken to e2", "claim k is abandoned", "refuse 2 OutcomeUnknown ran Unknown",
+        ],
+    );
+    // A call that a full target rejected would fail although it did not run.
+    a_rejected_call_is_repeated_under_its_claim: (
+        &[Do::Once(1, "k", 7), Do::Grant(1, "e2", "t1"), Do::Began(1), Do::End(1, End::Rejected, 0), Do::Wait(100), Do::Look("k")],
+        &[
+            "ask e2 for 1", "start 1 on t1", "retry TargetRejected", "release 1 on t1 Rejected to e2",
+            "ask e2 for 1 but t1", "claim k is held",
+        ],
+    );
+    // An outcome that the store did not take would be lost, and the key would look unfinished.
+    an_outcome_is_stored_after_an_outage: (
+        &[
+            Do::Once(1, "k", 7), Do::Grant(1, "e2", "t1"), Do::Store(Store::Down), Do::Answered(1),
+            Do::Look("k"), Do::Store(Store::Up), Do::Wait(2_000), Do::Look("k"),
+        ],
+        &[
+            "ask e2 for 1", "start 1 on t1", "release 1 on t1 Complete to e2", "claim k is held",
+            "claim k has an outcome",
+        ],
+    );
+    // The answer of a call whose caller lost its connection would be forgotten.
+    an_answer_after_the_caller_left_is_kept: (
+        &[
+            Do::Once(1, "k", 7), Do::Grant(1, "e2", "t1"), Do::Began(1), Do::Depart(1),
+            Do::Answered(1), Do::Look("k"),
+        ],
+        &["ask e2 for 1", "start 1 on t1", "release 1 on t1 Cancelled to e2", "claim k has an outcome"],
+    );
+    // A key would stay in progress for ever after its caller left during the call.
+    a_call_whose_caller_left_becomes_unknown: (
+        &[
+            Do::Once(1, "k", 7), Do::Grant(1, "e2", "t1"), Do::Began(1), Do::Depart(1),
+            Do::Wait(61_000), Do::Look("k"),
+        ],
+        &["ask e2 for 1", "start 1 on t1", "release 1 on t1 Cancelled to e2", "claim k is abandoned"],
+    );
+    // A call that another VM runs would run twice (I6).
+    a_claim_of_a_live_vm_is_in_progress: (
+        &[Do::Seed("k", "e3", 1, 7), Do::Once(1, "k", 7)],
+        &["refuse 1 InProgress ran Unknown"],
+    );
+    // The claim of a process that is gone would be taken for running work for ever.
+    a_claim_of_an_earlier_incarnation_is_unknown: (
+        &[Do::Seed("k", "e3", 0, 7), Do::Seed("l", "e1", 0, 7), Do::Once(1, "k", 7), Do::Once(2, "l", 7)],
+        &["refuse 1 OutcomeUnknown ran Unknown", "refuse 2 OutcomeUnknown ran Unknown"],
+    );
+    // The claim of a VM that was replaced would be taken for running work for ever.
+    a_claim_of_a_vm_no_longer_listed_is_unknown: (
+        &[
+            Do::Listed(&["e1", "e2", "e3"]), Do::Listed(&["e1", "e2"]),
+            Do::Seed("k", "e3", 1, 7), Do::Once(1, "k", 7),
+        ],
+        &["refuse 1 OutcomeUnknown ran Unknown"],
+    );
+    // A caller would be told that its other call is in progress.
+    a_claim_with_another_body_is_refused: (
+        &[Do::Seed("k", "e3", 1, 8), Do::Once(1, "k", 7)],
+        &["refuse 1 KeyReused ran No"],
+    );
+    // The process would exit before the outcome of its last call is kept.
+    a_stop_waits_for_outcomes: (
+        &[
+            Do::Once(1, "k", 7), Do::Grant(1, "e2", "t1"), Do::Stop, Do::Store(Store::Down),
+            Do::Answered(1), Do::Store(Store::Up), Do::Wait(1_000),
+        ],
+        &["ask e2 for 1", "start 1 on t1", "release 1 on t1 Complete to e2", "drained"],
+    );
+}
+
+/// Sizes of the batches in which `calls` claims are written while the first is in flight.
+fn batches(calls: u64, expected: &[usize]) {
+    let keys: Vec<String> = (1..=calls).map(|n| format!("k{n}")).collect();
+    let mut world = World::new();
+    world.run(&[Do::Store(Store::Silent)]);
+    for (n, key) in (1..).zip(&keys) {
+        let key: &'static str = key.clone().leak();
+        world.run(&[Do::Once(n, key, n)]);
+    }
+    world.run(&[Do::Store(Store::Up)]);
+    world.answer_held();
+    let sizes = world.outcomes.iter().filter_map(|outcome| match outcome {
+        Outcome::Store(call) => match &call.op {
+            Op::Write(writes) if matches!(writes[0].key, Key::Claim { .. }) => Some(writes.len()),
+            _ => None,
+        },
+        _ => None,
+    });
+    let sizes: Vec<usize> = sizes.take(expected.len()).collect();
+    assert_eq!(sizes, expected);
+}
+
+hornbeamloom_kernel::cases! {
+    batches;
+
+    // Each claim would cost a write of its own, and the store takes only some hundred a second.
+    claims_gather_while_a_batch_is_in_flight: (5, &[1, 4]);
+    // One transaction would grow beyond what the store accepts.
+    a_batch_has_at_most_64_writes: (70, &[1, 64, 5]);
+}
