--- a/crates/kernel/src/ask.rs
+++ b/crates/kernel/src/ask.rs
@@ -5,8 +5,8 @@
 use crate::kernel::{Outbox, State};
 use crate::map::Map;
 use crate::outcome::{Counter, Reason, Refusal, Retry};
-use crate::peer::{Ask, Message, Release};
-use crate::request::{End, Id};
+use crate::peer::{Ask, Message};
+use crate::request::Id;
 use crate::{retry, route};
 
 /// Time after which an unanswered ask is sent again, in milliseconds.
@@ -195,7 +195,7 @@
         Step::Renew => renew(state, id, now, out),
         Step::Silent => give_up(state, id, now, out),
         Step::Elsewhere => {
-            leave(state, id, out);
+            withdraw(state, id, out);
             next(state, id, now, out);
         }
         Step::Spill => spill(state, id, now, out),
@@ -263,7 +263,7 @@
     out.count(Counter::Retry(Retry::AskTimeout));
     state.log.note(now, id, format!("no answer from {to}"));
     remember(&mut state.entry.owners.silent, &to, now);
-    leave(state, id, out);
+    withdraw(state, id, out);
     next(state, id, now, out);
 }
 
@@ -278,34 +278,14 @@
     let view = entry::route_view(state, &silent);
     match route::next(&view, &request.ask, &tried).filter(|hop| !hop.fallback) {
         Some(hop) => {
-            leave(state, id, out);
+            withdraw(state, id, out);
             go(state, id, hop, now, out);
         }
         None => send(state, id, now, out),
     }
 }
 
-/// Ends an unanswered attempt at one VM; the request may come back there under a later attempt,
-/// which `Withdraw` would rule out.
-fn leave(state: &State, id: &Id, out: &mut Outbox) {
-    let Some(request) = state.entry.requests.get(id) else {
-        return;
-    };
-    if let Phase::Asking(asking) = &request.phase {
-        let release = Release {
-            pool: request.ask.pool.clone(),
-            id: id.clone(),
-            attempt: request.ask.attempt,
-            target: "".into(),
-            end: End::Cancelled,
-            tokens: 0,
-            first_token_ms: None,
-        };
-        out.send(&asking.to, Message::Release(release));
-    }
-}
-
-/// Takes an unanswered ask back for good.
+/// Takes an unanswered ask back; the request may come back later under a higher attempt number.
 pub(crate) fn withdraw(state: &State, id: &Id, out: &mut Outbox) {
     let Some(request) = state.entry.requests.get(id) else {
         return;
--- a/crates/kernel/tests/common/mod.rs
+++ b/crates/kernel/tests/common/mod.rs
@@ -589,9 +589,6 @@
                 Some(format!("ask {to} for {}{but}", ask.id.counter))
             }
             Message::Withdraw { id, .. } => Some(format!("withdraw {} from {to}", id.counter)),
-            Message::Release(release) if release.target.is_empty() => {
-                Some(format!("leave {to} with {}", release.id.counter))
-            }
             Message::Release(release) => Some(format!(
                 "release {} on {} {:?} to {to}",
                 release.id.counter, release.target, release.end
--- a/crates/kernel/tests/entry.rs
+++ b/crates/kernel/tests/entry.rs
@@ -57,7 +57,7 @@
     // A waiting request would stay queued in a zone that was taken out.
     a_waiting_request_leaves_a_zone_that_goes_out: (
         &[Do::Arrive(1), Do::Out("a1"), Do::Wait(500)],
-        &["ask e2 for 1", "leave e2 with 1", "ask e3 for 1"],
+        &["ask e2 for 1", "withdraw 1 from e2", "ask e3 for 1"],
     );
     // Work would start in a zone taken out between the grant and the start (I3).
     a_zone_taken_out_before_the_start: (
@@ -103,7 +103,7 @@
     // A request would be lost with the owner that had it in its queue.
     a_new_owner_is_asked: (
         &[Do::Arrive(1), Do::Takes("e3", "a1"), Do::Wait(500)],
-        &["ask e2 for 1", "leave e2 with 1", "ask e3 for 1"],
+        &["ask e2 for 1", "withdraw 1 from e2", "ask e3 for 1"],
     );
     // A target that is full would fail a request that another target can serve.
     a_rejected_attempt_goes_elsewhere: (
