--- a/crates/kernel/src/ask.rs
+++ b/crates/kernel/src/ask.rs
@@ -7,7 +7,7 @@
 use crate::outcome::{Counter, Reason, Refusal, Retry};
 use crate::peer::{Ask, Message};
 use crate::request::Id;
-use crate::route;
+use crate::{retry, route};
 
 /// Time after which an unanswered ask is sent again, in milliseconds.
 const REPEAT_MS: u64 = 500;
@@ -78,9 +78,14 @@
 }
 
 /// Tells another VM that its asks arrive, so that a long wait in the queue is not taken for a
-/// lost owner.
+/// lost owner. A VM that knows another owner is silent, because it ignores the ask.
 pub(crate) fn acknowledge(state: &mut State, from: &str, ask: &Ask, now: Millis, out: &mut Outbox) {
-    if *from == *state.identity.vm {
+    let is_elsewhere = state
+        .members
+        .owner(&ask.pool)
+        .is_some_and(|(owner, _)| *owner != state.identity.vm);
+    let is_held = state.leases.fence(&ask.pool, now).is_some();
+    if *from == *state.identity.vm || (is_elsewhere && !is_held) {
         return;
     }
     let acks = &mut state.entry.owners.acks;
@@ -169,7 +174,8 @@
     };
     request.phase = Phase::Waiting;
     let (retries, deadline) = (request.retries, request.deadline);
-    let delay = state.entry.backoff(state.identity.seed, retries);
+    let seed = retry::seed(&state.identity);
+    let delay = state.entry.backoff(seed, retries);
     state.entry.set_timer(id, now.after(delay).min(deadline));
 }
 
@@ -239,7 +245,7 @@
 }
 
 fn renew(state: &mut State, id: &Id, now: Millis, out: &mut Outbox) {
-    withdraw(state, id, out);
+    // The higher attempt number takes the earlier ask back.
     if let Some(request) = state.entry.requests.get_mut(id) {
         request.ask.attempt += 1;
         if let Phase::Asking(asking) = &mut request.phase {
@@ -279,7 +285,7 @@
     }
 }
 
-/// Takes an unanswered ask back.
+/// Takes an unanswered ask back; the request may come back later under a higher attempt number.
 pub(crate) fn withdraw(state: &State, id: &Id, out: &mut Outbox) {
     let Some(request) = state.entry.requests.get(id) else {
         return;
--- a/crates/kernel/src/isolate.rs
+++ b/crates/kernel/src/isolate.rs
@@ -15,10 +15,8 @@
     if !is_suspect(ask.fingerprint) {
         return true;
     }
-    let mut running = view.pool.running.iter().map(|(_, running)| running);
-    !running.any(|running| {
-        running.target == target
-            && running.ask.fingerprint != ask.fingerprint
-            && is_suspect(running.ask.fingerprint)
-    })
+    !view
+        .pool
+        .running_on(target)
+        .any(|other| other.fingerprint != ask.fingerprint && is_suspect(other.fingerprint))
 }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -70,7 +70,6 @@
 mod affinity;
 mod ask;
 mod attempt;
-mod crash;
 mod eligible;
 mod fair;
 mod fifo;
