Let a new holder learn from its zone which targets were warm

Cause: a VM that restarted and took its pool again started the ramp of every target anew. Change: a VM that answers a hello passes on the former holder's word; the new holder uses it for targets of which it knows nothing else, once a report says warm. Conclusion: hellos, descriptions, deaths and handovers are checked as sent messages as well.

--- a/crates/kernel/src/pool.rs
+++ b/crates/kernel/src/pool.rs
@@ -219,6 +219,7 @@
         }
         Message::Handover(snapshot) => takeover::receive(&mut state.pools, snapshot, now, out),
         Message::Targets { pool, warm, .. } => hint(state, pool, warm, now),
+        Message::Hello { pool, .. } => takeover::advise(state, from, pool, now, out),
         _ => {}
     }
 }
@@ -516,8 +517,21 @@
     }
 
     /// Takes the holder's word that targets are warm, where this VM knows nothing itself.
+    ///
+    /// A new holder gets the word of its predecessor from others; then reports must confirm it.
     fn apply_hint(&mut self, hint: &Hint) {
         if self.is_holder() {
+            let is_new = self
+                .takeover
+                .as_ref()
+                .is_some_and(|new| new.is_recent(hint.at));
+            let targets = self
+                .targets
+                .iter_mut()
+                .filter(|slot| is_new && slot.is_new());
+            for slot in targets.filter(|slot| hint.warm.contains(&slot.name)) {
+                slot.hint_warm(false);
+            }
             return;
         }
         for slot in &mut self.targets {
--- a/crates/kernel/src/takeover.rs
+++ b/crates/kernel/src/takeover.rs
@@ -236,6 +236,11 @@
         seen >= self.at.after(REPORT_LAG)
     }
 
+    /// Whether the take-over began a short time ago.
+    pub(crate) fn is_recent(&self, now: Millis) -> bool {
+        now.since(self.at) < HELLO_EAGER
+    }
+
     /// Takes back that a VM has told everything: it reports work that is not in the ledger.
     pub(crate) fn doubt(&mut self, vm: &str, now: Millis) {
         let due = self
@@ -285,6 +290,20 @@
     }
 }
 
+/// Tells a new holder which targets its predecessor called warm.
+pub(crate) fn advise(state: &State, from: &str, key: &Key, now: Millis, out: &mut Outbox) {
+    let hint = state.pools.hints.get(key);
+    let Some(hint) = hint.filter(|hint| hint.is_fresh(now) && *from != *state.identity.vm) else {
+        return;
+    };
+    let message = Message::Targets {
+        pool: key.clone(),
+        warm: hint.warm.iter().cloned().collect(),
+        cold: Vec::new(),
+    };
+    out.send(&from.into(), message);
+}
+
 /// Takes in what a VM runs in a pool.
 pub(crate) fn inventory(
     state: &mut State,
--- a/crates/kernel/src/target.rs
+++ b/crates/kernel/src/target.rs
@@ -200,6 +200,7 @@
     died: Option<u64>,
     died_at: Option<Millis>,
     hinted: bool,
+    was_cold: bool,
     inherited: Option<u64>,
     slow: u32,
     firsts: VecDeque<u32>,
@@ -228,6 +229,7 @@
             died: None,
             died_at: None,
             hinted: false,
+            was_cold: false,
             inherited: None,
             slow: 0,
             firsts: VecDeque::new(),
@@ -243,6 +245,11 @@
         self.work.len() as u32
     }
 
+    /// Whether nothing has been learned about it but reports that it is warm.
+    pub(crate) fn is_new(&self) -> bool {
+        self.ramp == Ramp::cold(&self.spec) && !self.was_cold && self.died.is_none()
+    }
+
     /// Whether it carries its full load.
     pub fn is_warm(&self) -> bool {
         self.ramp.warm
@@ -302,6 +309,8 @@
     /// Sends the target back to the start of its ramp.
     pub(crate) fn chill(&mut self) {
         self.ramp = Ramp::cold(&self.spec);
+        self.hinted = false;
+        self.was_cold = true;
         self.slow = 0;
         self.firsts.clear();
     }
--- a/crates/kernel/tests/pool/bed.rs
+++ b/crates/kernel/tests/pool/bed.rs
@@ -6,7 +6,9 @@
 use hornbeamloom_kernel::ids::{Fence, Incarnation, Millis, Name, Revision};
 use hornbeamloom_kernel::kernel::{Identity, Kernel};
 use hornbeamloom_kernel::outcome::{Counter, Outcome, Reason};
-use hornbeamloom_kernel::peer::{Ask, Delta, Message, Progress, Release, Running};
+use hornbeamloom_kernel::peer::{
+    Ask, Delta, Entry, Gossip, Message, Progress, Release, Running, Standing,
+};
 use hornbeamloom_kernel::pool::{Key, Pool};
 use hornbeamloom_kernel::request::{Class, End, Id};
 use hornbeamloom_kernel::resource::{self, Configuration, Kind, Record, Spec, Target};
@@ -144,6 +146,30 @@
         self.hear("entry-0", Message::Targets { pool, warm, cold });
     }
 
+    /// Lets the kernel know another VM of the zone, so that it can be sent to.
+    pub fn join(&mut self, vm: &str, incarnation: u64) {
+        let entry = Entry {
+            vm: vm.into(),
+            zone: ZONE.into(),
+            peer_address: format!("{vm}:1").into(),
+            caller_address: format!("{vm}:2").into(),
+            incarnation: Incarnation(incarnation),
+            heartbeat: self.now.0,
+            revision: Revision(self.revision),
+            standing: Standing::Serving,
+            pools: Vec::new(),
+        };
+        let (entries, beats) = (vec![entry], Vec::new());
+        self.hear(vm, Message::Gossip(Gossip { entries, beats }));
+    }
+
+    /// Messages of one kind that were sent to a VM.
+    pub fn sent_to(&self, vm: &str, is_wanted: fn(&Message) -> bool) -> Vec<Message> {
+        let sent = self.sent.iter().filter(|(to, _)| **to == *vm);
+        let messages = sent.map(|(_, message)| message.clone());
+        messages.filter(is_wanted).collect()
+    }
+
     /// Waits for the lease and answers for the kernel's own VM.
     pub fn become_holder(&mut self) {
         self.store_up = true;
--- a/crates/kernel/tests/pool/takeover.rs
+++ b/crates/kernel/tests/pool/takeover.rs
@@ -2,9 +2,8 @@
 
 use hornbeamloom_kernel::cases;
 use hornbeamloom_kernel::ids::{Fence, Incarnation};
-use hornbeamloom_kernel::outcome::Outcome;
 use hornbeamloom_kernel::peer::{Message, Running};
-use hornbeamloom_kernel::request::Id;
+use hornbeamloom_kernel::request::{End, Id};
 use hornbeamloom_kernel::resource::Configuration;
 use hornbeamloom_kernel::target::{Phase, Silence};
 
@@ -220,35 +219,159 @@
 /// Without the death the crash correlation never learns which bodies ran.
 fn death_is_reported(kill: fn(&mut Bed)) {
     let mut bed = Bed::warm(&[("engine-1", target(1, 8, 0))], Configuration::default());
+    bed.join("entry-3", 1);
     bed.asks("parlour-1", 3);
     bed.pass(600);
-    let mut out = Vec::new();
+    let mut bodies: Vec<u64> = bed
+        .pool()
+        .running_on(0)
+        .map(|ask| ask.fingerprint)
+        .collect();
+    bodies.sort();
     kill(&mut bed);
-    let report = hornbeamloom_kernel::target::Report {
-        start_id: 2,
-        phase: Phase::Cold,
-        ..Default::default()
+    bed.pass(1_000);
+    let deaths = bed.sent_to("entry-3", |message| matches!(message, Message::Death(_)));
+    let Some(Message::Death(death)) = deaths.first() else {
+        panic!("no death in {:?}", bed.sent);
     };
-    let engine = &bed.engines["engine-1"];
-    let report = match engine.silence {
-        Some(silence) => Err(silence),
-        None => Ok(&report),
-    };
-    let event = hornbeamloom_kernel::event::Event::Report {
-        target: "engine-1",
-        report,
-    };
-    bed.kernel.handle(event, bed.now, &mut out);
-    let died = out.iter().any(|outcome| {
-        matches!(outcome, Outcome::Log { warn: true, text } if text.contains("start_id=1 died"))
-    });
-    assert!(died, "{out:?}");
+    let ran: Vec<u64> = death
+        .running
+        .iter()
+        .map(|suspect| suspect.fingerprint)
+        .collect();
+    assert_eq!(
+        (&*death.target, death.start_id, ran),
+        ("engine-1", 1, bodies)
+    );
 }
 
 cases! {
     death_is_reported;
-    death_is_reported_when_the_start_id_changes: (|_| {});
+    death_is_reported_when_the_start_id_changes: (|bed| {
+        bed.engines.get_mut("engine-1").unwrap().start_id = 2;
+    });
+    death_is_reported_after_its_attempts_were_released: (|bed| {
+        for (id, _) in bed.running() {
+            bed.end(&id, End::Broken, 0, None);
+        }
+        bed.engines.get_mut("engine-1").unwrap().start_id = 2;
+    });
     death_is_reported_when_polls_are_refused: (|bed| {
         bed.engines.get_mut("engine-1").unwrap().silence = Some(Silence::Refused);
     });
 }
+
+/// A new holder that asks nobody never learns of work on cold targets.
+#[test]
+fn new_holder_asks_every_vm_until_it_answers() {
+    let mut bed = Bed::idle(
+        &[("engine-1", target(1, 4, 0))],
+        Phase::Cold,
+        Configuration::default(),
+    );
+    bed.join("entry-3", 1);
+    bed.list(&[OWNER, "entry-3"]);
+    bed.become_holder();
+    let hellos = |bed: &Bed| {
+        let is_hello = |message: &Message| matches!(message, Message::Hello { .. });
+        bed.sent_to("entry-3", is_hello).len()
+    };
+    assert_eq!(hellos(&bed), 1);
+    bed.pass(2_500);
+    let asked = hellos(&bed);
+    assert!(asked >= 3, "{asked}");
+    bed.inventory("entry-3", Vec::new());
+    bed.pass(5_000);
+    assert_eq!(hellos(&bed), asked);
+}
+
+/// VMs of the zone need the holder's word for fallback and take-over.
+#[test]
+fn holder_describes_its_targets_to_the_zone_every_second() {
+    let targets = [("engine-1", target(1, 4, 0)), ("engine-2", target(1, 4, 0))];
+    let mut bed = Bed::idle(&targets, Phase::Warm, Configuration::default());
+    bed.list(&[OWNER]);
+    bed.hint(&["engine-2"]);
+    bed.become_holder();
+    bed.join("entry-3", 1);
+    bed.pass(3_000);
+    let told = bed.sent_to("entry-3", |message| {
+        matches!(message, Message::Targets { .. })
+    });
+    assert_eq!(told.len(), 3);
+    let (warm, cold) = (vec!["engine-2".into()], vec!["engine-1".into()]);
+    let pool = key();
+    assert_eq!(told[0], Message::Targets { pool, warm, cold });
+}
+
+/// After a restart without any knowledge every target would start its ramp again.
+#[test]
+fn new_holder_learns_from_others_which_targets_were_warm() {
+    let targets = [("engine-1", target(1, 4, 0)), ("engine-2", target(1, 4, 0))];
+    let mut bed = Bed::holder(&targets, Phase::Warm, Configuration::default());
+    bed.engines.get_mut("engine-2").unwrap().phase = Phase::Cold;
+    bed.hint(&["engine-1", "engine-2"]);
+    bed.pass(1_000);
+    let warm: Vec<bool> = bed
+        .pool()
+        .targets
+        .iter()
+        .map(|slot| slot.is_warm())
+        .collect();
+    assert_eq!(
+        warm,
+        [true, false],
+        "a report must confirm the word of others"
+    );
+}
+
+/// The other half: a VM that heard the former holder passes its word on.
+#[test]
+fn vm_tells_a_new_holder_what_its_predecessor_said() {
+    let mut bed = Bed::idle(
+        &[("engine-1", target(1, 4, 0))],
+        Phase::Warm,
+        Configuration::default(),
+    );
+    bed.join("entry-3", 1);
+    bed.hint(&["engine-1"]);
+    let (pool, fence) = (key(), Fence(7));
+    bed.hear("entry-3", Message::Hello { pool, fence });
+    let told = bed.sent_to("entry-3", |message| {
+        matches!(message, Message::Targets { .. })
+    });
+    assert_eq!(told.len(), 1);
+}
+
+/// A restarted entry VM runs nothing of its earlier incarnation.
+#[test]
+fn work_of_an_earlier_incarnation_is_freed() {
+    let mut bed = new_holder();
+    bed.inventory(ENTRY, Vec::new());
+    bed.asks("parlour-1", 5);
+    bed.pass(600);
+    bed.entry_up = false;
+    bed.join(ENTRY, 10);
+    bed.pass(300);
+    assert_eq!(bed.running(), []);
+}
+
+/// A holder that stops must give its queue and ledger to its successor, once.
+#[test]
+fn stopping_holder_hands_its_pool_over() {
+    let mut bed = Bed::warm(&[("engine-1", target(1, 2, 0))], Configuration::default());
+    bed.join("entry-3", 1);
+    bed.asks("parlour-1", 5);
+    bed.pass(600);
+    bed.join("entry-3", 1);
+    bed.handle(hornbeamloom_kernel::event::Event::Stop);
+    bed.entry_up = false;
+    bed.pass(600);
+    let sent = bed.sent_to("entry-3", |message| matches!(message, Message::Handover(_)));
+    let [Message::Handover(snapshot)] = &sent[..] else {
+        panic!("{} handovers", sent.len());
+    };
+    assert_eq!((snapshot.running.len(), snapshot.waiting.len()), (2, 3));
+    assert!(snapshot.ramps.iter().all(|(_, _, ramp)| ramp.warm));
+    assert_eq!(bed.running(), [], "it is not scheduled here any more");
+}
