--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -27,5 +27,15 @@
 pub mod settings;
 pub mod uplink;
 
+mod failure;
+mod jitter;
+mod operators;
+mod platform;
+mod snapshot;
+mod status;
+mod table;
+mod watch;
+mod write;
+
 /// The parts of a daemon use these names for its collections.
 pub use hornbeamloom_kernel::map;
--- a/crates/kernel/src/crash.rs
+++ b/crates/kernel/src/crash.rs
@@ -83,7 +83,7 @@
         return;
     }
     let pool = state.pools.get(&release.pool);
-    let Some(running) = pool.and_then(|pool| pool.running.get(&release.id)) else {
+    let Some(running) = pool.and_then(|pool| pool.ledger.get(&release.id)) else {
         return;
     };
     let suspect = suspect(&running.ask);
@@ -121,11 +121,15 @@
     let Some(pool) = state.pools.get(&key) else {
         return Vec::new();
     };
-    let runs_there = |running: &&crate::pool::Running| {
+    let runs_there = |running: &&crate::ledger::Running| {
         let slot = pool.targets.get(running.target);
         slot.is_some_and(|slot| *slot.name == *target)
     };
-    let running = pool.running.values().filter(runs_there);
+    let running = pool
+        .ledger
+        .iter()
+        .map(|(_, running)| running)
+        .filter(runs_there);
     running.map(|running| suspect(&running.ask)).collect()
 }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -98,6 +98,7 @@
         Message::Delta(_) => "delta",
         Message::Pull { .. } => "pull",
         Message::Ask(_) => "ask",
+        Message::Ack { .. } => "ack",
         Message::Grant(_) => "grant",
         Message::Refuse { .. } => "refuse",
         Message::Withdraw { .. } => "withdraw",
