--- a/crates/kernel/src/accounting.rs
+++ b/crates/kernel/src/accounting.rs
@@ -39,7 +39,7 @@
     if matches!(pool.rights, Rights::Other { .. }) && *from != **own {
         return out.count(Counter::Ignored("ask_not_owner"));
     }
-    if pool.running.is_ended(&ask.id, ask.attempt) {
+    if pool.ledger.is_ended(&ask.id, ask.attempt) {
         return out.count(Counter::Ignored("ask_ended"));
     }
     if is_answered(pool, ask, now, out) {
@@ -55,14 +55,14 @@
 
 /// Deals with an ask for a request that already has a grant; says whether nothing is left to do.
 fn is_answered(pool: &mut Pool, ask: &Ask, now: Millis, out: &mut Outbox) -> bool {
-    let Some(running) = pool.running.get(&ask.id) else {
+    let Some(running) = pool.ledger.get(&ask.id) else {
         return false;
     };
     if running.ask.attempt < ask.attempt {
         // The entry VM has given up the earlier attempt; its release was lost or is late.
         let earlier = running.ask.attempt;
         pool.forget(&ask.id, now);
-        pool.running.end(&ask.id, earlier);
+        pool.ledger.end(&ask.id, earlier);
         return false;
     }
     if running.ask.attempt > ask.attempt || running.confirmed {
@@ -89,7 +89,7 @@
 /// whichever copy the entry VM uses.
 fn resend(pool: &mut Pool, id: &Id, is_fresh: bool, now: Millis, out: &mut Outbox) {
     let rights = pool.rights;
-    let Some(running) = pool.running.get_mut(id) else {
+    let Some(running) = pool.ledger.get_mut(id) else {
         return;
     };
     let Some(grant) = &mut running.grant else {
@@ -168,7 +168,7 @@
     };
     pool.queue.remove(id);
     let is_unused = pool
-        .running
+        .ledger
         .get(id)
         .is_some_and(|running| !running.confirmed);
     if is_unused {
@@ -200,7 +200,7 @@
     let mut is_unknown = false;
     for entry in entries {
         let id = Id::new(from, entry.incarnation, entry.counter);
-        match pool.running.get_mut(&id) {
+        match pool.ledger.get_mut(&id) {
             Some(running) => {
                 running.heard = now;
                 running.confirmed = true;
@@ -215,7 +215,7 @@
     }
     // The batch names all that runs: what it has left out for long has ended.
     let left_out = pool
-        .running
+        .ledger
         .select(|running| *running.ask.id.vm == *from && now.since(running.heard) >= SILENCE);
     for id in left_out {
         pool.forget(&id, now);
@@ -234,12 +234,12 @@
     if queued.is_some_and(|attempt| attempt <= release.attempt) && release.end != End::Unsent {
         pool.queue.remove(id);
     }
-    let attempt = pool.running.get(id).map(|running| running.ask.attempt);
+    let attempt = pool.ledger.get(id).map(|running| running.ask.attempt);
     if attempt.is_some_and(|attempt| attempt <= release.attempt) {
         settle(pool, release, now);
     }
     if release.end != End::Unsent {
-        pool.running.end(id, release.attempt);
+        pool.ledger.end(id, release.attempt);
     }
     pool.drop_removed();
     schedule::run(state, &release.pool, now, out);
@@ -322,7 +322,7 @@
 fn free_unseen(pool: &mut Pool, target: usize, report: &Report, now: Millis) {
     let shown = (report.running + report.waiting) as usize;
     let excess = pool.targets[target].work.len().saturating_sub(shown);
-    let unseen = pool.running.select(|running| {
+    let unseen = pool.ledger.select(|running| {
         running.target == target
             && running
                 .silent
@@ -339,7 +339,7 @@
     let mut running: Vec<Suspect> = slot
         .work
         .iter()
-        .filter_map(|id| pool.running.get(id))
+        .filter_map(|id| pool.ledger.get(id))
         .filter(|running| !slot.is_blamed(running.granted))
         .map(|running| suspect(&running.ask))
         .collect();
@@ -381,7 +381,7 @@
             }
         }
         let gone = pool
-            .running
+            .ledger
             .select(|running| running.silent.is_some() && departed.contains(&running.ask.id.vm));
         for id in gone {
             pool.forget(&id, now);
@@ -441,7 +441,7 @@
 ) {
     let is_holder = matches!(pool.rights, Rights::Holder(_));
     let targets = &pool.targets;
-    let freed = pool.running.select(|running| {
+    let freed = pool.ledger.select(|running| {
         let id = &running.ask.id;
         let is_over = newest
             .get(&id.vm)
@@ -453,7 +453,7 @@
         pool.forget(&id, now);
         out.count(Counter::Event("work_silent"));
     }
-    for running in pool.running.values_mut() {
+    for running in pool.ledger.values_mut() {
         if running.silent.is_none() && now.since(running.heard) >= SILENCE {
             running.silent = Some(now);
         }
--- a/crates/kernel/src/pool.rs
+++ b/crates/kernel/src/pool.rs
@@ -76,7 +76,7 @@
     /// Waiting requests.
     pub queue: Queue,
     /// Running work.
-    pub running: Ledger,
+    pub ledger: Ledger,
     /// Arena of targets.
     pub targets: Vec<Slot>,
     /// Limits and policy in force.
@@ -292,7 +292,7 @@
             held: None,
             takeover: None,
             queue: Queue::default(),
-            running: Ledger::default(),
+            ledger: Ledger::default(),
             targets: Vec::new(),
             config: resource::Configuration::default(),
             out: false,
@@ -313,7 +313,7 @@
     pub fn running_on(&self, target: usize) -> impl Iterator<Item = &Ask> {
         let slot = self.targets.get(target).into_iter();
         slot.flat_map(|slot| &slot.work)
-            .filter_map(|id| self.running.get(id))
+            .filter_map(|id| self.ledger.get(id))
             .map(|running| &running.ask)
     }
 
@@ -406,12 +406,12 @@
         let slot = &mut self.targets[running.target];
         slot.adjust_kv(running.ask.class, running.kv, 0);
         slot.work.insert(running.ask.id.clone());
-        self.running.insert(running);
+        self.ledger.insert(running);
     }
 
     /// Takes running work out of the ledger.
     pub(crate) fn forget(&mut self, id: &Id, now: Millis) -> Option<Running> {
-        let running = self.running.remove(id)?;
+        let running = self.ledger.remove(id)?;
         let slot = &mut self.targets[running.target];
         slot.adjust_kv(running.ask.class, 0, running.kv);
         if slot.work.remove(id) {
@@ -422,14 +422,14 @@
 
     /// Takes in how many tokens a running request has put out.
     pub(crate) fn advance(&mut self, id: &Id, tokens: u32, now: Millis) {
-        let Some(running) = self.running.get(id) else {
+        let Some(running) = self.ledger.get(id) else {
             return;
         };
         let kv = self.projected_at(&running.ask, tokens.max(running.tokens));
         let (name, before) = (running.ask.organisation.clone(), running.tokens);
         let slot = &mut self.targets[running.target];
         slot.adjust_kv(running.ask.class, kv, running.kv);
-        if let Some(running) = self.running.get_mut(id) {
+        if let Some(running) = self.ledger.get_mut(id) {
             running.kv = kv;
             running.tokens = tokens.max(before);
         }
@@ -451,7 +451,7 @@
     fn is_unused(&self, now: Millis) -> bool {
         !self.is_holder()
             && self.queue.is_empty()
-            && self.running.is_empty()
+            && self.ledger.is_empty()
             && now.since(self.used) >= UNUSED_LIMIT
     }
 
@@ -509,7 +509,7 @@
         let is_gone = |slot: &Slot| slot.absence.removed && slot.work.is_empty();
         while let Some(gone) = self.targets.iter().position(is_gone) {
             self.targets.remove(gone);
-            for running in self.running.values_mut() {
+            for running in self.ledger.values_mut() {
                 running.target -= usize::from(running.target > gone);
             }
             self.reserved = None;
--- a/crates/kernel/src/takeover.rs
+++ b/crates/kernel/src/takeover.rs
@@ -337,11 +337,11 @@
     let Some(target) = pool.position(&work.target) else {
         return false;
     };
-    if pool.running.is_ended(id, work.ask.attempt) {
+    if pool.ledger.is_ended(id, work.ask.attempt) {
         return false;
     }
     if pool
-        .running
+        .ledger
         .get(id)
         .is_some_and(|known| known.ask.attempt >= work.ask.attempt)
     {
@@ -366,7 +366,7 @@
         ask.patience_ms = queued.deadline.since(now);
         ask
     });
-    let running = pool.running.iter().map(|(_, running)| peer::Running {
+    let running = pool.ledger.iter().map(|(_, running)| peer::Running {
         ask: running.ask.clone(),
         target: pool.targets[running.target].name.clone(),
         tokens: running.tokens,
@@ -419,7 +419,7 @@
         is_whole &= restore(pool, work, now);
     }
     for ask in snapshot.waiting {
-        if pool.running.get(&ask.id).is_none() && pool.queue.find(&ask.id).is_none() {
+        if pool.ledger.get(&ask.id).is_none() && pool.queue.find(&ask.id).is_none() {
             pool.queue.push(ask, now);
         }
     }
--- a/crates/kernel/tests/pool/bed.rs
+++ b/crates/kernel/tests/pool/bed.rs
@@ -460,7 +460,7 @@
         let Some(pool) = self.kernel.state().pools.get(&key()) else {
             return Vec::new();
         };
-        let running = pool.running.iter();
+        let running = pool.ledger.iter();
         running
             .map(|(id, running)| (id.clone(), pool.targets[running.target].name.clone()))
             .collect()
--- a/crates/kernel/tests/pool/fair.rs
+++ b/crates/kernel/tests/pool/fair.rs
@@ -38,7 +38,7 @@
         for (id, _) in oldest.collect::<Vec<_>>() {
             let owner = bed
                 .pool()
-                .running
+                .ledger
                 .get(&id)
                 .unwrap()
                 .ask
--- a/crates/kernel/tests/pool/queue.rs
+++ b/crates/kernel/tests/pool/queue.rs
@@ -147,7 +147,7 @@
     assert_ne!(bed.granted(&ask.id), Some(first));
     ask.attempt = 1;
     bed.hear(ENTRY, Message::Ask(ask.clone()));
-    assert_eq!(bed.pool().running.get(&ask.id).unwrap().ask.attempt, 2);
+    assert_eq!(bed.pool().ledger.get(&ask.id).unwrap().ask.attempt, 2);
 }
 
 /// An attempt that has ended must not start again because of a delayed message.
