--- a/crates/kernel/src/pool.rs
+++ b/crates/kernel/src/pool.rs
@@ -76,7 +76,7 @@
     /// Waiting requests.
     pub queue: Queue,
     /// Running work.
-    pub running: Ledger,
+    pub ledger: Ledger,
     /// Arena of targets.
     pub targets: Vec<Slot>,
     /// Limits and policy in force.
@@ -219,6 +219,7 @@
         }
         Message::Handover(snapshot) => takeover::receive(&mut state.pools, snapshot, now, out),
         Message::Targets { pool, warm, .. } => hint(state, pool, warm, now),
+        Message::Hello { pool, .. } => takeover::advise(state, from, pool, now, out),
         _ => {}
     }
 }
@@ -291,7 +292,7 @@
             held: None,
             takeover: None,
             queue: Queue::default(),
-            running: Ledger::default(),
+            ledger: Ledger::default(),
             targets: Vec::new(),
             config: resource::Configuration::default(),
             out: false,
@@ -312,7 +313,7 @@
     pub fn running_on(&self, target: usize) -> impl Iterator<Item = &Ask> {
         let slot = self.targets.get(target).into_iter();
         slot.flat_map(|slot| &slot.work)
-            .filter_map(|id| self.running.get(id))
+            .filter_map(|id| self.ledger.get(id))
             .map(|running| &running.ask)
     }
 
@@ -405,12 +406,12 @@
         let slot = &mut self.targets[running.target];
         slot.adjust_kv(running.ask.class, running.kv, 0);
         slot.work.insert(running.ask.id.clone());
-        self.running.insert(running);
+        self.ledger.insert(running);
     }
 
     /// Takes running work out of the ledger.
     pub(crate) fn forget(&mut self, id: &Id, now: Millis) -> Option<Running> {
-        let running = self.running.remove(id)?;
+        let running = self.ledger.remove(id)?;
         let slot = &mut self.targets[running.target];
         slot.adjust_kv(running.ask.class, 0, running.kv);
         if slot.work.remove(id) {
@@ -421,14 +422,14 @@
 
     /// Takes in how many tokens a running request has put out.
     pub(crate) fn advance(&mut self, id: &Id, tokens: u32, now: Millis) {
-        let Some(running) = self.running.get(id) else {
+        let Some(running) = self.ledger.get(id) else {
             return;
         };
         let kv = self.projected_at(&running.ask, tokens.max(running.tokens));
         let (name, before) = (running.ask.organisation.clone(), running.tokens);
         let slot = &mut self.targets[running.target];
         slot.adjust_kv(running.ask.class, kv, running.kv);
-        if let Some(running) = self.running.get_mut(id) {
+        if let Some(running) = self.ledger.get_mut(id) {
             running.kv = kv;
             running.tokens = tokens.max(before);
         }
@@ -450,7 +451,7 @@
     fn is_unused(&self, now: Millis) -> bool {
         !self.is_holder()
             && self.queue.is_empty()
-            && self.running.is_empty()
+            && self.ledger.is_empty()
             && now.since(self.used) >= UNUSED_LIMIT
     }
 
@@ -508,7 +509,7 @@
         let is_gone = |slot: &Slot| slot.absence.removed && slot.work.is_empty();
         while let Some(gone) = self.targets.iter().position(is_gone) {
             self.targets.remove(gone);
-            for running in self.running.values_mut() {
+            for running in self.ledger.values_mut() {
                 running.target -= usize::from(running.target > gone);
             }
             self.reserved = None;
@@ -516,8 +517,21 @@
     }
 
     /// Takes the holder's word that targets are warm, where this VM knows nothing itself.
+    ///
+    /// A new holder gets the word of its predecessor from others; then reports must confirm it.
     fn apply_hint(&mut self, hint: &Hint) {
         if self.is_holder() {
+            let is_new = self
+                .takeover
+                .as_ref()
+                .is_some_and(|new| new.is_recent(hint.at));
+            let targets = self
+                .targets
+                .iter_mut()
+                .filter(|slot| is_new && slot.is_new());
+            for slot in targets.filter(|slot| hint.warm.contains(&slot.name)) {
+                slot.hint_warm(false);
+            }
             return;
         }
         for slot in &mut self.targets {
--- a/crates/kernel/src/takeover.rs
+++ b/crates/kernel/src/takeover.rs
@@ -236,6 +236,11 @@
         seen >= self.at.after(REPORT_LAG)
     }
 
+    /// Whether the take-over began a short time ago.
+    pub(crate) fn is_recent(&self, now: Millis) -> bool {
+        now.since(self.at) < HELLO_EAGER
+    }
+
     /// Takes back that a VM has told everything: it reports work that is not in the ledger.
     pub(crate) fn doubt(&mut self, vm: &str, now: Millis) {
         let due = self
@@ -285,6 +290,20 @@
     }
 }
 
+/// Tells a new holder which targets its predecessor called warm.
+pub(crate) fn advise(state: &State, from: &str, key: &Key, now: Millis, out: &mut Outbox) {
+    let hint = state.pools.hints.get(key);
+    let Some(hint) = hint.filter(|hint| hint.is_fresh(now) && *from != *state.identity.vm) else {
+        return;
+    };
+    let message = Message::Targets {
+        pool: key.clone(),
+        warm: hint.warm.iter().cloned().collect(),
+        cold: Vec::new(),
+    };
+    out.send(&from.into(), message);
+}
+
 /// Takes in what a VM runs in a pool.
 pub(crate) fn inventory(
     state: &mut State,
@@ -318,11 +337,11 @@
     let Some(target) = pool.position(&work.target) else {
         return false;
     };
-    if pool.running.is_ended(id, work.ask.attempt) {
+    if pool.ledger.is_ended(id, work.ask.attempt) {
         return false;
     }
     if pool
-        .running
+        .ledger
         .get(id)
         .is_some_and(|known| known.ask.attempt >= work.ask.attempt)
     {
@@ -347,7 +366,7 @@
         ask.patience_ms = queued.deadline.since(now);
         ask
     });
-    let running = pool.running.iter().map(|(_, running)| peer::Running {
+    let running = pool.ledger.iter().map(|(_, running)| peer::Running {
         ask: running.ask.clone(),
         target: pool.targets[running.target].name.clone(),
         tokens: running.tokens,
@@ -400,7 +419,7 @@
         is_whole &= restore(pool, work, now);
     }
     for ask in snapshot.waiting {
-        if pool.running.get(&ask.id).is_none() && pool.queue.find(&ask.id).is_none() {
+        if pool.ledger.get(&ask.id).is_none() && pool.queue.find(&ask.id).is_none() {
             pool.queue.push(ask, now);
         }
     }
