--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -65,4 +65,5 @@
 mod least_outstanding;
 mod random;
 mod rank;
+mod slots;
 mod watch;
--- a/crates/kernel/tests/fleet/mod.rs
+++ b/crates/kernel/tests/fleet/mod.rs
@@ -69,6 +69,8 @@
     /// Calls to the table so far.
     pub calls: u64,
     revision: u64,
+    /// Revision of the last declaration; leases are written in the same order of revisions.
+    declared: u64,
 }
 
 pub fn name(text: &str) -> Name {
@@ -132,7 +134,8 @@
     /// Gives every VM the same resources as one revision of the table.
     pub fn declare(&mut self, specs: &[(&str, Spec)]) {
         self.revision += 1;
-        let delta = delta(self.revision - 1, self.revision, specs);
+        let delta = delta(self.declared, self.revision, specs);
+        self.declared = self.revision;
         for ix in 0..self.nodes.len() {
             self.event(ix, Event::Changes(&delta));
         }
