--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,6 +9,23 @@
 //! assert!(names.contains(&"daemon"));
 //! ```
 
+pub mod cluster;
+pub mod process;
 pub mod role;
 
+mod batch;
+mod cache;
+mod compare;
 mod daemon;
+mod engine;
+mod experiment;
+mod host;
+mod load;
+mod platform;
+mod proxy;
+mod record;
+mod report;
+mod run;
+mod service;
+mod table;
+mod up;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -21,8 +21,21 @@
 
 pub mod control;
 pub mod edge;
+pub mod link;
+pub mod peers;
 pub mod run;
 pub mod settings;
+pub mod uplink;
+
+mod failure;
+mod jitter;
+mod operators;
+mod platform;
+mod snapshot;
+mod status;
+mod table;
+mod watch;
+mod write;
 
 mod answer;
 mod attempt;
--- a/crates/kernel/src/peer.rs
+++ b/crates/kernel/src/peer.rs
@@ -21,6 +21,11 @@
     },
     /// Asks the owner of a pool for a start.
     Ask(Ask),
+    /// Tells the sender of asks that they arrive; sent at most four times a second to one VM.
+    Ack {
+        /// The pool of the ask that it answers.
+        pool: pool::Key,
+    },
     /// Lets a request start.
     Grant(Grant),
     /// The owner will not let a request start.
@@ -76,7 +81,7 @@
         organisation: Name,
         /// Service it was sent to.
         service: Name,
-        /// Deaths counted.
+        /// Deaths counted; zero together with no time left clears a suspect that finished.
         deaths: u32,
         /// Time left in milliseconds; zero lifts it.
         remaining_ms: u64,
@@ -97,6 +102,22 @@
 pub struct Gossip {
     /// Entries about the sender (first) and others.
     pub entries: Vec<Entry>,
+    /// Heartbeats of VMs whose entries did not change otherwise.
+    #[serde(default)]
+    pub beats: Vec<Beat>,
+}
+
+/// The part of an entry that changes all the time.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Beat {
+    /// The VM.
+    pub vm: Name,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Its heartbeat counter.
+    pub heartbeat: u64,
+    /// Revision in force there.
+    pub revision: Revision,
 }
 
 /// Whether a VM takes requests.
