Split the table's side off claims and quarantine, test isolation

Change: claim_table.rs and quarantine_table.rs hold the store calls; tests/common/table.rs the stand-in table; tests/isolate.rs drives the owner of a pool with suspects, with the policy off as negative control.

--- a/crates/kernel/src/quarantine.rs
+++ b/crates/kernel/src/quarantine.rs
@@ -10,14 +10,15 @@
 use crate::ids::{Millis, Name, Revision};
 use crate::kernel::{Outbox, State};
 use crate::map::Map;
-use crate::outcome::{Counter, Outcome, Reason, Refusal};
+use crate::outcome::{Counter, Reason, Refusal};
 use crate::peer::{Ask, Death, Message, Suspect};
 use crate::plugin::{control, policy};
+use crate::quarantine_table;
 use crate::retry::{draw, seed};
-use crate::store::{self, Answer, Call, CallId, Condition, Family, Key, Op, Value, Write, Written};
+use crate::store::CallId;
 
 /// How long a body is quarantined, in milliseconds.
-const QUARANTINE_MS: u64 = 600_000;
+pub(crate) const QUARANTINE_MS: u64 = 600_000;
 /// How long a body stays a suspect, in milliseconds.
 const SUSPECT_MS: u64 = 600_000;
 /// Deaths that quarantine a body.
@@ -27,51 +28,49 @@
 /// Deaths remembered to recognise repeated reports.
 const DEATHS_MAX: usize = 1_024;
 /// Time between two readings of the table, in milliseconds.
-const LIST_MS: u64 = 30_000;
-/// Time after which a failed store call is repeated, in milliseconds.
-const RETRY_MS: u64 = 5_000;
+pub(crate) const LIST_MS: u64 = 30_000;
 /// Time between two checks for entries that are due, in milliseconds.
 const SWEEP_MS: u64 = 1_000;
 
 /// Suspected and quarantined bodies.
 #[derive(Debug, Default)]
 pub struct Registry {
-    bodies: Map<u64, Body>,
-    deaths: VecDeque<(Name, u64)>,
-    lifted: Map<u64, Lift>,
-    calls: Map<CallId, Pending>,
-    list_at: Millis,
-    swept: Millis,
+    pub(crate) bodies: Map<u64, Body>,
+    pub(crate) deaths: VecDeque<(Name, u64)>,
+    pub(crate) lifted: Map<u64, Lift>,
+    pub(crate) calls: Map<CallId, Pending>,
+    pub(crate) list_at: Millis,
+    pub(crate) swept: Millis,
 }
 
 /// A suspected or quarantined body.
 #[derive(Debug)]
-struct Body {
-    organisation: Name,
-    service: Name,
-    deaths: u32,
-    seen: Millis,
+pub(crate) struct Body {
+    pub(crate) organisation: Name,
+    pub(crate) service: Name,
+    pub(crate) deaths: u32,
+    pub(crate) seen: Millis,
     /// When the quarantine ends; `None` for a suspect.
-    until: Option<Millis>,
+    pub(crate) until: Option<Millis>,
     /// Its version in the table and when this VM learned it.
-    stored: Option<(Revision, Millis)>,
+    pub(crate) stored: Option<(Revision, Millis)>,
     /// When to write it to the table.
-    store_at: Option<Millis>,
+    pub(crate) store_at: Option<Millis>,
     /// When to delete it from the table, counted from the end of the quarantine.
-    delete_after_ms: u64,
+    pub(crate) delete_after_ms: u64,
 }
 
 /// A quarantine that was lifted.
 #[derive(Debug)]
-struct Lift {
-    at: Millis,
+pub(crate) struct Lift {
+    pub(crate) at: Millis,
     /// When to delete it from the table, if this VM has to.
-    delete_at: Option<Millis>,
+    pub(crate) delete_at: Option<Millis>,
 }
 
 /// A store call that waits for its answer.
 #[derive(Debug)]
-enum Pending {
+pub(crate) enum Pending {
     List { sent: Millis },
     Store(u64),
     Expire(u64),
@@ -170,7 +169,7 @@
         true
     }
 
-    fn body(&mut self, fingerprint: u64, suspect: &Suspect, now: Millis) -> &mut Body {
+    pub(crate) fn body(&mut self, fingerprint: u64, suspect: &Suspect, now: Millis) -> &mut Body {
         if !self.bodies.contains_key(&fingerprint) && self.bodies.len() >= BODIES_MAX {
             let oldest = self
                 .bodies
@@ -197,7 +196,7 @@
         self.until.is_some_and(|until| now < until)
     }
 
-    fn is_suspect(&self, now: Millis) -> bool {
+    pub(crate) fn is_suspect(&self, now: Millis) -> bool {
         match self.until {
             Some(until) => now < until,
             None => self.deaths > 0 && now.since(self.seen) < SUSPECT_MS,
@@ -231,11 +230,11 @@
 fn handle(state: &mut State, event: &Event<'_>, now: Millis, out: &mut Outbox) {
     match event {
         Event::Tick => {
-            list(state, now, out);
-            sweep(state, now, out);
+            quarantine_table::list(state, now, out);
+            quarantine_table::sweep(state, now, out);
         }
         Event::Lift { fingerprint } => lift(state, *fingerprint, now, out),
-        Event::Store { call, answer } => answered(state, *call, answer, now, out),
+        Event::Store { call, answer } => quarantine_table::answered(state, *call, answer, now, out),
         Event::Peer { from, message } => hear(state, from, message, now, out),
         _ => {}
     }
@@ -320,7 +319,7 @@
     let message = message(fingerprint, body, now);
     if is_own {
         broadcast(state, &message, out);
-        sweep(state, now, out);
+        quarantine_table::sweep(state, now, out);
     }
 }
 
@@ -417,7 +416,7 @@
         lift.delete_at = Some(now);
     }
     broadcast(state, &message, out);
-    sweep(state, now, out);
+    quarantine_table::sweep(state, now, out);
 }
 
 fn broadcast(state: &State, message: &Message, out: &mut Outbox) {
@@ -428,214 +427,3 @@
         out.send(vm, message.clone());
     }
 }
-
-fn call(state: &mut State, op: Op, pending: Pending, out: &mut Outbox) {
-    let id = state.call_id();
-    state.quarantine.calls.insert(id, pending);
-    out.push(Outcome::Store(Call { id, op }));
-}
-
-fn list(state: &mut State, now: Millis, out: &mut Outbox) {
-    if now < state.quarantine.list_at {
-        return;
-    }
-    // Answers that never came would otherwise be waited for without a bound.
-    state
-        .quarantine
-        .calls
-        .retain(|_, pending| !matches!(pending, Pending::List { .. }));
-    let jitter = draw(seed(&state.identity), now.0) % (LIST_MS / 10);
-    state.quarantine.list_at = now.after(LIST_MS - jitter);
-    let list = Op::List(Family::Quarantine);
-    call(state, list, Pending::List { sent: now }, out);
-}
-
-/// Writes and deletes what is due and drops what has expired.
-fn sweep(state: &mut State, now: Millis, out: &mut Outbox) {
-    state.quarantine.swept = now;
-    let mut due: Vec<(u64, Due)> = Vec::new();
-    for (fingerprint, body) in &state.quarantine.bodies {
-        due.extend(body.due(now).map(|due| (*fingerprint, due)));
-    }
-    for (fingerprint, lift) in &state.quarantine.lifted {
-        due.extend(lift.due(now).map(|due| (*fingerprint, due)));
-    }
-    due.sort_by_key(|(fingerprint, _)| *fingerprint);
-    for (fingerprint, due) in due {
-        act(state, fingerprint, due, now, out);
-    }
-}
-
-/// What is due for one body.
-#[derive(Debug, Clone, Copy)]
-enum Due {
-    Store,
-    Expire(Revision),
-    Drop,
-    DeleteLifted,
-    DropLifted,
-}
-
-impl Body {
-    fn due(&self, now: Millis) -> Option<Due> {
-        let Some(until) = self.until else {
-            return (!self.is_suspect(now)).then_some(Due::Drop);
-        };
-        if now < until {
-            let is_due = self.store_at.is_some_and(|at| at <= now);
-            return is_due.then_some(Due::Store);
-        }
-        match self.stored {
-            None => Some(Due::Drop),
-            Some((version, _)) if now >= until.after(self.delete_after_ms) => {
-                Some(Due::Expire(version))
-            }
-            Some(_) => None,
-        }
-    }
-}
-
-impl Lift {
-    fn due(&self, now: Millis) -> Option<Due> {
-        if self.delete_at.is_some_and(|at| at <= now) {
-            return Some(Due::DeleteLifted);
-        }
-        (now.since(self.at) >= QUARANTINE_MS).then_some(Due::DropLifted)
-    }
-}
-
-fn act(state: &mut State, fingerprint: u64, due: Due, now: Millis, out: &mut Outbox) {
-    let write = |condition, value| {
-        let key = Key::Quarantine(fingerprint);
-        Op::Write(vec![Write {
-            key,
-            condition,
-            value,
-        }])
-    };
-    let registry = &mut state.quarantine;
-    match due {
-        Due::Drop => drop(registry.bodies.remove(&fingerprint)),
-        Due::DropLifted => drop(registry.lifted.remove(&fingerprint)),
-        Due::DeleteLifted => {
-            if let Some(lift) = registry.lifted.get_mut(&fingerprint) {
-                lift.delete_at = Some(now.after(RETRY_MS));
-            }
-            let op = write(Condition::Any, None);
-            call(state, op, Pending::Lift(fingerprint), out);
-        }
-        Due::Expire(version) => {
-            if let Some(body) = registry.bodies.get_mut(&fingerprint) {
-                body.delete_after_ms = now.after(RETRY_MS).since(body.until.unwrap_or(now));
-            }
-            let op = write(Condition::Version(version), None);
-            call(state, op, Pending::Expire(fingerprint), out);
-        }
-        Due::Store => {
-            let Some(body) = registry.bodies.get_mut(&fingerprint) else {
-                return;
-            };
-            body.store_at = Some(now.after(RETRY_MS));
-            let value = Value::Quarantine(store::Quarantine {
-                deaths: body.deaths,
-                organisation: body.organisation.clone(),
-                service: body.service.clone(),
-                remaining_s: body
-                    .until
-                    .map_or(0, |until| until.since(now))
-                    .div_ceil(1_000),
-            });
-            let op = write(Condition::Absent, Some(value));
-            call(state, op, Pending::Store(fingerprint), out);
-        }
-    }
-}
-
-fn answered(state: &mut State, id: CallId, answer: &Answer, now: Millis, out: &mut Outbox) {
-    let Some(pending) = state.quarantine.calls.remove(&id) else {
-        return;
-    };
-    let registry = &mut state.quarantine;
-    match (pending, answer) {
-        (Pending::List { sent }, Answer::Listed(records)) => {
-            listed(registry, records, sent, now, out);
-        }
-        (Pending::List { .. }, _) => registry.list_at = now.after(RETRY_MS),
-        (Pending::Store(fingerprint), Answer::Written(written)) => {
-            let version = match written.first() {
-                Some(Written::Applied(version)) => Some(*version),
-                Some(Written::Conflict(Some(record))) => Some(record.version),
-                _ => None,
-            };
-            if let (Some(version), Some(body)) = (version, registry.bodies.get_mut(&fingerprint)) {
-                body.stored = Some((version, now));
-                body.store_at = None;
-            }
-        }
-        (Pending::Expire(fingerprint), Answer::Written(_)) => {
-            registry.bodies.remove(&fingerprint);
-        }
-        (Pending::Lift(fingerprint), Answer::Written(_)) => {
-            if let Some(lift) = registry.lifted.get_mut(&fingerprint) {
-                lift.delete_at = None;
-            }
-        }
-        // Without an answer the write is repeated when it is due again.
-        _ => {}
-    }
-}
-
-/// The entries of the table as they were read by a call sent at `sent`.
-fn listed(
-    registry: &mut Registry,
-    records: &[store::Record],
-    sent: Millis,
-    now: Millis,
-    out: &mut Outbox,
-) {
-    let mut found = crate::map::Set::default();
-    for record in records {
-        match (&record.key, &record.value) {
-            (Key::Quarantine(fingerprint), Some(Value::Quarantine(value))) => {
-                found.insert(*fingerprint);
-                adopt(registry, *fingerprint, value, record.version, now);
-            }
-            _ => out.count(Counter::Ignored("quarantine_record")),
-        }
-    }
-    // What was in the table and is not any more was lifted or has expired.
-    registry.bodies.retain(|fingerprint, body| {
-        let was_stored = body.stored.is_some_and(|(_, learned)| learned < sent);
-        found.contains(fingerprint) || !was_stored
-    });
-}
-
-fn adopt(
-    registry: &mut Registry,
-    fingerprint: u64,
-    value: &store::Quarantine,
-    version: Revision,
-    now: Millis,
-) {
-    if registry.lifted.contains_key(&fingerprint) {
-        return;
-    }
-    let suspect = Suspect {
-        fingerprint,
-        organisation: value.organisation.clone(),
-        service: value.service.clone(),
-    };
-    let body = registry.body(fingerprint, &suspect, now);
-    body.store_at = None;
-    let is_new = body.stored.is_none_or(|(known, _)| known != version);
-    body.stored = Some((version, now));
-    if !is_new {
-        // The remaining time counts from the write, so it is taken only once.
-        return;
-    }
-    let remaining = value.remaining_s.saturating_mul(1_000).min(QUARANTINE_MS);
-    let until = now.after(remaining);
-    body.until = Some(body.until.map_or(until, |current| current.min(until)));
-    body.deaths = body.deaths.max(value.deaths);
-    body.delete_after_ms = body.delete_after_ms.max(LIST_MS);
-}
--- /dev/null
+++ b/crates/kernel/tests/isolate.rs
@@ -0,0 +1,49 @@
+//! Suspects of a crash run apart from each other, driven through the owner of a pool.
+
+#[allow(dead_code)]
+#[path = "pool/bed.rs"]
+mod bed;
+
+use bed::Bed;
+use hornbeamloom_kernel::peer::{Death, Message, Suspect};
+
+/// Asks for one request per body, of which `suspects` ran in a death, and counts those that start.
+fn starts(targets: usize, off: &[&str], suspects: &[u64], bodies: &[u64], expected: usize) {
+    let names = ["t1", "t2"];
+    let target = |name| (name, bed::target(4, 4, 100_000));
+    let targets: Vec<_> = names.into_iter().take(targets).map(target).collect();
+    let mut bed = Bed::warm(&targets, bed::config("fair", &["least_outstanding"], off));
+    let suspect = |body: &u64| Suspect {
+        fingerprint: *body,
+        organisation: "school".into(),
+        service: bed::key().service,
+    };
+    let death = Death {
+        target: "t9".into(),
+        start_id: 1,
+        running: suspects.iter().map(suspect).collect(),
+        age_ms: 0,
+    };
+    bed.hear("entry-9", Message::Death(death));
+    for body in bodies {
+        let mut ask = bed.draft("school");
+        ask.fingerprint = *body;
+        bed.send(&ask);
+    }
+    assert_eq!(bed.running().len(), expected);
+}
+
+hornbeamloom_kernel::cases! {
+    starts;
+
+    // The next death would have two suspects, and an innocent body could be locked out.
+    two_suspects_do_not_share_a_target: (1, &[], &[1, 2], &[1, 2], 1);
+    // A suspect would wait although another target has none.
+    two_suspects_run_on_two_targets: (2, &[], &[1, 2], &[1, 2], 2);
+    // Callers of other bodies would wait for a suspect.
+    other_bodies_run_beside_a_suspect: (1, &[], &[1], &[1, 3, 4], 3);
+    // Requests with one body, which are one suspect, would run one after the other.
+    one_body_twice_is_one_suspect: (1, &[], &[1, 2], &[1, 1], 2);
+    // Negative control: without the policy suspects share a target.
+    without_the_policy_suspects_share: (1, &["isolate"], &[1, 2], &[1, 2], 2);
+}
