Test the path, links, cold starts and planned stops with real processes

Cause: nothing showed that the merged parts serve a request under faults. They found a fault of the engine stand-in: the last token and its mark were published by two changes, and a reader between them sent a stream without a final event, which the daemon rightly treated as broken. It is one change now. Conclusion: streams survive silent, cut and truncated links on the thin path.

--- a/crates/bench/src/engine.rs
+++ b/crates/bench/src/engine.rs
@@ -225,13 +225,16 @@
             std::process::exit(CRASH);
         }
         for generation in &step.emitted {
+            let done = step.finished.contains(generation);
             if let Some(writer) = self.writers.get(generation) {
-                writer.send_modify(|progress| progress.emitted += 1);
+                // One change: a reader between two would send the last token without its mark.
+                writer.send_modify(|progress| {
+                    progress.emitted += 1;
+                    progress.done = done;
+                });
             }
-        }
-        for generation in &step.finished {
-            if let Some(writer) = self.writers.remove(generation) {
-                writer.send_modify(|progress| progress.done = true);
+            if done {
+                self.writers.remove(generation);
             }
         }
         Duration::from_micros(step.duration_us)
--- /dev/null
+++ b/tests/cluster/bed.rs
@@ -0,0 +1,211 @@
+//! What the process-level tests share: clusters, callers and deadlines.
+
+use std::future::Future;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use hornbeamloom_bench::cluster::{resource, Cluster, Target, OPERATOR_KEY};
+use serde_json::{json, Value};
+
+/// The model service of every test.
+pub const MODEL: &str = "pisarz-modelu";
+/// The plain service of every test.
+pub const PLAIN: &str = "biuro-zlecen";
+/// Key of the organisation `parlour-1`.
+pub const KEY: &str = "parlour-1-key";
+/// Key of the organisation `parlour-2`.
+pub const OTHER_KEY: &str = "parlour-2-key";
+/// Longest wait for a state that must come; only a hanging system reaches it.
+pub const DEADLINE: Duration = Duration::from_secs(60);
+const POLL: Duration = Duration::from_millis(50);
+
+/// Runs a test on its own runtime.
+pub fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build();
+    runtime.expect("a runtime starts").block_on(test);
+}
+
+/// A cluster with daemons named `VM` in `ZONE`, zones, services and organisations, no targets.
+pub async fn cluster(daemons: &[(&str, &str)]) -> Cluster {
+    let mut cluster = empty();
+    for (vm, zone) in daemons {
+        cluster.start_daemon(vm, zone).expect("a daemon starts");
+    }
+    declare(&cluster, daemons).await;
+    cluster
+}
+
+/// A cluster with the platform stand-in only.
+pub fn empty() -> Cluster {
+    Cluster::new(Path::new(env!("CARGO_BIN_EXE_hornbeamloom-bench")))
+        .expect("the platform stand-in starts")
+        .with_daemon(Path::new(env!("CARGO_BIN_EXE_hornbeamloomd")))
+}
+
+/// Declares zones, services and organisations.
+pub async fn declare(cluster: &Cluster, daemons: &[(&str, &str)]) {
+    let mut zones: Vec<&str> = daemons.iter().map(|(_, zone)| *zone).collect();
+    zones.sort_unstable();
+    zones.dedup();
+    for zone in zones {
+        let spec = json!({"region": "pl-centrum"});
+        apply(cluster, resource("AvailabilityZone", zone, spec)).await;
+    }
+    apply(
+        cluster,
+        resource("Service", MODEL, json!({"protocol": "model"})),
+    )
+    .await;
+    let spec = json!({"protocol": "plain", "onceMethods": ["POST"]});
+    apply(cluster, resource("Service", PLAIN, spec)).await;
+    apply(
+        cluster,
+        resource("Organisation", "parlour-1", json!({"keys": [KEY]})),
+    )
+    .await;
+    apply(
+        cluster,
+        resource("Organisation", "parlour-2", json!({"keys": [OTHER_KEY]})),
+    )
+    .await;
+}
+
+async fn apply(cluster: &Cluster, resource: Value) {
+    cluster
+        .apply(&resource)
+        .await
+        .expect("the resource is accepted");
+}
+
+/// Starts targets, declares them and waits until the daemons are ready.
+pub async fn add_targets(cluster: &mut Cluster, targets: &[Target]) {
+    for target in targets {
+        let address = cluster.start_target(target).expect("a target starts");
+        apply(cluster, Cluster::target_resource(target, address)).await;
+    }
+    cluster
+        .wait_ready()
+        .await
+        .expect("the daemons become ready");
+}
+
+/// An engine that is warm from the start.
+pub fn warm_engine(name: &str, zone: &str) -> Target {
+    Target::engine(name, MODEL, zone).with_arguments(&["--cold-s", "0"])
+}
+
+/// Waits until `state` holds and fails with `what` if it does not in time.
+pub async fn eventually<F: Future<Output = bool>>(what: &str, mut state: impl FnMut() -> F) {
+    let started = Instant::now();
+    while !state().await {
+        assert!(started.elapsed() < DEADLINE, "not in time: {what}");
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+/// What a caller got of one streamed completion.
+#[derive(Debug, Default)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Request id.
+    pub request_id: String,
+    /// Texts of the tokens in order.
+    pub tokens: Vec<String>,
+    /// The stream ended with its end mark.
+    pub done: bool,
+    /// The typed refusal or error event, if one came.
+    pub error: Value,
+}
+
+impl Answer {
+    /// Panics unless this is the whole answer with `length` tokens tagged `tag`, each once and in
+    /// order.
+    pub fn assert_whole(&self, tag: &str, length: usize) {
+        let expected: Vec<String> = (0..length).map(|seq| format!("{tag}:{seq} ")).collect();
+        assert_eq!(self.tokens, expected, "error: {}", self.error);
+        assert!(self.done, "no end mark; error: {}", self.error);
+    }
+}
+
+/// Streams a completion of `length` tokens tagged `tag` from daemon number `daemon`.
+pub async fn complete(cluster: &Cluster, daemon: usize, tag: &str, length: usize) -> Answer {
+    prompt(cluster, daemon, &format!("len={length} tag={tag}")).await
+}
+
+/// Streams the completion of a prompt from daemon number `daemon`.
+pub async fn prompt(cluster: &Cluster, daemon: usize, prompt: &str) -> Answer {
+    let url = format!("http://{}/v1/completions", cluster.daemons[daemon].callers);
+    let body = json!({"model": MODEL, "prompt": prompt, "stream": true});
+    let sent = cluster
+        .client
+        .post(url)
+        .bearer_auth(KEY)
+        .json(&body)
+        .send()
+        .await;
+    match sent {
+        Ok(answer) => read(answer).await,
+        Err(error) => Answer {
+            error: json!(error.to_string()),
+            ..Answer::default()
+        },
+    }
+}
+
+async fn read(answer: reqwest::Response) -> Answer {
+    let request_id = answer
+        .headers()
+        .get("x-request-id")
+        .and_then(|value| value.to_str().ok());
+    let mut result = Answer {
+        status: answer.status().as_u16(),
+        request_id: request_id.unwrap_or_default().to_owned(),
+        ..Answer::default()
+    };
+    let text = match answer.text().await {
+        Ok(text) => text,
+        Err(error) => {
+            result.error = json!(error.to_string());
+            return result;
+        }
+    };
+    if result.status != 200 {
+        result.error = serde_json::from_str(&text).unwrap_or_default();
+        return result;
+    }
+    for data in text.lines().filter_map(|line| line.strip_prefix("data:")) {
+        read_event(data.trim(), &mut result);
+    }
+    result
+}
+
+fn read_event(data: &str, result: &mut Answer) {
+    if data == "[DONE]" {
+        result.done = true;
+        return;
+    }
+    let event: Value = serde_json::from_str(data).unwrap_or_default();
+    match event["choices"][0]["text"].as_str() {
+        Some(text) => result.tokens.push(text.to_owned()),
+        None => result.error = event,
+    }
+}
+
+/// Reads a path of the operators' interface of a daemon.
+pub async fn operate(cluster: &Cluster, daemon: usize, path: &str) -> Value {
+    let url = format!("http://{}{path}", cluster.daemons[daemon].operators);
+    let Ok(answer) = cluster
+        .client
+        .get(url)
+        .bearer_auth(OPERATOR_KEY)
+        .send()
+        .await
+    else {
+        return Value::Null;
+    };
+    answer.json().await.unwrap_or_default()
+}
--- /dev/null
+++ b/tests/cluster/cold.rs
@@ -0,0 +1,87 @@
+//! Targets in cold start.
+
+use std::time::Duration;
+
+use hornbeamloom_bench::cluster::Target;
+use serde_json::json;
+
+use crate::bed::{add_targets, cluster, complete, run, warm_engine, MODEL};
+
+hornbeamloom_kernel::cases! {
+    burst_on_cold_engine;
+    // Guards against limits that each entry VM counts for itself: the stand-in dies when more
+    // requests run on it than it can carry in cold start.
+    a_limit_of_one_holds_over_three_vms: (1);
+    a_limit_of_two_holds_over_three_vms: (2);
+}
+
+fn burst_on_cold_engine(cold_limit: u32) {
+    run(async move {
+        let daemons = [
+            ("entry-a1", "lodz-a"),
+            ("entry-a2", "lodz-a"),
+            ("entry-a3", "lodz-a"),
+        ];
+        let mut cluster = cluster(&daemons).await;
+        let limit = cold_limit.to_string();
+        let engine = Target::engine("engine-a1", MODEL, "lodz-a")
+            .with_arguments(&["--cold-limit", &limit, "--cold-s", "6"])
+            .with_spec("coldLimit", json!(cold_limit));
+        add_targets(&mut cluster, &[engine]).await;
+        let burst = (0..18).map(|number| {
+            let cluster = &cluster;
+            async move {
+                let tag = format!("r{number}");
+                complete(cluster, number % 3, &tag, 12)
+                    .await
+                    .assert_whole(&tag, 12);
+            }
+        });
+        futures_util::future::join_all(burst).await;
+        assert!(
+            cluster.targets[0].process.status().is_none(),
+            "the engine was overloaded"
+        );
+    });
+}
+
+hornbeamloom_kernel::cases! {
+    turned_cold;
+    // Guards against a warm target that keeps its full load after it turned cold without notice.
+    an_engine_that_turned_cold_gets_its_cold_limit: (2);
+}
+
+fn turned_cold(cold_limit: u32) {
+    run(async move {
+        let mut cluster = cluster(&[("entry-a1", "lodz-a"), ("entry-a2", "lodz-a")]).await;
+        let limit = cold_limit.to_string();
+        let engine = warm_engine("engine-a1", "lodz-a")
+            .with_arguments(&["--cold-limit", &limit])
+            .with_spec("coldLimit", json!(cold_limit));
+        add_targets(&mut cluster, &[engine]).await;
+        complete(&cluster, 0, "warm", 5)
+            .await
+            .assert_whole("warm", 5);
+        let address = cluster.targets[0].address;
+        cluster
+            .fault(address, &json!({"cold_s": 8.0}))
+            .await
+            .expect("the fault is taken");
+        // The report lags by 300 ms and is read twice a second.
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        let burst = (0..12).map(|number| {
+            let cluster = &cluster;
+            async move {
+                let tag = format!("r{number}");
+                complete(cluster, number % 2, &tag, 12)
+                    .await
+                    .assert_whole(&tag, 12);
+            }
+        });
+        futures_util::future::join_all(burst).await;
+        assert!(
+            cluster.targets[0].process.status().is_none(),
+            "the engine was overloaded"
+        );
+    });
+}
--- /dev/null
+++ b/tests/cluster/links.rs
@@ -0,0 +1,104 @@
+//! Poor links and dying processes under running requests.
+
+use std::time::Duration;
+
+use hornbeamloom_bench::cluster::{Cluster, Proxy, Target};
+use serde_json::{json, Value};
+
+use crate::bed::{add_targets, cluster, complete, run, warm_engine, Answer};
+
+/// Tokens of a stream that is long enough to be hit in the middle (10 ms a token).
+const LENGTH: usize = 150;
+/// When the fault strikes, in the middle of the stream.
+const STRIKE: Duration = Duration::from_millis(600);
+
+hornbeamloom_kernel::cases! {
+    whole_despite;
+    // Guards against a stream that waits for ever on a connection that something in between forgot.
+    a_stream_survives_a_connection_that_goes_silent: (json!({"silence": true}));
+    a_stream_survives_a_cut_connection: (json!({"cut": true}));
+    a_stream_survives_a_cut_and_a_slow_link: (json!({"cut": true, "delay_ms": 30}));
+    a_stream_survives_two_faults: (json!({"silence": true, "drop_answers": 1}));
+    a_stream_survives_a_truncated_answer: (json!({"cut": true, "truncate": 900}));
+}
+
+fn whole_despite(fault: Value) {
+    run(async move {
+        let (cluster, proxy) = behind_proxy().await;
+        let (answer, ()) = tokio::join!(complete(&cluster, 0, "t", LENGTH), async {
+            tokio::time::sleep(STRIKE).await;
+            cluster
+                .fault(proxy.control, &fault)
+                .await
+                .expect("the fault is taken");
+        });
+        answer.assert_whole("t", LENGTH);
+    });
+}
+
+/// One daemon and one engine behind a fault proxy.
+async fn behind_proxy() -> (Cluster, Proxy) {
+    let mut cluster = cluster(&[("entry-a1", "lodz-a")]).await;
+    let engine = warm_engine("engine-a1", "lodz-a");
+    let address = cluster.start_target(&engine).expect("the engine starts");
+    let proxy = cluster.start_proxy(address).expect("the proxy starts");
+    let resource = Cluster::target_resource(&engine, proxy.address);
+    cluster
+        .apply(&resource)
+        .await
+        .expect("the target is accepted");
+    cluster
+        .wait_ready()
+        .await
+        .expect("the daemon becomes ready");
+    (cluster, proxy)
+}
+
+hornbeamloom_kernel::cases! {
+    after_engine_death;
+    // Guards against a stream that is continued from another generation, or cut without a word.
+    a_death_after_tokens_ends_with_a_typed_error: (600, |answer: &Answer| {
+        assert!(!answer.done, "a broken stream must not have an end mark");
+        assert!(!answer.tokens.is_empty());
+        assert_eq!(answer.error["error"]["not_run"], json!(false), "{}", answer.error);
+    });
+}
+
+fn after_engine_death(strike_ms: u64, check: fn(&Answer)) {
+    run(async move {
+        let mut cluster = cluster(&[("entry-a1", "lodz-a")]).await;
+        add_targets(&mut cluster, &[warm_engine("engine-a1", "lodz-a")]).await;
+        let engine = cluster.targets[0].address;
+        let (answer, ()) = tokio::join!(complete(&cluster, 0, "t", LENGTH), async {
+            tokio::time::sleep(Duration::from_millis(strike_ms)).await;
+            // The process ends without an answer.
+            let _ = cluster.fault(engine, &json!({"die": true})).await;
+        });
+        check(&answer);
+    });
+}
+
+hornbeamloom_kernel::cases! {
+    retried_elsewhere;
+    // Guards against a refusal while another target could still serve the request.
+    a_request_to_a_dead_engine_runs_on_another: (["engine-a1", "engine-a2"]);
+}
+
+fn retried_elsewhere(names: [&'static str; 2]) {
+    run(async move {
+        let mut cluster = cluster(&[("entry-a1", "lodz-a")]).await;
+        let targets: Vec<Target> = names
+            .iter()
+            .map(|name| warm_engine(name, "lodz-a"))
+            .collect();
+        add_targets(&mut cluster, &targets).await;
+        complete(&cluster, 0, "first", 5)
+            .await
+            .assert_whole("first", 5);
+        cluster.targets[0].process.kill();
+        for number in 0..6 {
+            let tag = format!("r{number}");
+            complete(&cluster, 0, &tag, 20).await.assert_whole(&tag, 20);
+        }
+    });
+}
--- /dev/null
+++ b/tests/cluster/main.rs
@@ -0,0 +1,7 @@
+//! Real processes on loopback: daemons, stand-ins and fault proxies.
+
+mod bed;
+mod cold;
+mod links;
+mod path;
+mod shutdown;
--- /dev/null
+++ b/tests/cluster/path.rs
@@ -0,0 +1,27 @@
+//! The whole path from a caller to a target and back.
+
+use crate::bed::{add_targets, cluster, complete, run, warm_engine};
+
+hornbeamloom_kernel::cases! {
+    stream_through;
+    // Guards against a path that works only on the pool's owner.
+    a_stream_from_the_same_zone_is_whole: (0, 40);
+    a_stream_through_another_vm_is_whole: (1, 40);
+    a_stream_through_another_zone_is_whole: (2, 40);
+    a_single_token_is_whole: (0, 1);
+}
+
+fn stream_through(daemon: usize, length: usize) {
+    run(async move {
+        let daemons = [
+            ("entry-a1", "lodz-a"),
+            ("entry-a2", "lodz-a"),
+            ("entry-b1", "lodz-b"),
+        ];
+        let mut cluster = cluster(&daemons).await;
+        add_targets(&mut cluster, &[warm_engine("engine-a1", "lodz-a")]).await;
+        let answer = complete(&cluster, daemon, "t", length).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+        answer.assert_whole("t", length);
+    });
+}
