Search a full pool once and not for each organisation

Cause: with a slot kept free for short work, each ask, progress batch and report searched every queue against every target, and counted the long work of each target anew. Change: targets that could not take the smallest request of a class are left out beforehand; long work is counted as it comes and goes; a repeated ask and a progress batch free nothing and start no search. Conclusion: the work for an event no longer grows with the number of backlogged organisations where the slots are full.

--- a/crates/kernel/src/accounting.rs
+++ b/crates/kernel/src/accounting.rs
@@ -46,10 +46,10 @@
         return;
     }
     if pool.queue.find(&ask.id).is_some() {
-        pool.queue.refresh(ask, now);
-    } else {
-        join(state, from, ask, now, out);
+        // Nothing has changed that could let it start.
+        return pool.queue.refresh(ask, now);
     }
+    join(state, from, ask, now, out);
     schedule::run(state, &ask.pool, now, out);
 }
 
@@ -217,11 +217,13 @@
     let left_out = pool
         .ledger
         .select(|running| *running.ask.id.vm == *from && now.since(running.heard) >= SILENCE);
-    for id in left_out {
-        pool.forget(&id, now);
+    for id in &left_out {
+        pool.forget(id, now);
         out.count(Counter::Event("work_left_out"));
     }
-    schedule::run(state, key, now, out);
+    if !left_out.is_empty() {
+        schedule::run(state, key, now, out);
+    }
 }
 
 /// Takes in that an attempt ended.
--- a/crates/kernel/src/headroom.rs
+++ b/crates/kernel/src/headroom.rs
@@ -41,7 +41,7 @@
         return true;
     }
     let reserve = (limit / RESERVE as u32).max(1);
-    view.pool.long_running(target) < limit - reserve
+    slot.long < limit - reserve
 }
 
 fn has_memory(view: &policy::View<'_>, ask: &Ask, target: usize) -> bool {
--- a/crates/kernel/src/pool.rs
+++ b/crates/kernel/src/pool.rs
@@ -317,12 +317,6 @@
             .map(|running| &running.ask)
     }
 
-    /// Long requests granted to the target with this index and not released.
-    pub fn long_running(&self, target: usize) -> u32 {
-        let asks = self.running_on(target);
-        asks.filter(|ask| ask.class == Class::Long).count() as u32
-    }
-
     /// Whether all work that earlier schedulers started is known.
     pub fn is_complete(&self) -> bool {
         self.takeover
@@ -404,8 +398,7 @@
     pub(crate) fn record(&mut self, mut running: Running) {
         running.kv = self.projected_at(&running.ask, running.tokens);
         let slot = &mut self.targets[running.target];
-        slot.adjust_kv(running.ask.class, running.kv, 0);
-        slot.work.insert(running.ask.id.clone());
+        slot.add(&running.ask.id, running.ask.class, running.kv);
         self.ledger.insert(running);
     }
 
@@ -413,10 +406,7 @@
     pub(crate) fn forget(&mut self, id: &Id, now: Millis) -> Option<Running> {
         let running = self.ledger.remove(id)?;
         let slot = &mut self.targets[running.target];
-        slot.adjust_kv(running.ask.class, 0, running.kv);
-        if slot.work.remove(id) {
-            slot.note_release(now);
-        }
+        slot.remove(id, running.ask.class, running.kv, now);
         Some(running)
     }
 
--- a/crates/kernel/src/schedule.rs
+++ b/crates/kernel/src/schedule.rs
@@ -123,7 +123,7 @@
             None => head.arrived.0,
         });
         let arrived = head.map(|head| head.arrived);
-        (rank, class, arrived, organisations[ix].name.clone())
+        (rank, class, arrived, &organisations[ix].name)
     });
     heads
 }
@@ -134,15 +134,17 @@
         quarantine,
         now,
     };
-    if pool.queue.is_empty() || !has_room(&view) {
+    if pool.queue.is_empty() {
         return None;
     }
+    let open = [open_to(&view, Class::Short), open_to(&view, Class::Long)];
     let mut first = None;
     for (ix, class) in candidates(&view) {
+        let targets = &open[class as usize];
         let waiting = pool.queue.organisations[ix].waiting(class);
         for queued in waiting.iter().take(LOOKAHEAD) {
             let ask = &queued.ask;
-            if let Some(target) = place(&view, ask) {
+            if let Some(target) = place(&view, ask, targets) {
                 let id = ask.id.clone();
                 return Some(Choice {
                     id,
@@ -151,15 +153,42 @@
                 });
             }
             first.get_or_insert_with(|| ask.id.clone());
+            if !is_particular(&view, ask) {
+                break;
+            }
         }
     }
     None
 }
 
-/// Whether any target has a free slot, as a quick check before the queue is searched.
-fn has_room(view: &policy::View<'_>) -> bool {
-    let mut targets = view.pool.targets.iter();
-    targets.any(|slot| slot.running() < slot.spec.warm_limit)
+/// Whether a request may be kept from targets that the next one of its queue may use.
+fn is_particular(view: &policy::View<'_>, ask: &Ask) -> bool {
+    !ask.exclude.is_empty() || view.quarantine.is_suspect(ask.fingerprint, view.now)
+}
+
+/// Targets that could take the smallest request of a class.
+///
+/// Filters are at least as strict for any other request, so a full pool is searched only once and
+/// not for each organisation.
+fn open_to(view: &policy::View<'_>, class: Class) -> Vec<usize> {
+    let smallest = Ask {
+        pool: view.pool.key.clone(),
+        id: Id::new("", Default::default(), 0),
+        attempt: 0,
+        organisation: "".into(),
+        prompt_tokens: 0,
+        max_tokens: Some(0),
+        class,
+        fingerprint: 0,
+        prefixes: Vec::new(),
+        waited_ms: 0,
+        patience_ms: 0,
+        exclude: Vec::new(),
+    };
+    let held = view.pool.reserved.as_ref().map(|held| held.target);
+    (0..view.pool.targets.len())
+        .filter(|&target| held == Some(target) || is_open(view, &smallest, target))
+        .collect()
 }
 
 fn is_open(view: &policy::View<'_>, ask: &Ask, target: usize) -> bool {
@@ -170,8 +199,9 @@
         .all(|filter| filter(view, ask, target))
 }
 
-fn place(view: &policy::View<'_>, ask: &Ask) -> Option<usize> {
-    (0..view.pool.targets.len())
+fn place(view: &policy::View<'_>, ask: &Ask, targets: &[usize]) -> Option<usize> {
+    let targets = targets.iter().copied();
+    targets
         .filter(|&target| is_open(view, ask, target))
         .max_by_key(|&target| (score(view, ask, target), Reverse(target)))
 }
--- a/crates/kernel/src/target.rs
+++ b/crates/kernel/src/target.rs
@@ -180,6 +180,8 @@
     pub spec: resource::Target,
     /// Requests granted to it and not released.
     pub work: BTreeSet<Id>,
+    /// The long requests among them.
+    pub long: u32,
     /// Its way from cold to warm.
     pub ramp: Ramp,
     /// The newest report.
@@ -217,6 +219,7 @@
             name: name.clone(),
             spec: spec.clone(),
             work: BTreeSet::new(),
+            long: 0,
             ramp: Ramp::cold(spec),
             seen: None,
             foreign: 0,
@@ -290,6 +293,23 @@
         self.kv.max(fresh.map_or(0, |seen| seen.report.kv_used))
     }
 
+    /// Enters granted work.
+    pub(crate) fn add(&mut self, id: &Id, class: Class, kv: u64) {
+        if self.work.insert(id.clone()) {
+            self.long += u32::from(class == Class::Long);
+            self.adjust_kv(class, kv, 0);
+        }
+    }
+
+    /// Removes granted work, and remembers when for comparing later reports with the ledger.
+    pub(crate) fn remove(&mut self, id: &Id, class: Class, kv: u64, now: Millis) {
+        if self.work.remove(id) {
+            self.long -= u32::from(class == Class::Long);
+            self.adjust_kv(class, 0, kv);
+            self.note_release(now);
+        }
+    }
+
     /// Adds to the projected KV use and then subtracts from it.
     pub(crate) fn adjust_kv(&mut self, class: Class, added: u64, removed: u64) {
         self.kv = (self.kv + added).saturating_sub(removed);
@@ -456,8 +476,7 @@
         sorted.get(sorted.len() / 2).copied()
     }
 
-    /// Notes that granted work has ended, for comparing later reports with the ledger.
-    pub(crate) fn note_release(&mut self, now: Millis) {
+    fn note_release(&mut self, now: Millis) {
         if self.released.len() == RELEASED_MAX {
             self.released.pop_front();
         }
--- a/crates/kernel/tests/pool/bed.rs
+++ b/crates/kernel/tests/pool/bed.rs
@@ -355,6 +355,26 @@
         Written::Applied(version)
     }
 
+    /// Another VM took the pool's lease meanwhile and released it again under this token.
+    pub fn release_elsewhere(&mut self, fence: u64) {
+        let version = Revision(9_000_000 + self.now.0);
+        let lease = store::Lease {
+            vm: "entry-0".into(),
+            incarnation: Incarnation(1),
+            fence: Fence(fence),
+            renewal: 1,
+            released: true,
+        };
+        let key = store::Key::Lease(key());
+        self.rows.retain(|row| row.key != key);
+        let value = Some(store::Value::Lease(lease));
+        self.rows.push(store::Record {
+            key,
+            version,
+            value,
+        });
+    }
+
     /// Answers a poll of a target.
     pub fn report(&mut self, name: &str) {
         let Some(engine) = self.engines.get(name).cloned() else {
--- a/crates/kernel/tests/pool/queue.rs
+++ b/crates/kernel/tests/pool/queue.rs
@@ -113,9 +113,16 @@
     let ask = bed.draft("parlour-1");
     bed.hear(ENTRY, Message::Ask(ask.clone()));
     let first = bed.granted(&ask.id);
+    let start = bed.now;
     bed.now = bed.now.after(500);
     bed.hear(ENTRY, Message::Ask(ask.clone()));
     assert_eq!(bed.count("grant_resent"), 1);
+    let granted = bed
+        .pool()
+        .ledger
+        .get(&ask.id)
+        .map(|running| running.granted);
+    assert_eq!(granted, Some(start), "the same grant and no newer one");
     assert_eq!(bed.granted(&ask.id), first);
     bed.now = bed.now.after(2_500);
     bed.hear(ENTRY, Message::Ask(ask.clone()));
--- a/crates/kernel/tests/pool/takeover.rs
+++ b/crates/kernel/tests/pool/takeover.rs
@@ -169,6 +169,18 @@
     assert_eq!(bed.on_target("engine-cold").len(), 1);
 }
 
+/// Another VM that held the lease in between may have started work.
+#[test]
+fn lease_regained_under_a_new_token_starts_a_new_take_over() {
+    let mut bed = new_holder();
+    bed.inventory(ENTRY, Vec::new());
+    let before = bed.held();
+    bed.release_elsewhere(20);
+    bed.pass(20_000);
+    assert!(bed.held() > before, "{:?}", bed.held());
+    assert!(!bed.pool().is_complete());
+}
+
 /// A holder that was paused beyond its lease must see that on the first event.
 #[test]
 fn paused_holder_grants_no_cold_target_on_waking() {
