Add cases for mechanisms that no case guarded

Cause: a trial that switched single mechanisms off found no failing case for acknowledgements, the fallback's spill, allowing excluded targets again, a claim that lands late, a restarted holder, a lifted record and clearance. Change: one case each.

--- a/crates/kernel/tests/claim.rs
+++ b/crates/kernel/tests/claim.rs
@@ -76,6 +76,14 @@
         ],
         &["claim k is absent", "ask e2 for 2"],
     );
+    // A claim that lands after it was looked for would block its key for ever.
+    a_claim_that_lands_late_is_deleted: (
+        &[
+            Do::Store(Store::LoseWrite), Do::Once(1, "k", 7), Do::Depart(1), Do::Wait(600),
+            Do::Land, Do::Look("k"), Do::Wait(5_000), Do::Look("k"),
+        ],
+        &["claim k is held", "claim k is absent"],
+    );
     // A call that was refused before the start could never be made with its key again.
     a_claim_is_deleted_when_nothing_was_sent: (
         &[Do::Once(1, "k", 7), Do::Refuse(1, "e2", Reason::Quarantined), Do::Look("k")],
@@ -126,19 +134,19 @@
     );
     // A call that another VM runs would run twice (I6).
     a_claim_of_a_live_vm_is_in_progress: (
-        &[Do::Seed("k", "e3", 1, 7), Do::Once(1, "k", 7)],
+        &[Do::Seed("k", "e3", 2, 7), Do::Once(1, "k", 7)],
         &["refuse 1 InProgress ran Unknown"],
     );
     // The claim of a process that is gone would be taken for running work for ever.
     a_claim_of_an_earlier_incarnation_is_unknown: (
-        &[Do::Seed("k", "e3", 0, 7), Do::Seed("l", "e1", 0, 7), Do::Once(1, "k", 7), Do::Once(2, "l", 7)],
+        &[Do::Seed("k", "e3", 1, 7), Do::Seed("l", "e1", 0, 7), Do::Once(1, "k", 7), Do::Once(2, "l", 7)],
         &["refuse 1 OutcomeUnknown ran Unknown", "refuse 2 OutcomeUnknown ran Unknown"],
     );
     // The claim of a VM that was replaced would be taken for running work for ever.
     a_claim_of_a_vm_no_longer_listed_is_unknown: (
         &[
             Do::Listed(&["e1", "e2", "e3"]), Do::Listed(&["e1", "e2"]),
-            Do::Seed("k", "e3", 1, 7), Do::Once(1, "k", 7),
+            Do::Seed("k", "e3", 2, 7), Do::Once(1, "k", 7),
         ],
         &["refuse 1 OutcomeUnknown ran Unknown"],
     );
--- a/crates/kernel/tests/common/mod.rs
+++ b/crates/kernel/tests/common/mod.rs
@@ -17,7 +17,7 @@
 use hornbeamloom_kernel::pool;
 use hornbeamloom_kernel::request::{End, Id, Repeat, View};
 use hornbeamloom_kernel::resource::{self, Kind, Record, Spec};
-use hornbeamloom_kernel::store::{Call, Key, Stored, Value};
+use hornbeamloom_kernel::store::{Call, Key, Stored, Value, Write};
 
 /// Time between two ticks of the script's clock, in milliseconds.
 const TICK_MS: u64 = 50;
@@ -72,6 +72,8 @@
     Death(&'static str, u64, &'static [u64]),
     Lift(u64),
     Store(Store),
+    /// A write that was lost takes effect after all.
+    Land,
     /// Another process has a claim with a body in the table.
     Seed(&'static str, &'static str, u64, u64),
     /// The platform lists these VMs.
@@ -91,6 +93,7 @@
     pub outcomes: Vec<Outcome>,
     store: Store,
     held: Vec<Call>,
+    lost: Vec<Write>,
     revision: u64,
     heartbeat: u64,
     attempts: HashMap<u64, u32>,
@@ -195,6 +198,7 @@
             outcomes: Vec::new(),
             store: Store::Up,
             held: Vec::new(),
+            lost: Vec::new(),
             revision: 1,
             heartbeat: 0,
             attempts: HashMap::new(),
@@ -258,7 +262,7 @@
                 zone: zone.into(),
                 peer_address: "127.0.0.1:3".into(),
                 caller_address: "127.0.0.1:4".into(),
-                incarnation: Incarnation(1),
+                incarnation: Incarnation(2),
                 heartbeat: self.heartbeat,
                 revision: Revision(self.revision),
                 standing: Standing::Serving,
@@ -422,6 +426,7 @@
                 let vms: Vec<Vm> = names.iter().map(vm).collect();
                 self.handle(Event::Vms(&vms));
             }
+            Do::Land => self.land(),
             Do::Look(key) => self.look(key),
             Do::State(body) => {
                 let (registry, now) = (&self.kernel.state().quarantine, Millis(self.now));
--- a/crates/kernel/tests/common/table.rs
+++ b/crates/kernel/tests/common/table.rs
@@ -73,6 +73,7 @@
             Op::Write(writes) => {
                 let mode = std::mem::replace(&mut self.store, Store::Up);
                 if mode == Store::LoseWrite {
+                    self.lost.clone_from(writes);
                     return Some(Answer::Unknown);
                 }
                 let written = writes.iter().map(|write| self.write(write)).collect();
@@ -94,6 +95,13 @@
         }
     }
 
+    /// Applies the writes that were lost.
+    pub fn land(&mut self) {
+        for write in std::mem::take(&mut self.lost) {
+            self.write(&write);
+        }
+    }
+
     fn write(&mut self, write: &Write) -> Written {
         let current = self.table.get(&write.key).cloned();
         let applies = match write.condition {
--- a/crates/kernel/tests/entry.rs
+++ b/crates/kernel/tests/entry.rs
@@ -3,9 +3,11 @@
 mod common;
 
 use common::{Do, World};
+use hornbeamloom_kernel::ids::Incarnation;
 use hornbeamloom_kernel::outcome::{Outcome, Reason};
-use hornbeamloom_kernel::peer::Message;
-use hornbeamloom_kernel::request::End;
+use hornbeamloom_kernel::peer::{Ask, Message};
+use hornbeamloom_kernel::pool;
+use hornbeamloom_kernel::request::{Class, End, Id};
 
 /// Runs a script and compares everything that the VM did.
 fn does(steps: &[Do], expected: &[&str]) {
@@ -113,6 +115,17 @@
             "release 1 on t1 Rejected to e2", "ask e2 for 1 but t1",
         ],
     );
+    // A service with few targets would refuse what its momentarily full targets can take later.
+    excluded_targets_are_allowed_when_none_is_left: (
+        &[
+            Do::Out("a2"), Do::Out("b1"), Do::Leaving("t2"), Do::Arrive(1), Do::Grant(1, "e2", "t1"),
+            Do::End(1, End::Rejected, 0), Do::Wait(400),
+        ],
+        &[
+            "ask e2 for 1", "start 1 on t1", "retry TargetRejected", "release 1 on t1 Rejected to e2",
+            "ask e2 for 1",
+        ],
+    );
     // The caller would read two generations in one answer (I1).
     no_retry_after_a_token: (
         &[Do::Arrive(1), Do::Grant(1, "e2", "t1"), Do::Began(1), Do::End(1, End::Died, 3), Do::Wait(100)],
@@ -203,6 +216,11 @@
     a_silent_owner_is_replaced_by_this_vm: (
         "e2", 1_200, &["asked e2 for a1", "no answer from e2", "asked e1 for a1 in fallback"],
     );
+    // Requests would stay in a fallback that can start nothing while another zone is free.
+    a_fallback_without_warm_targets_spills: (
+        "e2", 3_000,
+        &["asked e2 for a1", "no answer from e2", "asked e1 for a1 in fallback", "asked e3 for a2"],
+    );
     // A long queue would be taken for a lost owner and scheduled twice.
     an_owner_that_acknowledges_is_waited_for: ("e3", 5_000, &["asked e2 for a1"]);
 }
@@ -276,3 +294,47 @@
     // All VMs would repeat their requests at the same moment.
     two_seeds_differ: (3, 4, false);
 }
+
+/// Lets peer `e3` ask this VM for a start in a zone and counts the acknowledgements.
+fn acknowledges(zone: &str, asks: usize, expected: usize) {
+    let mut world = World::new();
+    world.run(&[Do::Takes("e2", "a1")]);
+    let ask = Ask {
+        pool: pool::Key::new("menu", zone),
+        id: Id::new("e3", Incarnation(2), 1),
+        attempt: 1,
+        organisation: "school".into(),
+        prompt_tokens: 1,
+        max_tokens: None,
+        class: Class::Long,
+        fingerprint: 1,
+        prefixes: Vec::new(),
+        waited_ms: 0,
+        patience_ms: 1_000,
+        exclude: Vec::new(),
+    };
+    for _ in 0..asks {
+        world.peer("e3", Message::Ask(ask.clone()));
+    }
+    let is_ack = |outcome: &&Outcome| {
+        matches!(
+            outcome,
+            Outcome::Send {
+                message: Message::Ack { .. },
+                ..
+            }
+        )
+    };
+    assert_eq!(world.outcomes.iter().filter(is_ack).count(), expected);
+}
+
+hornbeamloom_kernel::cases! {
+    acknowledges;
+
+    // The asker would take a long wait in this VM's queue for a lost owner.
+    an_ask_in_a_pool_without_another_owner: ("c1", 1, 1);
+    // Each ask would cost a message back.
+    many_asks_at_once_get_one: ("c1", 5, 1);
+    // The asker would wait for a VM that ignores its ask because it knows another owner.
+    none_for_a_pool_of_another_owner: ("a1", 1, 0);
+}
--- a/crates/kernel/tests/quarantine.rs
+++ b/crates/kernel/tests/quarantine.rs
@@ -122,7 +122,7 @@
 }
 
 /// What a VM that starts learns from the table, and whether reading it again prolongs it.
-fn learns(remaining_s: u64, wait_ms: u64, expected: bool) {
+fn learns(remaining_s: u64, is_lifted: bool, wait_ms: u64, expected: bool) {
     let mut world = World::new();
     let value = Quarantine {
         deaths: 2,
@@ -132,6 +132,17 @@
     };
     let row = (5, Value::Quarantine(value));
     world.table.insert(Key::Quarantine(7), row);
+    world.run(&[Do::Wait(100)]);
+    if is_lifted {
+        let message = Message::Quarantine {
+            fingerprint: 7,
+            organisation: "school".into(),
+            service: "menu".into(),
+            deaths: 2,
+            remaining_ms: 0,
+        };
+        world.peer("e3", message);
+    }
     world.run(&[Do::Wait(wait_ms)]);
     let now = Millis(world.now);
     assert_eq!(
@@ -144,15 +155,19 @@
     learns;
 
     // A VM that starts would let a quarantined body in.
-    entries_are_read_at_the_start: (300, 100, true);
+    entries_are_read_at_the_start: (300, false, 100, true);
     // Each reading of the same record would start its time again.
-    reading_again_does_not_prolong: (60, 100_000, false);
+    reading_again_does_not_prolong: (60, false, 100_000, false);
+    // A record that the lifting VM has not deleted yet would lock the body out again.
+    a_record_of_a_lifted_body_is_ignored: (300, true, 40_000, false);
 }
 
 /// A message from a peer about body 7 and what follows from it.
-fn hears(deaths: u32, remaining_ms: u64, expected: (bool, bool)) {
+fn hears(starts: u64, deaths: u32, remaining_ms: u64, expected: (bool, bool)) {
     let mut world = World::new();
-    world.run(&[Do::Death("t1", 1, &[7])]);
+    for start in 0..starts {
+        world.run(&[Do::Death("t1", start, &[7])]);
+    }
     let message = Message::Quarantine {
         fingerprint: 7,
         organisation: "school".into(),
@@ -172,9 +187,11 @@
     hears;
 
     // A VM that missed the deaths would let the body in.
-    a_peers_entry_is_taken_over: (2, 60_000, (true, true));
+    a_peers_entry_is_taken_over: (1, 2, 60_000, (true, true));
     // A body lifted at one VM would stay locked out at the others.
-    a_peers_lift_is_taken_over: (2, 0, (false, false));
+    a_peers_lift_is_taken_over: (2, 2, 0, (false, false));
     // A body cleared at one VM would stay a suspect at the others.
-    a_peers_clearance_is_taken_over: (0, 0, (false, false));
+    a_peers_clearance_is_taken_over: (1, 0, 0, (false, false));
+    // A run that ends after the second death would lift the quarantine.
+    a_clearance_does_not_lift_a_quarantine: (2, 0, 0, (true, true));
 }
