--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -87,4 +87,5 @@
 mod rate;
 mod round_robin;
 mod schedule;
+mod slots;
 mod watch;
