Carry plain calls, polls and orders, and keep answers of at-most-once calls

Cause: the kernel's polls and orders had no adapter, and plain services no path. Change: modules plain, poll, orders and kept; the connection limit; the traffic tests run against the platform stand-in of the bench crate, because cold grants need a lease.

--- a/crates/daemon/src/answer.rs
+++ b/crates/daemon/src/answer.rs
@@ -156,6 +156,26 @@
     }
 }
 
+/// Waits for the answer of a plain service.
+pub(crate) async fn passed_on(mut reader: Reader) -> Result<Response, Problem> {
+    loop {
+        match reader.next().await {
+            // A plain service's answer has no events.
+            Step::Events(..) => {}
+            Step::Replaced => return Err(replaced()),
+            Step::Finish(finish) => {
+                return match &*finish {
+                    Finish::Done => Err(unreadable()),
+                    Finish::Refused(refusal) => Err(refusal.into()),
+                    Finish::Replay(stored) => replay(stored),
+                    Finish::Passed(answer) => Ok(passed(answer)),
+                    Finish::Cancelled => Err(cancelled()),
+                };
+            }
+        }
+    }
+}
+
 fn json(body: Vec<u8>) -> Response {
     let mut response = Response::new(body.into());
     let json = HeaderValue::from_static("application/json");
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use hornbeamloom_kernel::outcome::Start;
 use hornbeamloom_kernel::request::End;
-use hornbeamloom_kernel::stream::{Accept, Cursor};
+use hornbeamloom_kernel::stream::{self, Accept, Cursor};
 use hornbeamloom_wire::{openai, sse};
 use reqwest::{Response, StatusCode};
 use tokio::time::Instant;
@@ -16,12 +16,7 @@
 use crate::http::{self, Fault, SILENCE};
 use crate::refusal::REQUEST_ID;
 use crate::relay::{Answer, Finish, Relay};
-
-/// Attempts to resume after one loss; a delivered token starts the count again.
-const RESUMES_MAX: u32 = 5;
-
-/// Wait before the first resume; doubles with each further one.
-const RESUME_BACKOFF: Duration = Duration::from_millis(50);
+use crate::{kept, metrics};
 
 /// Longest event accepted from an engine, in bytes.
 const EVENT_BYTES: usize = 256 * 1024;
@@ -32,9 +27,6 @@
 /// Header that names the generation.
 const GENERATION_ID: &str = "x-generation-id";
 
-/// A gap between two tokens counted as a stall.
-const STALL: Duration = Duration::from_millis(500);
-
 /// Why reading a stream stopped.
 enum Stop {
     /// Its final event arrived.
@@ -66,6 +58,7 @@
     traffic: &Traffic,
     work: &Work,
     form: openai::Form,
+    is_stream: bool,
     start: &Start,
     relay: &Relay,
 ) -> Ended {
@@ -84,10 +77,11 @@
         resumes: 0,
     };
     let (end, finish) = attempt.drive(form).await;
+    let is_kept = work.once.is_some() && matches!(finish, Some(Finish::Done));
     Ended {
         end,
         first_token_ms: attempt.first_token_ms,
-        stored: None,
+        stored: is_kept.then(|| kept::generation(relay, form, is_stream)),
         finish,
     }
 }
@@ -146,7 +140,7 @@
         let began = move || control.tell(Input::Began { id, attempt });
         let response = http::send(request, body, SILENCE, began).await?;
         if http::echo(&response) != Some(&self.echo) {
-            metrics::counter!("hornbeamloom_crossed_answers_total").increment(1);
+            metrics::crossed();
             return Err(Fault::Crossed);
         }
         self.generation = generation(&response).map(ToOwned::to_owned);
@@ -157,20 +151,11 @@
     async fn end_of(&self, fault: Fault) -> End {
         match fault {
             Fault::Unsent | Fault::Refused => End::Unsent,
-            Fault::Broken if self.is_refusing().await => End::Died,
+            Fault::Broken if http::is_refusing(&self.start.address).await => End::Died,
             _ => End::Broken,
         }
     }
 
-    /// Whether the target's port refuses connections.
-    async fn is_refusing(&self) -> bool {
-        let connect = tokio::net::TcpStream::connect(&self.start.address);
-        match tokio::time::timeout(http::CONNECT, connect).await {
-            Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
-            _ => false,
-        }
-    }
-
     /// Reads token events until the stream ends in some way.
     async fn read(&mut self, mut response: Response) -> Stop {
         let mut parser = sse::Parser::new(EVENT_BYTES);
@@ -200,7 +185,7 @@
     }
 
     fn lost(&self, cause: &'static str) -> Stop {
-        metrics::counter!("hornbeamloom_links_lost_total", "cause" => cause).increment(1);
+        ::metrics::counter!("hornbeamloom_links_lost_total", "cause" => cause).increment(1);
         log::info!(
             "link lost request={} target={} cause={cause} next={}",
             self.echo,
@@ -231,7 +216,7 @@
         match self.cursor.accept(&chunk.id, seq) {
             Accept::Deliver => {}
             Accept::Duplicate => {
-                metrics::counter!("hornbeamloom_duplicate_tokens_total").increment(1);
+                ::metrics::counter!("hornbeamloom_duplicate_tokens_total").increment(1);
                 return None;
             }
             Accept::Gap => return Some(self.lost("gap")),
@@ -247,19 +232,11 @@
     async fn deliver(&mut self, data: &str) -> Result<(), Stop> {
         let now = Instant::now();
         match self.last_token.replace(now) {
-            Some(last) => {
-                let gap = now - last;
-                metrics::histogram!("hornbeamloom_token_gap_seconds").record(gap);
-                if gap >= STALL {
-                    metrics::counter!("hornbeamloom_stalls_total").increment(1);
-                    metrics::histogram!("hornbeamloom_stall_seconds").record(gap);
-                }
-            }
+            Some(last) => metrics::token_gap(now - last),
             None => {
                 let ms = (now - self.sent).as_millis();
                 self.first_token_ms = Some(u32::try_from(ms).unwrap_or(u32::MAX));
-                let since_arrival = now - self.work.arrived;
-                metrics::histogram!("hornbeamloom_first_token_seconds").record(since_arrival);
+                metrics::first_token(now - self.work.arrived);
             }
         }
         self.resumes = 0;
@@ -274,8 +251,8 @@
         let Some(generation) = self.generation.clone() else {
             return Err(self.end_of(Fault::Broken).await);
         };
-        while self.resumes < RESUMES_MAX {
-            let wait = RESUME_BACKOFF * (1 << self.resumes);
+        while let Some(wait_ms) = stream::resume_delay(self.resumes) {
+            let wait = Duration::from_millis(wait_ms);
             self.resumes += 1;
             tokio::select! {
                 _ = tokio::time::sleep(wait) => {}
@@ -284,7 +261,7 @@
                     return Err(End::Cancelled);
                 }
             }
-            metrics::counter!("hornbeamloom_resumes_total").increment(1);
+            ::metrics::counter!("hornbeamloom_resumes_total").increment(1);
             match self.reopen(&generation).await {
                 Ok(response) if response.status() == StatusCode::OK => return Ok(response),
                 Ok(response) if response.status() == StatusCode::NOT_FOUND => {
@@ -329,7 +306,7 @@
                 .await
                 .is_err()
             {
-                metrics::counter!("hornbeamloom_cancels_failed_total").increment(1);
+                ::metrics::counter!("hornbeamloom_cancels_failed_total").increment(1);
             }
         });
     }
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -19,11 +19,15 @@
 use warp::Filter;
 
 use crate::control::{Arrival, Input};
-use crate::engines::{self, Job, Traffic, Work};
+use crate::engines::{self, Job, Place, Traffic, Work};
+use crate::plain::{self, IDEMPOTENCY_KEY};
 use crate::refusal::{Problem, REQUEST_ID};
-use crate::relay::{Relay, GRACE};
+use crate::relay::{Reader, Relay, GRACE};
 use crate::{answer, auth, comeback, edge, http};
 
+/// Longest idempotency key, in bytes.
+const KEY_BYTES: usize = 255;
+
 inventory::submit! {
     edge::Plugin { name: "callers", rank: 40, takes: |_| false, start }
 }
@@ -37,19 +41,23 @@
     let traffic = Arc::new(Traffic::new(context, client));
     let routes = warp::method()
         .and(warp::path::full())
+        .and(warp::query::raw().or(warp::any().map(String::new)).unify())
         .and(warp::header::headers_cloned())
         .and(warp::body::stream())
-        .then(move |method, path: warp::path::FullPath, headers, body| {
-            let traffic = traffic.clone();
-            async move {
-                let head = Head {
-                    method,
-                    path: path.as_str().to_owned(),
-                    headers,
-                };
-                handle(&traffic, head, body).await
-            }
-        });
+        .then(
+            move |method, path: warp::path::FullPath, query, headers, body| {
+                let traffic = traffic.clone();
+                async move {
+                    let head = Head {
+                        method,
+                        path: path.as_str().to_owned(),
+                        query,
+                        headers,
+                    };
+                    handle(&traffic, head, body).await
+                }
+            },
+        );
     let server = warp::serve(routes)
         .incoming(listener)
         .graceful(exit.clone().begun())
@@ -65,6 +73,7 @@
 pub(crate) struct Head {
     pub(crate) method: Method,
     pub(crate) path: String,
+    pub(crate) query: String,
     pub(crate) headers: HeaderMap,
 }
 
@@ -80,6 +89,8 @@
     let mut response = match route(traffic, &id, &head, body).await {
         Ok(response) => response,
         Err(problem) => {
+            metrics::counter!("hornbeamloom_error_answers_total", "reason" => problem.reason)
+                .increment(1);
             log::info!(
                 "request refused id={text} reason={} status={}",
                 problem.reason,
@@ -110,15 +121,19 @@
     match (head.method.as_str(), head.path.as_str()) {
         ("GET", "/healthz") => return Ok(Response::new("ok\n".into())),
         ("GET", "/readyz") => return ready(traffic),
-        ("GET", "/metrics") => return metrics(traffic, &head.headers),
+        ("GET", "/metrics") => return measures(traffic, &head.headers),
         _ => {}
     }
     let organisation = authorise(traffic, &head.headers)?;
+    let place = traffic.enter().ok_or(crowded())?;
     if let Some(stream) = head.path.strip_prefix("/v1/streams/") {
-        return match head.method {
-            Method::GET => comeback::resume(traffic, &organisation, stream, &head.headers).await,
-            _ => Err(no_method()),
-        };
+        if head.method != Method::GET {
+            return Err(no_method());
+        }
+        return comeback::resume(traffic, &organisation, stream, &head.headers, place).await;
+    }
+    if let Some(path) = head.path.strip_prefix("/services/") {
+        return call(traffic, id, organisation, path, head, body, place).await;
     }
     let form = match head.path.as_str() {
         "/v1/completions" => Form::Completion,
@@ -128,8 +143,34 @@
     if head.method != Method::POST {
         return Err(no_method());
     }
+    let key = idempotency_key(&head.headers)?;
     let body = read_body(traffic, &head.headers, body).await?;
-    generate(traffic, id, organisation, form, body).await
+    generate(traffic, id, organisation, form, key, body, place).await
+}
+
+fn crowded() -> Problem {
+    Problem::new(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "connection_limit",
+        "this VM has as many callers as it accepts",
+    )
+    .with_retry_after(1_000)
+}
+
+/// The caller's key for a call that runs at most once.
+fn idempotency_key(headers: &HeaderMap) -> Result<Option<Name>, Problem> {
+    let Some(key) = headers.get(IDEMPOTENCY_KEY) else {
+        return Ok(None);
+    };
+    let key = key.to_str().unwrap_or_default();
+    match !key.is_empty() && key.len() <= KEY_BYTES {
+        true => Ok(Some(key.into())),
+        false => Err(Problem::new(
+            StatusCode::BAD_REQUEST,
+            "invalid_idempotency_key",
+            "Idempotency-Key must have 1 to 255 printable characters",
+        )),
+    }
 }
 
 fn no_route() -> Problem {
@@ -164,7 +205,7 @@
 }
 
 /// Metrics name organisations and services, so they are for operators only.
-fn metrics(traffic: &Traffic, headers: &HeaderMap) -> Result<Response, Problem> {
+fn measures(traffic: &Traffic, headers: &HeaderMap) -> Result<Response, Problem> {
     let key = auth::bearer(headers).unwrap_or_default();
     let settings = traffic.context.settings.borrow();
     match auth::is_known(&settings.keys.operator, key) {
@@ -255,7 +296,9 @@
     id: &Id,
     organisation: Name,
     form: Form,
+    once: Option<Name>,
     body: Bytes,
+    place: Place,
 ) -> Result<Response, Problem> {
     let call = openai::read(form, &body).map_err(|error| {
         log::debug!("unreadable body id={id} cause={}", cause(&error));
@@ -267,41 +310,127 @@
     })?;
     let service: Name = (&*call.model).into();
     check_service(traffic, &organisation, &service, Protocol::Model)?;
+    let stream = call.stream;
+    let request = Request {
+        prompt_tokens: call.prompt_tokens(),
+        max_tokens: call.max_tokens(),
+        prefixes: call.prefixes(),
+        fingerprint: fingerprint(&[service.as_bytes(), form.path().as_bytes(), &body]),
+        service,
+        organisation,
+        once,
+        job: Job::Generate { form, stream },
+        body: body.clone(),
+    };
+    let reader = submit(traffic, id, request, place);
+    match stream {
+        true => answer::stream(reader).await,
+        false => answer::whole(reader, form).await,
+    }
+}
+
+async fn call<S, B>(
+    traffic: &Arc<Traffic>,
+    id: &Id,
+    organisation: Name,
+    path: &str,
+    head: &Head,
+    body: S,
+    place: Place,
+) -> Result<Response, Problem>
+where
+    S: Stream<Item = Result<B, warp::Error>> + Send,
+    B: Buf,
+{
+    let (service, path) = path.split_once('/').unwrap_or((path, ""));
+    check_service(traffic, &organisation, service, Protocol::Plain)?;
+    let key = idempotency_key(&head.headers)?;
+    let body = read_body(traffic, &head.headers, body).await?;
+    let path = match head.query.as_str() {
+        "" => format!("/{path}"),
+        query => format!("/{path}?{query}"),
+    };
+    let is_once = {
+        let intent = traffic.context.intent.borrow();
+        let service = intent.service(service);
+        service.is_some_and(|service| {
+            let mut methods = service.once_methods.iter();
+            methods.any(|method| method.eq_ignore_ascii_case(head.method.as_str()))
+        })
+    };
+    let parts = [
+        service.as_bytes(),
+        head.method.as_str().as_bytes(),
+        path.as_bytes(),
+        &body,
+    ];
+    let request = Request {
+        prompt_tokens: 0,
+        max_tokens: None,
+        prefixes: Vec::new(),
+        fingerprint: fingerprint(&parts),
+        service: service.into(),
+        organisation,
+        // A declared method without a key runs under a key of its own.
+        once: key.or_else(|| is_once.then(|| id.to_string().into())),
+        job: Job::Call(plain::Call {
+            method: head.method.clone(),
+            path,
+            headers: head.headers.clone(),
+        }),
+        body,
+    };
+    answer::passed_on(submit(traffic, id, request, place)).await
+}
+
+/// A checked request.
+struct Request {
+    organisation: Name,
+    service: Name,
+    prompt_tokens: u32,
+    max_tokens: Option<u32>,
+    prefixes: Vec<u64>,
+    fingerprint: u64,
+    once: Option<Name>,
+    job: Job,
+    body: Bytes,
+}
+
+/// Hands a request to the control thread and starts its traffic task.
+fn submit(traffic: &Arc<Traffic>, id: &Id, request: Request, place: Place) -> Reader {
     let (verdicts, receiver) = mpsc::unbounded_channel();
     let tokens = Arc::new(AtomicU32::new(0));
     let arrival = Arrival {
         id: id.clone(),
-        organisation: organisation.clone(),
-        service: service.clone(),
-        prompt_tokens: call.prompt_tokens(),
-        max_tokens: call.max_tokens(),
-        fingerprint: fingerprint(&[service.as_bytes(), form.path().as_bytes(), &body]),
-        prefixes: call.prefixes(),
-        once: None,
+        organisation: request.organisation.clone(),
+        service: request.service.clone(),
+        prompt_tokens: request.prompt_tokens,
+        max_tokens: request.max_tokens,
+        fingerprint: request.fingerprint,
+        prefixes: request.prefixes,
+        once: request.once.clone(),
         verdicts,
         tokens: tokens.clone(),
     };
-    let stream = call.stream;
-    let grace = if stream { GRACE } else { Duration::ZERO };
-    let relay = Arc::new(Relay::new(id, &organisation, grace));
-    let reader = relay.attach(0).expect("a new stream starts at 0");
     let work = Work {
         id: id.clone(),
-        service,
-        body: body.clone(),
-        job: Job::Generate { form, stream },
+        service: request.service,
+        body: request.body,
+        job: request.job,
+        once: request.once,
         arrived: Instant::now(),
         tokens,
     };
-    traffic
-        .context
-        .control
-        .tell(Input::Arrive(Box::new(arrival)));
+    let grace = match work.is_resumable() {
+        true => GRACE,
+        false => Duration::ZERO,
+    };
+    let relay = Arc::new(Relay::new(id, &request.organisation, grace));
+    let reader = relay.attach(0, place).expect("a new stream starts at 0");
+    let control = &traffic.context.control;
+    control.tell(Input::Arrive(Box::new(arrival)));
     engines::spawn(traffic, work, relay, receiver);
-    match stream {
-        true => answer::stream(reader).await,
-        false => answer::whole(reader, form).await,
-    }
+    reader
 }
 
 /// The class of a parse error, without any part of the body.
--- a/crates/daemon/src/engines.rs
+++ b/crates/daemon/src/engines.rs
@@ -1,28 +1,53 @@
 //! Traffic towards targets: one task per request carries out the kernel's verdicts.
 
-use std::sync::atomic::{AtomicU32, AtomicU64};
+use std::sync::atomic::{AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
 use hornbeamloom_kernel::ids::Name;
 use hornbeamloom_kernel::map::Map;
-use hornbeamloom_kernel::outcome::{Ran, Reason, Refusal, Start};
+use hornbeamloom_kernel::outcome::{Outcome, Ran, Reason, Refusal, Start};
 use hornbeamloom_kernel::request::{End, Id};
 use hornbeamloom_kernel::store::Stored;
 use hornbeamloom_wire::openai::Form;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use crate::attempt;
 use crate::control::{Input, Verdict};
-use crate::edge;
+use crate::poll::Poller;
 use crate::relay::{Finish, Relay, GRACE};
+use crate::{attempt, edge, http, orders, plain};
 
 /// Time beyond the service's queue limit after which a missing verdict is taken for a refusal.
 /// The kernel refuses in time by itself; this bounds the caller's wait if it cannot.
 const VERDICT_SLACK: Duration = Duration::from_secs(10);
 
+inventory::submit! {
+    edge::Plugin {
+        name: "engines",
+        rank: 30,
+        takes: |outcome| matches!(outcome, Outcome::Poll { .. } | Outcome::Order(_)),
+        start,
+    }
+}
+
+fn start(context: edge::Context, mut inbox: edge::Inbox) -> Result<(), edge::Error> {
+    let client = http::client().map_err(|error| edge::Error::Setting(error.to_string()))?;
+    let poller = Poller::new(&context, &client);
+    let orders = orders::Queue::new(&context.control, &client);
+    tokio::spawn(async move {
+        while let Some(outcome) = inbox.recv().await {
+            match outcome {
+                Outcome::Poll { target, address } => poller.start(target, address),
+                Outcome::Order(order) => orders.push(order),
+                _ => {}
+            }
+        }
+    });
+    Ok(())
+}
+
 /// What all requests of this VM share.
 #[derive(Debug)]
 pub(crate) struct Traffic {
@@ -30,6 +55,17 @@
     pub(crate) client: reqwest::Client,
     pub(crate) counter: AtomicU64,
     streams: Mutex<Map<Id, Arc<Relay>>>,
+    callers: Arc<AtomicUsize>,
+}
+
+/// One caller's place under the connection limit.
+#[derive(Debug)]
+pub(crate) struct Place(Arc<AtomicUsize>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl Traffic {
@@ -39,9 +75,18 @@
             client,
             counter: AtomicU64::new(1),
             streams: Mutex::default(),
+            callers: Arc::default(),
         }
     }
 
+    /// Takes a place under the connection limit, if there is one.
+    pub(crate) fn enter(&self) -> Option<Place> {
+        let limit = self.context.settings.borrow().limits.connections;
+        let place = Place(self.callers.clone());
+        let others = self.callers.fetch_add(1, Ordering::Relaxed);
+        (others < limit).then_some(place)
+    }
+
     /// The stream of a request, while it is held here.
     pub(crate) fn stream(&self, id: &Id) -> Option<Arc<Relay>> {
         self.streams
@@ -69,6 +114,8 @@
 pub(crate) enum Job {
     /// A generation.
     Generate { form: Form, stream: bool },
+    /// A call of a plain service.
+    Call(plain::Call),
 }
 
 /// A request as its traffic task needs it.
@@ -78,6 +125,8 @@
     pub(crate) service: Name,
     pub(crate) body: Bytes,
     pub(crate) job: Job,
+    /// The idempotency key of a call that runs at most once.
+    pub(crate) once: Option<Name>,
     pub(crate) arrived: Instant,
     pub(crate) tokens: Arc<AtomicU32>,
 }
@@ -89,7 +138,7 @@
     }
 
     fn delivered(&self) -> u32 {
-        self.tokens.load(std::sync::atomic::Ordering::Relaxed)
+        self.tokens.load(Ordering::Relaxed)
     }
 }
 
@@ -102,6 +151,29 @@
     pub(crate) finish: Option<Finish>,
 }
 
+impl Ended {
+    /// An attempt that ended this way, without a token.
+    pub(crate) fn new(end: End) -> Ended {
+        Ended {
+            end,
+            first_token_ms: None,
+            stored: None,
+            finish: None,
+        }
+    }
+
+    /// The same attempt with an answer to keep.
+    pub(crate) fn with_stored(self, stored: Option<Stored>) -> Ended {
+        Ended { stored, ..self }
+    }
+
+    /// The same attempt with the caller's answer.
+    pub(crate) fn with_finish(self, finish: Finish) -> Ended {
+        let finish = Some(finish);
+        Ended { finish, ..self }
+    }
+}
+
 /// Runs a request to its end in a task of its own.
 pub(crate) fn spawn(
     traffic: &Arc<Traffic>,
@@ -217,7 +289,10 @@
 }
 
 async fn attempt(traffic: &Traffic, work: &Work, start: &Start, relay: &Relay) -> Ended {
-    match work.job {
-        Job::Generate { form, .. } => attempt::run(traffic, work, form, start, relay).await,
+    match &work.job {
+        Job::Generate { form, stream } => {
+            attempt::run(traffic, work, *form, *stream, start, relay).await
+        }
+        Job::Call(call) => plain::run(traffic, work, call, start, relay).await,
     }
 }
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -107,6 +107,15 @@
     false
 }
 
+/// Whether the port of `address` refuses connections, so that no process listens there.
+pub(crate) async fn is_refusing(address: &str) -> bool {
+    let connect = tokio::net::TcpStream::connect(address);
+    match tokio::time::timeout(CONNECT, connect).await {
+        Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
+        _ => false,
+    }
+}
+
 /// The request id that an answer echoes.
 pub(crate) fn echo(response: &Response) -> Option<&str> {
     response.headers().get(REQUEST_ID)?.to_str().ok()
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -29,8 +29,12 @@
 
 mod failure;
 mod jitter;
+mod kept;
 mod operators;
+mod orders;
+mod plain;
 mod platform;
+mod poll;
 mod snapshot;
 mod status;
 mod table;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -14,6 +14,9 @@
 /// Time between two rounds that move recorded samples into their buckets.
 const UPKEEP: Duration = Duration::from_secs(5);
 
+/// A gap between two tokens that counts as a stall; engines send a heartbeat as often.
+const STALL: Duration = Duration::from_millis(500);
+
 /// The process has one recorder; several daemons in one test process share it.
 static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
 
@@ -47,3 +50,22 @@
         .map(PrometheusHandle::render)
         .unwrap_or_default()
 }
+
+/// Counts an answer that carried another request's id.
+pub(crate) fn crossed() {
+    ::metrics::counter!("hornbeamloom_crossed_answers_total").increment(1);
+}
+
+/// Records the time from a request's arrival to its first token.
+pub(crate) fn first_token(time: Duration) {
+    ::metrics::histogram!("hornbeamloom_first_token_seconds").record(time);
+}
+
+/// Records the time between two tokens, and counts it as a stall when it is long.
+pub(crate) fn token_gap(gap: Duration) {
+    ::metrics::histogram!("hornbeamloom_token_gap_seconds").record(gap);
+    if gap >= STALL {
+        ::metrics::counter!("hornbeamloom_stalls_total").increment(1);
+        ::metrics::histogram!("hornbeamloom_stall_seconds").record(gap);
+    }
+}
--- a/crates/daemon/src/refusal.rs
+++ b/crates/daemon/src/refusal.rs
@@ -38,6 +38,14 @@
         Problem { ran, ..self }
     }
 
+    /// The same problem with advice on when to try again.
+    pub(crate) fn with_retry_after(self, ms: u64) -> Problem {
+        Problem {
+            retry_after_ms: Some(ms),
+            ..self
+        }
+    }
+
     /// The problem as JSON text.
     pub(crate) fn body(&self, request_id: &str) -> String {
         error::write(&error::Body {
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -1,7 +1,8 @@
 //! One answer on its way from a traffic task to its caller, with a bounded replay buffer.
 //!
 //! The traffic task pushes token events, one caller connection reads them. When the connection is
-//! lost, another one may go on from any event still held.
+//! lost, another one may go on from any event still held. Unlike `stream::Replay`, the buffer never
+//! drops an event that no connection has read: the traffic task waits instead.
 
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -12,11 +13,11 @@
 use hornbeamloom_kernel::outcome::Refusal;
 use hornbeamloom_kernel::request::Id;
 use hornbeamloom_kernel::store::Stored;
+use hornbeamloom_kernel::stream::REPLAY_BYTES;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-/// Bytes of events held for one stream.
-pub(crate) const HELD_BYTES: usize = 256 * 1024;
+use crate::engines::Place;
 
 /// Time for a caller to come back before its generation is cancelled.
 pub(crate) const GRACE: Duration = Duration::from_secs(10);
@@ -78,7 +79,7 @@
 
     /// Drops events that were read, oldest first, until the rest fits.
     fn trim(&mut self) {
-        while self.bytes > HELD_BYTES && self.first < self.read {
+        while self.bytes > REPLAY_BYTES && self.first < self.read {
             let Some(event) = self.events.pop_front() else {
                 return;
             };
@@ -115,7 +116,7 @@
         self.buffer.lock().expect("no holder of the lock panics")
     }
 
-    /// Adds the next token event; waits while the caller has not read `HELD_BYTES`.
+    /// Adds the next token event; waits while the caller has not read `REPLAY_BYTES`.
     pub(crate) async fn push(&self, event: Bytes) -> Result<(), Departed> {
         let mut changed = self.changed.subscribe();
         let limit = tokio::time::sleep(STUCK);
@@ -123,7 +124,7 @@
         loop {
             {
                 let mut buffer = self.lock();
-                if buffer.unread < HELD_BYTES {
+                if buffer.unread < REPLAY_BYTES {
                     buffer.bytes += event.len();
                     buffer.unread += event.len();
                     buffer.events.push_back(event);
@@ -141,6 +142,12 @@
         Ok(())
     }
 
+    /// All events since the first one, if they are still held.
+    pub(crate) fn events(&self) -> Option<Vec<Bytes>> {
+        let buffer = self.lock();
+        (buffer.first == 0).then(|| buffer.events.iter().cloned().collect())
+    }
+
     /// Ends the answer; later calls have no effect.
     pub(crate) fn finish(&self, finish: Finish) {
         self.lock().finish.get_or_insert_with(|| Arc::new(finish));
@@ -167,7 +174,7 @@
     }
 
     /// Connects a caller that wants event `next` first; an earlier connection stops reading.
-    pub(crate) fn attach(self: &Arc<Relay>, next: u64) -> Result<Reader, Missing> {
+    pub(crate) fn attach(self: &Arc<Relay>, next: u64, place: Place) -> Result<Reader, Missing> {
         let number = {
             let mut buffer = self.lock();
             if next < buffer.first || next > buffer.end() {
@@ -185,6 +192,7 @@
             number,
             changed: self.changed.subscribe(),
             relay: self.clone(),
+            _place: place,
         })
     }
 }
@@ -206,6 +214,7 @@
     number: u64,
     changed: watch::Receiver<()>,
     pub(crate) relay: Arc<Relay>,
+    _place: Place,
 }
 
 impl Reader {
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -200,15 +200,30 @@
     listener.local_addr().unwrap().port()
 }
 
+/// The URL of a stand-in platform that lives as long as the test's process.
+fn platform() -> String {
+    let address = format!("127.0.0.1:{}", port());
+    let own = address.clone();
+    std::thread::spawn(move || {
+        let roles = inventory::iter::<hornbeamloom_bench::role::Plugin>;
+        let role = roles
+            .into_iter()
+            .find(|role| role.name == "platform")
+            .unwrap();
+        (role.run)(&["--listen", &own]).unwrap();
+    });
+    format!("http://{address}")
+}
+
 /// Settings text with free ports and `more` lines.
 pub fn settings_text(more: &str) -> String {
     let (callers, operators, peers) = (port(), port(), port());
+    let platform = platform();
     format!(
         "vm: entry-1\nzone: z\n\
          listen: {{callers: '127.0.0.1:{callers}', operators: '127.0.0.1:{operators}', \
          peers: '127.0.0.1:{peers}'}}\n\
-         platform: {{table: 'http://127.0.0.1:1', objects: 'http://127.0.0.1:1', \
-         vms: 'http://127.0.0.1:1'}}\n\
+         platform: {{table: '{platform}', objects: '{platform}', vms: '{platform}'}}\n\
          keys: {{operator: [op-key], peer: [peer-key]}}\nsettle_s: 0\n{more}"
     )
 }
