Give daemons of a test ports that nothing else takes

Change: ports below the system's range of ephemeral ports, each given out once. Conclusion: the cause is removed, not retried.

--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -2,6 +2,7 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
@@ -13,6 +14,10 @@
 pub const OPERATOR_KEY: &str = "operator-key";
 /// How long daemons may take to be ready.
 const READY_MAX: Duration = Duration::from_secs(30);
+/// Ports of daemons.
+const PORTS: std::ops::Range<u16> = 10_000..30_000;
+/// Distance of the first ports of two processes with neighbouring ids.
+const PORT_STRIDE: u32 = 199;
 /// How often readiness is looked for.
 const READY_POLL: Duration = Duration::from_millis(50);
 
@@ -441,12 +446,23 @@
 }
 
 /// Loopback addresses that were free a moment ago.
+///
+/// They lie below the ports that the system gives to outgoing connections and to port 0, so that
+/// nothing else takes them before the daemon does. Each is given out once by this process.
 fn free_addresses(count: usize) -> Result<Vec<SocketAddr>, Error> {
-    let listeners: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind("127.0.0.1:0"))
-        .collect::<Result<_, _>>()?;
-    Ok(listeners
-        .iter()
-        .map(TcpListener::local_addr)
-        .collect::<Result<_, _>>()?)
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let mut addresses = Vec::new();
+    for _ in 0..PORTS.len() {
+        if addresses.len() == count {
+            return Ok(addresses);
+        }
+        let offset =
+            NEXT.fetch_add(1, Ordering::Relaxed) + std::process::id().wrapping_mul(PORT_STRIDE);
+        let port = PORTS.start + (offset % PORTS.len() as u32) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            addresses.push(address);
+        }
+    }
+    Err(Error::Failed("no free ports".to_owned()))
 }
