Check settings whole before anything is bound

Cause: only syntax and unknown keys were checked. Change: names, addresses, URLs, duplicates, keys, log level and ranges are checked; the error is one line that names the setting and never shows a key. Conclusion: 23 cases of bad settings are refused.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -45,6 +45,7 @@
 mod attempt;
 mod auth;
 mod callers;
+mod check;
 mod comeback;
 mod engines;
 mod http;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -5,6 +5,8 @@
 use hornbeamloom_kernel::ids::Name;
 use serde::Deserialize;
 
+use crate::check;
+
 /// Everything that a daemon is told at its start.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -139,6 +141,14 @@
     /// The text is not a settings file.
     #[error("settings: {0}")]
     Parse(#[from] serde_yaml_ng::Error),
+    /// A value cannot be used.
+    #[error("settings: {field}: {fault}")]
+    Value {
+        /// The setting.
+        field: &'static str,
+        /// What is wrong with it; never the value of a key.
+        fault: String,
+    },
 }
 
 /// Reads and checks a settings file.
@@ -147,6 +157,13 @@
 }
 
 /// Reads and checks the text of a settings file.
+///
+/// ```
+/// let error = hornbeamloom_daemon::settings::parse("vm: a\nvn: b\n").unwrap_err();
+/// assert!(error.to_string().contains("vn"));
+/// ```
 pub fn parse(text: &str) -> Result<Settings, Error> {
-    Ok(serde_yaml_ng::from_str(text)?)
+    let settings: Settings = serde_yaml_ng::from_str(text)?;
+    check::settings(&settings)?;
+    Ok(settings)
 }
--- /dev/null
+++ b/crates/daemon/tests/settings.rs
@@ -0,0 +1,55 @@
+//! Settings that cannot be used are refused whole, with one line that names the fault.
+
+use hornbeamloom_daemon::settings;
+
+const GOOD: &str = "vm: entry-1
+zone: lodz-a
+listen: {callers: '127.0.0.1:8100', operators: '127.0.0.1:8200', peers: '127.0.0.1:8300'}
+platform: {table: 'http://127.0.0.1:8400', objects: 'http://127.0.0.1:8400', vms: 'http://127.0.0.1:8400'}
+peers: ['127.0.0.1:8301']
+keys: {operator: [op-secret], peer: [peer-secret]}
+log: {level: info}
+settle_s: 10
+shutdown_limit_s: null
+limits: {body_bytes: 1048576, header_s: 10, connections: 4096}
+";
+
+/// The good settings with one change are refused, and the message has all of `says`.
+fn refused(from: &str, to: &str, says: &[&str]) {
+    assert!(settings::parse(GOOD).is_ok());
+    let text = GOOD.replacen(from, to, 1);
+    assert_ne!(text, GOOD, "the change applies");
+    let message = settings::parse(&text).unwrap_err().to_string();
+    for part in says {
+        assert!(message.contains(part), "{message:?} does not name {part:?}");
+    }
+    assert!(!message.contains('\n'), "{message:?} is one line");
+    assert!(!message.contains("secret"), "{message:?} shows a key");
+}
+
+hornbeamloom_kernel::cases! {
+    refused;
+    unknown_key_is_refused: ("zone:", "zzz: 1\nzone:", &["zzz"]);
+    unknown_nested_key_is_refused: ("header_s", "heade_s", &["heade_s"]);
+    missing_key_is_refused: ("zone: lodz-a\n", "", &["zone"]);
+    duplicate_key_is_refused: ("zone: lodz-a", "zone: lodz-a\nzone: lodz-b", &["zone"]);
+    duplicate_listen_address_is_refused: (":8200", ":8100", &["listen.operators", "twice"]);
+    duplicate_peer_is_refused: ("['127.0.0.1:8301']", "['127.0.0.1:1', '127.0.0.1:1']", &["peers", "twice"]);
+    duplicate_operator_key_is_refused: ("[op-secret]", "[op-secret, op-secret]", &["keys.operator", "key 2"]);
+    key_shared_by_operators_and_peers_is_refused: ("[op-secret]", "[peer-secret]", &["keys"]);
+    empty_key_is_refused: ("[peer-secret]", "['']", &["keys.peer", "key 1"]);
+    absent_operator_keys_are_refused: ("[op-secret]", "[]", &["keys.operator"]);
+    host_name_in_an_address_is_refused: ("127.0.0.1:8100", "localhost:8100", &["listen.callers"]);
+    address_without_port_is_refused: ("'127.0.0.1:8301'", "'127.0.0.1'", &["peers", "IP:port"]);
+    port_zero_is_refused: ("127.0.0.1:8300", "127.0.0.1:0", &["listen.peers"]);
+    bad_url_is_refused: ("{table: 'http://127.0.0.1:8400'", "{table: '127.0.0.1:8400'", &["platform.table"]);
+    url_of_another_scheme_is_refused: ("{table: 'http:", "{table: 'https:", &["platform.table"]);
+    unknown_log_level_is_refused: ("level: info", "level: loud", &["log.level", "loud"]);
+    huge_body_limit_is_refused: ("1048576", "1048576000", &["limits.body_bytes"]);
+    zero_header_time_is_refused: ("header_s: 10", "header_s: 0", &["limits.header_s"]);
+    zero_connections_are_refused: ("connections: 4096", "connections: 0", &["limits.connections"]);
+    long_settle_time_is_refused: ("settle_s: 10", "settle_s: 1000", &["settle_s"]);
+    shutdown_limit_within_settle_time_is_refused: ("shutdown_limit_s: null", "shutdown_limit_s: 10", &["shutdown_limit_s"]);
+    vm_with_a_slash_is_refused: ("vm: entry-1", "vm: entry/1", &["vm"]);
+    negative_number_is_refused: ("header_s: 10", "header_s: -1", &["header_s"]);
+}
