--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -3,6 +3,7 @@
 // Each test file uses its own part of this module.
 #![allow(dead_code)]
 
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -194,15 +195,20 @@
     pub client: reqwest::Client,
 }
 
-/// A port that was free a moment ago.
-fn port() -> u16 {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap().port()
+/// A loopback address that no other test uses.
+///
+/// With an address of its own a daemon can listen on fixed ports below the range of outgoing
+/// connections, so that no other process can take them in between.
+fn host() -> String {
+    static COUNT: AtomicU32 = AtomicU32::new(1);
+    let (process, count) = (std::process::id(), COUNT.fetch_add(1, Ordering::Relaxed));
+    assert!(count < 255, "one address for each test of a process");
+    format!("127.{}.{}.{count}", 1 + process / 250 % 250, process % 250)
 }
 
 /// The URL of a stand-in platform that lives as long as the test's process.
-fn platform() -> String {
-    let address = format!("127.0.0.1:{}", port());
+fn platform(host: &str) -> String {
+    let address = format!("{host}:8400");
     let own = address.clone();
     std::thread::spawn(move || {
         let roles = inventory::iter::<hornbeamloom_bench::role::Plugin>;
@@ -217,12 +223,12 @@
 
 /// Settings text with free ports and `more` lines.
 pub fn settings_text(more: &str) -> String {
-    let (callers, operators, peers) = (port(), port(), port());
-    let platform = platform();
+    let host = host();
+    let platform = platform(&host);
     format!(
         "vm: entry-1\nzone: z\n\
-         listen: {{callers: '127.0.0.1:{callers}', operators: '127.0.0.1:{operators}', \
-         peers: '127.0.0.1:{peers}'}}\n\
+         listen: {{callers: '{host}:8100', operators: '{host}:8200', \
+         peers: '{host}:8300'}}\n\
          platform: {{table: '{platform}', objects: '{platform}', vms: '{platform}'}}\n\
          keys: {{operator: [op-key], peer: [peer-key]}}\nsettle_s: 0\n{more}"
     )
