Test validation, table requests and documents; keep drained zones on apply

Cause: an apply of a file without spec.state brought a drained zone back; the status counted unreachable VMs like any other; watches held up the exit. Change: apply keeps a zone's state and a target's leaving mark that the file does not state; status names unreachable VMs; target states come from the pool; quarantine is listed and lifted through the kernel; watches end on exit; tables of cases for kernel::validate, wire::etcd, wire::table, wire::manifest.

--- a/crates/ctl/src/apply.rs
+++ b/crates/ctl/src/apply.rs
@@ -2,7 +2,7 @@
 
 use argh::FromArgs;
 use hornbeamloom_kernel::ids::Revision;
-use hornbeamloom_kernel::resource::{Book, Key, Kind, Record};
+use hornbeamloom_kernel::resource::{Book, Key, Kind, Record, Spec};
 use hornbeamloom_kernel::validate;
 use hornbeamloom_wire::manifest::{self, Document};
 use reqwest::Method;
@@ -95,6 +95,7 @@
         }
         Err(error) => return Err(error),
     };
+    let document = &keep_operation(document, &current);
     let stated = document.metadata.resource_version;
     let version = match stated {
         Some(stated) => Some(stated),
@@ -110,6 +111,27 @@
     Ok("configured")
 }
 
+/// Keeps what operators changed in daily operation, where the file does not state it: applying a
+/// file again must not bring a drained zone or a leaving target back.
+fn keep_operation(document: &Document, current: &Value) -> Document {
+    let mut document = document.clone();
+    let Ok(current) = manifest::from_value(current.clone(), Some(document.kind)) else {
+        return document;
+    };
+    match (&mut document.spec, &current.spec) {
+        (Spec::AvailabilityZone(zone), Spec::AvailabilityZone(current))
+            if !document.stated.contains("state") =>
+        {
+            zone.state = current.state;
+        }
+        (Spec::Target(target), Spec::Target(current)) if !document.stated.contains("leaving") => {
+            target.leaving = current.leaving;
+        }
+        _ => {}
+    }
+    document
+}
+
 /// Whether the daemon already has this specification, defaults filled in, and these labels.
 fn is_same(document: &Document, current: Value) -> bool {
     let current = manifest::from_value(current, Some(document.kind));
--- a/crates/ctl/src/quarantine.rs
+++ b/crates/ctl/src/quarantine.rs
@@ -66,12 +66,13 @@
 }
 
 fn print(value: &Value) {
-    const FIELDS: [&str; 5] = [
+    const FIELDS: [&str; 6] = [
         "fingerprint",
         "organisation",
         "service",
+        "state",
         "deaths",
-        "remainingSeconds",
+        "remainingMs",
     ];
     let headings = FIELDS.map(str::to_uppercase);
     let headings: Vec<&str> = headings.iter().map(String::as_str).collect();
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -39,9 +39,19 @@
     );
     section(
         &page["vms"],
-        &["name", "zone", "revision", "standing", "silentMs"],
+        &[
+            "name",
+            "zone",
+            "revision",
+            "standing",
+            "reachable",
+            "silentMs",
+        ],
+    );
+    section(
+        &page["targets"],
+        &["name", "service", "zone", "state", "owner"],
     );
-    section(&page["targets"], &["name", "service", "zone", "state"]);
     section(&page["owners"], &["service", "zone", "vm", "fence"]);
 }
 
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -7,12 +7,10 @@
 use futures_util::{Stream, StreamExt};
 use hornbeamloom_kernel::ids::Revision;
 use hornbeamloom_kernel::resource::{Key, Kind, Record};
-use hornbeamloom_kernel::store;
 use hornbeamloom_kernel::validate::{Fault, DOCUMENT_MAX};
 use hornbeamloom_wire::manifest;
 use serde_json::{json, Value};
-use subtle::ConstantTimeEq;
-use warp::http::{Method, StatusCode};
+use warp::http::{HeaderMap, Method, StatusCode};
 use warp::reply::Response;
 use warp::{Filter, Reply};
 
@@ -21,7 +19,7 @@
 use crate::failure::Failure;
 use crate::table::{self, Client};
 use crate::write::{self, Change, Refusal};
-use crate::{status, watch};
+use crate::{auth, metrics, status, watch};
 
 /// Time for a request's body.
 const BODY_DEADLINE: Duration = Duration::from_secs(10);
@@ -34,12 +32,20 @@
     let settings = context.settings.borrow().clone();
     let listener = edge::bind(&settings.listen.operators, "operators")?;
     let http = table::http().map_err(|error| Error::Setting(error.to_string()))?;
+    let exit = context.exit.clone();
     let api = Arc::new(Api {
         table: Client::new(http, &settings.platform.table),
-        hub: watch::Hub::start(context.intent.clone()),
+        hub: watch::Hub::start(context.intent.clone(), context.exit.clone()),
         context,
     });
-    tokio::spawn(warp::serve(routes(api)).incoming(listener).run());
+    let server = warp::serve(routes(api))
+        .incoming(listener)
+        .graceful(exit.clone().begun())
+        .run();
+    tokio::spawn(async move {
+        let _permit = exit.register();
+        server.await;
+    });
     Ok(())
 }
 
@@ -66,14 +72,14 @@
     let filter = warp::method()
         .and(warp::path::full())
         .and(query)
-        .and(warp::header::optional::<String>("authorization"))
+        .and(warp::header::headers_cloned())
         .and(warp::body::stream())
         .then(
-            move |method, path: warp::path::FullPath, query, key, body| {
+            move |method, path: warp::path::FullPath, query, headers, body| {
                 let api = api.clone();
                 async move {
                     let path = path.as_str().to_owned();
-                    let reply = answer(&api, method, path, query, key, body).await;
+                    let reply = answer(&api, method, path, query, headers, body).await;
                     reply.unwrap_or_else(Failure::into_response)
                 }
             },
@@ -87,7 +93,7 @@
     method: Method,
     path: String,
     query: String,
-    key: Option<String>,
+    headers: HeaderMap,
     body: S,
 ) -> Result<Response, Failure>
 where
@@ -97,7 +103,11 @@
     if let Some(reply) = health(api, &method, &path) {
         return Ok(reply);
     }
-    if !is_operator(api, key.as_deref()) {
+    let is_operator = {
+        let settings = api.context.settings.borrow();
+        auth::bearer(&headers).is_some_and(|key| auth::is_known(&settings.keys.operator, key))
+    };
+    if !is_operator {
         return Err(Failure::new(StatusCode::UNAUTHORIZED, "unauthorized"));
     }
     let body = tokio::time::timeout(BODY_DEADLINE, collect(body)).await;
@@ -119,7 +129,7 @@
     match path {
         "/healthz" => Some("ok\n".into_response()),
         "/readyz" => Some(ready(api)),
-        "/metrics" => Some(metrics_page()),
+        "/metrics" => Some(metrics::render().into_response()),
         _ => None,
     }
 }
@@ -134,23 +144,6 @@
         .into_response()
 }
 
-/// The recorder of metrics renders its text here once `run` installs one.
-fn metrics_page() -> Response {
-    Failure::new(StatusCode::NOT_IMPLEMENTED, "no_recorder").into_response()
-}
-
-/// Compares with every accepted key in constant time; no key is looked up or logged.
-fn is_operator(api: &Api, header: Option<&str>) -> bool {
-    let presented = header.and_then(|header| header.strip_prefix("Bearer "));
-    let presented = presented.unwrap_or_default().as_bytes();
-    let settings = api.context.settings.borrow();
-    let matches = settings.keys.operator.iter().filter(|key| !key.is_empty());
-    let found = matches.fold(subtle::Choice::from(0), |found, key| {
-        found | key.as_bytes().ct_eq(presented)
-    });
-    found.into()
-}
-
 async fn collect<S, B>(mut stream: S) -> Result<Bytes, Failure>
 where
     S: Stream<Item = Result<B, warp::Error>> + Unpin,
@@ -342,55 +335,22 @@
 }
 
 async fn quarantined(api: &Api) -> Result<Response, Failure> {
-    let op = store::Op::List(store::Family::Quarantine);
-    let store::Answer::Listed(records) = api.table.carry_out(&op).await else {
-        return Err(Refusal::Unavailable.into());
-    };
-    let items: Vec<Value> = records.iter().filter_map(quarantine_item).collect();
+    let items = ask(api, status::quarantined, "").await?;
     Ok(ok(json!({"items": items})))
 }
 
-fn quarantine_item(record: &store::Record) -> Option<Value> {
-    let store::Key::Quarantine(fingerprint) = record.key else {
-        return None;
-    };
-    let Some(store::Value::Quarantine(entry)) = &record.value else {
-        return None;
-    };
-    Some(json!({
-        "fingerprint": format!("{fingerprint:016x}"),
-        "organisation": entry.organisation,
-        "service": entry.service,
-        "deaths": entry.deaths,
-        "remainingSeconds": entry.remaining_s,
-    }))
-}
-
+/// Lifts a quarantine; the kernel tells the other VMs and deletes the record in the table, as
+/// soon as the table can be reached.
 async fn lift(api: &Api, text: &str) -> Result<Response, Failure> {
     let fingerprint = u64::from_str_radix(text, 16).map_err(|_| not_found())?;
-    let key = store::Key::Quarantine(fingerprint);
-    let found = api.table.carry_out(&store::Op::Read(key.clone())).await;
-    match found {
-        store::Answer::Read(Some(_)) => {}
-        store::Answer::Read(None) => return Err(not_found()),
-        _ => return Err(Refusal::Unavailable.into()),
-    }
-    let write = store::Write {
-        key,
-        condition: store::Condition::Any,
-        value: None,
-    };
-    match api.table.carry_out(&store::Op::Write(vec![write])).await {
-        store::Answer::Written(_) => {
-            api.context.control.tell(Input::Lift(fingerprint));
-            log::info!("lifted quarantine={fingerprint:016x}");
-            Ok(ok(
-                json!({"fingerprint": format!("{fingerprint:016x}"), "lifted": true}),
-            ))
-        }
-        store::Answer::Unknown => Err(Refusal::Unknown.into()),
-        _ => Err(Refusal::Unavailable.into()),
+    let text = format!("{fingerprint:016x}");
+    let items = ask(api, status::quarantined, "").await?;
+    if !items.iter().any(|item| item["fingerprint"] == *text) {
+        return Err(not_found());
     }
+    api.context.control.tell(Input::Lift(fingerprint));
+    log::info!("lifted quarantine={text}");
+    Ok(ok(json!({"fingerprint": text, "lifted": true})))
 }
 
 fn ok(value: Value) -> Response {
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -79,11 +79,7 @@
         let changes = table.changes(own, None).await?;
         return Ok(Input::Changes(changes.delta()));
     }
-    if head < own {
-        // The table was restored from an older state; what is in force never reverts.
-        metrics::counter!("hornbeamloom_ignored_total", "input" => "store_regressed").increment(1);
-        log::warn!("ignored=store_regressed head={} own={}", head.0, own.0);
-    }
+    // A head below the own revision (a restored table) is counted by the kernel, never applied.
     Ok(Input::Head(head))
 }
 
@@ -149,28 +145,18 @@
 /// Two views may differ for some seconds; the work must be conditional.
 pub(crate) async fn is_first(context: &Context) -> bool {
     let first = context.control.ask(
-        |state, now, _| {
-            let zone = &state.identity.zone;
+        |state, _, _| {
             let own = &state.identity.vm;
-            let is_live = |member: &&hornbeamloom_kernel::member::Member| {
-                member.entry.vm == *own || now.since(member.moved) < GONE_MS
-            };
-            state
-                .members
-                .iter()
-                .filter(|member| member.entry.zone == *zone)
-                .filter(is_live)
-                .all(|member| member.entry.vm >= *own)
+            let zone = state.members.in_zone(&state.identity.zone);
+            zone.map(|member| &member.entry.vm)
+                .filter(|vm| state.members.is_reachable(vm))
+                .all(|vm| vm >= own)
         },
         "",
     );
     first.await.unwrap_or(false)
 }
 
-/// Silence after which a VM of the own zone is passed over, in milliseconds: the limit of
-/// section 3.12 of the design page.
-const GONE_MS: u64 = 6_000;
-
 /// The revision in force on this VM.
 pub(crate) fn revision(context: &Context) -> Revision {
     context.intent.borrow().revision
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -6,12 +6,15 @@
 
 use futures_util::Stream;
 use hornbeamloom_kernel::ids::Revision;
-use hornbeamloom_kernel::intent::Intent;
-use hornbeamloom_kernel::resource::{Kind, Record};
+use hornbeamloom_kernel::intent::{Intent, Source};
+use hornbeamloom_kernel::map::Map;
+use hornbeamloom_kernel::resource::{Key, Kind, Record};
 use hornbeamloom_wire::manifest;
 use serde_json::{json, Value};
 use tokio::sync::watch;
 
+use crate::edge::Exit;
+
 /// Changes retained for watches that resume.
 const EVENTS_MAX: usize = 1_024;
 /// Time between two bookmarks, which also show that the stream is alive.
@@ -41,6 +44,18 @@
     record: Arc<Record>,
 }
 
+impl Event {
+    fn new(change: Change, record: Record) -> Event {
+        let record = Arc::new(record);
+        Event { change, record }
+    }
+}
+
+fn by_key(intent: &Intent) -> Map<&Key, &Record> {
+    let records = intent.records();
+    records.map(|record| (&record.key, record)).collect()
+}
+
 /// The changes that came into force on this VM, newest last.
 #[derive(Debug, Default)]
 struct Ring {
@@ -54,9 +69,9 @@
 impl Ring {
     /// Adds what differs between two states of the resources.
     fn advance(&mut self, old: &Intent, new: &Intent) {
-        let before = old.records().map(|record| (&record.key, record));
-        let before: crate::map::Map<_, _> = before.collect();
-        let mut changed: Vec<(Change, &Record)> = new
+        let before = by_key(old);
+        let after = by_key(new);
+        let mut changed: Vec<Event> = new
             .records()
             .filter_map(|record| {
                 let known = before.get(&record.key);
@@ -67,13 +82,27 @@
                     (Some(_), true) => Change::Modified,
                     (Some(_), false) => Change::Added,
                 };
-                is_news.then_some((change, record))
+                is_news.then(|| Event::new(change, record.clone()))
             })
             .collect();
-        changed.sort_by_key(|(_, record)| record.version);
-        for (change, record) in changed {
-            let record = Arc::new(record.clone());
-            self.events.push_back(Event { change, record });
+        // A complete set leaves deleted resources out instead of carrying tombstones.
+        let removed = old.records().filter(|record| {
+            let is_gone = !after.contains_key(&record.key);
+            is_gone && record.spec.is_some()
+        });
+        changed.extend(removed.map(|record| {
+            let tombstone = Record {
+                version: new.revision,
+                spec: None,
+                ..record.clone()
+            };
+            Event::new(Change::Deleted, tombstone)
+        }));
+        changed.sort_by_key(|event| event.record.version);
+        self.events.extend(changed);
+        if old.revision == Revision(0) && new.source == Source::Peer {
+            // A peer may have forgotten deletions from before.
+            self.floor = new.revision;
         }
         while self.events.len() > EVENTS_MAX {
             let dropped = self.events.pop_front();
@@ -97,14 +126,15 @@
 pub(crate) struct Hub {
     ring: Arc<Mutex<Ring>>,
     moved: watch::Receiver<Revision>,
+    exit: Exit,
 }
 
 impl Hub {
     /// Starts to record the changes of `intent`.
-    pub(crate) fn start(intent: watch::Receiver<Arc<Intent>>) -> Hub {
+    pub(crate) fn start(intent: watch::Receiver<Arc<Intent>>, exit: Exit) -> Hub {
         let ring = Arc::new(Mutex::new(Ring::default()));
         let (sender, moved) = watch::channel(Revision(0));
-        let hub = Hub { ring, moved };
+        let hub = Hub { ring, moved, exit };
         tokio::spawn(record(hub.clone(), intent, sender));
         hub
     }
@@ -207,16 +237,20 @@
         if let Some(text) = self.advance() {
             return Some(text);
         }
-        let deadline = tokio::time::Instant::now() + BOOKMARK_EVERY;
+        tokio::time::timeout(BOOKMARK_EVERY, self.wait(moved))
+            .await
+            .unwrap_or_else(|_| Some(bookmark(self.kind, self.at)))
+    }
+
+    /// Waits for news; `None` when the process exits, so that no watch holds up its end.
+    async fn wait(&mut self, mut moved: watch::Receiver<Revision>) -> Option<String> {
         loop {
-            match tokio::time::timeout_at(deadline, moved.changed()).await {
-                Ok(Ok(())) => {
-                    if let Some(text) = self.advance() {
-                        return Some(text);
-                    }
-                }
-                Ok(Err(_)) => return None,
-                Err(_) => return Some(bookmark(self.kind, self.at)),
+            tokio::select! {
+                changed = moved.changed() => changed.ok()?,
+                () = self.hub.exit.clone().begun() => return None,
+            }
+            if let Some(text) = self.advance() {
+                return Some(text);
             }
         }
     }
--- /dev/null
+++ b/crates/kernel/tests/validate.rs
@@ -0,0 +1,171 @@
+//! Validation names the field at fault and nothing else.
+
+use hornbeamloom_kernel::ids::Revision;
+use hornbeamloom_kernel::resource::{
+    AvailabilityZone, Book, Configuration, Key, Kind, Organisation, Policy, Presence, Protocol,
+    Record, Service, Spec, Target,
+};
+use hornbeamloom_kernel::validate::{self, references};
+
+fn record(name: &str, spec: Spec) -> Record {
+    Record {
+        key: Key {
+            kind: spec.kind(),
+            name: name.into(),
+        },
+        version: Revision(1),
+        generation: 1,
+        labels: Default::default(),
+        spec: Some(spec),
+    }
+}
+
+fn organisation(weight: u32, keys: &[&str], services: &[&str]) -> Spec {
+    Spec::Organisation(Organisation {
+        weight,
+        keys: keys.iter().map(|key| (*key).to_owned()).collect(),
+        services: services.iter().map(|name| (*name).into()).collect(),
+    })
+}
+
+fn service(change: fn(&mut Service)) -> Spec {
+    let mut spec = Service {
+        protocol: Protocol::Model,
+        interactive: false,
+        once_methods: Vec::new(),
+        queue_ms: 30_000,
+        configuration: None,
+    };
+    change(&mut spec);
+    Spec::Service(spec)
+}
+
+fn zone(region: &str) -> Spec {
+    let region = region.into();
+    let state = Presence::In;
+    Spec::AvailabilityZone(AvailabilityZone { region, state })
+}
+
+fn target(change: fn(&mut Target)) -> Spec {
+    let mut spec = Target {
+        service: "menu-model".into(),
+        zone: "riga-a".into(),
+        address: "127.0.0.1:9000".to_owned(),
+        cold_limit: 1,
+        warm_limit: 8,
+        kv_tokens: 1_000,
+        fencing: false,
+        leaving: false,
+        role: None,
+    };
+    change(&mut spec);
+    Spec::Target(spec)
+}
+
+fn configuration(change: fn(&mut Configuration)) -> Spec {
+    let mut spec = Configuration::default();
+    change(&mut spec);
+    Spec::Configuration(spec)
+}
+
+fn policy(change: fn(&mut Policy)) -> Spec {
+    let mut spec = Configuration::default();
+    change(&mut spec.policy);
+    Spec::Configuration(spec)
+}
+
+/// The resources that the cases are checked against; `gone` is a tombstone.
+fn book() -> Book {
+    let mut records = vec![
+        record("menu-model", service(|_| {})),
+        record("riga-a", zone("riga")),
+        record("org-1", organisation(1, &["secret-key"], &["menu-model"])),
+        record("engine-1", target(|_| {})),
+    ];
+    let mut gone = record("gone", zone("riga"));
+    gone.spec = None;
+    records.push(gone);
+    let entries = records.into_iter();
+    entries.map(|record| (record.key.clone(), record)).collect()
+}
+
+/// Guards against values that break the scheduler and against messages without a field.
+fn faults_at(name: &str, spec: Spec, expected: &[&str]) {
+    let faults = validate::record(&record(name, spec), &book());
+    let fields: Vec<&str> = faults.iter().map(|fault| fault.field.as_str()).collect();
+    assert_eq!(fields, expected, "{faults:?}");
+    assert!(faults
+        .iter()
+        .all(|fault| !fault.to_string().contains("secret-key")));
+}
+
+hornbeamloom_kernel::cases! {
+    faults_at;
+    sound_target_passes: ("engine-2", target(|_| {}), &[]);
+    name_of_63_characters_passes: (&"a".repeat(63), zone("riga"), &[]);
+    name_of_64_characters_fails: (&"a".repeat(64), zone("riga"), &["metadata.name"]);
+    empty_name_fails: ("", zone("riga"), &["metadata.name"]);
+    capital_in_name_fails: ("Riga", zone("riga"), &["metadata.name"]);
+    slash_in_name_fails: ("riga/a", zone("riga"), &["metadata.name"]);
+    region_format_is_checked: ("z", zone("Riga 1"), &["spec.region"]);
+    weight_zero_fails: ("o", organisation(0, &[], &[]), &["spec.weight"]);
+    weight_1000_passes: ("o", organisation(1_000, &[], &[]), &[]);
+    weight_1001_fails: ("o", organisation(1_001, &[], &[]), &["spec.weight"]);
+    empty_key_fails: ("o", organisation(1, &[""], &[]), &["spec.keys[0]"]);
+    key_of_another_organisation_fails: ("o", organisation(1, &["k", "secret-key"], &[]), &["spec.keys[1]"]);
+    own_key_stays: ("org-1", organisation(2, &["secret-key"], &[]), &[]);
+    key_listed_twice_fails: ("o", organisation(1, &["k", "k"], &[]), &["spec.keys[1]"]);
+    unknown_service_of_organisation_fails: ("o", organisation(1, &[], &["menu-model", "x"]), &["spec.services[1]"]);
+    unknown_configuration_fails: ("s", service(|s| s.configuration = Some("x".into())), &["spec.configuration"]);
+    queue_deadline_zero_fails: ("s", service(|s| s.queue_ms = 0), &["spec.queueMs"]);
+    method_in_small_letters_fails: ("s", service(|s| s.once_methods = vec!["post".into()]), &["spec.onceMethods[0]"]);
+    unknown_service_of_target_fails: ("t", target(|t| t.service = "x".into()), &["spec.service"]);
+    unknown_zone_of_target_fails: ("t", target(|t| t.zone = "x".into()), &["spec.zone"]);
+    tombstone_is_no_zone: ("t", target(|t| t.zone = "gone".into()), &["spec.zone"]);
+    host_name_as_address_fails: ("t", target(|t| t.address = "host:80".into()), &["spec.address"]);
+    port_zero_fails: ("t", target(|t| t.address = "127.0.0.1:0".into()), &["spec.address"]);
+    cold_limit_zero_fails: ("t", target(|t| t.cold_limit = 0), &["spec.coldLimit"]);
+    cold_above_warm_fails: ("t", target(|t| t.cold_limit = 9), &["spec.coldLimit"]);
+    kv_percent_zero_fails: ("c", configuration(|c| c.kv_percent = 0), &["spec.kvPercent"]);
+    kv_percent_101_fails: ("c", configuration(|c| c.kv_percent = 101), &["spec.kvPercent"]);
+    model_without_version_fails: ("c", configuration(|c| c.models = vec!["m".into()]), &["spec.models[0]"]);
+    model_with_version_passes: ("c", configuration(|c| c.models = vec!["m@2".into()]), &[]);
+    unknown_order_fails: ("c", policy(|p| p.order = "lifo".into()), &["spec.policy.order"]);
+    unknown_score_fails: ("c", policy(|p| p.score = vec!["luck".into()]), &["spec.policy.score[0]"]);
+    filter_is_no_score: ("c", policy(|p| p.score = vec!["ramp".into()]), &["spec.policy.score[0]"]);
+    score_cannot_be_switched_off: ("c", policy(|p| p.off = vec!["kvload".into()]), &["spec.policy.off[0]"]);
+    baseline_policies_pass: ("c", policy(|p| { p.order = "fifo".into(); p.off = vec!["ramp".into(), "headroom".into()]; }), &[]);
+}
+
+/// Guards against a deletion that leaves dangling references.
+fn used_by(kind: Kind, name: &str, expected: &[&str]) {
+    let name = name.into();
+    let users = validate::in_use(&Key { kind, name }, &book());
+    let names: Vec<&str> = users.iter().map(|key| &*key.name).collect();
+    assert_eq!(names, expected);
+}
+
+hornbeamloom_kernel::cases! {
+    used_by;
+    service_is_used_by_organisation_and_target: (Kind::Service, "menu-model", &["org-1", "engine-1"]);
+    zone_is_used_by_target: (Kind::AvailabilityZone, "riga-a", &["engine-1"]);
+    target_is_used_by_nothing: (Kind::Target, "engine-1", &[]);
+    same_name_of_another_kind_is_not_used: (Kind::Configuration, "menu-model", &[]);
+}
+
+/// Guards against a kind that refers to a later kind: applying a file in order would fail, and
+/// references could form a cycle.
+fn refers_only_to_earlier_kinds(spec: Spec) {
+    let rank = |kind: Kind| Kind::ALL.iter().position(|other| *other == kind);
+    let own = rank(spec.kind());
+    assert!(references(&spec)
+        .iter()
+        .all(|reference| rank(reference.key.kind) < own));
+}
+
+hornbeamloom_kernel::cases! {
+    refers_only_to_earlier_kinds;
+    organisation_comes_after_services: (organisation(1, &[], &["menu-model"]));
+    service_comes_after_configurations: (service(|s| s.configuration = Some("c".into())));
+    target_comes_after_services_and_zones: (target(|_| {}));
+}
--- a/crates/wire/src/manifest.rs
+++ b/crates/wire/src/manifest.rs
@@ -1,6 +1,6 @@
 //! Resources as documents: JSON in the resource API and the table, JSON or YAML in files.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use hornbeamloom_kernel::ids::{Name, Revision};
 use hornbeamloom_kernel::resource::{Key, Kind, Record, Spec};
@@ -73,6 +73,8 @@
     pub metadata: Metadata,
     /// Its specification.
     pub spec: Spec,
+    /// Top-level fields of the specification that the document states; the others have defaults.
+    pub stated: BTreeSet<String>,
 }
 
 /// Reads a document; `kind` is the kind that the path names, if there is one.
@@ -157,9 +159,11 @@
     if let Some(unknown) = object.keys().next() {
         return Err(fault(unknown, "unknown field"));
     }
+    let stated = spec.as_object().map(|spec| spec.keys().cloned().collect());
     Ok(Document {
         kind,
         metadata,
+        stated: stated.unwrap_or_default(),
         spec: read_spec(kind, spec)?,
     })
 }
--- /dev/null
+++ b/crates/wire/tests/etcd.rs
@@ -0,0 +1,166 @@
+//! The etcd JSON gateway form and the kernel's operations in it.
+
+use hornbeamloom_kernel::ids::{Incarnation, Revision};
+use hornbeamloom_kernel::store::{
+    Answer, Claim, Condition, Family, Key, Lease, Op, Quarantine, Record, Stored, Value, Write,
+    Written,
+};
+use hornbeamloom_kernel::{cases, pool};
+use hornbeamloom_wire::{etcd, manifest, table};
+use quickcheck::{Arbitrary, Gen};
+
+fn key() -> Key {
+    Key::Lease(pool::Key::new("menu-model", "riga-a"))
+}
+
+fn lease() -> Value {
+    Value::Lease(Lease {
+        vm: "entry-1".into(),
+        incarnation: Incarnation(3),
+        fence: hornbeamloom_kernel::ids::Fence(2),
+        renewal: 9,
+        released: false,
+    })
+}
+
+fn claim() -> Value {
+    Value::Claim(Claim {
+        attempt: "a".into(),
+        vm: "entry-1".into(),
+        incarnation: Incarnation(u64::MAX),
+        fingerprint: u64::MAX,
+        outcome: Some(Stored {
+            status: 200,
+            content_type: "text/plain".to_owned(),
+            body: Some(vec![0, 255, 10]),
+        }),
+    })
+}
+
+fn quarantine() -> Value {
+    Value::Quarantine(Quarantine {
+        deaths: 2,
+        organisation: "o".into(),
+        service: "s".into(),
+        remaining_s: 600,
+    })
+}
+
+/// Guards against values that another VM cannot read back.
+fn round_trip(value: Value) {
+    assert_eq!(table::read_value(&table::value(&value)), Some(value));
+}
+
+cases! {
+    round_trip;
+    lease_is_read_back: (lease());
+    claim_with_kept_body_is_read_back: (claim());
+    quarantine_is_read_back: (quarantine());
+}
+
+fn write(condition: Condition, value: Option<Value>) -> Op {
+    let key = key();
+    Op::Write(vec![Write {
+        key,
+        condition,
+        value,
+    }])
+}
+
+/// Guards against requests that a real gateway would read otherwise: 64-bit integers are text.
+fn request_holds(op: Op, path: &str, parts: &[&str]) {
+    let (actual, body) = table::request(&op);
+    let body = String::from_utf8(body).unwrap();
+    assert_eq!(actual, path);
+    for part in parts {
+        assert!(body.contains(part), "{part} is not in {body}");
+    }
+}
+
+cases! {
+    request_holds;
+    read_names_the_key: (Op::Read(key()), "/v3/kv/range", &["\"key\":\"L2hvcm5iZWFtbG9vbS9sZWFzZXMvcmlnYS1hL21lbnUtbW9kZWw=\""]);
+    list_has_a_range_end: (Op::List(Family::Quarantine), "/v3/kv/range", &["range_end"]);
+    each_write_is_a_nested_transaction: (write(Condition::Any, Some(lease())), "/v3/kv/txn", &["requestTxn", "requestPut"]);
+    absence_compares_the_creation: (write(Condition::Absent, Some(lease())), "/v3/kv/txn", &["\"target\":\"CREATE\"", "\"create_revision\":\"0\""]);
+    version_compares_the_modification: (write(Condition::Version(Revision(7)), None), "/v3/kv/txn", &["\"mod_revision\":\"7\"", "requestDeleteRange"]);
+}
+
+fn pair(value: &Value) -> String {
+    use base64::engine::general_purpose::STANDARD;
+    use base64::Engine as _;
+    let (key, value) = (
+        STANDARD.encode(table::path(&key())),
+        STANDARD.encode(table::value(value)),
+    );
+    format!(r#"{{"key":"{key}","value":"{value}","create_revision":"2","mod_revision":"5"}}"#)
+}
+
+fn found(version: u64, value: Option<Value>) -> Record {
+    let version = Revision(version);
+    Record {
+        key: key(),
+        version,
+        value,
+    }
+}
+
+/// Guards against an answer that is taken for another one.
+fn answer_is(op: Op, text: &str, expected: Option<Answer>) {
+    assert_eq!(table::answer(&op, text.as_bytes()).ok(), expected);
+}
+
+cases! {
+    answer_is;
+    absent_record: (Op::Read(key()), r#"{"header":{"revision":"9"}}"#, Some(Answer::Read(None)));
+    record_with_version: (Op::Read(key()), &format!(r#"{{"kvs":[{}]}}"#, pair(&lease())), Some(Answer::Read(Some(found(5, Some(lease()))))));
+    applied_write_has_the_revision: (write(Condition::Any, None), r#"{"header":{"revision":"8"},"succeeded":true,"responses":[{"response_txn":{"succeeded":true,"responses":[{"response_put":{}}]}}]}"#, Some(Answer::Written(vec![Written::Applied(Revision(8))])));
+    refused_write_has_what_stands_there: (write(Condition::Absent, None), &format!(r#"{{"succeeded":true,"responses":[{{"response_txn":{{"responses":[{{"response_range":{{"kvs":[{}]}}}}]}}}}]}}"#, pair(&lease())), Some(Answer::Written(vec![Written::Conflict(Some(found(5, Some(lease()))))])));
+    missing_step_is_malformed: (write(Condition::Any, None), r#"{"succeeded":true}"#, None);
+    error_object_is_malformed: (Op::Read(key()), r#"{"error":"etcdserver: request timed out","code":14}"#, None);
+    bad_base64_is_malformed: (Op::Read(key()), r#"{"kvs":[{"key":"?"}]}"#, None);
+    integer_beyond_64_bits_is_malformed: (Op::Read(key()), r#"{"kvs":[{"key":"","mod_revision":"99999999999999999999"}]}"#, None);
+    deep_nesting_is_malformed: (write(Condition::Any, None), &nested(9), None);
+}
+
+fn nested(depth: u32) -> String {
+    match depth {
+        0 => "{}".to_owned(),
+        _ => format!(
+            r#"{{"responses":[{{"response_txn":{}}}]}}"#,
+            nested(depth - 1)
+        ),
+    }
+}
+
+/// Runs of random input for each parser and seed.
+const RUNS: usize = 2_000;
+
+/// Guards against a panic on input from outside; random changes of valid text reach deep branches.
+fn never_panics(seed: u64, sample: &str, parse: fn(&[u8])) {
+    let mut gen = Gen::from_size_and_seed(64, seed);
+    for _ in 0..RUNS {
+        let mut bytes = sample.as_bytes().to_vec();
+        for _ in 0..1 + usize::arbitrary(&mut gen) % 4 {
+            let at = usize::arbitrary(&mut gen) % (bytes.len() + 1);
+            let cut = usize::arbitrary(&mut gen) % 3;
+            let end = (at + cut).min(bytes.len());
+            bytes.splice(at..end, Vec::<u8>::arbitrary(&mut gen).into_iter().take(3));
+        }
+        parse(&bytes);
+    }
+}
+
+const TXN: &str = r#"{"header":{"revision":"8"},"succeeded":true,"responses":[{"response_range":{"kvs":[{"key":"Zm9v","value":"e30=","mod_revision":"5"}]}},{"response_txn":{"succeeded":true}}]}"#;
+const DOCUMENT: &str = r#"{"apiVersion":"hornbeamloom/v1","kind":"Target","metadata":{"name":"t","labels":{"a":"b"},"resourceVersion":"7"},"spec":{"service":"s","zone":"z","address":"127.0.0.1:1","coldLimit":1}}"#;
+
+cases! {
+    never_panics;
+    range_reader: (11, TXN, |bytes| drop(etcd::read_range(bytes)));
+    transaction_reader: (12, TXN, |bytes| drop(etcd::read_txn(bytes)));
+    value_reader: (13, r#"{"Claim":{"attempt":"a","vm":"v","incarnation":1,"fingerprint":2,"outcome":{"status":200,"content_type":"t","body":"AAA="}}}"#, |bytes| drop(table::read_value(bytes)));
+    path_reader: (14, "/hornbeamloom/claims/a/b/x%2F%C3%BF", |bytes| drop(table::read_path(&String::from_utf8_lossy(bytes))));
+    resource_path_reader: (15, "/hornbeamloom/resources/targets/a%2F", |bytes| drop(table::read_resource_path(&String::from_utf8_lossy(bytes))));
+    document_reader: (16, DOCUMENT, |bytes| drop(manifest::read(bytes, None)));
+    file_reader: (17, "kind: Service\nmetadata: {name: a}\nspec: {}\n---\n&a [*a]\n", |bytes| drop(manifest::read_file(&String::from_utf8_lossy(bytes))));
+}
