Test at-most-once calls, operators' intent and crashing prompts with real processes

Cause: these invariants had kernel tests only. The three with a store outage fail: after the lease lapses, requests wait in the queue until their deadline (seen three times).

--- a/crates/bench/src/engine.rs
+++ b/crates/bench/src/engine.rs
@@ -2,7 +2,7 @@
 //!
 //! The prompt tells it what to do, which the system under test never reads: `len=N` sets the
 //! output length, `tag=T` the text of its tokens (`T:SEQ `), `crash-engine` ends the process.
-//! `POST /_fault` takes `{"cold_s": N}` (turn cold for N s without notice), `{"phase": "leaving"}`,
+//! `GET /_started` counts generations without lag. `POST /_fault` takes `{"cold_s": N}` (turn cold for N s without notice), `{"phase": "leaving"}`,
 //! `{"die": true}`, `{"stall_ms": N}` (no step for N ms) and `{"report_lag_ms": N}`.
 
 use std::collections::{HashMap, VecDeque};
@@ -104,6 +104,7 @@
     Find(String, oneshot::Sender<Option<Generation>>),
     Cancel(String),
     Metrics(oneshot::Sender<String>),
+    Started(oneshot::Sender<String>),
     CacheEvents(u64, oneshot::Sender<Value>),
     Order(Order, oneshot::Sender<StatusCode>),
     Loaded(String),
@@ -246,6 +247,7 @@
             Command::Find(name, reply) => drop(reply.send(self.find(&name).cloned())),
             Command::Cancel(name) => self.cancel(&name),
             Command::Metrics(reply) => drop(reply.send(self.report())),
+            Command::Started(reply) => drop(reply.send(self.next_generation.to_string())),
             Command::CacheEvents(after, reply) => drop(reply.send(self.cache.since(after))),
             Command::Order(order, reply) => drop(reply.send(self.order(order, own))),
             Command::Loaded(name) => {
@@ -459,6 +461,9 @@
     let metrics = warp::path!("metrics")
         .and(core.clone())
         .then(|core| async move { ask(&core, Command::Metrics).await.unwrap_or_default() });
+    let started = warp::path!("_started")
+        .and(core.clone())
+        .then(|core| async move { ask(&core, Command::Started).await.unwrap_or_default() });
     let cache = warp::path!("v1" / "cache_events")
         .and(warp::query::<Events>())
         .and(core.clone())
@@ -486,6 +491,7 @@
         .or(resume)
         .or(cancel)
         .or(metrics)
+        .or(started)
         .or(cache)
         .or(fault)
         .or(order)
--- a/tests/cluster/bed.rs
+++ b/tests/cluster/bed.rs
@@ -195,6 +195,50 @@
     }
 }
 
+/// What a caller got of one plain call.
+#[derive(Debug)]
+pub struct Reply {
+    /// HTTP status, zero without an answer.
+    pub status: u16,
+    /// The body, if it was JSON and whole.
+    pub body: Value,
+}
+
+/// Calls the plain service through daemon number `daemon`.
+pub async fn call(
+    cluster: &Cluster,
+    daemon: usize,
+    method: &str,
+    path: &str,
+    key: Option<&str>,
+    body: &str,
+) -> Reply {
+    let url = format!(
+        "http://{}/services/{PLAIN}{path}",
+        cluster.daemons[daemon].callers
+    );
+    let method = method.parse().expect("a method");
+    let mut request = cluster
+        .client
+        .request(method, url)
+        .bearer_auth(KEY)
+        .body(body.to_owned());
+    if let Some(key) = key {
+        request = request.header("idempotency-key", key);
+    }
+    let Ok(answer) = request.send().await else {
+        return Reply {
+            status: 0,
+            body: Value::Null,
+        };
+    };
+    let status = answer.status().as_u16();
+    Reply {
+        status,
+        body: answer.json().await.unwrap_or_default(),
+    }
+}
+
 /// Reads a path of the operators' interface of a daemon.
 pub async fn operate(cluster: &Cluster, daemon: usize, path: &str) -> Value {
     let url = format!("http://{}{path}", cluster.daemons[daemon].operators);
--- a/tests/cluster/main.rs
+++ b/tests/cluster/main.rs
@@ -3,5 +3,7 @@
 mod bed;
 mod cold;
 mod links;
+mod once;
+mod operators;
 mod path;
 mod shutdown;
--- /dev/null
+++ b/tests/cluster/operators.rs
@@ -0,0 +1,241 @@
+//! What operators declare takes effect everywhere and stays in effect.
+
+use std::time::{Duration, Instant};
+
+use hornbeamloom_bench::cluster::{Cluster, Target, OPERATOR_KEY};
+use serde_json::{json, Value};
+
+use crate::bed::{add_targets, cluster, complete, eventually, operate, run, warm_engine, MODEL};
+
+/// Time within which a zone that was taken out must have stopped getting new work.
+const LEAVE_MAX: Duration = Duration::from_secs(5);
+const DAEMONS: [(&str, &str); 3] = [
+    ("entry-a1", "lodz-a"),
+    ("entry-b1", "lodz-b"),
+    ("entry-b2", "lodz-b"),
+];
+
+hornbeamloom_kernel::cases! {
+    zone_out;
+    // Guards against work that goes on arriving in a zone that operators took out, at any VM.
+    a_drained_zone_gets_no_new_work: (json!({}));
+    // Guards against a VM that hears of it only from the store.
+    a_drained_zone_gets_no_new_work_while_the_store_fails_afterwards: (json!({"outage": "refuse"}));
+}
+
+fn zone_out(fault: Value) {
+    run(async move {
+        let mut cluster = two_zones().await;
+        for daemon in 0..3 {
+            complete(&cluster, daemon, "before", 3)
+                .await
+                .assert_whole("before", 3);
+        }
+        let patched = patch(&cluster, 0, "lodz-b", json!({"spec": {"state": "out"}})).await;
+        assert_eq!(patched, 200);
+        let platform = cluster.platform.address;
+        cluster
+            .fault(platform, &fault)
+            .await
+            .expect("the fault is taken");
+        tokio::time::sleep(LEAVE_MAX).await;
+        let before = started(&mut cluster, "engine-b1").await;
+        for number in 0..12 {
+            let tag = format!("r{number}");
+            complete(&cluster, number % 3, &tag, 5)
+                .await
+                .assert_whole(&tag, 5);
+        }
+        assert_eq!(started(&mut cluster, "engine-b1").await, before);
+        cluster
+            .fault(platform, &json!({"outage": ""}))
+            .await
+            .expect("the fault is taken");
+        eventually("the zone is brought back", || async {
+            patch(&cluster, 1, "lodz-b", json!({"spec": {"state": "in"}})).await == 200
+        })
+        .await;
+        let served = Instant::now();
+        while started(&mut cluster, "engine-b1").await == before {
+            complete(&cluster, 1, "back", 3)
+                .await
+                .assert_whole("back", 3);
+            assert!(
+                served.elapsed() < crate::bed::DEADLINE,
+                "the zone gets no work after its return"
+            );
+        }
+    });
+}
+
+async fn two_zones() -> Cluster {
+    let mut cluster = cluster(&DAEMONS).await;
+    let engines = [
+        warm_engine("engine-a1", "lodz-a"),
+        warm_engine("engine-b1", "lodz-b"),
+    ];
+    add_targets(&mut cluster, &engines).await;
+    cluster
+}
+
+/// Requests that an engine has started since its own start.
+async fn started(cluster: &mut Cluster, name: &str) -> u64 {
+    let address = cluster.target(name).expect("the engine runs").address;
+    let answer = cluster
+        .client
+        .get(format!("http://{address}/_started"))
+        .send()
+        .await;
+    let text = answer
+        .expect("the engine answers")
+        .text()
+        .await
+        .expect("a count");
+    text.trim().parse().expect("a number")
+}
+
+async fn patch(cluster: &Cluster, daemon: usize, zone: &str, body: Value) -> u16 {
+    let operators = cluster.daemons[daemon].operators;
+    let url = format!("http://{operators}/apis/v1/availabilityzones/{zone}");
+    let sent = cluster
+        .client
+        .patch(url)
+        .bearer_auth(OPERATOR_KEY)
+        .json(&body)
+        .send()
+        .await;
+    sent.map_or(0, |answer| answer.status().as_u16())
+}
+
+hornbeamloom_kernel::cases! {
+    store_out;
+    // Guards against serving that stops with the store, and against a restarted VM that does not
+    // learn the configuration from its peers.
+    serving_goes_on_and_a_restarted_vm_learns_from_a_peer: ("refuse");
+    a_store_that_hangs_is_like_one_that_is_down: ("hang");
+}
+
+fn store_out(outage: &'static str) {
+    run(async move {
+        let mut cluster = two_zones().await;
+        complete(&cluster, 0, "before", 3)
+            .await
+            .assert_whole("before", 3);
+        let revision = revision(&cluster, 0).await;
+        let platform = cluster.platform.address;
+        cluster
+            .fault(platform, &json!({"outage": outage}))
+            .await
+            .expect("the fault is taken");
+        let refused = patch(&cluster, 0, "lodz-b", json!({"spec": {"state": "out"}})).await;
+        assert!(
+            refused >= 500,
+            "a write without the store was answered {refused}"
+        );
+        cluster.restart_daemon(1).expect("the daemon starts");
+        eventually("the restarted VM holds the revision", || async {
+            self::revision(&cluster, 1).await == revision
+        })
+        .await;
+        // Longer than any lease.
+        tokio::time::sleep(Duration::from_secs(9)).await;
+        for daemon in 0..3 {
+            let tag = format!("r{daemon}");
+            complete(&cluster, daemon, &tag, 5)
+                .await
+                .assert_whole(&tag, 5);
+        }
+        let after = self::revision(&cluster, 0).await;
+        assert_eq!(after, revision, "the revision moved during the outage");
+    });
+}
+
+async fn revision(cluster: &Cluster, daemon: usize) -> u64 {
+    operate(cluster, daemon, "/apis/v1/status").await["revision"]
+        .as_u64()
+        .unwrap_or(0)
+}
+
+hornbeamloom_kernel::cases! {
+    race;
+    // Guards against a silent overwrite by the slower of two operators.
+    one_of_two_operators_wins: (2);
+    one_of_six_operators_wins: (6);
+}
+
+fn race(operators: usize) {
+    run(async move {
+        let cluster = two_zones().await;
+        let url = "/apis/v1/organisations/parlour-1";
+        let current = operate(&cluster, 0, url).await;
+        let writes = (0..operators).map(|number| {
+            let mut changed = current.clone();
+            changed["spec"]["weight"] = json!(number + 2);
+            put(&cluster, number % 3, url, changed)
+        });
+        let statuses = futures_util::future::join_all(writes).await;
+        let won = statuses.iter().filter(|status| **status == 200).count();
+        let lost = statuses.iter().filter(|status| **status == 409).count();
+        assert_eq!((won, lost), (1, operators - 1), "{statuses:?}");
+    });
+}
+
+async fn put(cluster: &Cluster, daemon: usize, path: &str, body: Value) -> u16 {
+    let url = format!("http://{}{path}", cluster.daemons[daemon].operators);
+    let sent = cluster
+        .client
+        .put(url)
+        .bearer_auth(OPERATOR_KEY)
+        .json(&body)
+        .send()
+        .await;
+    sent.map_or(0, |answer| answer.status().as_u16())
+}
+
+hornbeamloom_kernel::cases! {
+    crashing_prompt;
+    // Guards against a request that takes down one engine after another, and against punishing the
+    // requests that ran beside it.
+    a_prompt_that_crashes_engines_is_quarantined: (3);
+}
+
+fn crashing_prompt(engines: usize) {
+    run(async move {
+        let mut cluster = cluster(&[("entry-a1", "lodz-a"), ("entry-a2", "lodz-a")]).await;
+        let names: Vec<String> = (1..=engines)
+            .map(|number| format!("engine-a{number}"))
+            .collect();
+        let targets: Vec<Target> = names
+            .iter()
+            .map(|name| warm_engine(name, "lodz-a"))
+            .collect();
+        add_targets(&mut cluster, &targets).await;
+        complete(&cluster, 0, "before", 3)
+            .await
+            .assert_whole("before", 3);
+        let mut deaths = 0;
+        let mut refusal = Value::Null;
+        for attempt in 0..8 {
+            let answer =
+                crate::bed::prompt(&cluster, attempt % 2, "crash-engine tag=c len=5").await;
+            refusal = answer.error["error"]["reason"].clone();
+            for name in &names {
+                let target = cluster.target(name).expect("the engine is known");
+                if target.process.status().is_some() {
+                    deaths += 1;
+                    cluster
+                        .restart_target(name)
+                        .expect("the engine starts again");
+                }
+            }
+            tokio::time::sleep(Duration::from_secs(2)).await;
+        }
+        assert_eq!(refusal, json!("quarantined"));
+        assert!(deaths <= 3, "{deaths} engines died of one prompt");
+        complete(&cluster, 0, "after", 3)
+            .await
+            .assert_whole("after", 3);
+        let listed = operate(&cluster, 1, "/apis/v1/quarantine").await;
+        assert!(listed.to_string().contains(MODEL), "{listed}");
+    });
+}
