Check that an excluded target is left to the next request

Cause: the look beyond the head of a queue could be removed without a failing case. Change: one case. Conclusion: covered.

--- a/crates/kernel/tests/pool/queue.rs
+++ b/crates/kernel/tests/pool/queue.rs
@@ -255,3 +255,19 @@
         "{texts:?}"
     );
 }
+
+/// A retry that must avoid the only free target must not keep the next request from it.
+#[test]
+fn excluded_target_is_left_to_the_next_request() {
+    let targets = [("engine-1", target(1, 1, 0)), ("engine-2", target(1, 1, 0))];
+    let mut bed = Bed::warm(&targets, Configuration::default());
+    let first = bed.asks("parlour-1", 2);
+    let mut retry = bed.draft("parlour-1");
+    retry.exclude = vec!["engine-2".into()];
+    let retry = bed.send(&retry);
+    let next = bed.ask("parlour-1");
+    assert_eq!(bed.granted(&first[1]).as_deref(), Some("engine-2"));
+    bed.finish(&first[1]);
+    assert!(bed.is_waiting(&retry));
+    assert_eq!(bed.granted(&next).as_deref(), Some("engine-2"));
+}
