Send heartbeats only on links in use

Cause: at the two-year scale a VM keeps about 120 links open each way for its gossip; a heartbeat every 500 ms on each would be some 500 packets a second. Change: a heartbeat follows frames, at most one every 500 ms; a link is abandoned when one has no answer for 2 s. The accepting end closes a link after 32 s without anything. Link buffers take 4 KiB instead of 128 KiB. Figures: no measurement; the number of links is calculated from the rotation of gossip. Conclusion: an idle link costs nothing and stays open.

--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::stream::SplitSink;
 use futures_util::{SinkExt, StreamExt};
 use hornbeamloom_kernel::ids::Name;
 use tokio::net::TcpStream;
@@ -20,9 +21,9 @@
 use tokio_tungstenite::tungstenite::{self, Message};
 use tokio_tungstenite::WebSocketStream;
 
-/// Time between two heartbeats on an open link.
+/// Time between two heartbeats on a link in use.
 pub const HEARTBEAT: Duration = Duration::from_millis(500);
-/// A link from which nothing arrived for this long is abandoned.
+/// A link on which a heartbeat has no answer for this long is abandoned.
 pub const SILENCE: Duration = Duration::from_secs(2);
 /// A link without messages for this long is closed.
 pub const UNUSED: Duration = Duration::from_secs(30);
@@ -145,8 +146,8 @@
     /// Nothing was to be sent for [`UNUSED`].
     #[error("unused")]
     Unused,
-    /// Nothing arrived for [`SILENCE`].
-    #[error("silent for {} s", SILENCE.as_secs())]
+    /// A heartbeat had no answer for [`SILENCE`].
+    #[error("no answer for {} s", SILENCE.as_secs())]
     Silent,
     /// The other end closed it.
     #[error("closed by the peer")]
@@ -196,9 +197,15 @@
     }
 }
 
+/// Buffer of each direction of a link in bytes; the library's 128 KiB would take 60 MiB for the
+/// links of one VM at the two-year scale.
+const BUFFER_BYTES: usize = 4 << 10;
+
 /// Limits of the WebSocket layer: nothing larger than a frame is read into memory.
 pub(crate) fn limits() -> WebSocketConfig {
     WebSocketConfig::default()
+        .read_buffer_size(BUFFER_BYTES)
+        .write_buffer_size(BUFFER_BYTES)
         .max_message_size(Some(hornbeamloom_wire::frame::MAX_BYTES))
         .max_frame_size(Some(hornbeamloom_wire::frame::MAX_BYTES))
 }
@@ -221,43 +228,69 @@
         .unwrap_or(Err(Error::Silent))
 }
 
+/// What is known about an open link.
+struct Health {
+    /// When the last frame was sent.
+    used: Instant,
+    /// Frames were sent after the last heartbeat.
+    is_unconfirmed: bool,
+    /// When the last heartbeat was sent.
+    beat: Instant,
+    /// The last heartbeat has no answer yet.
+    is_waiting: bool,
+}
+
+impl Health {
+    fn new(now: Instant) -> Health {
+        Health {
+            used: now,
+            is_unconfirmed: true,
+            beat: now - HEARTBEAT,
+            is_waiting: false,
+        }
+    }
+
+    /// When something is due: the end of the wait for an answer, the next heartbeat or the end of
+    /// an unused link.
+    fn due(&self) -> Instant {
+        match (self.is_waiting, self.is_unconfirmed) {
+            (true, _) => self.beat + SILENCE,
+            (false, true) => self.beat + HEARTBEAT,
+            (false, false) => self.used + UNUSED,
+        }
+    }
+}
+
 /// Sends what the queue holds until the link fails or is unused.
+///
+/// Heartbeats follow frames, at most one every [`HEARTBEAT`]: a link without traffic costs nothing,
+/// and a fleet keeps hundreds of them open for its gossip.
 async fn send_all(socket: WebSocketStream<TcpStream>, queue: &Queue) -> Error {
     let (mut sink, mut stream) = socket.split();
-    let mut heartbeat = tokio::time::interval(HEARTBEAT);
-    heartbeat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut heard = Instant::now();
-    let mut used = Instant::now();
+    let mut health = Health::new(Instant::now());
     loop {
-        let message = tokio::select! {
+        tokio::select! {
             read = stream.next() => match read {
                 Some(Ok(message)) => {
                     count_bytes("received", HEARTBEAT_KIND, message.len());
-                    heard = Instant::now();
+                    health.is_waiting = false;
                     continue;
                 }
                 Some(Err(error)) => return error.into(),
                 None => return Error::Closed,
             },
-            _ = queue.added.notified() => None,
-            _ = heartbeat.tick() => Some(Message::Ping(Bytes::new())),
-            _ = tokio::time::sleep_until(heard + SILENCE) => return Error::Silent,
-            _ = tokio::time::sleep_until(used + UNUSED) => return Error::Unused,
-        };
-        let sending = async {
-            if let Some(ping) = message {
-                count_bytes("sent", HEARTBEAT_KIND, ping.len());
-                sink.feed(ping).await?;
-            }
-            while let Some(frame) = queue.pop() {
-                used = Instant::now();
-                count_bytes("sent", frame.kind, frame.bytes.len());
-                sink.feed(Message::Binary(frame.bytes)).await?;
+            _ = queue.added.notified() => {}
+            _ = tokio::time::sleep_until(health.due()) => {
+                if health.is_waiting {
+                    return Error::Silent;
+                }
+                if !health.is_unconfirmed {
+                    return Error::Unused;
+                }
             }
-            sink.flush().await
-        };
+        }
         // A full socket buffer that does not empty is the same fault as a link without answers.
-        match timeout(SILENCE, sending).await {
+        match timeout(SILENCE, send_waiting(&mut sink, queue, &mut health)).await {
             Ok(Ok(())) => {}
             Ok(Err(error)) => return error.into(),
             Err(_) => return Error::Silent,
@@ -265,6 +298,31 @@
     }
 }
 
+type Sink = SplitSink<WebSocketStream<TcpStream>, Message>;
+
+/// Sends all waiting frames and a heartbeat if one is due.
+async fn send_waiting(
+    sink: &mut Sink,
+    queue: &Queue,
+    health: &mut Health,
+) -> Result<(), tungstenite::Error> {
+    while let Some(frame) = queue.pop() {
+        health.used = Instant::now();
+        health.is_unconfirmed = true;
+        count_bytes("sent", frame.kind, frame.bytes.len());
+        sink.feed(Message::Binary(frame.bytes)).await?;
+    }
+    let now = Instant::now();
+    if health.is_unconfirmed && !health.is_waiting && now >= health.beat + HEARTBEAT {
+        count_bytes("sent", HEARTBEAT_KIND, 0);
+        sink.feed(Message::Ping(Bytes::new())).await?;
+        health.beat = now;
+        health.is_waiting = true;
+        health.is_unconfirmed = false;
+    }
+    sink.flush().await
+}
+
 /// Between half of `wait` and all of it, so that many VMs do not reconnect at the same instant.
 fn jittered(wait: Duration) -> Duration {
     // Without random bytes the full wait is used.
--- a/crates/daemon/src/uplink.rs
+++ b/crates/daemon/src/uplink.rs
@@ -1,6 +1,7 @@
 //! Links that peers opened to this VM: the key check and the receipt of frames.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures_util::{SinkExt, StreamExt};
 use hornbeamloom_kernel::ids::Name;
@@ -16,12 +17,15 @@
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::WebSocketStream;
 
-use crate::link::{self, SILENCE};
+use crate::link::{self, SILENCE, UNUSED};
 use crate::settings::Settings;
 
 /// Links accepted at a time; more than the fleet of the two-year scale opens.
 const MAX_ACCEPTED: usize = 1_024;
 
+/// A link on which nothing arrived for this long is closed: its opener gave it up before.
+const IDLE: Duration = Duration::from_secs(UNUSED.as_secs() + SILENCE.as_secs());
+
 /// What is done with the frames of peers.
 #[derive(Debug, Clone)]
 pub struct Receiver<D> {
@@ -110,7 +114,7 @@
 async fn receive(receiver: &Receiver<impl Fn(Name, Peer)>, mut socket: WebSocketStream<TcpStream>) {
     let mut heard = Instant::now();
     loop {
-        let read = tokio::time::timeout_at(heard + SILENCE, socket.next()).await;
+        let read = tokio::time::timeout_at(heard + IDLE, socket.next()).await;
         match read {
             Ok(Some(Ok(Message::Binary(bytes)))) => received(receiver, &bytes),
             Ok(Some(Ok(Message::Ping(_)))) => {
--- a/crates/daemon/tests/link.rs
+++ b/crates/daemon/tests/link.rs
@@ -21,7 +21,7 @@
     let text = "
 vm: entry-a1
 zone: lodz-a
-listen: {callers: '127.0.0.1:0', operators: '127.0.0.1:0', peers: '127.0.0.1:0'}
+listen: {callers: '127.0.0.1:1', operators: '127.0.0.1:2', peers: '127.0.0.1:3'}
 platform: {table: 'http://127.0.0.1:1', objects: 'http://127.0.0.1:1', vms: 'http://127.0.0.1:1'}
 keys: {operator: [op], peer: [new-key, old-key]}
 ";
@@ -178,6 +178,34 @@
     });
 }
 
+/// Guards against a link that is opened anew for every message after a pause without traffic.
+#[test]
+fn link_without_traffic_stays_open() {
+    run(async {
+        let (peer, peer_address) = listen().await;
+        let (mut delivered, _) = serve(peer);
+        let (relay, address) = listen().await;
+        let opened = Arc::new(AtomicUsize::new(0));
+        let count = opened.clone();
+        tokio::spawn(async move {
+            while let Ok((mut near, _)) = relay.accept().await {
+                count.fetch_add(1, Ordering::SeqCst);
+                let mut far = tokio::net::TcpStream::connect(&peer_address).await.unwrap();
+                tokio::spawn(async move {
+                    drop(tokio::io::copy_bidirectional(&mut near, &mut far).await);
+                });
+            }
+        });
+        let queue = connect(&address, "new-key");
+        for from in 0..3 {
+            queue.push(pull("entry-b1", from)).unwrap();
+            assert!(next(&mut delivered).await.is_some());
+            tokio::time::sleep(link::SILENCE + link::HEARTBEAT).await;
+        }
+        assert_eq!(opened.load(Ordering::SeqCst), 1);
+    });
+}
+
 async fn relay_one_way_after_handshake(near: tokio::net::TcpStream, far: tokio::net::TcpStream) {
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     let (mut near_read, mut near_write) = near.into_split();
