--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -117,6 +117,11 @@
         &self.control
     }
 
+    /// The settings in force.
+    pub fn settings(&self) -> Arc<Settings> {
+        self.settings.borrow().clone()
+    }
+
     /// Puts new settings in force, as far as they can change without a restart.
     ///
     /// Keys, log level and limits are taken over; everything else stays as it is.
--- a/crates/wire/src/sse.rs
+++ b/crates/wire/src/sse.rs
@@ -83,7 +83,8 @@
     /// The next complete item, or `None` until more bytes are pushed.
     pub fn next_item(&mut self) -> Result<Option<Item<'_>>, Error> {
         let Some((end, next)) = self.block() else {
-            return match self.held() > self.limit {
+            // One byte more than the limit may be the start of the blank line that ends the event.
+            return match self.held() > self.limit + 1 {
                 true => Err(Error::TooLong(self.limit)),
                 false => Ok(None),
             };
--- /dev/null
+++ b/crates/wire/tests/sse.rs
@@ -0,0 +1,124 @@
+//! The server-sent events parser on arbitrary bytes and in arbitrary pieces.
+
+use hornbeamloom_wire::sse::{comment, write, Error, Item, Parser};
+use quickcheck::{Arbitrary, Gen};
+
+/// Fixed, so that every run tries the same inputs.
+const SEED: u64 = 11;
+const LIMIT: usize = 64;
+const RUNS: usize = 20_000;
+
+/// Pieces of input that are likely to touch the parser's rules.
+#[derive(Debug, Clone)]
+struct Piece(Vec<u8>);
+
+impl Arbitrary for Piece {
+    fn arbitrary(g: &mut Gen) -> Piece {
+        let texts: [&[u8]; 12] = [
+            b"\n",
+            b"\r\n",
+            b"\r",
+            b":",
+            b"id: 1",
+            b"data: x",
+            b"data",
+            b"event:e",
+            b": ping",
+            b"\xff",
+            b"\xc3",
+            "zażółć".as_bytes(),
+        ];
+        match bool::arbitrary(g) {
+            true => Piece(g.choose(&texts).unwrap().to_vec()),
+            false => Piece(Vec::arbitrary(g)),
+        }
+    }
+}
+
+/// Everything that the parser finds in the pieces, up to its first error.
+fn parse(pieces: &[Vec<u8>]) -> (Vec<String>, Option<Error>) {
+    let mut parser = Parser::new(LIMIT);
+    let mut found = Vec::new();
+    for piece in pieces {
+        parser.push(piece);
+        loop {
+            match parser.next_item() {
+                Ok(Some(item)) => found.push(format!("{item:?}")),
+                Ok(None) => break,
+                Err(error) => return (found, Some(error)),
+            }
+        }
+        assert!(
+            parser.held() <= LIMIT + 1,
+            "the parser holds more than one event"
+        );
+    }
+    (found, None)
+}
+
+/// Guards against panics, unbounded buffers, and results that depend on how the network cut the
+/// stream.
+#[test]
+fn any_bytes_in_any_pieces_give_the_same_bounded_result() {
+    let mut g = Gen::from_size_and_seed(24, SEED);
+    for _ in 0..RUNS {
+        let pieces: Vec<Piece> = Vec::arbitrary(&mut g);
+        let pieces: Vec<Vec<u8>> = pieces.into_iter().map(|piece| piece.0).collect();
+        let bytes: Vec<Vec<u8>> = pieces.concat().into_iter().map(|byte| vec![byte]).collect();
+        let (whole, error) = parse(&pieces);
+        let (single, single_error) = parse(&bytes);
+        assert_eq!((whole, error), (single, single_error), "{pieces:?}");
+    }
+}
+
+/// An event is read back as it was written.
+#[test]
+fn written_events_are_read_back() {
+    let mut g = Gen::from_size_and_seed(40, SEED);
+    for _ in 0..RUNS {
+        let text = String::arbitrary(&mut g);
+        // The format has no way to carry a carriage return at the end of a line.
+        let text = text.replace('\r', "");
+        let id: Option<u64> = Option::arbitrary(&mut g);
+        let mut out = Vec::new();
+        comment(&mut out, "ping");
+        write(&mut out, id, Some("error"), &text);
+        let mut parser = Parser::new(4_096);
+        parser.push(&out);
+        assert_eq!(parser.next_item(), Ok(Some(Item::Comment)));
+        let Ok(Some(Item::Event(event))) = parser.next_item() else {
+            panic!("no event in {out:?}");
+        };
+        assert_eq!(event.data, text);
+        assert_eq!(event.name, Some("error"));
+        assert_eq!(event.id.map(str::to_owned), id.map(|id| id.to_string()));
+    }
+}
+
+/// The parser gives these data texts, then the error.
+fn gives(input: &str, data: &[&str], error: Option<Error>) {
+    let mut parser = Parser::new(LIMIT);
+    parser.push(input.as_bytes());
+    let mut found = Vec::new();
+    let end = loop {
+        match parser.next_item() {
+            Ok(Some(Item::Event(event))) => found.push(event.data.into_owned()),
+            Ok(Some(Item::Comment)) => {}
+            Ok(None) => break None,
+            Err(error) => break Some(error),
+        }
+    };
+    assert_eq!(found, data);
+    assert_eq!(end, error);
+}
+
+hornbeamloom_kernel::cases! {
+    gives;
+    incomplete_event_is_not_given: ("data: a\n", &[], None);
+    lines_may_end_in_crlf: ("data: a\r\nid: 1\r\n\r\n", &["a"], None);
+    data_lines_are_joined: ("data: a\ndata: b\n\n", &["a\nb"], None);
+    only_one_space_is_dropped: ("data:  a\n\n", &[" a"], None);
+    comments_between_events_are_skipped: (": x\n\ndata: a\n\n:\n\ndata: b\n\n", &["a", "b"], None);
+    event_beyond_the_limit_is_refused: (&format!("data: {}\n\n", "x".repeat(80)), &[], Some(Error::TooLong(LIMIT)));
+    endless_line_is_refused: (&"x".repeat(80), &[], Some(Error::TooLong(LIMIT)));
+}
