--- /dev/null
+++ b/crates/daemon/tests/operators.rs
@@ -0,0 +1,434 @@
+//! The resource API against a table that fails on command.
+
+mod stand_in;
+mod support;
+
+use std::time::Duration;
+
+use hornbeamloom_daemon::control::Input;
+use hornbeamloom_daemon::run::Daemon;
+use hornbeamloom_daemon::settings;
+use hornbeamloom_kernel::cases;
+use hornbeamloom_kernel::ids::Revision;
+use hornbeamloom_kernel::peer::Delta;
+use hornbeamloom_kernel::resource::{Key, Kind, Record, Service, Spec};
+use reqwest::Method;
+use serde_json::{json, Value};
+use stand_in::{Fault, Platform};
+use support::PATIENCE;
+
+struct Rig {
+    daemon: Daemon,
+    platform: Platform,
+    url: String,
+    client: reqwest::Client,
+}
+
+impl Rig {
+    async fn start(platform: Platform) -> Rig {
+        let table = platform.start().await;
+        let text = support::settings_text("").replace("http://127.0.0.1:1'", &format!("{table}'"));
+        let settings = settings::parse(&text).unwrap();
+        let url = format!("http://{}/apis/v1", settings.listen.operators);
+        let client = reqwest::Client::builder().no_proxy().build().unwrap();
+        Rig {
+            daemon: Daemon::start(settings).unwrap(),
+            platform,
+            url,
+            client,
+        }
+    }
+
+    /// A daemon with a service and a zone, declared through the API.
+    async fn declared() -> Rig {
+        let rig = Rig::start(Platform::default()).await;
+        let zone = json!({"metadata": {"name": "z"}, "spec": {"region": "r"}});
+        assert_eq!(
+            rig.send(Method::POST, "availabilityzones", zone).await.0,
+            201
+        );
+        let service = json!({"metadata": {"name": "s"}, "spec": {}});
+        assert_eq!(rig.send(Method::POST, "services", service).await.0, 201);
+        rig
+    }
+
+    fn request(&self, method: Method, path: &str) -> reqwest::RequestBuilder {
+        let url = format!("{}/{path}", self.url);
+        self.client.request(method, url).bearer_auth("op-key")
+    }
+
+    async fn send(&self, method: Method, path: &str, body: Value) -> (u16, Value) {
+        let request = self.request(method, path).json(&body).timeout(PATIENCE);
+        let response = request.send().await.unwrap();
+        (response.status().as_u16(), response.json().await.unwrap())
+    }
+
+    async fn get(&self, path: &str) -> (u16, Value) {
+        self.send(Method::GET, path, Value::Null).await
+    }
+
+    /// Waits until a resource can be read.
+    async fn wait_for(&self, path: &str) -> Value {
+        let wait = async {
+            loop {
+                if let (200, value) = self.get(path).await {
+                    return value;
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, wait).await.expect(path)
+    }
+
+    /// The first events of a watch.
+    async fn watch(&self, query: &str, count: usize) -> Vec<Value> {
+        let request = self.request(Method::GET, &format!("services?watch=true{query}"));
+        let mut response = request.send().await.unwrap();
+        let mut buf = Vec::new();
+        let read = async {
+            while buf.iter().filter(|byte| **byte == b'\n').count() < count {
+                match response.chunk().await.unwrap() {
+                    Some(chunk) => buf.extend_from_slice(&chunk),
+                    None => break,
+                }
+            }
+        };
+        tokio::time::timeout(PATIENCE, read).await.expect("events");
+        let text = String::from_utf8(buf).unwrap();
+        let lines = text.lines().take(count);
+        lines
+            .map(|line| serde_json::from_str(line).unwrap())
+            .collect()
+    }
+}
+
+/// One change of the declared resources under faults, and what has to come of it.
+struct Case {
+    faults: Vec<Fault>,
+    method: Method,
+    path: &'static str,
+    body: Value,
+    status: u16,
+    /// `reason` of a refusal, or empty.
+    reason: &'static str,
+    /// Writes applied by this daemon, the two declarations left out.
+    writes: u64,
+}
+
+fn case(
+    method: Method,
+    path: &'static str,
+    body: Value,
+    status: u16,
+    reason: &'static str,
+) -> Case {
+    Case {
+        faults: Vec::new(),
+        method,
+        path,
+        body,
+        status,
+        reason,
+        writes: u64::from(status < 300),
+    }
+}
+
+impl Case {
+    fn with_faults(self, faults: Vec<Fault>) -> Case {
+        Case { faults, ..self }
+    }
+
+    fn with_writes(self, writes: u64) -> Case {
+        Case { writes, ..self }
+    }
+}
+
+#[tokio::main]
+async fn answers(case: Case) {
+    let rig = Rig::declared().await;
+    case.faults
+        .into_iter()
+        .for_each(|fault| rig.platform.add(fault));
+    let before = rig.platform.writes();
+    let (status, answer) = rig.send(case.method, case.path, case.body).await;
+    assert_eq!(status, case.status, "{answer}");
+    assert_eq!(answer["reason"].as_str().unwrap_or_default(), case.reason);
+    assert_eq!(rig.platform.writes() - before, case.writes);
+}
+
+fn drain(status: u16, reason: &'static str) -> Case {
+    let patch = json!({"spec": {"state": "out"}});
+    case(Method::PATCH, "availabilityzones/z", patch, status, reason)
+}
+
+fn target() -> Value {
+    json!({"service": "s", "zone": "z", "address": "127.0.0.1:1"})
+}
+
+fn overtake_zone() -> Fault {
+    Fault::Overtake(Kind::AvailabilityZone, "z", json!({"region": "other"}))
+}
+
+cases! {
+    answers;
+    patch_changes_the_state: (drain(200, ""));
+    // Fails if a lost answer is taken for a failure, or if the write is done twice.
+    lost_answer_is_read_back: (drain(200, "").with_faults(vec![Fault::LoseAnswer]));
+    lost_request_is_sent_again: (drain(200, "").with_faults(vec![Fault::LoseRequest]));
+    // Fails if an outcome that nobody knows is reported as done or as not done.
+    answers_lost_for_good_are_unknown: (drain(504, "unknown").with_faults(vec![Fault::LoseAnswer, Fault::LoseRequest, Fault::LoseRequest]).with_writes(1));
+    lost_answer_hidden_by_a_later_write_is_unknown: (drain(504, "unknown").with_faults(vec![Fault::LoseAnswer, overtake_zone()]).with_writes(1));
+    // Fails if the transaction does not compare the head: the patch would undo the other write.
+    patch_is_planned_again_after_another_write: (drain(200, "").with_faults(vec![overtake_zone()]));
+    deletion_in_use_is_refused: (case(Method::DELETE, "services/s", Value::Null, 409, "in_use").with_faults(vec![Fault::Overtake(Kind::Target, "t", target())]));
+    unused_service_is_deleted: (case(Method::DELETE, "services/s", Value::Null, 200, ""));
+    deletion_of_another_version_conflicts: (case(Method::DELETE, "services/s?resourceVersion=1", Value::Null, 409, "conflict"));
+    replacement_without_version_conflicts: (case(Method::PUT, "services/s", json!({"spec": {}}), 409, "conflict"));
+    replacement_of_nothing_is_not_found: (case(Method::PUT, "services/x", json!({"spec": {}}), 404, "not_found"));
+    second_creation_is_refused: (case(Method::POST, "services", json!({"metadata": {"name": "s"}, "spec": {}}), 409, "already_exists"));
+    reference_to_nothing_is_refused: (case(Method::POST, "services", json!({"metadata": {"name": "n"}, "spec": {"configuration": "x"}}), 422, "invalid"));
+    merge_patch_with_an_unknown_field_is_refused: (case(Method::PATCH, "services/s", json!({"spec": {"colour": 1}}), 422, "invalid"));
+    oversized_document_is_refused: (case(Method::POST, "services", json!({"spec": {}, "x": "y".repeat(65_536)}), 413, "too_large"));
+    unknown_kind_is_not_found: (case(Method::POST, "pods", json!({}), 404, "not_found"));
+    unknown_method_is_refused: (case(Method::PUT, "services", json!({}), 405, "method_not_allowed"));
+}
+
+/// Fails if two replacements of one version are both accepted: one operator's change would be
+/// lost without notice.
+#[tokio::test]
+async fn of_two_racing_operators_one_wins() {
+    let rig = Rig::declared().await;
+    let version = rig.get("services/s").await.1["metadata"]["resourceVersion"].clone();
+    let put = |queue_ms: u64| {
+        let metadata = json!({"resourceVersion": version});
+        let body = json!({"metadata": metadata, "spec": {"queueMs": queue_ms}});
+        rig.send(Method::PUT, "services/s", body)
+    };
+    let ((a, first), (b, second)) = tokio::join!(put(1), put(2));
+    let (winner, loser) = if a == 200 {
+        (&first, &second)
+    } else {
+        (&second, &first)
+    };
+    assert_eq!([a.min(b), a.max(b)], [200, 409]);
+    assert_eq!(
+        loser["resourceVersion"],
+        winner["metadata"]["resourceVersion"]
+    );
+    assert_eq!(rig.get("services/s").await.1["spec"], winner["spec"]);
+}
+
+/// Fails if an error does not name the field.
+#[tokio::test]
+async fn validation_names_the_field() {
+    let rig = Rig::declared().await;
+    let mut spec = target();
+    spec["coldLimit"] = json!(99);
+    let body = json!({"metadata": {"name": "t"}, "spec": spec});
+    let (status, answer) = rig.send(Method::POST, "targets", body).await;
+    assert_eq!(
+        (status, &answer["faults"][0]["field"]),
+        (422, &json!("spec.coldLimit"))
+    );
+    assert_eq!(answer["applied"], json!(false));
+}
+
+/// Fails if an outage stops reads, or if a refused write leaves its outcome open.
+#[tokio::test]
+async fn store_outage_refuses_writes_and_serves_reads() {
+    let rig = Rig::declared().await;
+    rig.platform.set_down(true);
+    let patch = json!({"spec": {"state": "out"}});
+    let (status, answer) = rig
+        .send(Method::PATCH, "availabilityzones/z", patch.clone())
+        .await;
+    assert_eq!(
+        (status, &answer["reason"]),
+        (503, &json!("store_unavailable"))
+    );
+    assert_eq!(answer["applied"], json!(false));
+    assert_eq!(rig.get("availabilityzones/z").await.0, 200);
+    rig.platform.set_down(false);
+    let (status, _) = rig.send(Method::PATCH, "availabilityzones/z", patch).await;
+    assert_eq!(status, 200);
+}
+
+/// Fails if a restored, older table takes resources out of force or accepts writes.
+#[tokio::test]
+async fn older_head_is_never_applied() {
+    let rig = Rig::declared().await;
+    rig.platform.rewind();
+    rig.platform.declare(Kind::Service, "old", &json!({}));
+    let patch = json!({"spec": {"state": "out"}});
+    let (status, answer) = rig.send(Method::PATCH, "availabilityzones/z", patch).await;
+    assert_eq!(
+        (status, &answer["reason"]),
+        (503, &json!("store_regressed"))
+    );
+    // Longer than two reads of the head.
+    tokio::time::sleep(Duration::from_millis(2_600)).await;
+    assert_eq!(rig.get("services/s").await.0, 200);
+    assert_eq!(rig.get("services/old").await.0, 404);
+}
+
+/// Fails if one record that cannot be read hides the others, or cannot be replaced.
+#[tokio::test]
+async fn corrupt_record_is_left_out_and_can_be_replaced() {
+    let platform = Platform::default();
+    platform.put("/hornbeamloom/resources/services/bad", b"\xff{");
+    platform.put("/hornbeamloom/resources/pods/p", b"{}");
+    platform.put("/hornbeamloom/resources/services/huge", &[b' '; 70_000]);
+    platform.declare(Kind::Service, "good", &json!({}));
+    let rig = Rig::start(platform).await;
+    rig.wait_for("services/good").await;
+    let (_, list) = rig.get("services").await;
+    assert_eq!(list["items"].as_array().unwrap().len(), 1);
+    let body = json!({"metadata": {"name": "bad"}, "spec": {}});
+    assert_eq!(rig.send(Method::POST, "services", body).await.0, 201);
+}
+
+/// Fails if the key is not checked, or if the refusal helps to guess it.
+#[tokio::test]
+async fn unknown_key_is_refused_without_detail() {
+    let rig = Rig::declared().await;
+    for key in ["", "op", "op-kez", "op-key2"] {
+        let request = rig
+            .client
+            .get(format!("{}/services", rig.url))
+            .bearer_auth(key);
+        let response = request.send().await.unwrap();
+        assert_eq!(response.status(), 401);
+        let answer: Value = response.json().await.unwrap();
+        assert_eq!(answer, json!({"reason": "unauthorized", "applied": false}));
+    }
+}
+
+fn services(from: u64, to: u64) -> Delta {
+    let record = |version: u64| Record {
+        key: Key {
+            kind: Kind::Service,
+            name: format!("s-{version}").into(),
+        },
+        version: Revision(version),
+        generation: 1,
+        labels: Default::default(),
+        spec: Some(Spec::Service(Service {
+            protocol: Default::default(),
+            interactive: false,
+            once_methods: Vec::new(),
+            queue_ms: 1_000,
+            configuration: None,
+        })),
+    };
+    Delta {
+        from: Revision(from),
+        to: Revision(to),
+        complete: false,
+        records: (from + 1..=to).map(record).collect(),
+    }
+}
+
+/// Fails if a watcher that missed changes is not told, or if one that did not is.
+#[tokio::test]
+async fn watch_from_before_the_retained_changes_is_too_old() {
+    let rig = Rig::start(Platform::default()).await;
+    rig.daemon
+        .control()
+        .tell(Input::Changes(services(0, 1_124)));
+    rig.wait_for("services/s-1124").await;
+    let old = &rig.watch("&resourceVersion=99", 1).await[0];
+    assert_eq!(
+        (&old["type"], &old["object"]["code"]),
+        (&json!("ERROR"), &json!(410))
+    );
+    assert_eq!(old["object"]["reason"], json!("too_old"));
+    let events = rig.watch("&resourceVersion=100", 1_024).await;
+    assert_eq!(events[0]["object"]["metadata"]["name"], json!("s-101"));
+    assert_eq!(events[1_023]["object"]["metadata"]["name"], json!("s-1124"));
+}
+
+/// Fails if a watch misses a kind of change, repeats one, or shows other kinds.
+#[tokio::test]
+async fn watch_shows_each_change_once_in_order() {
+    let rig = Rig::declared().await;
+    let start = rig.get("services").await.1["metadata"]["resourceVersion"].clone();
+    let created = json!({"metadata": {"name": "n"}, "spec": {}});
+    rig.send(Method::POST, "services", created).await;
+    rig.send(
+        Method::PATCH,
+        "availabilityzones/z",
+        json!({"spec": {"state": "out"}}),
+    )
+    .await;
+    rig.send(Method::PATCH, "services/n", json!({"spec": {"queueMs": 7}}))
+        .await;
+    rig.send(Method::DELETE, "services/n", Value::Null).await;
+    // The fourth line is the bookmark of an idle watch.
+    let events = rig.watch(&format!("&resourceVersion={start}"), 4).await;
+    let types: Vec<&str> = events
+        .iter()
+        .map(|event| event["type"].as_str().unwrap())
+        .collect();
+    assert_eq!(types, ["ADDED", "MODIFIED", "DELETED", "BOOKMARK"]);
+    let now = rig.get("services").await.1["metadata"]["resourceVersion"].clone();
+    assert_eq!(events[3]["object"]["metadata"]["resourceVersion"], now);
+}
+
+/// Fails if a VM that starts during an outage has no resources although a snapshot exists.
+#[tokio::test]
+async fn snapshot_is_written_and_serves_a_start_without_the_table() {
+    let rig = Rig::declared().await;
+    let path = "/hornbeamloom/resources.json";
+    let wait = async {
+        let is_whole = |text: String| text.contains("\"to\":2");
+        while !rig.platform.object_text(path).is_some_and(is_whole) {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, wait)
+        .await
+        .expect("snapshot");
+    let platform = Platform::default();
+    platform.set_down(true);
+    platform.put_object(path, &rig.platform.object_text(path).unwrap());
+    let second = Rig::start(platform).await;
+    second.wait_for("services/s").await;
+}
+
+/// Fails if the kernel's store calls are not carried out: no pool would get an owner.
+#[tokio::test]
+async fn store_calls_reach_the_table() {
+    let rig = Rig::declared().await;
+    let body = json!({"metadata": {"name": "t"}, "spec": target()});
+    assert_eq!(rig.send(Method::POST, "targets", body).await.0, 201);
+    let wait = async {
+        while !rig.platform.has_key("/hornbeamloom/leases/z/s") {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, wait).await.expect("a lease");
+}
+
+/// Fails if status and explanation pages lose the parts that tools read.
+#[tokio::test]
+async fn status_and_explanations_have_their_parts() {
+    let rig = Rig::declared().await;
+    let (_, page) = rig.get("status").await;
+    assert_eq!(
+        (&page["vm"], &page["source"]),
+        (&json!("entry-1"), &json!("store"))
+    );
+    assert_eq!(page["vms"][0]["revision"], json!(2));
+    let (_, zone) = rig.get("availabilityzones/z").await;
+    assert_eq!(zone["status"]["inForce"], json!(["entry-1"]));
+    let (status, elsewhere) = rig.get("explain/entry-9-1-1").await;
+    assert_eq!((status, &elsewhere["vm"]), (404, &json!("entry-9")));
+    assert_eq!(rig.get("explain/nonsense").await.0, 400);
+    assert_eq!(rig.get("quarantine").await.1["items"], json!([]));
+    assert_eq!(
+        rig.send(Method::DELETE, "quarantine/1f", Value::Null)
+            .await
+            .0,
+        404
+    );
+}
