--- a/crates/ctl/src/output.rs
+++ b/crates/ctl/src/output.rs
@@ -99,8 +99,15 @@
     }
 }
 
-/// The table of resources of one kind.
-pub(crate) fn resources(kind: Kind, documents: &[Value]) -> String {
+/// The table of resources of one kind, given their documents with status.
+///
+/// ```
+/// use hornbeamloom_ctl::output::resources;
+/// use hornbeamloom_kernel::resource::Kind;
+///
+/// assert!(resources(Kind::Target, &[]).starts_with("NAME  VERSION"));
+/// ```
+pub fn resources(kind: Kind, documents: &[Value]) -> String {
     let fields = fields(kind);
     let common = ["NAME", "VERSION", "GENERATION", "IN FORCE"];
     let own = fields.iter().map(|(heading, _)| *heading);
