Go on with targets that report warm when the store is down

With the store down longer than the lease, the last holder granted nothing on targets in the middle of a ramp, though they report warm and serve well. Ruled out: the entry side, which asked the right owner. Change: the last holder goes on at the ramp's limit with targets that report warm and were not slow like cold ones since.

--- a/crates/kernel/src/pool.rs
+++ b/crates/kernel/src/pool.rs
@@ -330,13 +330,16 @@
 
     /// Concurrent requests that may run on a target under this VM's rights.
     ///
-    /// A cold target needs a valid lease and knowledge of all work that may run there.
+    /// A cold target needs a valid lease and knowledge of all work that may run there. The last
+    /// holder goes on with targets that report warm when the store is down.
     pub fn limit(&self, slot: &Slot) -> u32 {
         let warm = slot.spec.warm_limit;
         match self.rights {
             Rights::Holder(_) if slot.is_warm() => warm,
             Rights::Holder(_) if self.is_counted(slot) => slot.ramp.limit.min(warm),
             Rights::Last if slot.is_warm() => warm,
+            // By its own account it is past its cold start; only the ramp is not complete.
+            Rights::Last if slot.is_ramping() => slot.ramp.limit.min(warm),
             Rights::Fallback { vms } | Rights::Other { vms } if slot.is_warm() => {
                 (warm / vms.max(1)).max(1)
             }
--- a/crates/kernel/src/target.rs
+++ b/crates/kernel/src/target.rs
@@ -205,6 +205,8 @@
     was_cold: bool,
     inherited: Option<u64>,
     slow: u32,
+    /// It was slow like a cold target while it reported warm.
+    doubted: bool,
     firsts: VecDeque<u32>,
     released: VecDeque<Millis>,
     broken: VecDeque<(Millis, Suspect)>,
@@ -235,6 +237,7 @@
             was_cold: false,
             inherited: None,
             slow: 0,
+            doubted: false,
             firsts: VecDeque::new(),
             released: VecDeque::new(),
             broken: VecDeque::new(),
@@ -258,6 +261,11 @@
         self.ramp.warm
     }
 
+    /// Whether it reports warm, behaves so, and has not completed its ramp.
+    pub fn is_ramping(&self) -> bool {
+        !self.ramp.warm && !self.doubted && self.phase() == Some(Phase::Warm)
+    }
+
     /// Whether its resource, its report or the platform says that it leaves.
     pub fn is_leaving(&self) -> bool {
         self.spec.leaving
@@ -439,7 +447,10 @@
     /// Takes in how an attempt ended.
     pub(crate) fn ended(&mut self, end: End, suspect: Suspect, granted: Millis, now: Millis) {
         match end {
-            End::Complete if self.phase() == Some(Phase::Warm) => self.ramp.answered(&self.spec),
+            End::Complete if self.phase() == Some(Phase::Warm) => {
+                self.doubted = false;
+                self.ramp.answered(&self.spec);
+            }
             End::Rejected => self.paused = now.after(REJECTED_PAUSE),
             End::Broken | End::Died if !self.is_blamed(granted) => self.note_broken(suspect, now),
             _ => {}
@@ -464,6 +475,7 @@
         }
         if self.slow >= SLOW_ROW {
             self.chill();
+            self.doubted = true;
         }
     }
 
