Keep an idle pool with its last holder while the store is down

Cause: a pool without work for 10 s is dropped unless this VM holds its lease. During an outage of the store the last holder has no lease, dropped the pool with what it knew of its targets, and then knew no warm target. Found with the case of a store that hangs; ruled out: the lease's own memory of the last token. Change: the last holder keeps the pool.

--- a/crates/kernel/src/pool.rs
+++ b/crates/kernel/src/pool.rs
@@ -442,7 +442,8 @@
     }
 
     fn is_unused(&self, now: Millis) -> bool {
-        !self.is_holder()
+        // The last holder keeps what it knows: no other VM can learn it while the store is down.
+        !matches!(self.rights, Rights::Holder(_) | Rights::Last)
             && self.queue.is_empty()
             && self.ledger.is_empty()
             && now.since(self.used) >= UNUSED_LIMIT
