Try to create a claim three times before the call is refused

Change: a claim that had no effect is tried again after 100, 200 and 400 ms. Conclusion: a store that is down for longer still refuses as not run.

--- a/crates/kernel/src/claim_table.rs
+++ b/crates/kernel/src/claim_table.rs
@@ -14,6 +14,11 @@
 const BATCH_MAX: usize = 64;
 /// Failed writes of one claim after which it is left as it stands.
 const TRIES_MAX: u32 = 12;
+/// Tries to create a claim while the store has no effect to offer; then the call is refused.
+const CREATE_TRIES: u32 = 3;
+/// First delay before a claim is created again, in milliseconds; it doubles. With three tries a call
+/// waits 700 ms, long enough for a connection to be opened again.
+const CREATE_RETRY_MS: u64 = 100;
 /// Times that a record to be deleted is looked for again after it was not found.
 const DELETE_LOOKS: u32 = 2;
 /// First delay of a repeated write, in milliseconds; it doubles.
@@ -275,6 +280,7 @@
     };
     let is_unwritten = entry.version.is_none() && !entry.is_uncertain;
     match (&entry.want, is_unwritten) {
+        (Want::Create, true) if entry.tries < CREATE_TRIES => delay(state, id, now, out),
         (Want::Create, true) => {
             state.claims.remove(id);
             let verdict = Verdict::Refuse(Reason::StoreUnavailable);
@@ -298,6 +304,10 @@
         let verdict = Verdict::Refuse(Reason::StoreUnavailable);
         return conclude(state, id, verdict, now, out);
     }
-    let ms = (RETRY_MIN_MS << (entry.tries - 1)).min(RETRY_MAX_MS);
+    let first_ms = match entry.want {
+        Want::Create => CREATE_RETRY_MS,
+        _ => RETRY_MIN_MS,
+    };
+    let ms = (first_ms << (entry.tries - 1)).min(RETRY_MAX_MS);
     state.claims.delayed.insert((now.after(ms), id.clone()));
 }
--- a/crates/kernel/tests/claim.rs
+++ b/crates/kernel/tests/claim.rs
@@ -47,9 +47,17 @@
     );
     // A call would run without a claim while the store is down (I6), or be refused as maybe run.
     a_store_that_is_down_refuses_as_not_run: (
-        &[Do::Store(Store::Down), Do::Once(1, "k", 7), Do::Arrive(2)],
+        &[Do::Store(Store::Down), Do::Once(1, "k", 7), Do::Wait(1_000), Do::Arrive(2)],
         &["refuse 1 StoreUnavailable ran No", "ask e2 for 2"],
     );
+    // One connection that the platform closed would cost a call.
+    a_short_outage_is_waited_out: (
+        &[
+            Do::Store(Store::Down), Do::Once(1, "k", 7), Do::Wait(200), Do::Store(Store::Up),
+            Do::Wait(500), Do::Look("k"),
+        ],
+        &["ask e2 for 1", "claim k is held"],
+    );
     // A caller would wait for a store that never answers, and its late claim would block the key.
     a_store_that_never_answers_refuses_in_time: (
         &[
