Refuse a request after two targets died of it

Cause: a retry after End::Died can reach a third target before the reports that lead to a quarantine have come. Change: the second target that dies under one request ends it with TargetFailed, ran Unknown. Conclusion: a case fails without it; the process test a_prompt_that_crashes_engines_is_quarantined still fails now and then.

--- a/crates/kernel/src/attempt.rs
+++ b/crates/kernel/src/attempt.rs
@@ -16,6 +16,9 @@
 
 /// Attempts of one request that may fail after a grant.
 const RETRIES_MAX: u32 = 8;
+/// Targets that may die of one request before it is refused. The reports that lead to a quarantine
+/// come half a second late, and a third target would die meanwhile.
+const DEATHS_MAX: u32 = 2;
 /// Targets that one request excludes at most; the oldest are allowed again.
 const EXCLUDE_MAX: usize = 16;
 /// Least time for a repeated request to wait for its next start, in milliseconds.
@@ -375,6 +378,13 @@
     };
     request.may_have_run |= has_run;
     request.retries += 1;
+    if why == Retry::TargetDied {
+        request.deaths += 1;
+    }
+    if request.deaths >= DEATHS_MAX {
+        let refusal = Refusal::new(Reason::TargetFailed);
+        return entry::refuse(state, id, refusal, now, out);
+    }
     let is_last = request.retries > RETRIES_MAX;
     if is_last || (is_charged && !state.entry.spend_retry(now)) {
         let refusal = Refusal::new(Reason::RetryBudget).with_retry_after(entry::RETRY_AFTER_MS);
--- a/crates/kernel/src/entry.rs
+++ b/crates/kernel/src/entry.rs
@@ -51,6 +51,8 @@
     pub(crate) may_have_run: bool,
     /// Attempts that failed after a grant.
     pub(crate) retries: u32,
+    /// Targets that died while they ran it.
+    pub(crate) deaths: u32,
     /// The targets in `ask.exclude` were allowed again because no other was left.
     pub(crate) is_relaxed: bool,
     /// Zones that refused it.
@@ -203,6 +205,7 @@
         is_once: matches!(view.repeat, Repeat::Once { .. }),
         may_have_run: false,
         retries: 0,
+        deaths: 0,
         is_relaxed: false,
         tried: Vec::new(),
         refusal: None,
--- a/crates/kernel/tests/entry.rs
+++ b/crates/kernel/tests/entry.rs
@@ -150,6 +150,18 @@
             "release 1 on t1 Broken to e2", "ask e2 for 1 but t1", "refuse 1 Quarantined ran Unknown",
         ],
     );
+    // A request that crashes its targets would take down a third before the reports show it.
+    two_targets_that_die_end_a_request: (
+        &[
+            Do::Arrive(1), Do::Grant(1, "e2", "t1"), Do::Began(1), Do::End(1, End::Died, 0), Do::Wait(100),
+            Do::Grant(1, "e2", "t2"), Do::Began(1), Do::End(1, End::Died, 0),
+        ],
+        &[
+            "ask e2 for 1", "start 1 on t1", "retry TargetDied", "release 1 on t1 Died to e2",
+            "ask e2 for 1 but t1", "start 1 on t2", "refuse 1 TargetFailed ran Unknown",
+            "release 1 on t2 Died to e2",
+        ],
+    );
     // A slot would stay taken after the caller left.
     a_departed_caller_frees_its_slot: (
         &[Do::Arrive(1), Do::Grant(1, "e2", "t1"), Do::Depart(1)],
