Bound the bytes of gossip by a test on encoded frames

Cause: the bound of 48 entries says nothing about bytes, and the control traffic of a VM is limited to 16 KB/s. Change: a test encodes what one VM of a fleet of 126 in two zones sends.

--- a/crates/kernel/tests/fleet/mod.rs
+++ b/crates/kernel/tests/fleet/mod.rs
@@ -72,6 +72,9 @@
     written: BTreeMap<String, u64>,
     /// Calls to the table so far.
     pub calls: u64,
+    /// The VM whose messages are kept, and those messages.
+    pub traced: Option<Name>,
+    pub trace: Vec<Message>,
     revision: u64,
     /// Revision of the last declaration; leases are written in the same order of revisions.
     declared: u64,
@@ -98,8 +101,8 @@
     /// Starts a VM; a VM of the same name is replaced.
     pub fn join(&mut self, vm: &str, zone: &str, incarnation: u64) {
         let identity = Identity::new(vm, zone, Incarnation(incarnation))
-            .with_addresses(&address(vm), "")
-            .with_seeds(vec![name(&address("a1"))])
+            .with_addresses(&address(vm), "198.51.100.10:8100")
+            .with_seeds(vec![name(&address("a1")), name(&address("entry-a1"))])
             .with_seed(7);
         let clock = CLOCK_MS * self.nodes.len() as u64 + 1;
         let node = Node {
@@ -256,6 +259,9 @@
     fn send(&mut self, ix: usize, to: &str, message: Message) {
         let from = self.nodes[ix].name.clone();
         self.nodes[ix].sent += 1;
+        if self.traced.as_ref() == Some(&from) {
+            self.trace.push(message.clone());
+        }
         if let Message::Gossip(gossip) = &message {
             let items = gossip.entries.len() + gossip.beats.len();
             self.nodes[ix].most_items = self.nodes[ix].most_items.max(items);
