--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -102,6 +102,8 @@
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
                 return (End::Rejected, None);
             }
+            // The engine does not have the model (any more), but another one may.
+            StatusCode::NOT_FOUND => return (End::Rejected, None),
             status if status.is_client_error() => return pass(response).await,
             _ => return (End::Broken, None),
         }
--- a/crates/daemon/src/engines.rs
+++ b/crates/daemon/src/engines.rs
@@ -198,10 +198,13 @@
             work.arrived.elapsed().as_millis()
         );
         relay.finish(finish);
+        let id = work.id.clone();
+        // The body is not needed while the replay buffer waits.
+        drop(work);
         if is_resumable {
             // A caller whose connection broke near the end may still come back.
             tokio::time::sleep(GRACE).await;
-            traffic.forget(&work.id);
+            traffic.forget(&id);
         }
     });
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -127,6 +127,9 @@
     /// Keys, log level and limits are taken over; everything else stays as it is.
     pub fn reload(&self, new: &Settings) {
         let settings = self.settings.borrow().with_reloaded(new);
+        if settings != *new {
+            log::warn!("settings that need a restart have changed and stay as they were");
+        }
         set_log_level(&settings.log.level);
         self.settings.send_replace(Arc::new(settings));
     }
--- a/crates/daemon/tests/streams.rs
+++ b/crates/daemon/tests/streams.rs
@@ -121,6 +121,19 @@
     }
 }
 
+/// The engine has unloaded the model once.
+fn unloaded(seen: &Seen, count: usize) -> Vec<Act> {
+    match count {
+        1 => send(whole(404, &seen.id, "no such model")),
+        _ => send(rest(seen)),
+    }
+}
+
+/// The engine finds fault with the request itself.
+fn invalid(seen: &Seen, _: usize) -> Vec<Act> {
+    send(whole(400, &seen.id, "bad temperature"))
+}
+
 /// The engine sends heartbeats for longer than the silence deadline before the first token.
 fn slow(seen: &Seen, _: usize) -> Vec<Act> {
     let mut acts = vec![Act::Send(head(&seen.id))];
@@ -167,6 +180,7 @@
     truncated_event_is_resumed: (truncated, "<0><1><2>", DONE);
     stream_without_final_event_is_resumed: (unfinished, "<0><1><2>", DONE);
     rejected_attempt_is_repeated: (rejecting, "<0><1><2>", DONE);
+    attempt_without_the_model_is_repeated: (unloaded, "<0><1><2>", DONE);
     heartbeats_keep_a_slow_engine_connected: (slow, "<0><1><2>", DONE);
 }
 
@@ -289,6 +303,18 @@
     target.wait_for(is_order).await;
 }
 
+/// A request that no engine would take is not tried again.
+#[tokio::test]
+async fn engines_refusal_of_the_content_is_passed_on() {
+    let target = Target::start(invalid).await;
+    let rig = Rig::start(&target).await;
+    let body = r#"{"model": "model", "prompt": "p"}"#;
+    let answer = rig.post("/v1/completions", body).send().await.unwrap();
+    assert_eq!(answer.status(), 400);
+    assert_eq!(answer.text().await.unwrap(), "bad temperature");
+    assert_eq!(target.seen().len(), 1);
+}
+
 /// The whole answer has all texts and the caller's own form.
 #[tokio::test]
 async fn caller_without_streaming_gets_one_answer() {
--- a/crates/wire/src/openai.rs
+++ b/crates/wire/src/openai.rs
@@ -149,25 +149,12 @@
     /// nothing, tokens count as four little-endian bytes, and a chat turn is its role, a line
     /// feed, its content and a line feed. A part shorter than `PREFIX_BYTES` has no hash.
     pub fn prefixes(&self) -> Vec<u64> {
-        let mut hashes = Vec::new();
-        let (mut hash, mut length) = (FNV.0, 0);
-        let mut add = |bytes: &[u8]| {
-            for byte in bytes {
-                if hashes.len() == PREFIXES_MAX {
-                    return;
-                }
-                hash = (hash ^ u64::from(*byte)).wrapping_mul(FNV.1);
-                length += 1;
-                if length % PREFIX_BYTES == 0 {
-                    hashes.push(hash);
-                }
-            }
-        };
+        let mut prefixes = Prefixes::new();
         self.visit(&mut |piece| match piece {
-            Piece::Text(text) => add(text.as_bytes()),
-            Piece::Token(token) => add(&token.to_le_bytes()),
+            Piece::Text(text) => prefixes.add(text.as_bytes()),
+            Piece::Token(token) => prefixes.add(&token.to_le_bytes()),
         });
-        hashes
+        prefixes.hashes
     }
 
     fn visit(&self, see: &mut impl FnMut(Piece<'_>)) {
@@ -200,6 +187,49 @@
     }
 }
 
+/// The prefix hashes of a prompt that is one text, as [`Call::prefixes`] gives them.
+///
+/// ```
+/// use hornbeamloom_wire::openai::{prefixes, PREFIX_BYTES};
+///
+/// assert_eq!(prefixes(&"x".repeat(3 * PREFIX_BYTES)).len(), 3);
+/// ```
+pub fn prefixes(prompt: &str) -> Vec<u64> {
+    let mut prefixes = Prefixes::new();
+    prefixes.add(prompt.as_bytes());
+    prefixes.hashes
+}
+
+/// The running hash of a prompt and the hashes taken of it.
+struct Prefixes {
+    hashes: Vec<u64>,
+    hash: u64,
+    length: usize,
+}
+
+impl Prefixes {
+    fn new() -> Prefixes {
+        Prefixes {
+            hashes: Vec::new(),
+            hash: FNV.0,
+            length: 0,
+        }
+    }
+
+    fn add(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            if self.hashes.len() == PREFIXES_MAX {
+                return;
+            }
+            self.hash = (self.hash ^ u64::from(*byte)).wrapping_mul(FNV.1);
+            self.length += 1;
+            if self.length % PREFIX_BYTES == 0 {
+                self.hashes.push(self.hash);
+            }
+        }
+    }
+}
+
 enum Piece<'a> {
     Text(&'a str),
     Token(u32),
--- a/crates/wire/tests/openai.rs
+++ b/crates/wire/tests/openai.rs
@@ -1,6 +1,6 @@
 //! Requests, chunks and whole answers in both forms.
 
-use hornbeamloom_wire::openai::{chunk, forward, read, Form, Whole, PREFIX_BYTES};
+use hornbeamloom_wire::openai::{chunk, forward, prefixes, read, Form, Whole, PREFIX_BYTES};
 use quickcheck::{Arbitrary, Gen};
 
 /// Fixed, so that every run tries the same inputs.
@@ -89,6 +89,7 @@
     let (short, long) = (hashes(2 * PREFIX_BYTES), hashes(3 * PREFIX_BYTES));
     assert_eq!((short.len(), long.len()), (2, 3));
     assert_eq!(short, long[..2]);
+    assert_eq!(prefixes(&"x".repeat(2 * PREFIX_BYTES)), short);
     assert!(hashes(1_000 * PREFIX_BYTES).len() <= 64);
 }
 
