Test long streams for slow callers, the grace period and crossed resumes

Cause: a trial with the check of a resumed answer's request id switched off failed no test, and the buffer's bound and the grace period had no case. Change: three cases.

--- a/crates/daemon/tests/streams.rs
+++ b/crates/daemon/tests/streams.rs
@@ -88,6 +88,15 @@
     }
 }
 
+/// The first resume gets the answer of another request whose generation has the same name.
+fn crossed_resume(seen: &Seen, count: usize) -> Vec<Act> {
+    match count {
+        1 => send(head(&seen.id) + &token("g1", 0)),
+        2 => send(head("entry-9-1-1.1") + &token("g1", 1).replace("<1>", "theirs") + &last(2)),
+        _ => send(rest(seen)),
+    }
+}
+
 /// The first connection goes silent after one token and stays open.
 fn silent(seen: &Seen, count: usize) -> Vec<Act> {
     match count {
@@ -176,6 +185,7 @@
     missing_token_is_fetched_by_a_resume: (missing, "<0><1><2>", DONE);
     foreign_generation_is_dropped_and_the_own_resumed: (foreign, "<0><1><2>", DONE);
     answer_of_another_request_is_dropped: (crossed, "<0><1><2>", DONE);
+    resumed_answer_of_another_request_is_dropped: (crossed_resume, "<0><1><2>", DONE);
     silent_connection_is_resumed: (silent, "<0><1><2>", DONE);
     truncated_event_is_resumed: (truncated, "<0><1><2>", DONE);
     stream_without_final_event_is_resumed: (unfinished, "<0><1><2>", DONE);
@@ -303,6 +313,64 @@
     target.wait_for(is_order).await;
 }
 
+/// A stream that nobody came back for ends at its engine too.
+#[tokio::test]
+async fn stream_without_a_caller_is_cancelled_after_the_grace_period() {
+    let target = Target::start(|seen, _| {
+        let pings = [
+            Act::Wait(Duration::from_millis(500)),
+            Act::Send(": ping\n\n".to_owned()),
+        ];
+        let mut acts = vec![Act::Send(head(&seen.id) + &token("g1", 0))];
+        acts.extend(std::iter::repeat_n(pings, 120).flatten());
+        acts
+    });
+    let target = target.await;
+    let rig = Rig::start(&target).await;
+    let body = r#"{"model": "model", "prompt": "p", "stream": true}"#;
+    let mut stream = rig.post("/v1/completions", body).send().await.unwrap();
+    read_until(&mut stream, "id: 0").await;
+    drop(stream);
+    target
+        .wait_for(|seen| seen.path == "/v1/completions/g1/cancel")
+        .await;
+}
+
+/// Tokens of the stream that does not fit the replay buffer.
+const MANY: u64 = 20_000;
+
+/// Guards against a replay buffer that drops what the caller has not read, and against one that
+/// keeps everything.
+#[tokio::test]
+async fn slow_caller_gets_every_token_of_a_long_stream() {
+    let target = Target::start(|seen, _| {
+        let tokens: String = (0..MANY).map(|seq| token("g1", seq)).collect();
+        vec![Act::Send(head(&seen.id) + &tokens + &last(MANY))]
+    });
+    let rig = Rig::start(&target.await).await;
+    let body = r#"{"model": "model", "prompt": "p", "stream": true}"#;
+    let stream = rig.post("/v1/completions", body).send().await.unwrap();
+    let id = stream.headers()["x-request-id"]
+        .to_str()
+        .unwrap()
+        .to_owned();
+    // Long enough for the engine's whole answer to arrive, if somebody kept it.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let text = tokio::time::timeout(PATIENCE, stream.text())
+        .await
+        .unwrap()
+        .unwrap();
+    let expected: String = (0..=MANY).map(|seq| format!("<{seq}>")).collect();
+    assert!(tokens(&text) == expected, "{} bytes", text.len());
+    assert!(text.ends_with(DONE));
+    let again = rig
+        .client
+        .get(format!("{}/v1/streams/{id}", rig.url))
+        .bearer_auth("key-1");
+    let answer = again.header("last-event-id", "0").send().await.unwrap();
+    assert_eq!(answer.status(), 410);
+}
+
 /// A request that no engine would take is not tried again.
 #[tokio::test]
 async fn engines_refusal_of_the_content_is_passed_on() {
