Wake the traffic task only when its caller leaves or comes back

Cause: the task waited on the same channel as the events, so each event that a caller took woke it. Change: the caller's presence has a channel of its own. Conclusion: the daemon tests pass twice.

--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -69,7 +69,6 @@
     finish: Option<Arc<Finish>>,
     /// Counts connections; only the newest one reads.
     reader: u64,
-    detached: Option<Instant>,
 }
 
 impl Buffer {
@@ -97,6 +96,9 @@
     grace: Duration,
     buffer: Mutex<Buffer>,
     changed: watch::Sender<()>,
+    /// When the caller's connection was lost; `None` while there is one. Apart from `changed`, so
+    /// that the traffic task does not wake up for each event that the caller takes.
+    detached: watch::Sender<Option<Instant>>,
 }
 
 impl Relay {
@@ -108,6 +110,7 @@
             grace,
             buffer: Mutex::default(),
             changed: watch::Sender::new(()),
+            detached: watch::Sender::new(None),
         }
     }
 
@@ -156,9 +159,9 @@
 
     /// Resolves when the caller has been away for the whole grace period.
     pub(crate) async fn departed(&self) {
-        let mut changed = self.changed.subscribe();
+        let mut changed = self.detached.subscribe();
         loop {
-            let detached = self.lock().detached;
+            let detached = *changed.borrow_and_update();
             match detached {
                 Some(since) if since.elapsed() >= self.grace => return,
                 Some(since) => {
@@ -181,7 +184,7 @@
                 return Err(Missing);
             }
             buffer.reader += 1;
-            buffer.detached = None;
+            self.detached.send_replace(None);
             buffer.read = next;
             let skipped = (next - buffer.first) as usize;
             buffer.unread = buffer.events.iter().skip(skipped).map(Bytes::len).sum();
@@ -252,11 +255,9 @@
 
 impl Drop for Reader {
     fn drop(&mut self) {
-        let mut buffer = self.relay.lock();
+        let buffer = self.relay.lock();
         if buffer.reader == self.number {
-            buffer.detached = Some(Instant::now());
-            drop(buffer);
-            self.relay.changed.send_replace(());
+            self.relay.detached.send_replace(Some(Instant::now()));
         }
     }
 }
