Give the operators' tests their own table after the shared settings changed

Cause: the shared test settings now start a platform of their own, so the faults of these tests went to a table that was not in use. Change: the tests set the platform's addresses in the parsed settings.

--- a/crates/daemon/tests/operators.rs
+++ b/crates/daemon/tests/operators.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use hornbeamloom_daemon::control::Input;
-use hornbeamloom_daemon::edge::Error;
 use hornbeamloom_daemon::run::Daemon;
 use hornbeamloom_daemon::settings;
 use hornbeamloom_kernel::cases;
@@ -18,14 +17,13 @@
 use stand_in::{Fault, Platform};
 use support::PATIENCE;
 
-/// Tries to start a daemon: another test may take a port that was free a moment ago.
-const STARTS_MAX: u32 = 10;
-
-fn start(table: &str) -> Result<(Daemon, String), Error> {
-    let text = support::settings_text("").replace("http://127.0.0.1:1'", &format!("{table}'"));
-    let settings = settings::parse(&text).unwrap();
+fn start(table: &str) -> (Daemon, String) {
+    let mut settings = settings::parse(&support::settings_text("")).unwrap();
+    settings.platform.table = table.into();
+    settings.platform.objects = table.into();
+    settings.platform.vms = table.into();
     let url = format!("http://{}/apis/v1", settings.listen.operators);
-    Ok((Daemon::start(settings)?, url))
+    (Daemon::start(settings).unwrap(), url)
 }
 
 struct Rig {
@@ -39,9 +37,7 @@
     async fn start(platform: Platform) -> Rig {
         let table = platform.start().await;
         let client = reqwest::Client::builder().no_proxy().build().unwrap();
-        let (daemon, url) = (0..STARTS_MAX)
-            .find_map(|_| start(&table).ok())
-            .expect("a daemon starts");
+        let (daemon, url) = start(&table);
         Rig {
             daemon,
             platform,
