--- a/tests/cluster/path.rs
+++ b/tests/cluster/path.rs
@@ -23,5 +23,11 @@
         let answer = complete(&cluster, daemon, "t", length).await;
         assert_eq!(answer.status, 200, "{answer:?}");
         answer.assert_whole("t", length);
+        let entry = &cluster.daemons[daemon].vm;
+        assert!(
+            answer.request_id.starts_with(&format!("{entry}-")),
+            "{}",
+            answer.request_id
+        );
     });
 }
