Add stateful fuzzing of four kernels against a simple oracle

Cause: the invariants were tested by scripts only, so orders of events that nobody thought of were not met.

--- /dev/null
+++ b/crates/kernel/tests/fuzz/model.rs
@@ -0,0 +1,100 @@
+//! A minimal target: it counts concurrent runs and reports with a lag.
+
+use std::collections::BTreeMap;
+
+use hornbeamloom_kernel::request::Id;
+use hornbeamloom_kernel::target::{Phase, Report};
+
+/// Time from the death of a process to its next start.
+const RESTART_MS: u64 = 1_000;
+/// States remembered for lagging reports.
+const PAST: usize = 256;
+
+#[derive(Debug, Clone)]
+pub struct Run {
+    /// When it will be complete, unless the target stalls.
+    pub ends: u64,
+    /// When the kernel asked for it.
+    pub started: u64,
+    /// The request reached the target.
+    pub begun: bool,
+}
+
+#[derive(Debug)]
+pub struct Target {
+    pub name: &'static str,
+    pub zone: &'static str,
+    pub cold_limit: u32,
+    pub start_id: u64,
+    pub cold_since: Option<u64>,
+    pub down_until: u64,
+    pub is_stalled: bool,
+    pub is_full: bool,
+    pub lag: u64,
+    pub runs: BTreeMap<(Id, u32), Run>,
+    past: Vec<(u64, Report)>,
+}
+
+impl Target {
+    pub fn new(name: &'static str, zone: &'static str, cold_limit: u32) -> Target {
+        Target {
+            name,
+            zone,
+            cold_limit,
+            start_id: 1,
+            cold_since: Some(0),
+            down_until: 0,
+            is_stalled: false,
+            is_full: false,
+            lag: 0,
+            runs: BTreeMap::new(),
+            past: Vec::new(),
+        }
+    }
+
+    pub fn is_down(&self, now: u64) -> bool {
+        now < self.down_until
+    }
+
+    /// Kills the process.
+    pub fn die(&mut self, now: u64) {
+        self.start_id += 1;
+        self.down_until = now + RESTART_MS;
+        self.cold_since = Some(self.down_until);
+        self.past.clear();
+        self.runs.clear();
+    }
+
+    pub fn chill(&mut self, now: u64) {
+        self.cold_since.get_or_insert(now);
+    }
+
+    /// Notes the present state for later reports.
+    pub fn remember(&mut self, now: u64) {
+        if self.is_down(now) {
+            return;
+        }
+        let phase = match self.cold_since {
+            Some(_) => Phase::Cold,
+            None => Phase::Warm,
+        };
+        let report = Report {
+            start_id: self.start_id,
+            phase,
+            running: self.runs.len() as u32,
+            kv_capacity: 100_000,
+            ..Report::default()
+        };
+        if self.past.len() == PAST {
+            self.past.remove(0);
+        }
+        self.past.push((now, report));
+    }
+
+    /// The state as far back as the reports lag, as far as this process remembers.
+    pub fn report(&self, now: u64) -> Option<Report> {
+        let wanted = now.saturating_sub(self.lag);
+        let old = self.past.iter().rev().find(|(at, _)| *at <= wanted);
+        old.or(self.past.first()).map(|(_, report)| report.clone())
+    }
+}
--- /dev/null
+++ b/crates/kernel/tests/fuzz/schedule.rs
@@ -0,0 +1,134 @@
+//! Random schedules: what callers, operators, targets and the network do, step by step.
+
+use quickcheck::{Arbitrary, Gen};
+
+/// How the table treats one VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Store {
+    Up,
+    /// No effect, and the VM hears so.
+    Down,
+    /// Writes take effect; the VM hears that the answer was lost.
+    AnswersLost,
+    /// Calls take effect; none is answered.
+    Silent,
+}
+
+/// One step; small numbers choose a VM, a target, a key or a zone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// Time passes, in milliseconds.
+    Pass(u16),
+    /// A request that may be repeated arrives at a VM, with a body.
+    Arrive(u8, u8),
+    /// A request with an idempotency key arrives, possibly not for the first time.
+    Once(u8, u8),
+    /// The caller of one of the newest requests goes away.
+    Depart(u8),
+    Pause(u8),
+    Resume(u8),
+    /// A new process with an empty kernel replaces the VM's.
+    Restart(u8),
+    /// Operators take a zone out or in.
+    Zone(u8, bool),
+    /// Operators mark a target as leaving or staying.
+    Leaving(u8, bool),
+    /// A new revision that changes an organisation's weight.
+    Weight(u8),
+    /// Nothing passes from one VM to another, or it passes again.
+    Cut(u8, u8, bool),
+    /// Nothing passes between the zones.
+    Split,
+    /// All links work again.
+    Heal,
+    Store(u8, Store),
+    /// All VMs reach the table again.
+    StoreUp,
+    /// Of 100 messages this many are delivered twice, and each takes up to so many ms longer.
+    Network(u8, u8),
+    /// A target's process dies and is started again, cold, one second later.
+    Die(u8),
+    /// A target turns cold and says so only in its reports.
+    Chill(u8),
+    /// A target turns warm.
+    Warm(u8),
+    /// A target neither answers nor reports, or does so again.
+    Stall(u8, bool),
+    /// A target's reports are this much older, in units of 10 ms.
+    Lag(u8, u8),
+    /// The connections of a target's runs break.
+    Break(u8),
+    /// A target rejects requests without running them, or no longer.
+    Full(u8, bool),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Step {
+        let ix = u8::arbitrary(g) % 4;
+        let small = u8::arbitrary(g);
+        let is_on = bool::arbitrary(g);
+        match u8::arbitrary(g) % 100 {
+            0..=19 => Step::Pass(u16::arbitrary(g) % 400),
+            20..=49 => Step::Arrive(ix, small),
+            50..=61 => Step::Once(ix, small % 32),
+            62..=63 => Step::Depart(small % 8),
+            64..=65 => Step::Pause(ix),
+            66..=69 => Step::Resume(ix),
+            70 => Step::Restart(ix),
+            71..=72 => Step::Zone(ix % 2, small < 96),
+            73..=74 => Step::Leaving(ix, small < 96),
+            75 => Step::Weight(small),
+            76 => Step::Cut(ix, small % 4, is_on),
+            77 if is_on => Step::Split,
+            77..=79 => Step::Heal,
+            80..=81 => Step::Store(ix, Store::arbitrary(g)),
+            82..=83 => Step::StoreUp,
+            84 => Step::Network(small % 30, u8::arbitrary(g)),
+            85 => Step::Die(ix),
+            86 => Step::Chill(ix),
+            87..=91 => Step::Warm(ix),
+            92 => Step::Stall(ix, small < 64),
+            93 => Step::Stall(ix, false),
+            94 => Step::Lag(ix, small % 100),
+            95..=96 => Step::Break(ix),
+            97 => Step::Full(ix, small < 96),
+            _ => Step::Pass(u16::arbitrary(g) % 3_000),
+        }
+    }
+}
+
+impl Arbitrary for Store {
+    fn arbitrary(g: &mut Gen) -> Store {
+        let all = [Store::Up, Store::Down, Store::AnswersLost, Store::Silent];
+        *g.choose(&all).unwrap_or(&Store::Up)
+    }
+}
+
+/// A schedule of so many steps.
+pub fn generate(seed: u64, steps: usize) -> Vec<Step> {
+    let mut g = Gen::from_size_and_seed(steps, seed);
+    (0..steps).map(|_| Step::arbitrary(&mut g)).collect()
+}
+
+/// Tries to shorten a failing schedule: it removes ever smaller parts as long as it still fails.
+pub fn shrink(steps: &[Step], fails: impl Fn(&[Step]) -> bool) -> Vec<Step> {
+    /// Runs of the schedule that a failure may cost.
+    const TRIES: usize = 200;
+    let mut best = steps.to_vec();
+    let mut part = best.len() / 2;
+    let mut tries = 0;
+    while part > 0 && tries < TRIES {
+        let mut from = 0;
+        while from < best.len() && tries < TRIES {
+            let to = (from + part).min(best.len());
+            let shorter = [&best[..from], &best[to..]].concat();
+            tries += 1;
+            match fails(&shorter) {
+                true => best = shorter,
+                false => from = to,
+            }
+        }
+        part /= 2;
+    }
+    best
+}
