Let a cold report stand against the word of a resumed holder

The pool's holder was paused for 5.7 s while the target turned cold; resumed, it described the target as warm as of before its pause. A VM in fallback, whose own report 225 ms before said cold, took that word at once and called the target warm.

Ruled out: a grant that was delayed (the granter was the VM itself, with fence 0) and a lagging report (the reports at that VM had said cold since 6,300 ms; the start was at 11,025 ms).

Change: outside its lease a VM takes a holder's word at once only for a target whose newest report does not say cold; otherwise the word counts when a report confirms it.

Conclusion: the starts that the resumed holder itself made before it read a report are not covered by this change.

--- a/crates/kernel/src/pool.rs
+++ b/crates/kernel/src/pool.rs
@@ -20,7 +20,7 @@
 use crate::resource::{self, Protocol};
 use crate::schedule::{self, Stages};
 use crate::takeover::{self, Hint, Listing, Rights, Takeover, HANDED_PAUSE};
-use crate::target::Slot;
+use crate::target::{Phase, Slot};
 
 pub use crate::ledger::Running;
 pub use crate::takeover::Snapshot;
@@ -530,7 +530,9 @@
         }
         for slot in &mut self.targets {
             match hint.warm.contains(&slot.name) {
-                true if !slot.is_warm() => slot.hint_warm(true),
+                // A holder that was paused describes the past, so its word does not overrule a
+                // report that says cold; it counts once a report confirms it.
+                true if !slot.is_warm() => slot.hint_warm(slot.phase() != Some(Phase::Cold)),
                 false if slot.is_warm() => slot.chill(),
                 _ => {}
             }
--- a/crates/kernel/tests/fuzz/main.rs
+++ b/crates/kernel/tests/fuzz/main.rs
@@ -102,6 +102,8 @@
     schedules_from_seed_2000: (2_000, 65);
     schedules_from_seed_3000: (3_000, 65);
     schedules_from_seed_4000: (4_000, 65);
+    // The word of a holder that was paused overruled a cold report (I2).
+    a_paused_holder_speaks_of_the_past: (100_780, 1);
 }
 
 /// Schedules chosen by the environment; without it nothing runs.
--- a/crates/kernel/tests/pool/cold.rs
+++ b/crates/kernel/tests/pool/cold.rs
@@ -201,3 +201,21 @@
         bed.engines.get_mut("engine-1").unwrap().silence = Some(Silence::Refused);
     });
 }
+
+/// In fallback, the word of a holder that was paused would start the warm limit's worth of requests
+/// on a target that reports cold.
+fn word_of_the_holder_starts(phase: Phase, expected: usize) {
+    let targets = [("engine-1", target(1, 8, 0))];
+    let mut bed = Bed::idle(&targets, phase, Configuration::default());
+    bed.asks("parlour-1", 4);
+    bed.pass(2_000);
+    bed.hint(&["engine-1"]);
+    bed.pass(1_000);
+    assert_eq!(bed.running().len(), expected);
+}
+
+cases! {
+    word_of_the_holder_starts;
+    the_word_of_a_holder_does_not_overrule_a_cold_report: (Phase::Cold, 0);
+    the_word_of_a_holder_counts_where_the_report_says_warm: (Phase::Warm, 4);
+}
