Count deaths of targets whose start was never polled; release leases before exit

Ruled out: gossip of deaths between VMs. Also, a stopping daemon exited before its releases were written, and a successor waited 8 s for the lease to expire. Change: an attempt that found the process gone before any report counts as a death; the daemon drains only when its leases are released and then leaves 250 ms for the last messages to peers.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -15,6 +15,9 @@
 use crate::settings::Settings;
 use crate::{edge, settings};
 
+/// Time for the last messages to peers to leave.
+const FLUSH: Duration = Duration::from_millis(250);
+
 /// Exit status for settings that cannot be used.
 const BAD_SETTINGS: u8 = 2;
 
@@ -146,6 +149,8 @@
             let _ = self.done.await;
             self.drained.send_replace(true);
             self.exit.finished().await;
+            // The last messages to peers are still on their way to the sockets.
+            tokio::time::sleep(FLUSH).await;
         };
         match settings.shutdown_limit_s {
             None => work.await,
--- a/crates/kernel/src/entry.rs
+++ b/crates/kernel/src/entry.rs
@@ -323,6 +323,10 @@
         return;
     }
     let since = *state.entry.idle_since.get_or_insert(now);
+    // A successor waits for the lease to expire if the release does not reach the table.
+    if !state.leases.is_released(now) {
+        return;
+    }
     if state.claims.is_settled() || now.since(since) >= CLAIMS_DRAIN_MS {
         state.entry.is_drained = true;
         out.push(Outcome::Drained);
--- a/crates/kernel/src/target.rs
+++ b/crates/kernel/src/target.rs
@@ -26,6 +26,8 @@
 const REJECTED_PAUSE: u64 = 500;
 /// Successive failed polls after which a target gets no new work.
 const FAILED_ROW: u32 = 3;
+/// Stands for a start that no report has shown.
+const UNSEEN_START: u64 = 0;
 /// Broken attempts are remembered this long, for the death that may explain them.
 const BROKEN_AGE: u64 = 10_000;
 /// Broken attempts remembered.
@@ -210,6 +212,8 @@
     firsts: VecDeque<u32>,
     released: VecDeque<Millis>,
     broken: VecDeque<(Millis, Suspect)>,
+    /// An attempt found the process gone before any report had shown its start.
+    gone: bool,
     prefixes: Set<u64>,
     next_event: u64,
 }
@@ -241,6 +245,7 @@
             firsts: VecDeque::new(),
             released: VecDeque::new(),
             broken: VecDeque::new(),
+            gone: false,
             prefixes: Set::default(),
             next_event: 0,
         }
@@ -401,10 +406,19 @@
                 self.died = Some(start);
                 Finding::Died(start)
             }
+            None => self.unseen_death(),
             _ => Finding::None,
         }
     }
 
+    /// The death of a start that no report has shown, if an attempt met it.
+    fn unseen_death(&mut self) -> Finding {
+        match std::mem::take(&mut self.gone) {
+            true => Finding::Died(UNSEEN_START),
+            false => Finding::None,
+        }
+    }
+
     /// Takes a holder's word that the target is warm, at once or when a report confirms it.
     pub(crate) fn hint_warm(&mut self, is_fresh: bool) {
         match is_fresh {
@@ -440,12 +454,14 @@
                 self.chill();
                 Finding::Died(start)
             }
+            None => self.unseen_death(),
             _ => Finding::None,
         }
     }
 
     /// Takes in how an attempt ended.
     pub(crate) fn ended(&mut self, end: End, suspect: Suspect, granted: Millis, now: Millis) {
+        self.gone |= end == End::Died && self.seen.is_none();
         match end {
             End::Complete if self.phase() == Some(Phase::Warm) => {
                 self.doubted = false;
