Test that a slow caller holds its engine back

Cause: trials with the buffer's bound, or the check of the announced generation, switched off failed no test. Change: a stream of 40 MB that its caller does not read for 3 s, in place of one that fitted the socket buffers, and a case of tokens from another generation than announced.

--- a/crates/daemon/tests/streams.rs
+++ b/crates/daemon/tests/streams.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 
 use support::{head, last, token, tokens, whole, Act, Rig, Seen, Target, PATIENCE};
@@ -80,6 +82,14 @@
     }
 }
 
+/// The first answer announces the generation and brings another one's tokens from the start.
+fn mislabelled(seen: &Seen, count: usize) -> Vec<Act> {
+    match count {
+        1 => send(head(&seen.id) + &token("g2", 0).replace("<0>", "theirs")),
+        _ => send(rest(seen)),
+    }
+}
+
 /// The first answer belongs to another request.
 fn crossed(seen: &Seen, count: usize) -> Vec<Act> {
     match count {
@@ -184,6 +194,7 @@
     duplicate_tokens_are_dropped: (duplicates, "<0><1><2>", DONE);
     missing_token_is_fetched_by_a_resume: (missing, "<0><1><2>", DONE);
     foreign_generation_is_dropped_and_the_own_resumed: (foreign, "<0><1><2>", DONE);
+    tokens_of_another_generation_than_announced_are_dropped: (mislabelled, "<0><1><2>", DONE);
     answer_of_another_request_is_dropped: (crossed, "<0><1><2>", DONE);
     resumed_answer_of_another_request_is_dropped: (crossed_resume, "<0><1><2>", DONE);
     silent_connection_is_resumed: (silent, "<0><1><2>", DONE);
@@ -228,7 +239,7 @@
         .await;
 }
 
-async fn read_until(answer: &mut reqwest::Response, text: &str) {
+async fn read_until(answer: &mut reqwest::Response, text: &str) -> String {
     let mut seen = String::new();
     while !seen.contains(text) {
         let part = tokio::time::timeout(PATIENCE, answer.chunk())
@@ -236,6 +247,7 @@
             .unwrap();
         seen += &String::from_utf8_lossy(&part.unwrap().expect(text));
     }
+    seen
 }
 
 /// A caller that lost its connection goes on after the last event it has seen.
@@ -336,30 +348,40 @@
         .await;
 }
 
-/// Tokens of the stream that does not fit the replay buffer.
-const MANY: u64 = 20_000;
+/// Tokens of a stream of 40 MB, more than all socket buffers on the way hold.
+const MANY: u64 = 4_000;
 
 /// Guards against a replay buffer that drops what the caller has not read, and against one that
 /// keeps everything.
 #[tokio::test]
-async fn slow_caller_gets_every_token_of_a_long_stream() {
-    let target = Target::start(|seen, _| {
-        let tokens: String = (0..MANY).map(|seq| token("g1", seq)).collect();
-        vec![Act::Send(head(&seen.id) + &tokens + &last(MANY))]
+async fn slow_caller_holds_its_engine_back_and_gets_every_token() {
+    let is_sent = Arc::new(AtomicBool::new(false));
+    let mark = is_sent.clone();
+    let target = Target::start(move |seen, _| {
+        let long = format!("\", \"pad\": \"{}", "x".repeat(10_000));
+        let many = (0..MANY).map(|seq| token("g1", seq).replace(">\"", &format!(">{long}\"")));
+        let tokens: String = many.collect();
+        vec![
+            Act::Send(head(&seen.id) + &tokens + &last(MANY)),
+            Act::Mark(mark.clone()),
+        ]
     });
     let rig = Rig::start(&target.await).await;
     let body = r#"{"model": "model", "prompt": "p", "stream": true}"#;
-    let stream = rig.post("/v1/completions", body).send().await.unwrap();
+    let mut stream = rig.post("/v1/completions", body).send().await.unwrap();
     let id = stream.headers()["x-request-id"]
         .to_str()
         .unwrap()
         .to_owned();
-    // Long enough for the engine's whole answer to arrive, if somebody kept it.
-    tokio::time::sleep(Duration::from_secs(1)).await;
-    let text = tokio::time::timeout(PATIENCE, stream.text())
-        .await
-        .unwrap()
-        .unwrap();
+    let mut text = read_until(&mut stream, "id: 0").await;
+    // Long enough for the whole stream to pass if nothing held it back.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert!(
+        !is_sent.load(Ordering::Relaxed),
+        "somebody keeps the whole stream"
+    );
+    let rest = tokio::time::timeout(PATIENCE, stream.text()).await.unwrap();
+    text += &rest.unwrap();
     let expected: String = (0..=MANY).map(|seq| format!("<{seq}>")).collect();
     assert!(tokens(&text) == expected, "{} bytes", text.len());
     assert!(text.ends_with(DONE));
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -3,7 +3,7 @@
 // Each test file uses its own part of this module.
 #![allow(dead_code)]
 
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -26,6 +26,8 @@
     Wait(Duration),
     /// Keep the connection open and silent.
     Hang,
+    /// Everything before was taken by the other side.
+    Mark(Arc<AtomicBool>),
 }
 
 /// A request that a scripted target received.
@@ -130,6 +132,7 @@
             }
             Act::Wait(time) => tokio::time::sleep(time).await,
             Act::Hang => std::future::pending().await,
+            Act::Mark(mark) => mark.store(true, Ordering::Relaxed),
         }
     }
     // The client sees the end of the answer, not a reset.
