Let a VM advertise addresses that differ from its listen addresses

Cause: peers always learn the listen addresses, so a test cannot put a fault proxy in front of a daemon's peer port. Change: optional setting advertise: {callers, peers}, default the listen addresses, with its check; the bench starts daemons behind a proxy with it.

--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -241,6 +241,29 @@
     /// Its settings cannot be written or the process does not start.
     pub fn start_daemon(&mut self, vm: &str, zone: &str) -> Result<(), Error> {
         let addresses = free_addresses(3)?;
+        self.start_daemon_at(vm, zone, &addresses, addresses[2])
+    }
+
+    /// Starts a daemon that its peers reach through a fault proxy only.
+    ///
+    /// # Errors
+    ///
+    /// Its settings cannot be written or a process does not start.
+    pub fn start_daemon_behind_proxy(&mut self, vm: &str, zone: &str) -> Result<Proxy, Error> {
+        let addresses = free_addresses(3)?;
+        let proxy = self.start_proxy(addresses[2])?;
+        self.start_daemon_at(vm, zone, &addresses, proxy.address)?;
+        Ok(proxy)
+    }
+
+    /// `peers` is the address that its peers are told.
+    fn start_daemon_at(
+        &mut self,
+        vm: &str,
+        zone: &str,
+        addresses: &[SocketAddr],
+        peers: SocketAddr,
+    ) -> Result<(), Error> {
         let seeds: Vec<String> = self
             .daemons
             .iter()
@@ -256,6 +279,7 @@
                 "operators": addresses[1].to_string(),
                 "peers": addresses[2].to_string(),
             },
+            "advertise": {"peers": peers.to_string()},
             "platform": {"table": platform, "objects": platform, "vms": platform},
             "peers": seeds,
             "keys": {"operator": [OPERATOR_KEY], "peer": ["peer-key"]},
@@ -272,7 +296,7 @@
             process,
             callers: addresses[0],
             operators: addresses[1],
-            peers: addresses[2],
+            peers,
             settings: path,
         });
         Ok(())
--- a/crates/daemon/src/check.rs
+++ b/crates/daemon/src/check.rs
@@ -39,6 +39,7 @@
     name("vm", &settings.vm)?;
     name("zone", &settings.zone)?;
     listen(settings)?;
+    advertise(settings)?;
     peers(settings)?;
     url("platform.table", &settings.platform.table)?;
     url("platform.objects", &settings.platform.objects)?;
@@ -120,6 +121,19 @@
     Ok(())
 }
 
+/// Others would reach the wrong adapter if both were the same.
+fn advertise(settings: &Settings) -> Checked {
+    let callers = address("advertise.callers", settings.caller_address())?;
+    let peers = address("advertise.peers", settings.peer_address())?;
+    match callers == peers {
+        true => fault(
+            "advertise",
+            format!("`{peers}` is told for callers and peers"),
+        ),
+        false => Ok(()),
+    }
+}
+
 fn peers(settings: &Settings) -> Checked {
     let mut seen = Set::default();
     for peer in &settings.peers {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -190,7 +190,7 @@
         .unwrap_or_default();
     let incarnation = Incarnation(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX));
     Identity::new(&settings.vm, &settings.zone, incarnation)
-        .with_addresses(&settings.listen.peers, &settings.listen.callers)
+        .with_addresses(settings.peer_address(), settings.caller_address())
         .with_seeds(settings.peers.clone())
         .with_seed(incarnation.0)
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -17,6 +17,9 @@
     pub zone: Name,
     /// Addresses to listen on.
     pub listen: Listen,
+    /// Addresses told to other VMs where they differ from the listen addresses.
+    #[serde(default)]
+    pub advertise: Advertise,
     /// The platform's services.
     pub platform: Platform,
     /// Peers to contact first, as `IP:port`.
@@ -48,6 +51,19 @@
             ..self.clone()
         }
     }
+
+    /// Where other VMs send what callers ask of this VM, as `IP:port`.
+    pub(crate) fn caller_address(&self) -> &Name {
+        self.advertise
+            .callers
+            .as_ref()
+            .unwrap_or(&self.listen.callers)
+    }
+
+    /// Where peers open links to this VM, as `IP:port`.
+    pub(crate) fn peer_address(&self) -> &Name {
+        self.advertise.peers.as_ref().unwrap_or(&self.listen.peers)
+    }
 }
 
 /// Addresses to listen on, as `IP:port`.
@@ -62,6 +78,16 @@
     pub peers: Name,
 }
 
+/// Addresses told to other VMs, as `IP:port`; the listen addresses where absent.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Advertise {
+    /// For callers' requests that another VM forwards.
+    pub callers: Option<Name>,
+    /// For peers.
+    pub peers: Option<Name>,
+}
+
 /// Base URLs of the platform's services.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -50,6 +50,10 @@
     checks;
     good_settings_pass_the_check: (1, "good", ("", ""), 0);
     bad_settings_fail_the_check: (2, "bad", ("zone: z", "zone: z\nzonne: y"), 2);
+    advertised_addresses_pass_the_check: (6, "advertise", ("zone: z", "zone: z\nadvertise: {peers: '127.0.0.1:9'}"), 0);
+    // Guards against VMs that are told an address at which nothing can answer.
+    an_advertised_address_without_port_fails_the_check: (7, "no-port", ("zone: z", "zone: z\nadvertise: {callers: '127.0.0.1'}"), 2);
+    one_address_advertised_twice_fails_the_check: (8, "twice", ("zone: z", "zone: z\nadvertise: {callers: '127.0.0.1:9', peers: '127.0.0.1:9'}"), 2);
     settings_without_vm_fail_the_check: (3, "no-vm", ("vm: entry-1\n", ""), 2);
 }
 
