Test frozen and killed owners, killed entry VMs, resumed streams and a ramp control

Change: cluster tests with real processes: an owner stopped for longer than a lease over a cold engine, an owner killed under load, an entry VM killed during a claimed call, a stream resumed at another VM, and the negative control of the cold limit (policy off: ramp).

--- a/tests/cluster/bed.rs
+++ b/tests/cluster/bed.rs
@@ -92,6 +92,68 @@
         .expect("the daemons become ready");
 }
 
+/// The owner of the model service's pool in `zone` and its fencing token, as daemon number
+/// `daemon` knows them.
+pub async fn owner(cluster: &Cluster, daemon: usize, zone: &str) -> Option<(usize, u64)> {
+    let status = operate(cluster, daemon, "/apis/v1/status").await;
+    let owners = status["owners"].as_array()?;
+    let found = owners
+        .iter()
+        .find(|owner| owner["zone"] == zone && owner["service"] == MODEL)?;
+    let vm = found["vm"].as_str()?;
+    let ix = cluster.daemons.iter().position(|daemon| daemon.vm == vm)?;
+    Some((ix, found["fence"].as_u64()?))
+}
+
+/// Waits until daemon number `daemon` knows an owner of the pool in `zone`.
+pub async fn known_owner(cluster: &Cluster, daemon: usize, zone: &str) -> (usize, u64) {
+    eventually("the pool has an owner", || async {
+        owner(cluster, daemon, zone).await.is_some()
+    })
+    .await;
+    owner(cluster, daemon, zone).await.expect("an owner")
+}
+
+/// Sends `count` completions of `length` tokens at once, in turn through the daemons `through`.
+pub async fn burst(
+    cluster: &Cluster,
+    through: &[usize],
+    count: usize,
+    length: usize,
+) -> Vec<(String, Answer)> {
+    let requests = (0..count).map(|number| async move {
+        let tag = format!("r{number}");
+        let answer = complete(cluster, through[number % through.len()], &tag, length).await;
+        (tag, answer)
+    });
+    futures_util::future::join_all(requests).await
+}
+
+/// Gives a fault order.
+pub async fn fault(cluster: &Cluster, address: std::net::SocketAddr, order: Value) {
+    cluster
+        .fault(address, &order)
+        .await
+        .expect("the fault is taken");
+}
+
+/// The revision in force at daemon number `daemon`, zero without an answer.
+pub async fn revision(cluster: &Cluster, daemon: usize) -> u64 {
+    let status = operate(cluster, daemon, "/apis/v1/status").await;
+    status["revision"].as_u64().unwrap_or(0)
+}
+
+/// Merges `body` into a resource through daemon number `daemon`; the status and the answer.
+pub async fn patch(cluster: &Cluster, daemon: usize, path: &str, body: Value) -> (u16, Value) {
+    let url = format!("http://{}{path}", cluster.daemons[daemon].operators);
+    let request = cluster.client.patch(url).bearer_auth(OPERATOR_KEY);
+    let Ok(answer) = request.json(&body).send().await else {
+        return (0, Value::Null);
+    };
+    let status = answer.status().as_u16();
+    (status, answer.json().await.unwrap_or_default())
+}
+
 /// An engine that is warm from the start.
 pub fn warm_engine(name: &str, zone: &str) -> Target {
     Target::engine(name, MODEL, zone).with_arguments(&["--cold-s", "0"])
@@ -119,6 +181,8 @@
     pub done: bool,
     /// The typed refusal or error event, if one came.
     pub error: Value,
+    /// The refusal says when to try again.
+    pub has_retry_after: bool,
 }
 
 impl Answer {
@@ -129,6 +193,21 @@
         assert_eq!(self.tokens, expected, "error: {}", self.error);
         assert!(self.done, "no end mark; error: {}", self.error);
     }
+
+    /// Panics unless this is the whole answer or a refusal that says truthfully that nothing ran.
+    ///
+    /// Returns whether it is the whole answer.
+    pub fn assert_whole_or_refused(&self, tag: &str, length: usize) -> bool {
+        if self.status == 200 {
+            self.assert_whole(tag, length);
+            return true;
+        }
+        let refusal = &self.error["error"];
+        assert!(refusal["reason"].is_string(), "{self:?}");
+        assert_eq!(refusal["not_run"], json!(true), "{self:?}");
+        assert!(self.has_retry_after, "{self:?}");
+        false
+    }
 }
 
 /// Streams a completion of `length` tokens tagged `tag` from daemon number `daemon`.
@@ -164,6 +243,7 @@
     let mut result = Answer {
         status: answer.status().as_u16(),
         request_id: request_id.unwrap_or_default().to_owned(),
+        has_retry_after: answer.headers().contains_key("retry-after"),
         ..Answer::default()
     };
     let text = match answer.text().await {
--- a/tests/cluster/cold.rs
+++ b/tests/cluster/cold.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use hornbeamloom_bench::cluster::Target;
+use hornbeamloom_bench::cluster::{resource, Target};
 use serde_json::json;
 
-use crate::bed::{add_targets, cluster, complete, run, warm_engine, MODEL};
+use crate::bed::{add_targets, burst, cluster, complete, patch, run, warm_engine, MODEL};
 
 hornbeamloom_kernel::cases! {
     burst_on_cold_engine;
@@ -85,3 +85,32 @@
         );
     });
 }
+
+hornbeamloom_kernel::cases! {
+    negative_control;
+    // Shows that the check of the cold limit can fail: without the ramp the same burst ends the
+    // engine.
+    without_the_ramp_a_burst_kills_the_cold_engine: (json!(["ramp"]), true);
+    with_the_ramp_the_same_burst_leaves_it_alive: (json!([]), false);
+}
+
+fn negative_control(off: serde_json::Value, dies: bool) {
+    run(async move {
+        let mut cluster = cluster(&[("entry-a1", "lodz-a"), ("entry-a2", "lodz-a")]).await;
+        let policy = resource("Configuration", "control", json!({"policy": {"off": off}}));
+        cluster.apply(&policy).await.expect("it is accepted");
+        let path = format!("/apis/v1/services/{MODEL}");
+        let named = json!({"spec": {"configuration": "control"}});
+        let (status, answer) = patch(&cluster, 0, &path, named).await;
+        assert_eq!(status, 200, "{answer}");
+        let engine =
+            Target::engine("engine-a1", MODEL, "lodz-a").with_arguments(&["--cold-s", "6"]);
+        add_targets(&mut cluster, &[engine]).await;
+        complete(&cluster, 0, "first", 3)
+            .await
+            .assert_whole("first", 3);
+        let answers = burst(&cluster, &[0, 1], 12, 12).await;
+        let died = cluster.targets[0].process.status().is_some();
+        assert_eq!(died, dies, "{answers:?}");
+    });
+}
--- /dev/null
+++ b/tests/cluster/entry.rs
@@ -0,0 +1,167 @@
+//! Entry VMs that die, and callers that lose their connection.
+
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use hornbeamloom_bench::cluster::{Cluster, Target};
+use serde_json::json;
+
+use crate::bed::{
+    add_targets, call, cluster, eventually, fault, run, warm_engine, KEY, MODEL, OTHER_KEY, PLAIN,
+};
+
+const ZONE: &str = "lodz-a";
+const DAEMONS: [(&str, &str); 2] = [("entry-a1", ZONE), ("entry-a2", ZONE)];
+
+hornbeamloom_kernel::cases! {
+    entry_killed;
+    // Guards against a second run of a call whose entry VM died, and against a false outcome.
+    a_claimed_call_never_runs_again_while_its_vm_restarts: (2_000, true);
+    a_claimed_call_never_runs_again_while_its_vm_is_gone: (1_000, false);
+}
+
+fn entry_killed(delay_ms: u64, restarts: bool) {
+    run(async move {
+        let mut cluster = cluster(&DAEMONS).await;
+        add_targets(&mut cluster, &[Target::service("desk-a1", PLAIN, ZONE)]).await;
+        let desk = cluster.targets[0].address;
+        for daemon in 0..2 {
+            let ready = call(&cluster, daemon, "GET", "/ready", None, "").await;
+            assert_eq!(ready.status, 200, "{ready:?}");
+        }
+        fault(&cluster, desk, json!({"delay_ms": delay_ms})).await;
+        let pid = cluster.daemons[0].process.id();
+        let post = call(&cluster, 0, "POST", "/notices", Some("k1"), "text");
+        let kill = async {
+            eventually("the call runs", || async {
+                runs(&cluster, desk).await == 1
+            })
+            .await;
+            let pid = nix::unistd::Pid::from_raw(i32::try_from(pid).expect("a process id"));
+            nix::sys::signal::kill(pid, nix::sys::signal::Signal::SIGKILL).expect("it runs");
+        };
+        tokio::join!(post, kill);
+        if restarts {
+            cluster.restart_daemon(0).expect("the daemon starts");
+        }
+        for _ in 0..6 {
+            let again = call(&cluster, 1, "POST", "/notices", Some("k1"), "text").await;
+            let error = &again.body["error"];
+            let is_truthful = match again.status {
+                200 => again.body["run"] == json!(1),
+                409 => error["reason"] == "in_progress" && error["not_run"] != json!(true),
+                _ => error["not_run"] == json!("unknown"),
+            };
+            assert!(is_truthful, "{again:?}");
+            tokio::time::sleep(Duration::from_millis(500)).await;
+        }
+        assert_eq!(runs(&cluster, desk).await, 1);
+    });
+}
+
+/// Runs of the call with the key `k1`.
+async fn runs(cluster: &Cluster, desk: std::net::SocketAddr) -> u64 {
+    let answer = cluster.client.get(format!("http://{desk}/_runs")).send();
+    let answer = answer.await.expect("the service answers");
+    let runs: serde_json::Value = answer.json().await.expect("counts");
+    runs["k1"].as_u64().unwrap_or(0)
+}
+
+hornbeamloom_kernel::cases! {
+    resumed_elsewhere;
+    // Guards against tokens that are lost or repeated when the caller comes back at another VM.
+    a_stream_goes_on_at_another_vm: (1);
+    a_stream_goes_on_at_its_own_vm: (0);
+}
+
+fn resumed_elsewhere(daemon: usize) {
+    run(async move {
+        let mut cluster = cluster(&DAEMONS).await;
+        add_targets(&mut cluster, &[warm_engine("engine-a1", ZONE)]).await;
+        let mut seen = Events::default();
+        let id = start_and_leave(&cluster, &mut seen).await;
+        let before = seen.tokens.len();
+        assert!((1..LENGTH).contains(&before), "{before} tokens");
+        let foreign = resume(&cluster, daemon, &id, &seen, OTHER_KEY).await;
+        assert_eq!(foreign.status(), 404);
+        let text = foreign.text().await.expect("a refusal");
+        assert!(!text.contains("t:"), "another organisation read {text}");
+        let resumed = resume(&cluster, daemon, &id, &seen, KEY).await;
+        assert_eq!(resumed.status(), 200);
+        seen.read(&resumed.text().await.expect("the rest"));
+        let expected: Vec<String> = (0..LENGTH).map(|seq| format!("t:{seq} ")).collect();
+        assert_eq!(seen.tokens, expected, "{before} came before the loss");
+        assert!(seen.done);
+    });
+}
+
+const LENGTH: usize = 200;
+/// Tokens after which the caller loses its connection.
+const LEAVE: usize = 30;
+
+/// What a caller has received so far.
+#[derive(Debug, Default)]
+struct Events {
+    last_id: Option<String>,
+    tokens: Vec<String>,
+    done: bool,
+}
+
+impl Events {
+    /// Takes whole events.
+    fn read(&mut self, text: &str) {
+        let mut id = None;
+        for line in text.lines() {
+            if let Some(text) = line.strip_prefix("id:") {
+                id = Some(text.trim().to_owned());
+            }
+            let Some(data) = line.strip_prefix("data:") else {
+                continue;
+            };
+            if data.trim() == "[DONE]" {
+                self.done = true;
+            }
+            let event: serde_json::Value = serde_json::from_str(data).unwrap_or_default();
+            if let Some(token) = event["choices"][0]["text"].as_str() {
+                self.tokens.push(token.to_owned());
+                self.last_id = id.take().or(self.last_id.take());
+            }
+        }
+    }
+}
+
+/// Starts a stream at the first daemon and drops the connection in the middle; the request id.
+async fn start_and_leave(cluster: &Cluster, seen: &mut Events) -> String {
+    let url = format!("http://{}/v1/completions", cluster.daemons[0].callers);
+    let prompt = format!("len={LENGTH} tag=t");
+    let body = json!({"model": MODEL, "prompt": prompt, "stream": true});
+    let request = cluster.client.post(url).bearer_auth(KEY).json(&body);
+    let answer = request.send().await.expect("an answer");
+    let id = answer.headers()["x-request-id"].to_str().expect("text");
+    let id = id.to_owned();
+    let mut parts = answer.bytes_stream();
+    let mut buf = String::new();
+    while seen.tokens.len() < LEAVE {
+        let part = parts.next().await.expect("more").expect("bytes");
+        buf += std::str::from_utf8(&part).expect("text");
+        if let Some(end) = buf.rfind("\n\n") {
+            seen.read(&buf[..end]);
+            buf.drain(..end + 2);
+        }
+    }
+    id
+}
+
+async fn resume(
+    cluster: &Cluster,
+    daemon: usize,
+    id: &str,
+    seen: &Events,
+    key: &str,
+) -> reqwest::Response {
+    let url = format!("http://{}/v1/streams/{id}", cluster.daemons[daemon].callers);
+    let last = seen.last_id.as_deref().expect("events have ids");
+    let request = cluster.client.get(url).bearer_auth(key);
+    let sent = request.header("last-event-id", last).send().await;
+    sent.expect("an answer")
+}
--- a/tests/cluster/main.rs
+++ b/tests/cluster/main.rs
@@ -2,8 +2,10 @@
 
 mod bed;
 mod cold;
+mod entry;
 mod links;
 mod once;
 mod operators;
+mod owner;
 mod path;
 mod shutdown;
--- /dev/null
+++ b/tests/cluster/owner.rs
@@ -0,0 +1,160 @@
+//! Pool owners that freeze or die.
+
+use std::time::{Duration, Instant};
+
+use hornbeamloom_bench::cluster::{Cluster, Target};
+use nix::sys::signal::Signal;
+use serde_json::json;
+
+use crate::bed::{
+    add_targets, burst, cluster, complete, eventually, fault, known_owner, owner, run, warm_engine,
+    MODEL,
+};
+
+/// Longer than `TAKEOVER` (8 s) and the ranks of the two VMs that remain.
+const FREEZE: Duration = Duration::from_secs(12);
+/// `TAKEOVER` (8 s), the rank of the second candidate (1 s), and a margin for a busy machine.
+const NEW_OWNER_MAX: Duration = Duration::from_secs(20);
+const ZONE: &str = "lodz-a";
+const DAEMONS: [(&str, &str); 3] = [("entry-a1", ZONE), ("entry-a2", ZONE), ("entry-a3", ZONE)];
+
+/// Daemons other than `owner`.
+fn others(owner: usize) -> Vec<usize> {
+    (0..DAEMONS.len()).filter(|ix| *ix != owner).collect()
+}
+
+fn assert_alive(cluster: &mut Cluster) {
+    for target in &mut cluster.targets {
+        let status = target.process.status();
+        assert!(status.is_none(), "{} died: {status:?}", target.name);
+    }
+}
+
+hornbeamloom_kernel::cases! {
+    frozen_owner;
+    // Guards against a paused holder that goes on granting after another VM took over: the stand-in
+    // dies when more requests run on it than it can carry in cold start.
+    a_frozen_owner_does_not_break_a_cold_limit_of_one: (1, json!({}));
+    a_frozen_owner_does_not_break_a_cold_limit_of_two: (2, json!({}));
+    // Guards against a second owner whose reads of the table are late.
+    a_frozen_owner_and_a_slow_store_keep_the_cold_limit: (1, json!({"slow_ms": 300}));
+}
+
+fn frozen_owner(cold_limit: u32, platform_fault: serde_json::Value) {
+    run(async move {
+        let mut cluster = cluster(&DAEMONS).await;
+        let limit = cold_limit.to_string();
+        let engine = Target::engine("engine-a1", MODEL, ZONE)
+            .with_arguments(&["--cold-limit", &limit, "--cold-s", "25"])
+            .with_spec("coldLimit", json!(cold_limit));
+        add_targets(&mut cluster, &[engine]).await;
+        let (frozen, _) = known_owner(&cluster, 0, ZONE).await;
+        complete(&cluster, frozen, "first", 3)
+            .await
+            .assert_whole("first", 3);
+        fault(&cluster, cluster.platform.address, platform_fault).await;
+        let others = others(frozen);
+        // The frozen holder has work of its own queue and running work when it stops.
+        let through_frozen = [frozen];
+        let own = burst(&cluster, &through_frozen, 6, 12);
+        let through_others = async {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            burst(&cluster, &others, 14, 12).await
+        };
+        let pid = cluster.daemons[frozen].process.id();
+        let freeze = async {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            signal(pid, Signal::SIGSTOP);
+            tokio::time::sleep(FREEZE).await;
+            signal(pid, Signal::SIGCONT);
+        };
+        let (own, through_others, ()) = tokio::join!(own, through_others, freeze);
+        for (tag, answer) in own.iter().chain(&through_others) {
+            answer.assert_whole(tag, 12);
+        }
+        assert_alive(&mut cluster);
+    });
+}
+
+fn signal(pid: u32, signal: Signal) {
+    let pid = nix::unistd::Pid::from_raw(i32::try_from(pid).expect("a process id"));
+    nix::sys::signal::kill(pid, signal).expect("the process runs");
+}
+
+hornbeamloom_kernel::cases! {
+    killed_owner;
+    // Guards against requests that are lost with the owner's queue, and against an owner's death
+    // after which cold targets stay idle.
+    a_killed_owner_loses_no_request_of_other_vms: (2);
+}
+
+fn killed_owner(engines: usize) {
+    run(async move {
+        let mut cluster = cluster(&DAEMONS).await;
+        let warm: Vec<Target> = (1..=engines)
+            .map(|number| warm_engine(&format!("engine-a{number}"), ZONE))
+            .collect();
+        add_targets(&mut cluster, &warm).await;
+        let (killed, fence) = known_owner(&cluster, 0, ZONE).await;
+        let others = others(killed);
+        for (tag, answer) in burst(&cluster, &others, 6, 5).await {
+            answer.assert_whole(&tag, 5);
+        }
+        let pid = cluster.daemons[killed].process.id();
+        let kill = async {
+            tokio::time::sleep(Duration::from_millis(250)).await;
+            signal(pid, Signal::SIGKILL);
+        };
+        let (answers, ()) = tokio::join!(burst(&cluster, &others, 40, 40), kill);
+        let dead = Instant::now();
+        let whole = answers
+            .iter()
+            .filter(|(tag, answer)| answer.assert_whole_or_refused(tag, 40))
+            .count();
+        assert!(whole > 0, "every request was refused");
+        let cold = Target::engine("engine-cold", MODEL, ZONE).with_arguments(&["--cold-s", "60"]);
+        for target in &mut cluster.targets {
+            target.process.kill();
+        }
+        // The zone's only target that lives is cold, so that only a holder can grant it.
+        add_cold(&mut cluster, others[0], &cold).await;
+        eventually("another VM owns the pool", || async {
+            let now = owner(&cluster, others[0], ZONE).await;
+            now.is_some_and(|(ix, newer)| ix != killed && newer > fence)
+        })
+        .await;
+        loop {
+            let answer = complete(&cluster, others[1], "cold", 3).await;
+            if answer.assert_whole_or_refused("cold", 3) {
+                break;
+            }
+            assert!(
+                dead.elapsed() < crate::bed::DEADLINE,
+                "no cold start: {answer:?}"
+            );
+        }
+        assert!(
+            dead.elapsed() < NEW_OWNER_MAX,
+            "the first cold start came after {:?}",
+            dead.elapsed()
+        );
+    });
+}
+
+async fn add_cold(cluster: &mut Cluster, through: usize, target: &Target) {
+    let address = cluster.start_target(target).expect("the engine starts");
+    let resource = Cluster::target_resource(target, address);
+    let url = format!(
+        "http://{}/apis/v1/targets",
+        cluster.daemons[through].operators
+    );
+    let sent = cluster
+        .client
+        .post(url)
+        .bearer_auth(hornbeamloom_bench::cluster::OPERATOR_KEY)
+        .json(&resource)
+        .send()
+        .await;
+    let status = sent.map(|answer| answer.status().as_u16());
+    assert!(matches!(status, Ok(200 | 201)), "{status:?}");
+}
