--- /dev/null
+++ b/tests/cluster/hostile.rs
@@ -0,0 +1,183 @@
+//! Bytes at the daemon's ports that no client of ours sends.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hornbeamloom_bench::cluster::OPERATOR_KEY;
+use quickcheck::{Arbitrary, Gen};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::bed::{add_targets, cluster, complete, operate, run, warm_engine, KEY, MODEL};
+
+/// Inputs for each port.
+const INPUTS: usize = 150;
+/// Largest size of a generated list.
+const SIZE: usize = 400;
+/// Longest wait for an answer to one input; many inputs get none.
+const ANSWER_MAX: Duration = Duration::from_millis(40);
+/// Resident memory that a VM may use, in KiB.
+const RESIDENT_KIB: u64 = 256 * 1_024;
+
+/// Makes one input.
+type Shape = fn(&mut Gen) -> Vec<u8>;
+
+#[derive(Clone, Copy)]
+enum Port {
+    Callers,
+    Operators,
+    Peers,
+}
+
+hornbeamloom_kernel::cases! {
+    hostile;
+    // Guards against input that ends the process, blocks it or makes it hold memory.
+    random_bytes_at_the_callers_port_do_no_harm: (Port::Callers, 1, Vec::arbitrary);
+    bad_requests_at_the_callers_port_do_no_harm: (Port::Callers, 2, completion);
+    bad_headers_at_the_callers_port_do_no_harm: (Port::Callers, 3, header);
+    random_bytes_at_the_operators_port_do_no_harm: (Port::Operators, 4, Vec::arbitrary);
+    bad_resources_at_the_operators_port_do_no_harm: (Port::Operators, 5, manifest);
+    random_bytes_at_the_peers_port_do_no_harm: (Port::Peers, 6, Vec::arbitrary);
+    bad_frames_at_the_peers_port_do_no_harm: (Port::Peers, 7, frames);
+}
+
+fn hostile(port: Port, seed: u64, shape: Shape) {
+    run(async move {
+        let mut cluster = cluster(&[("entry-a1", "lodz-a")]).await;
+        add_targets(&mut cluster, &[warm_engine("engine-a1", "lodz-a")]).await;
+        let daemon = &cluster.daemons[0];
+        let address = match port {
+            Port::Callers => daemon.callers,
+            Port::Operators => daemon.operators,
+            Port::Peers => daemon.peers,
+        };
+        let mut gen = Gen::from_size_and_seed(SIZE, seed);
+        for number in 0..INPUTS {
+            send(address, &shape(&mut gen)).await;
+            if number % 50 == 0 {
+                complete(&cluster, 0, "t", 3).await.assert_whole("t", 3);
+            }
+        }
+        complete(&cluster, 0, "after", 5)
+            .await
+            .assert_whole("after", 5);
+        let status = operate(&cluster, 0, "/apis/v1/status").await;
+        assert_eq!(status["vm"], "entry-a1");
+        let resident = resident_kib(cluster.daemons[0].process.id());
+        assert!(resident < RESIDENT_KIB, "{resident} KiB resident");
+        assert!(cluster.daemons[0].process.status().is_none());
+    });
+}
+
+/// Sends one input on its own connection and reads what comes back for a moment.
+async fn send(address: SocketAddr, input: &[u8]) {
+    let mut stream = TcpStream::connect(address).await.expect("it still accepts");
+    // The daemon may close the connection before it has read everything.
+    let _ = stream.write_all(input).await;
+    let mut buf = [0; 512];
+    let _ = timeout(ANSWER_MAX, stream.read(&mut buf)).await;
+}
+
+fn resident_kib(pid: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("it runs");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let number = line.and_then(|line| line.split_whitespace().next());
+    number.and_then(|text| text.parse().ok()).expect("a size")
+}
+
+fn request(method: &str, path: &str, key: &str, extra: &str, body: &[u8]) -> Vec<u8> {
+    let mut text = format!(
+        "{method} {path} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {key}\r\n{extra}\
+         content-type: application/json\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    )
+    .into_bytes();
+    text.extend_from_slice(body);
+    text
+}
+
+/// A JSON text with random values, cut or damaged in half of the cases.
+fn json(gen: &mut Gen, fields: &[&str]) -> Vec<u8> {
+    let value = |gen: &mut Gen| match u8::arbitrary(gen) % 6 {
+        0 => serde_json::json!(i64::arbitrary(gen)),
+        1 => serde_json::json!(String::arbitrary(gen)),
+        2 => serde_json::json!(f64::arbitrary(gen)),
+        3 => serde_json::json!(Vec::<u16>::arbitrary(gen)),
+        4 => serde_json::Value::Null,
+        _ => serde_json::json!({"x": bool::arbitrary(gen)}),
+    };
+    let object: serde_json::Map<String, serde_json::Value> = fields
+        .iter()
+        .map(|field| ((*field).to_owned(), value(gen)))
+        .collect();
+    let mut text = serde_json::Value::from(object).to_string().into_bytes();
+    if bool::arbitrary(gen) {
+        text.truncate(usize::arbitrary(gen) % text.len());
+    }
+    text
+}
+
+fn completion(gen: &mut Gen) -> Vec<u8> {
+    let mut body = json(
+        gen,
+        &["prompt", "messages", "stream", "max_tokens", "temperature"],
+    );
+    if bool::arbitrary(gen) {
+        let head = format!("{{\"model\":\"{MODEL}\",");
+        body.splice(..1.min(body.len()), head.into_bytes());
+    }
+    let paths = [
+        "/v1/completions",
+        "/v1/chat/completions",
+        "/v1/streams/x-1-1",
+    ];
+    let path = gen.choose(&paths).copied().unwrap_or_default();
+    request("POST", path, KEY, "", &body)
+}
+
+fn header(gen: &mut Gen) -> Vec<u8> {
+    let name: String = String::arbitrary(gen)
+        .chars()
+        .filter(char::is_ascii_graphic)
+        .collect();
+    let value = String::arbitrary(gen);
+    let length = u64::arbitrary(gen);
+    let extra =
+        format!("{name}: {value}\r\nlast-event-id: {value}\r\ncontent-length: {length}\r\n");
+    let path = format!("/services/{name}/{length}");
+    request("POST", &path, KEY, &extra, b"{}")
+}
+
+fn manifest(gen: &mut Gen) -> Vec<u8> {
+    let kinds = [
+        "organisations",
+        "services",
+        "targets",
+        "configurations",
+        "nothing",
+    ];
+    let kind = gen.choose(&kinds).copied().unwrap_or_default();
+    let methods = ["POST", "PUT", "PATCH", "DELETE"];
+    let method = gen.choose(&methods).copied().unwrap_or_default();
+    let body = json(gen, &["apiVersion", "kind", "metadata", "spec", "status"]);
+    let path = format!("/apis/v1/{kind}/n{}", u8::arbitrary(gen));
+    request(method, &path, OPERATOR_KEY, "", &body)
+}
+
+/// A link with the right key and frames that are no messages.
+fn frames(gen: &mut Gen) -> Vec<u8> {
+    let extra = "connection: Upgrade\r\nupgrade: websocket\r\nsec-websocket-version: 13\r\n\
+                 sec-websocket-key: dGhlIHNhbXBsZSBub25jZQ==\r\n";
+    let mut bytes = request("GET", "/", "peer-key", extra, b"");
+    for _ in 0..4 {
+        let payload: Vec<u8> = Vec::arbitrary(gen);
+        let length = u16::try_from(payload.len()).unwrap_or(u16::MAX);
+        // A final binary frame with a 16-bit length, masked with zeros.
+        bytes.extend([0x82, 0x80 | 126]);
+        bytes.extend(length.to_be_bytes());
+        bytes.extend([0; 4]);
+        bytes.extend(&payload[..usize::from(length)]);
+    }
+    bytes
+}
--- /dev/null
+++ b/tests/cluster/leaving.rs
@@ -0,0 +1,60 @@
+//! Engines that are reclaimed at short notice.
+
+use std::time::Duration;
+
+use serde_json::{json, Value};
+
+use crate::bed::{add_targets, burst, cluster, complete, fault, run, started, warm_engine};
+
+/// Time within which a leaving target must have stopped getting new work.
+const LEAVE_MAX: Duration = Duration::from_secs(5);
+/// Tokens of a stream that ends before the engine is killed (10 ms a token).
+const LENGTH: usize = 400;
+
+hornbeamloom_kernel::cases! {
+    reclaimed;
+    // Guards against new work on an engine that leaves, and against streams that are cut by it.
+    a_reclaimed_engine_gets_no_new_work_and_ends_its_streams: (json!({}));
+    // Guards against a notice that needs the store to pass.
+    a_reclaimed_engine_gets_no_new_work_without_the_store: (json!({"outage": "refuse"}));
+    a_reclaimed_engine_gets_no_new_work_with_a_slow_store: (json!({"slow_ms": 500}));
+}
+
+fn reclaimed(platform_fault: Value) {
+    run(async move {
+        let mut cluster = cluster(&[("entry-a1", "lodz-a"), ("entry-a2", "lodz-a")]).await;
+        let engines = [
+            warm_engine("engine-a1", "lodz-a"),
+            warm_engine("engine-a2", "lodz-a"),
+        ];
+        add_targets(&mut cluster, &engines).await;
+        for (tag, answer) in burst(&cluster, &[0, 1], 12, 5).await {
+            answer.assert_whole(&tag, 5);
+        }
+        let engine = cluster.targets[0].address;
+        let platform = cluster.platform.address;
+        fault(&cluster, platform, platform_fault).await;
+        let strike = async {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            fault(&cluster, engine, json!({"phase": "leaving"})).await;
+            tokio::time::sleep(LEAVE_MAX).await;
+        };
+        let (streams, ()) = tokio::join!(burst(&cluster, &[0, 1], 6, LENGTH), strike);
+        for (tag, answer) in streams {
+            answer.assert_whole(&tag, LENGTH);
+        }
+        let before = started(&mut cluster, "engine-a1").await;
+        for number in 0..10 {
+            let tag = format!("n{number}");
+            complete(&cluster, number % 2, &tag, 5)
+                .await
+                .assert_whole(&tag, 5);
+        }
+        let after = started(&mut cluster, "engine-a1").await;
+        assert_eq!(after, before, "the leaving engine got new work");
+        cluster.targets[0].process.kill();
+        for (tag, answer) in burst(&cluster, &[0, 1], 6, 5).await {
+            answer.assert_whole(&tag, 5);
+        }
+    });
+}
--- /dev/null
+++ b/tests/cluster/orders.rs
@@ -0,0 +1,139 @@
+//! Models that operators want on engines.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use hornbeamloom_bench::cluster::{resource, Cluster};
+use serde_json::json;
+
+use crate::bed::{
+    add_targets, burst, cluster, known_owner, patch, run, warm_engine, DEADLINE, MODEL,
+};
+
+const ZONE: &str = "lodz-a";
+const CONFIGURATION: &str = "/apis/v1/configurations/fleet";
+/// How long the state must stay after the killed owner came back.
+const SETTLED: Duration = Duration::from_secs(6);
+
+hornbeamloom_kernel::cases! {
+    wanted_models;
+    // Guards against orders of an old owner that undo newer ones, against more loads than there are
+    // load slots, and against fencing numbers that go back.
+    engines_that_check_fences_follow_the_newest_order: (&["--fencing"], true);
+    engines_that_ignore_fences_follow_the_newest_order: (&[], false);
+}
+
+fn wanted_models(arguments: &'static [&'static str], fencing: bool) {
+    run(async move {
+        let daemons = [("entry-a1", ZONE), ("entry-a2", ZONE)];
+        let mut cluster = cluster(&daemons).await;
+        let spec = json!({"models": ["pisarz@1"], "loadSlots": 1});
+        let wanted = resource("Configuration", "fleet", spec);
+        cluster.apply(&wanted).await.expect("it is accepted");
+        let named = json!({"spec": {"configuration": "fleet"}});
+        let path = format!("/apis/v1/services/{MODEL}");
+        assert_eq!(patch(&cluster, 0, &path, named).await.0, 200);
+        let weights = format!("http://{}", cluster.platform.address);
+        let engines = ["engine-a1", "engine-a2"].map(|name| {
+            warm_engine(name, ZONE)
+                .with_arguments(&["--report-lag-ms", "0", "--weights", &weights])
+                .with_arguments(arguments)
+                .with_spec("fencing", json!(fencing))
+        });
+        add_targets(&mut cluster, &engines).await;
+        let mut observer = Observer::new(&cluster);
+        observer.wait_loaded(&cluster, "pisarz@1").await;
+        let (killed, _) = known_owner(&cluster, 0, ZONE).await;
+        let other = 1 - killed;
+        // The old owner may have orders for this change under way when it dies.
+        order(&cluster, killed, "pisarz@2").await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        cluster.daemons[killed].process.kill();
+        order(&cluster, other, "pisarz@3").await;
+        observer.wait_loaded(&cluster, "pisarz@3").await;
+        cluster.restart_daemon(killed).expect("the daemon starts");
+        let restarted = Instant::now();
+        while restarted.elapsed() < SETTLED {
+            let loaded = observer.look(&cluster, "pisarz@3").await;
+            assert!(loaded, "a newer order was undone");
+        }
+        assert!(observer.fences.iter().all(|fence| *fence > 0));
+        cluster.wait_ready().await.expect("the daemons are ready");
+        for (tag, answer) in burst(&cluster, &[0, 1], 6, 5).await {
+            answer.assert_whole(&tag, 5);
+        }
+    });
+}
+
+async fn order(cluster: &Cluster, daemon: usize, model: &str) {
+    let body = json!({"spec": {"models": [model]}});
+    let (status, answer) = patch(cluster, daemon, CONFIGURATION, body).await;
+    assert_eq!(status, 200, "{answer}");
+}
+
+/// Watches the engines and checks on each look what must always hold.
+struct Observer {
+    engines: Vec<SocketAddr>,
+    fences: Vec<u64>,
+}
+
+impl Observer {
+    fn new(cluster: &Cluster) -> Observer {
+        let engines: Vec<SocketAddr> = cluster
+            .targets
+            .iter()
+            .map(|target| target.address)
+            .collect();
+        Observer {
+            fences: vec![0; engines.len()],
+            engines,
+        }
+    }
+
+    async fn wait_loaded(&mut self, cluster: &Cluster, model: &str) {
+        let started = Instant::now();
+        while !self.look(cluster, model).await {
+            assert!(
+                started.elapsed() < DEADLINE,
+                "{model} is not loaded in time"
+            );
+        }
+    }
+
+    /// Whether every engine has `model` loaded.
+    async fn look(&mut self, cluster: &Cluster, model: &str) -> bool {
+        let mut texts = Vec::new();
+        // The first engine is read again: a load that it shows before and after the other's look
+        // went on in between.
+        for ix in [0, 1, 0] {
+            texts.push(self.read(cluster, ix).await);
+        }
+        let loading: Vec<Option<&str>> = texts.iter().map(|text| loading(text)).collect();
+        let is_twice = loading[0].is_some() && loading[0] == loading[2] && loading[1].is_some();
+        assert!(!is_twice, "two engines load with one slot: {loading:?}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let line = format!("engine_loaded{{name=\"{model}\"}} 1");
+        texts.iter().all(|text| text.contains(&line))
+    }
+
+    async fn read(&mut self, cluster: &Cluster, ix: usize) -> String {
+        let url = format!("http://{}/metrics", self.engines[ix]);
+        let answer = cluster.client.get(url).send().await;
+        let text = answer.expect("the engine answers").text().await;
+        let text = text.expect("a report");
+        let fence = text
+            .lines()
+            .find_map(|line| line.strip_prefix("engine_fence "));
+        let fence = fence.and_then(|text| text.trim().parse().ok());
+        let fence: u64 = fence.expect("a fence");
+        assert!(fence >= self.fences[ix], "a fence went back to {fence}");
+        self.fences[ix] = fence;
+        text
+    }
+}
+
+/// The model that a report shows as loading.
+fn loading(text: &str) -> Option<&str> {
+    let mut lines = text.lines();
+    lines.find_map(|line| line.strip_prefix("engine_loading{name="))
+}
--- /dev/null
+++ b/tests/cluster/overload.rs
@@ -0,0 +1,55 @@
+//! More requests than the queues hold.
+
+use hornbeamloom_bench::cluster::resource;
+use serde_json::{json, Value};
+
+use crate::bed::{add_targets, burst, cluster, patch, run, warm_engine, MODEL};
+
+hornbeamloom_kernel::cases! {
+    overload;
+    // Guards against refusals without a reason or a time, and against accepted requests that are
+    // dropped when a queue is full.
+    an_organisations_full_queue_refuses_truthfully: (
+        json!({"organisationQueue": 4}),
+        json!({}),
+        "organisation_queue"
+    );
+    a_pools_full_queue_refuses_truthfully: (
+        json!({"organisationQueue": 500, "poolQueue": 6}),
+        json!({}),
+        "pool_queue"
+    );
+    a_passed_queue_deadline_refuses_truthfully: (
+        json!({"organisationQueue": 500}),
+        json!({"queueMs": 1_000}),
+        "queue_deadline"
+    );
+}
+
+fn overload(limits: Value, service: Value, reason: &'static str) {
+    run(async move {
+        let mut cluster = cluster(&[("entry-a1", "lodz-a"), ("entry-a2", "lodz-a")]).await;
+        let configuration = resource("Configuration", "narrow", limits);
+        cluster.apply(&configuration).await.expect("it is accepted");
+        let mut spec = service;
+        spec["configuration"] = json!("narrow");
+        let path = format!("/apis/v1/services/{MODEL}");
+        let (status, answer) = patch(&cluster, 0, &path, json!({"spec": spec})).await;
+        assert_eq!(status, 200, "{answer}");
+        let engine = warm_engine("engine-a1", "lodz-a").with_spec("warmLimit", json!(2));
+        add_targets(&mut cluster, &[engine]).await;
+        let answers = burst(&cluster, &[0, 1], 40, 60).await;
+        let whole = answers
+            .iter()
+            .filter(|(tag, answer)| answer.assert_whole_or_refused(tag, 60))
+            .count();
+        assert!(whole > 0, "nothing was served");
+        let reasons: Vec<&Value> = answers
+            .iter()
+            .map(|(_, answer)| &answer.error["error"]["reason"])
+            .filter(|reason| !reason.is_null())
+            .collect();
+        assert_eq!(reasons.len() + whole, answers.len());
+        assert!(reasons.contains(&&json!(reason)), "{reasons:?}");
+    });
+}
--- /dev/null
+++ b/tests/cluster/peers.rs
@@ -0,0 +1,189 @@
+//! Links between daemons that go silent, stall or are cut.
+
+use std::time::Duration;
+
+use hornbeamloom_bench::cluster::{Cluster, Proxy};
+use serde_json::{json, Value};
+
+use crate::bed::{
+    add_targets, burst, complete, declare, empty, eventually, fault, owner, patch, quick_engine,
+    revision, run, started, warm_up,
+};
+
+const ORGANISATION: &str = "/apis/v1/organisations/parlour-1";
+/// Longer than any lease and than the 6 s after which an own-zone VM counts as dead.
+const LONG: Duration = Duration::from_secs(9);
+
+hornbeamloom_kernel::cases! {
+    silent_links;
+    // Guards against a link that is used for ever although something in between forgot it.
+    asks_and_configuration_pass_when_both_links_go_silent: (&[0, 1]);
+    asks_and_configuration_pass_when_one_link_goes_silent: (&[0]);
+}
+
+fn silent_links(silent: &'static [usize]) {
+    run(async move {
+        let (cluster, proxies) = one_zone().await;
+        let platform = cluster.platform.address;
+        for round in 0..3 {
+            for ix in silent {
+                fault(&cluster, proxies[*ix].control, json!({"silence": true})).await;
+            }
+            set_weight(&cluster, round + 2).await;
+            // From here on the change reaches the other VM over the link or not at all.
+            fault(&cluster, platform, json!({"outage": "refuse"})).await;
+            let (answers, ()) = tokio::join!(burst(&cluster, &[0, 1], 8, 10), agree(&cluster));
+            for (tag, answer) in answers {
+                answer.assert_whole(&tag, 10);
+            }
+            fault(&cluster, platform, json!({"outage": ""})).await;
+        }
+    });
+}
+
+/// Two daemons of a zone, each behind a proxy, and a warm engine.
+async fn one_zone() -> (Cluster, Vec<Proxy>) {
+    let daemons = [("entry-a1", "lodz-a"), ("entry-a2", "lodz-a")];
+    let mut cluster = empty();
+    let mut proxies = Vec::new();
+    for (vm, zone) in daemons {
+        let proxy = cluster.start_daemon_behind_proxy(vm, zone);
+        proxies.push(proxy.expect("a daemon starts"));
+    }
+    declare(&cluster, &daemons).await;
+    add_targets(&mut cluster, &[quick_engine("engine-a1", "lodz-a")]).await;
+    for daemon in 0..2 {
+        warm_up(&cluster, daemon).await;
+    }
+    (cluster, proxies)
+}
+
+async fn set_weight(cluster: &Cluster, weight: u32) {
+    let body = json!({"spec": {"weight": weight}});
+    eventually("the write is accepted", || async {
+        patch(cluster, 0, ORGANISATION, body.clone()).await.0 == 200
+    })
+    .await;
+}
+
+/// Waits until both daemons have the same revision.
+async fn agree(cluster: &Cluster) {
+    eventually("both VMs have one revision", || async {
+        let first = revision(cluster, 0).await;
+        first > 0 && first == revision(cluster, 1).await
+    })
+    .await;
+}
+
+hornbeamloom_kernel::cases! {
+    stalled_link;
+    // Guards against requests that wait for an answer that cannot come, and against two owners
+    // after the stall.
+    requests_pass_while_bytes_to_a_vm_stall: (json!({"stall": "up"}));
+    requests_pass_while_bytes_from_a_vm_stall: (json!({"stall": "down"}));
+}
+
+fn stalled_link(stall: Value) {
+    run(async move {
+        let (cluster, proxies) = one_zone().await;
+        for proxy in &proxies {
+            fault(&cluster, proxy.control, stall.clone()).await;
+            for (tag, answer) in burst(&cluster, &[0, 1], 8, 10).await {
+                answer.assert_whole(&tag, 10);
+            }
+            tokio::time::sleep(LONG / 2).await;
+            for (tag, answer) in burst(&cluster, &[0, 1], 8, 10).await {
+                answer.assert_whole(&tag, 10);
+            }
+            fault(&cluster, proxy.control, json!({"stall": ""})).await;
+        }
+        same_owner(&cluster, "lodz-a").await;
+    });
+}
+
+/// Waits until both daemons know the same owner under the same fencing token.
+async fn same_owner(cluster: &Cluster, zone: &str) {
+    eventually("both VMs know one owner", || async {
+        let first = owner(cluster, 0, zone).await;
+        first.is_some() && first == owner(cluster, 1, zone).await
+    })
+    .await;
+}
+
+hornbeamloom_kernel::cases! {
+    partition;
+    // Guards against a zone that stops serving, or that keeps its own view, after a partition.
+    each_zone_serves_itself_while_cut_off_from_the_other: (false, true);
+    a_zone_serves_itself_while_cut_off_from_the_platform_too: (true, true);
+    // Guards against a last holder that waits for a lease before it goes on with a target that
+    // reports warm.
+    a_zone_with_an_unfinished_ramp_serves_itself_too: (true, false);
+}
+
+fn partition(with_platform: bool, ramped: bool) {
+    run(async move {
+        let (mut cluster, proxies) = two_zones().await;
+        for daemon in 0..2 {
+            match ramped {
+                true => warm_up(&cluster, daemon).await,
+                false => complete(&cluster, daemon, "first", 3)
+                    .await
+                    .assert_whole("first", 3),
+            }
+        }
+        let cut: &[Proxy] = match with_platform {
+            true => &proxies,
+            false => &proxies[..2],
+        };
+        for proxy in cut {
+            fault(
+                &cluster,
+                proxy.control,
+                json!({"refuse": true, "cut": true}),
+            )
+            .await;
+        }
+        set_weight(&cluster, 7).await;
+        for _ in 0..2 {
+            for (daemon, engine) in [(0, "engine-a1"), (1, "engine-b1")] {
+                let before = started(&mut cluster, engine).await;
+                for (tag, answer) in burst(&cluster, &[daemon], 5, 10).await {
+                    answer.assert_whole(&tag, 10);
+                }
+                let own = started(&mut cluster, engine).await - before;
+                assert_eq!(own, 5, "daemon {daemon} left its zone");
+            }
+            tokio::time::sleep(LONG).await;
+        }
+        for proxy in cut {
+            fault(&cluster, proxy.control, json!({"refuse": false})).await;
+        }
+        agree(&cluster).await;
+        same_owner(&cluster, "lodz-a").await;
+        same_owner(&cluster, "lodz-b").await;
+        for (tag, answer) in burst(&cluster, &[0, 1], 8, 10).await {
+            answer.assert_whole(&tag, 10);
+        }
+    });
+}
+
+/// A VM and an engine in each of two zones, and the proxies in front of the VMs' peer ports and
+/// between the second zone and the platform.
+async fn two_zones() -> (Cluster, [Proxy; 3]) {
+    let daemons = [("entry-a1", "lodz-a"), ("entry-b1", "lodz-b")];
+    let mut cluster = empty();
+    let first = cluster.start_daemon_behind_proxy("entry-a1", "lodz-a");
+    let first = first.expect("a daemon starts");
+    let platform = cluster.start_proxy(cluster.platform.address);
+    let platform = platform.expect("a proxy starts");
+    cluster.platform_address = platform.address;
+    let second = cluster.start_daemon_behind_proxy("entry-b1", "lodz-b");
+    let second = second.expect("a daemon starts");
+    declare(&cluster, &daemons).await;
+    let engines = [
+        quick_engine("engine-a1", "lodz-a"),
+        quick_engine("engine-b1", "lodz-b"),
+    ];
+    add_targets(&mut cluster, &engines).await;
+    (cluster, [first, second, platform])
+}
