Let the cut-off zone hold its pool before the partition

Cause: the case cut the zone off before its VM held the pool; the explanation of a waiting request shows 'in fallback' and the status no owner. Change: the case waits for the owner first, which tests the last holder.

--- a/tests/cluster/peers.rs
+++ b/tests/cluster/peers.rs
@@ -6,8 +6,8 @@
 use serde_json::{json, Value};
 
 use crate::bed::{
-    add_targets, burst, complete, declare, empty, eventually, fault, owner, patch, quick_engine,
-    revision, run, started, warm_up,
+    add_targets, burst, complete, declare, empty, eventually, fault, known_owner, owner, patch,
+    quick_engine, revision, run, started, warm_up,
 };
 
 const ORGANISATION: &str = "/apis/v1/organisations/parlour-1";
@@ -126,9 +126,7 @@
         for daemon in 0..2 {
             match ramped {
                 true => warm_up(&cluster, daemon).await,
-                false => complete(&cluster, daemon, "first", 3)
-                    .await
-                    .assert_whole("first", 3),
+                false => unfinished(&cluster, daemon).await,
             }
         }
         let cut: &[Proxy] = match with_platform {
@@ -167,6 +165,17 @@
     });
 }
 
+/// Sends a request that leaves the ramp unfinished, to the zone's own engine.
+///
+/// A VM that never held its pool may use warm targets only, so it must hold it first.
+async fn unfinished(cluster: &Cluster, daemon: usize) {
+    let zone = &cluster.daemons[daemon].zone;
+    known_owner(cluster, daemon, zone).await;
+    complete(cluster, daemon, "first", 3)
+        .await
+        .assert_whole("first", 3);
+}
+
 /// A VM and an engine in each of two zones, and the proxies in front of the VMs' peer ports and
 /// between the second zone and the platform.
 async fn two_zones() -> (Cluster, [Proxy; 3]) {
