Measure control overhead by fleet size

Cause: the capacity at 380 VMs has to be extrapolated from measured slopes, and no role measured what control costs one daemon. Change: the role 'scale' runs fleets of several sizes without caller load and records control bytes by kind, processor time, memory, table rates and the propagation of changes, with the store and through peers alone. Conclusion: figures need a run on a quiet machine.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod cluster;
 pub mod process;
 pub mod role;
+pub mod slope;
 
 mod batch;
 mod cache;
@@ -22,10 +23,12 @@
 mod host;
 mod load;
 mod platform;
+mod probe;
 mod proxy;
 mod record;
 mod report;
 mod run;
+mod scale;
 mod service;
 mod table;
 mod up;
--- /dev/null
+++ b/crates/bench/src/probe.rs
@@ -0,0 +1,105 @@
+//! Figures of one running daemon: its accounts at the system, its counters and its status.
+
+use std::collections::BTreeMap;
+
+use serde_json::Value;
+
+use crate::cluster::{Daemon, OPERATOR_KEY};
+use crate::role::Error;
+use crate::run;
+
+/// Counter of control bytes at a daemon.
+const BYTES: &str = "hornbeamloom_peer_bytes_total";
+
+/// What a daemon has used so far.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Sample {
+    cpu_ms: f64,
+    memory_mb: f64,
+    /// Control bytes by `DIRECTION.KIND`.
+    bytes: BTreeMap<String, f64>,
+}
+
+/// Reads the accounts and counters of a daemon.
+pub(crate) async fn sample(client: &reqwest::Client, daemon: &Daemon) -> Result<Sample, Error> {
+    let text = get(client, daemon, "/metrics").await?;
+    let text = text.text().await.map_err(failed)?;
+    let id = daemon.process.id();
+    Ok(Sample {
+        cpu_ms: run::cpu_ms(id),
+        memory_mb: memory_mb(id),
+        bytes: bytes(&text),
+    })
+}
+
+/// The status page of a daemon.
+pub(crate) async fn status(client: &reqwest::Client, daemon: &Daemon) -> Result<Value, Error> {
+    let answer = get(client, daemon, "/apis/v1/status").await?;
+    answer.json().await.map_err(failed)
+}
+
+async fn get(
+    client: &reqwest::Client,
+    daemon: &Daemon,
+    path: &str,
+) -> Result<reqwest::Response, Error> {
+    let sent = client
+        .get(format!("http://{}{path}", daemon.operators))
+        .bearer_auth(OPERATOR_KEY)
+        .send()
+        .await;
+    sent.and_then(reqwest::Response::error_for_status)
+        .map_err(failed)
+}
+
+pub(crate) fn failed(error: impl std::fmt::Display) -> Error {
+    Error::Failed(error.to_string())
+}
+
+/// Figures of the time between two samples of one daemon, `seconds` apart.
+pub(crate) fn figures(before: &Sample, after: &Sample, seconds: f64) -> BTreeMap<String, f64> {
+    let mut figures = BTreeMap::from([
+        (
+            "cpu_percent".to_owned(),
+            (after.cpu_ms - before.cpu_ms) / 10.0 / seconds,
+        ),
+        ("memory_mb".to_owned(), after.memory_mb),
+    ]);
+    for (name, count) in &after.bytes {
+        let known = before.bytes.get(name).copied().unwrap_or_default();
+        let rate = (count - known) / seconds;
+        figures.insert(format!("bytes_per_s.{name}"), rate);
+        let direction = name.split('.').next().unwrap_or_default();
+        *figures
+            .entry(format!("bytes_per_s.{direction}"))
+            .or_default() += rate;
+        *figures.entry("bytes_per_s".to_owned()).or_default() += rate;
+    }
+    figures
+}
+
+/// Control bytes by `DIRECTION.KIND` in a page of metrics.
+pub(crate) fn bytes(text: &str) -> BTreeMap<String, f64> {
+    let lines = text.lines().filter_map(|line| line.strip_prefix(BYTES));
+    lines
+        .filter_map(|line| {
+            let direction = label(line, "direction")?;
+            let kind = label(line, "kind")?;
+            let count = line.rsplit(' ').next()?.parse().ok()?;
+            Some((format!("{direction}.{kind}"), count))
+        })
+        .collect()
+}
+
+fn label<'a>(line: &'a str, name: &str) -> Option<&'a str> {
+    let (_, rest) = line.split_once(&format!("{name}=\""))?;
+    Some(rest.split_once('"')?.0)
+}
+
+/// Resident memory of a process in MiB.
+fn memory_mb(id: u32) -> f64 {
+    let text = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kib = line.and_then(|line| line.split_whitespace().next()?.parse::<f64>().ok());
+    kib.unwrap_or_default() / 1_024.0
+}
