Estimate KV use by the chance that each request still runs

Cause: the projection took a high quantile for every request at once, so engines held fewer requests than their memory carries and the first token waited. Change: the use at several times ahead is estimated as its mean and one standard deviation over the learned chances of survival; the largest counts. Use that a report shows still counts as a floor, and bounds of the output are times ahead.

--- a/crates/kernel/src/headroom.rs
+++ b/crates/kernel/src/headroom.rs
@@ -56,8 +56,9 @@
     if slot.work.is_empty() && slot.foreign == 0 {
         return u64::from(ask.prompt_tokens) < usable(view, slot, ask.class);
     }
-    let peak = view.pool.peak(target, Some(ask)) + slot.kv_unknown(view.now);
-    peak < usable(view, slot, ask.class)
+    // A report shows use by others and errors of the estimate.
+    let shown = slot.kv_shown(view.now) + view.pool.projected(ask);
+    shown.max(view.pool.peak(target, Some(ask))) < usable(view, slot, ask.class)
 }
 
 /// Whether the target is held for another request, which has waited long for its memory.
--- a/crates/kernel/src/length.rs
+++ b/crates/kernel/src/length.rs
@@ -46,6 +46,12 @@
         }
     }
 
+    /// Outputs counted that are longer than `tokens`, as far as buckets tell.
+    fn above(&self, tokens: u32) -> u32 {
+        let start = bucket(tokens.saturating_add(1));
+        self.counts.get(start..).unwrap_or_default().iter().sum()
+    }
+
     /// The 0.7 quantile of the lengths above `tokens`, if enough of them were seen.
     ///
     /// ```
@@ -74,6 +80,45 @@
     }
 }
 
+/// The chances that an output still runs after more tokens.
+#[derive(Debug, Clone, Copy)]
+pub struct Survival<'a> {
+    histogram: Option<&'a Histogram>,
+    tokens: u32,
+    end: u32,
+}
+
+impl Survival<'_> {
+    /// Tokens from now to the end, where a bound on the output is known.
+    pub fn bound(&self) -> Option<u32> {
+        (self.end != u32::MAX).then(|| self.end.saturating_sub(self.tokens))
+    }
+
+    /// The chance, from 0 to 1, that the output is longer than it is now by `ahead` tokens.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::length::Lengths;
+    ///
+    /// let mut lengths = Lengths::default();
+    /// (0..20).for_each(|_| lengths.record(&"school-1".into(), 10));
+    /// (0..20).for_each(|_| lengths.record(&"school-1".into(), 1_000));
+    /// let survival = lengths.survival("school-1", 0, None);
+    /// assert_eq!(survival.chance(0), 1.0);
+    /// assert_eq!(survival.chance(100), 0.5);
+    /// assert_eq!(survival.chance(2_000), 0.0);
+    /// ```
+    pub fn chance(&self, ahead: u32) -> f64 {
+        let then = self.tokens.saturating_add(ahead);
+        if ahead > 0 && then > self.end {
+            return 0.0;
+        }
+        match self.histogram {
+            Some(lengths) => f64::from(lengths.above(then)) / f64::from(lengths.above(self.tokens)),
+            None => 1.0,
+        }
+    }
+}
+
 /// The bucket of a length: exact below eight tokens, then four an octave.
 fn bucket(tokens: u32) -> usize {
     if tokens < 4 {
@@ -129,6 +174,29 @@
             .or_else(|| self.service.expected(tokens))
     }
 
+    /// How long an output that has `tokens` so far is likely to go on.
+    pub fn survival(
+        &self,
+        organisation: &str,
+        tokens: u32,
+        max_tokens: Option<u32>,
+    ) -> Survival<'_> {
+        let own = self.organisations.get(organisation);
+        let known = own.into_iter().chain([&self.service]);
+        let histogram = known
+            .into_iter()
+            .find(|lengths| lengths.above(tokens) >= SAMPLES_MIN);
+        let end = match histogram {
+            Some(_) => max_tokens.unwrap_or(u32::MAX),
+            None => self.expected(organisation, tokens, max_tokens),
+        };
+        Survival {
+            histogram,
+            tokens,
+            end,
+        }
+    }
+
     /// Forgets the organisations that `keep` rejects.
     pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
         self.organisations.retain(|name, _| keep(name));
--- a/crates/kernel/src/pool.rs
+++ b/crates/kernel/src/pool.rs
@@ -10,7 +10,7 @@
 use crate::intent::Intent;
 use crate::kernel::{Outbox, State};
 use crate::ledger::Ledger;
-use crate::length::Lengths;
+use crate::length::{Lengths, Survival};
 use crate::map::Map;
 use crate::peer::{Ask, Message};
 use crate::plugin::{control, policy};
@@ -32,6 +32,9 @@
 const UNUSED_LIMIT: u64 = 10_000;
 /// An output of at most this many tokens makes a request short.
 const SHORT_TOKENS: u32 = 128;
+/// Tokens ahead at which KV use is estimated.
+const HORIZONS: [u32; 10] = [0, 16, 32, 64, 128, 256, 512, 1_024, 2_048, 4_096];
+
 /// A pool: one service in one availability zone.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Key {
@@ -380,26 +383,32 @@
         u64::from(ask.prompt_tokens) + u64::from(output)
     }
 
-    /// The largest KV use in tokens that the work on a target is expected to reach, with `more`.
+    /// The largest KV use in tokens that the work on a target is likely to reach, with `more`.
     ///
-    /// All requests grow by a token a step and free their memory when they end, so the sum of their
-    /// final lengths is never in use at one time: the peak stands where one of them ends.
+    /// Requests grow together and free their memory when they end, so the sum of their final
+    /// lengths is never in use at one time. The use is estimated at several times ahead, as its mean
+    /// and one standard deviation over the chances that each request still runs then.
     pub fn peak(&self, target: usize, more: Option<&Ask>) -> u64 {
         let running = self.targets[target].work.iter();
         let running = running.filter_map(|id| self.ledger.get(id));
-        let growths = running.map(|running| self.growth(&running.ask, running.tokens));
-        let added = more.map(|ask| self.growth(ask, 0));
-        peak(growths.chain(added).collect())
+        let mut growths: Vec<Growth<'_>> = running
+            .map(|running| self.growth(&running.ask, running.tokens))
+            .collect();
+        growths.extend(more.map(|ask| self.growth(ask, 0)));
+        let bounds = growths.iter().filter_map(|growth| growth.survival.bound());
+        let ahead = HORIZONS.into_iter().chain(bounds);
+        ahead
+            .map(|ahead| likely_use(&growths, ahead))
+            .max()
+            .unwrap_or(0)
     }
 
-    /// KV in use by a request, and the tokens that it is expected to add.
-    fn growth(&self, ask: &Ask, tokens: u32) -> Growth {
-        let output = self
-            .lengths
-            .expected(&ask.organisation, tokens, ask.max_tokens);
+    fn growth<'a>(&'a self, ask: &'a Ask, tokens: u32) -> Growth<'a> {
         Growth {
             used: u64::from(ask.prompt_tokens) + u64::from(tokens),
-            more: u64::from(output.saturating_sub(tokens)),
+            survival: self
+                .lengths
+                .survival(&ask.organisation, tokens, ask.max_tokens),
         }
     }
 
@@ -561,22 +570,22 @@
     }
 }
 
-/// KV use of one request in tokens, and what it is expected to add until it ends.
-#[derive(Debug, Clone, Copy)]
-struct Growth {
+/// KV use of one request in tokens, and how long it is likely to run.
+struct Growth<'a> {
     used: u64,
-    more: u64,
+    survival: Survival<'a>,
 }
 
-/// The largest sum of growing requests over time.
-fn peak(mut growths: Vec<Growth>) -> u64 {
-    growths.sort_by_key(|growth| std::cmp::Reverse(growth.more));
-    let mut used = 0;
-    let sums = growths.iter().zip(1..).map(|(growth, alive)| {
-        used += growth.used;
-        used + alive * growth.more
-    });
-    sums.max().unwrap_or(0)
+/// The KV use that is likely `ahead` tokens from now.
+fn likely_use(growths: &[Growth<'_>], ahead: u32) -> u64 {
+    let (mut mean, mut variance) = (0.0, 0.0);
+    for growth in growths {
+        let chance = growth.survival.chance(ahead);
+        let used = growth.used as f64 + f64::from(ahead);
+        mean += chance * used;
+        variance += chance * (1.0 - chance) * used * used;
+    }
+    (mean + variance.sqrt()) as u64
 }
 
 /// The weight of an organisation; one that is not declared has weight 1.
--- a/crates/kernel/src/target.rs
+++ b/crates/kernel/src/target.rs
@@ -297,18 +297,18 @@
             .unwrap_or(self.spec.kv_tokens)
     }
 
-    /// KV use in tokens that a fresh report shows beyond the projection of the granted work.
-    pub fn kv_unknown(&self, now: Millis) -> u64 {
-        self.kv_use(now).saturating_sub(self.kv)
-    }
-
-    /// KV use to plan with: the projection, or what a fresh report shows if that is more.
-    pub fn kv_use(&self, now: Millis) -> u64 {
+    /// KV use in tokens that a fresh report shows; zero without one.
+    pub fn kv_shown(&self, now: Millis) -> u64 {
         let fresh = self
             .seen
             .as_ref()
             .filter(|seen| now.since(seen.at) <= REPORT_LAG);
-        self.kv.max(fresh.map_or(0, |seen| seen.report.kv_used))
+        fresh.map_or(0, |seen| seen.report.kv_used)
+    }
+
+    /// KV use to plan with: the projection, or what a fresh report shows if that is more.
+    pub fn kv_use(&self, now: Millis) -> u64 {
+        self.kv.max(self.kv_shown(now))
     }
 
     /// Enters granted work.
