--- a/tests/cluster/bed.rs
+++ b/tests/cluster/bed.rs
@@ -92,6 +92,100 @@
         .expect("the daemons become ready");
 }
 
+/// The owner of the model service's pool in `zone` and its fencing token, as daemon number
+/// `daemon` knows them.
+pub async fn owner(cluster: &Cluster, daemon: usize, zone: &str) -> Option<(usize, u64)> {
+    let status = operate(cluster, daemon, "/apis/v1/status").await;
+    let owners = status["owners"].as_array()?;
+    let found = owners
+        .iter()
+        .find(|owner| owner["zone"] == zone && owner["service"] == MODEL)?;
+    let vm = found["vm"].as_str()?;
+    let ix = cluster.daemons.iter().position(|daemon| daemon.vm == vm)?;
+    Some((ix, found["fence"].as_u64()?))
+}
+
+/// Waits until daemon number `daemon` knows an owner of the pool in `zone`.
+pub async fn known_owner(cluster: &Cluster, daemon: usize, zone: &str) -> (usize, u64) {
+    eventually("the pool has an owner", || async {
+        owner(cluster, daemon, zone).await.is_some()
+    })
+    .await;
+    owner(cluster, daemon, zone).await.expect("an owner")
+}
+
+/// Sends `count` completions of `length` tokens at once, in turn through the daemons `through`.
+pub async fn burst(
+    cluster: &Cluster,
+    through: &[usize],
+    count: usize,
+    length: usize,
+) -> Vec<(String, Answer)> {
+    let requests = (0..count).map(|number| async move {
+        let tag = format!("r{number}");
+        let answer = complete(cluster, through[number % through.len()], &tag, length).await;
+        (tag, answer)
+    });
+    futures_util::future::join_all(requests).await
+}
+
+/// Gives a fault order.
+pub async fn fault(cluster: &Cluster, address: std::net::SocketAddr, order: Value) {
+    cluster
+        .fault(address, &order)
+        .await
+        .expect("the fault is taken");
+}
+
+/// The revision in force at daemon number `daemon`, zero without an answer.
+pub async fn revision(cluster: &Cluster, daemon: usize) -> u64 {
+    let status = operate(cluster, daemon, "/apis/v1/status").await;
+    status["revision"].as_u64().unwrap_or(0)
+}
+
+/// Merges `body` into a resource through daemon number `daemon`; the status and the answer.
+pub async fn patch(cluster: &Cluster, daemon: usize, path: &str, body: Value) -> (u16, Value) {
+    let url = format!("http://{}{path}", cluster.daemons[daemon].operators);
+    let request = cluster.client.patch(url).bearer_auth(OPERATOR_KEY);
+    let Ok(answer) = request.json(&body).send().await else {
+        return (0, Value::Null);
+    };
+    let status = answer.status().as_u16();
+    (status, answer.json().await.unwrap_or_default())
+}
+
+/// Requests that an engine has started since its own start.
+pub async fn started(cluster: &mut Cluster, name: &str) -> u64 {
+    let address = cluster.target(name).expect("the engine runs").address;
+    let answer = cluster
+        .client
+        .get(format!("http://{address}/_started"))
+        .send()
+        .await;
+    let text = answer
+        .expect("the engine answers")
+        .text()
+        .await
+        .expect("a count");
+    text.trim().parse().expect("a number")
+}
+
+/// An engine whose ramp ends after few answers.
+pub fn quick_engine(name: &str, zone: &str) -> Target {
+    warm_engine(name, zone).with_spec("warmLimit", json!(4))
+}
+
+/// Sends enough work through a daemon to end the ramp of its zone's `quick_engine`.
+///
+/// The holder's word about its targets then has time to reach the zone's other VMs, which may use
+/// warm targets only.
+pub async fn warm_up(cluster: &Cluster, daemon: usize) {
+    for (tag, answer) in burst(cluster, &[daemon], 8, 5).await {
+        answer.assert_whole(&tag, 5);
+    }
+    tokio::time::sleep(Duration::from_secs(2)).await;
+}
+
 /// An engine that is warm from the start.
 pub fn warm_engine(name: &str, zone: &str) -> Target {
     Target::engine(name, MODEL, zone).with_arguments(&["--cold-s", "0"])
@@ -119,6 +213,8 @@
     pub done: bool,
     /// The typed refusal or error event, if one came.
     pub error: Value,
+    /// The refusal says when to try again.
+    pub has_retry_after: bool,
 }
 
 impl Answer {
@@ -129,6 +225,24 @@
         assert_eq!(self.tokens, expected, "error: {}", self.error);
         assert!(self.done, "no end mark; error: {}", self.error);
     }
+
+    /// Panics unless this is the whole answer or a refusal that says truthfully that nothing ran.
+    ///
+    /// Returns whether it is the whole answer. A refusal after 1 s comes as an event of a stream
+    /// whose head was sent by then, so that it says in its body when to try again.
+    pub fn assert_whole_or_refused(&self, tag: &str, length: usize) -> bool {
+        if self.status == 200 && self.error.is_null() {
+            self.assert_whole(tag, length);
+            return true;
+        }
+        let refusal = &self.error["error"];
+        assert!(refusal["reason"].is_string(), "{self:?}");
+        assert_eq!(refusal["not_run"], json!(true), "{self:?}");
+        assert!(refusal["retry_after_ms"].is_u64(), "{self:?}");
+        assert!(self.tokens.is_empty() && !self.done, "{self:?}");
+        assert!(self.has_retry_after || self.status == 200, "{self:?}");
+        false
+    }
 }
 
 /// Streams a completion of `length` tokens tagged `tag` from daemon number `daemon`.
@@ -164,6 +278,7 @@
     let mut result = Answer {
         status: answer.status().as_u16(),
         request_id: request_id.unwrap_or_default().to_owned(),
+        has_retry_after: answer.headers().contains_key("retry-after"),
         ..Answer::default()
     };
     let text = match answer.text().await {
