Show in the partition case that the zone is cut off

Cause: the case would also pass if peers used the listen addresses and so went past the proxies. Change: at the end of the partition the cut-off VM must be behind in revision if and only if the platform is cut off too.

--- a/tests/cluster/peers.rs
+++ b/tests/cluster/peers.rs
@@ -153,6 +153,9 @@
             }
             tokio::time::sleep(LONG).await;
         }
+        // Shows that the proxies cut every way to the zone, advertised addresses included.
+        let is_behind = revision(&cluster, 1).await < revision(&cluster, 0).await;
+        assert_eq!(is_behind, with_platform);
         for proxy in cut {
             fault(&cluster, proxy.control, json!({"refuse": false})).await;
         }
