Start nothing right after a pause; confirm old words about warm targets

Ruled out: other VMs, which check the zone themselves. Change: after a gap of 2 s between events neither grants nor starts happen for 1.5 s, in which the head or a peer's news arrive. A holder's word about warm targets counts by itself for 3 s and needs a confirming report after that. Two tests are replaced by stricter ones: the first grant after a pause is given back and asked for again, and a woken holder grants nothing at all at first.

--- a/crates/kernel/src/ask.rs
+++ b/crates/kernel/src/ask.rs
@@ -169,14 +169,22 @@
 
 /// Lets a request wait before it asks again.
 pub(crate) fn wait(state: &mut State, id: &Id, now: Millis) {
+    let Some(request) = state.entry.requests.get(id) else {
+        return;
+    };
+    let seed = retry::seed(&state.identity);
+    let delay = state.entry.backoff(seed, request.retries);
+    wait_until(state, id, now.after(delay));
+}
+
+/// Lets a request wait until `at`, or until its deadline if that is earlier.
+pub(crate) fn wait_until(state: &mut State, id: &Id, at: Millis) {
     let Some(request) = state.entry.requests.get_mut(id) else {
         return;
     };
     request.phase = Phase::Waiting;
-    let (retries, deadline) = (request.retries, request.deadline);
-    let seed = retry::seed(&state.identity);
-    let delay = state.entry.backoff(seed, retries);
-    state.entry.set_timer(id, now.after(delay).min(deadline));
+    let deadline = request.deadline;
+    state.entry.set_timer(id, at.min(deadline));
 }
 
 /// The timer of an unanswered ask: repeats it, goes elsewhere or gives up.
--- a/crates/kernel/src/attempt.rs
+++ b/crates/kernel/src/attempt.rs
@@ -55,6 +55,8 @@
     Left,
     /// The body was quarantined meanwhile.
     Quarantined,
+    /// This VM was paused and may not know of a zone or target that left meanwhile.
+    Paused(Millis),
 }
 
 /// What follows from the end of an attempt.
@@ -105,6 +107,9 @@
     if now.since(asked) >= GRANT_MS {
         return Err(Unusable::Expired);
     }
+    if let Some(until) = state.entry.doubted_until(now) {
+        return Err(Unusable::Paused(until));
+    }
     let target = state.intent.target(&grant.target);
     let is_leaving = target.is_some_and(|target| target.leaving);
     let is_out = target.is_some_and(|target| state.intent.is_out(&target.zone));
@@ -167,6 +172,10 @@
             exclude(state, id, &grant.target);
             ask::wait(state, id, now);
         }
+        Unusable::Paused(until) => {
+            out.count(Counter::Retry(Retry::VmPaused));
+            ask::wait_until(state, id, until);
+        }
         Unusable::Quarantined => {
             entry::refuse(state, id, Refusal::new(Reason::Quarantined), now, out);
         }
--- a/crates/kernel/src/entry.rs
+++ b/crates/kernel/src/entry.rs
@@ -34,8 +34,17 @@
     draws: u64,
     idle_since: Option<Millis>,
     is_drained: bool,
+    /// When the last event was handled.
+    awake: Option<Millis>,
+    /// Until then no attempt starts: this VM was paused and may have missed changes.
+    doubt: Millis,
 }
 
+/// A daemon handles an event every 500 ms at least; a longer gap means that it was paused.
+const PAUSE_MS: u64 = 2_000;
+/// Time after a pause in which changes made meanwhile arrive from the store or a peer.
+const DOUBT_MS: u64 = 1_500;
+
 /// One request from its arrival to its answer.
 #[derive(Debug)]
 pub(crate) struct Request {
@@ -92,6 +101,7 @@
 }
 
 fn handle(state: &mut State, event: &Event<'_>, now: Millis, out: &mut Outbox) {
+    state.entry.note_time(now);
     match event {
         Event::Tick => run_timers(state, now, out),
         Event::Arrive(view) => arrive(state, view, now, out),
@@ -344,6 +354,19 @@
         self.requests.is_empty()
     }
 
+    /// Notices a pause of this process.
+    fn note_time(&mut self, now: Millis) {
+        if self.awake.is_some_and(|awake| now.since(awake) >= PAUSE_MS) {
+            self.doubt = now.after(DOUBT_MS);
+        }
+        self.awake = Some(now);
+    }
+
+    /// Until when no attempt may start after a pause, if that is still ahead.
+    pub(crate) fn doubted_until(&self, now: Millis) -> Option<Millis> {
+        (now < self.doubt).then_some(self.doubt)
+    }
+
     /// Number of attempts running at targets.
     pub fn running(&self) -> usize {
         let is_running = |request: &&Request| matches!(request.phase, Phase::Running(_));
--- a/crates/kernel/src/outcome.rs
+++ b/crates/kernel/src/outcome.rs
@@ -129,6 +129,8 @@
     TargetDied,
     /// The zone or target was taken out between grant and start.
     TargetLeft,
+    /// This VM was paused and first learns what changed meanwhile.
+    VmPaused,
 }
 
 impl Retry {
@@ -141,6 +143,7 @@
             Retry::TargetBroken => "target_broken",
             Retry::TargetDied => "target_died",
             Retry::TargetLeft => "target_left",
+            Retry::VmPaused => "vm_paused",
         }
     }
 }
--- a/crates/kernel/src/pool.rs
+++ b/crates/kernel/src/pool.rs
@@ -20,7 +20,7 @@
 use crate::resource::{self, Protocol};
 use crate::schedule::{self, Stages};
 use crate::takeover::{self, Hint, Listing, Rights, Takeover, HANDED_PAUSE};
-use crate::target::{Phase, Slot};
+use crate::target::{Phase, Slot, REPORT_LAG};
 
 pub use crate::ledger::Running;
 pub use crate::takeover::Snapshot;
@@ -237,7 +237,7 @@
         at: now,
     };
     if let Some(pool) = state.pools.get_mut(key) {
-        pool.apply_hint(&hint);
+        pool.apply_hint(&hint, now);
     }
     state.pools.hints.insert(key.clone(), hint);
 }
@@ -549,7 +549,7 @@
     /// Takes the holder's word that targets are warm, where this VM knows nothing itself.
     ///
     /// A new holder gets the word of its predecessor from others; then reports must confirm it.
-    fn apply_hint(&mut self, hint: &Hint) {
+    fn apply_hint(&mut self, hint: &Hint, now: Millis) {
         if self.is_holder() {
             let is_new = self
                 .takeover
@@ -564,11 +564,14 @@
             }
             return;
         }
+        let is_recent = now.since(hint.at) <= REPORT_LAG;
         for slot in &mut self.targets {
             match hint.warm.contains(&slot.name) {
                 // A holder that was paused describes the past, so its word does not overrule a
                 // report that says cold; it counts once a report confirms it.
-                true if !slot.is_warm() => slot.hint_warm(slot.phase() != Some(Phase::Cold)),
+                true if !slot.is_warm() => {
+                    slot.hint_warm(is_recent && slot.phase() != Some(Phase::Cold));
+                }
                 false if slot.is_warm() => slot.chill(),
                 _ => {}
             }
--- a/crates/kernel/src/schedule.rs
+++ b/crates/kernel/src/schedule.rs
@@ -83,6 +83,9 @@
 pub(crate) fn run(state: &mut State, key: &Key, now: Millis, out: &mut Outbox) {
     // The lease is checked again on each event: the process may have been paused.
     takeover::check(state, key, now, out);
+    if state.entry.doubted_until(now).is_some() {
+        return;
+    }
     let State {
         pools,
         quarantine,
--- a/crates/kernel/tests/entry.rs
+++ b/crates/kernel/tests/entry.rs
@@ -78,12 +78,21 @@
     );
     // The repeated ask after a pause would make an old grant look fresh (I2).
     an_old_grant_after_the_repeated_ask: (
-        &[Do::Arrive(1), Do::Pause(5_000), Do::Wait(50), Do::Late(1, 1, "e2", "t1"), Do::Grant(1, "e2", "t2")],
+        &[Do::Arrive(1), Do::Pause(5_000), Do::Wait(50), Do::Late(1, 1, "e2", "t1"), Do::Wait(1_500), Do::Grant(1, "e2", "t2")],
         &[
             "ask e2 for 1", "ask e2 for 1",
             "release 1 on t1 Unsent to e2", "start 1 on t2",
         ],
     );
+    // A VM that was paused may not know that the zone or target left meanwhile (I3, I7).
+    a_grant_right_after_a_pause_waits_for_news: (
+        &[Do::Arrive(1), Do::Pause(5_000), Do::Wait(50), Do::Grant(1, "e2", "t1"), Do::Wait(1_500), Do::Grant(1, "e2", "t2")],
+        &[
+            "ask e2 for 1", "ask e2 for 1",
+            "retry VmPaused", "release 1 on t1 Unsent to e2",
+            "ask e2 for 1", "start 1 on t2",
+        ],
+    );
     // A repeated grant would start a second generation for one caller (I1).
     a_duplicate_grant_is_ignored: (
         &[Do::Arrive(1), Do::Grant(1, "e2", "t1"), Do::Grant(1, "e2", "t1")],
--- a/crates/kernel/tests/pool/takeover.rs
+++ b/crates/kernel/tests/pool/takeover.rs
@@ -186,8 +186,12 @@
 fn paused_holder_grants_no_cold_target_on_waking() {
     let mut bed = new_holder();
     bed.inventory(ENTRY, Vec::new());
+    bed.store_up = false;
     bed.now = bed.now.after(6_000);
     bed.ask("parlour-1");
+    // Nothing at all is granted before news of the time of the pause can have arrived.
+    assert!(bed.running().is_empty());
+    bed.pass(1_600);
     let id = bed.running()[0].0.clone();
     assert_eq!(bed.granted(&id).as_deref(), Some("engine-warm"));
     assert_eq!(bed.pool().ledger.get(&id).unwrap().fence(), Fence(0));
