Keep other threads off the control actor's mailbox

Cause: a profile of one of 81 idle daemons spent half of its samples in catty::replace_state, below the mailbox of xtra. The channel there wakes its receiver while it holds a spin lock; the control thread, woken on another core, spins on that lock until the sender is back from the wake-up. Replies to reads of the state did the same on the traffic threads. Change: inputs and reads cross threads through a channel of tokio, and a task on the control thread passes them on to the mailbox. No test fails when this is undone; the profile shows it.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use futures_util::FutureExt;
 use hornbeamloom_kernel::event::{Count, Event, Vm};
 use hornbeamloom_kernel::ids::{Millis, Name, Revision};
 use hornbeamloom_kernel::intent::Intent;
@@ -112,23 +111,36 @@
     Lift(u64),
     /// Shut down gracefully.
     Stop,
+    /// Read something from the control state.
+    Read(Read),
 }
 
-/// Reads something from the control state.
-struct Query<T>(fn(&State, Millis, &str) -> T, String);
+type Reader = dyn FnOnce(&State, Millis) + Send;
+
+/// Reads something from the control state and sends it where it was asked for.
+pub struct Read(Box<Reader>);
+
+impl std::fmt::Debug for Read {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Read")
+    }
+}
 
 /// The way to the control thread.
+///
+/// Inputs cross threads through a channel of tokio and reach the actor's mailbox on the control
+/// thread: the mailbox wakes its receiver while it holds a spin lock, on which a receiver that
+/// runs on another core would spin until the sender is back from the wake-up.
 #[derive(Debug, Clone)]
 pub struct Control {
-    address: Address<Actor>,
+    inputs: mpsc::UnboundedSender<Input>,
 }
 
 impl Control {
     /// Queues an input; never waits for it to be handled.
     pub fn tell(&self, input: Input) {
-        // A message is queued when its future is first polled, and at once because the mailbox is
-        // unbounded. A closed mailbox means that the process is exiting.
-        let _ = self.address.send(input).detach().now_or_never();
+        // A closed channel means that the process is exiting.
+        let _ = self.inputs.send(input);
     }
 
     /// Computes an answer from the control state; `None` while exiting.
@@ -139,10 +151,14 @@
         read: fn(&State, Millis, &str) -> T,
         argument: &str,
     ) -> Option<T> {
-        self.address
-            .send(Query(read, argument.to_owned()))
-            .await
-            .ok()
+        let (reply, answer) = oneshot::channel();
+        let argument = argument.to_owned();
+        let input = Input::Read(Read(Box::new(move |state, now| {
+            // Whoever asked may have left.
+            let _ = reply.send(read(state, now, &argument));
+        })));
+        self.inputs.send(input).ok()?;
+        answer.await.ok()
     }
 }
 
@@ -185,7 +201,8 @@
     let (drained_sender, drained) = oneshot::channel();
     let (address, mailbox) = Mailbox::<Actor>::unbounded();
     let started = Instant::now();
-    let control = Control { address };
+    let (inputs, inbox) = mpsc::unbounded_channel();
+    let control = Control { inputs };
     let ticker = control.clone();
     let actor = Actor {
         kernel,
@@ -206,12 +223,23 @@
         .spawn(move || {
             runtime.block_on(async move {
                 tokio::spawn(tick(ticker, wakeup, started));
+                tokio::spawn(pass_on(inbox, address));
                 xtra::run(mailbox, actor).await;
             });
         })?;
     Ok((control, Ends { intent, drained }))
 }
 
+/// Passes inputs on to the actor's mailbox, on the control thread.
+async fn pass_on(mut inbox: mpsc::UnboundedReceiver<Input>, address: Address<Actor>) {
+    while let Some(input) = inbox.recv().await {
+        // A closed mailbox means that the process is exiting.
+        if address.send(input).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Sends a `Tick` whenever the kernel's wake-up time or the next progress account is due.
 async fn tick(control: Control, mut wakeup: watch::Receiver<Option<Millis>>, started: Instant) {
     let mut accounts = tokio::time::interval(std::time::Duration::from_millis(PROGRESS_MS));
@@ -429,6 +457,7 @@
             Input::Vms(vms) => self.handle_event(Event::Vms(&vms)),
             Input::Lift(fingerprint) => self.handle_event(Event::Lift { fingerprint }),
             Input::Stop => self.handle_event(Event::Stop),
+            Input::Read(read) => (read.0)(self.kernel.state(), self.now()),
         }
     }
 }
@@ -443,14 +472,6 @@
     }
 }
 
-impl<T: Send + 'static> Handler<Query<T>> for Actor {
-    type Return = T;
-
-    async fn handle(&mut self, query: Query<T>, _ctx: &mut Context<Self>) -> T {
-        (query.0)(self.kernel.state(), self.now(), &query.1)
-    }
-}
-
 /// Increments the metric of a kernel counter.
 fn count(counter: Counter) {
     match counter {
