Introduce only to VMs that know less than their messages can tell

Cause: a message to a VM of the own zone holds few VMs of other zones. A receiver compared it with the whole fleet, up to 48, took its sender for one that knows only a part and answered with up to 48 whole entries. In zones of about 4 to 20 VMs that followed nearly every message within the zone.

--- a/crates/kernel/src/gossip.rs
+++ b/crates/kernel/src/gossip.rs
@@ -203,12 +203,33 @@
 }
 
 /// Whether the sender of `heard` seems to know only a part of the fleet.
+///
+/// It is compared with what [`compose`] lets a sender that knows the fleet tell: a small zone and
+/// the share of the other zones can be much less than [`OTHERS`].
 pub(crate) fn is_unaware(members: &Table, heard: &Gossip) -> bool {
     let told = heard.entries.len() + heard.beats.len();
-    let known = members.members.len().min(OTHERS);
-    let sender = heard.entries.first().map(|entry| &*entry.vm);
-    let is_new = sender.is_some_and(|sender| members.get(sender).is_none());
-    is_new || 2 * told < known
+    let Some(sender) = heard.entries.first() else {
+        return false;
+    };
+    let is_new = members.get(&sender.vm).is_none();
+    is_new || 2 * told < expected(members, &sender.zone)
+}
+
+/// VMs that a sender of `zone` tells this VM of if it knows as many as this VM does.
+fn expected(members: &Table, zone: &str) -> usize {
+    let live = members.iter().filter(|member| member.view == View::Alive);
+    let (own, others): (Vec<&Member>, Vec<&Member>) =
+        live.partition(|member| *member.entry.zone == *zone);
+    let share = other_zones_share(OTHERS, *members.zone == *zone);
+    own.len().min(OTHERS - share) + others.len().min(share)
+}
+
+/// How many of `room` heartbeats may be of VMs of other zones.
+fn other_zones_share(room: usize, is_own_zone: bool) -> usize {
+    match is_own_zone {
+        true => room / OTHER_ZONE_SHARE,
+        false => room / 2,
+    }
 }
 
 /// Sends this VM's entry and as many others as fit to a peer.
@@ -249,10 +270,7 @@
         .is_none_or(|member| member.entry.zone == members.zone);
     let entries = whole(members);
     let room = (1 + OTHERS).saturating_sub(entries.len());
-    let others = match is_own_zone {
-        true => room / OTHER_ZONE_SHARE,
-        false => room / 2,
-    };
+    let others = other_zones_share(room, is_own_zone);
     let mut beats = freshest(members, &entries, false, others);
     let room = room - beats.len();
     beats.extend(freshest(members, &entries, true, room));
--- a/crates/kernel/tests/member.rs
+++ b/crates/kernel/tests/member.rs
@@ -183,6 +183,29 @@
     }
 }
 
+/// Guards against VMs of small zones that take each other for newcomers and answer every round
+/// with an introduction.
+fn known_vms_send_only_rounds(vms: usize, zones: usize) {
+    let mut fleet = Fleet::default();
+    for ix in 1..=vms {
+        fleet.join(&format!("a{ix}"), &format!("zone-{}", ix % zones), 1);
+    }
+    fleet.run(30_000);
+    let before: u64 = fleet.nodes.iter().map(|node| node.sent).sum();
+    fleet.run(10_000);
+    let sent = fleet.nodes.iter().map(|node| node.sent).sum::<u64>() - before;
+    let rounds = 10_000 / ROUND_MS + 1;
+    // Three messages a round; no VM is dead and none is new.
+    assert!(sent <= vms as u64 * rounds * 3, "{sent} messages");
+}
+
+cases! {
+    known_vms_send_only_rounds;
+    zones_of_one_or_two_vms_send_only_rounds: (9, 6);
+    zones_of_four_or_five_vms_send_only_rounds: (27, 6);
+    zones_of_thirteen_vms_send_only_rounds: (81, 6);
+}
+
 /// Guards against an earlier entry that replaces a later one.
 fn higher_stamp_wins(second: (u64, u64), expected: (u64, u64)) {
     let mut fleet = Fleet::of_zone(1);
