--- a/crates/bench/src/batch.rs
+++ b/crates/bench/src/batch.rs
@@ -49,10 +49,7 @@
     }
 
     pub(crate) fn with_cached(self, cached: u64) -> Sequence {
-        Sequence {
-            cached: cached.min(self.prompt),
-            ..self
-        }
+        Sequence { cached: cached.min(self.prompt), ..self }
     }
 
     fn kv(&self) -> u64 {
@@ -84,12 +81,7 @@
 
 impl Batch {
     pub(crate) fn new(shape: Shape) -> Batch {
-        Batch {
-            shape,
-            running: Vec::new(),
-            waiting: VecDeque::new(),
-            preemptions: 0,
-        }
+        Batch { shape, running: Vec::new(), waiting: VecDeque::new(), preemptions: 0 }
     }
 
     pub(crate) fn push(&mut self, sequence: Sequence) {
@@ -97,10 +89,8 @@
     }
 
     pub(crate) fn cancel(&mut self, generation: u64) {
-        self.running
-            .retain(|sequence| sequence.generation != generation);
-        self.waiting
-            .retain(|sequence| sequence.generation != generation);
+        self.running.retain(|sequence| sequence.generation != generation);
+        self.waiting.retain(|sequence| sequence.generation != generation);
     }
 
     pub(crate) fn running(&self) -> usize {
@@ -137,17 +127,14 @@
         step.duration_us = (decode + prefill * self.shape.prefill_us) * factor;
         step.overloaded =
             is_cold && self.running.len() + self.waiting.len() > self.shape.cold_limit;
-        self.running
-            .retain(|sequence| sequence.emitted < sequence.length);
+        self.running.retain(|sequence| sequence.emitted < sequence.length);
         step
     }
 
     /// Moves waiting sequences into the batch while they fit; returns the tokens to prefill.
     fn admit(&mut self) -> u64 {
         let mut prefill = 0;
-        self.waiting
-            .make_contiguous()
-            .sort_by_key(|sequence| sequence.priority);
+        self.waiting.make_contiguous().sort_by_key(|sequence| sequence.priority);
         while self.running.len() < self.shape.sequences_max {
             let Some(next) = self.waiting.front() else {
                 break;
--- a/crates/bench/src/cache.rs
+++ b/crates/bench/src/cache.rs
@@ -39,11 +39,7 @@
                 self.changes.pop_front();
                 self.first += 1;
             }
-            self.changes.push_back(Change {
-                at: Instant::now(),
-                hash,
-                evicted,
-            });
+            self.changes.push_back(Change { at: Instant::now(), hash, evicted });
         }
     }
 
@@ -51,18 +47,10 @@
     pub(crate) fn since(&self, after: u64) -> Value {
         let first = after.max(self.first);
         let skip = usize::try_from(first - self.first).unwrap_or(usize::MAX);
-        let ripe = self
-            .changes
-            .iter()
-            .skip(skip)
-            .take_while(|change| change.at.elapsed() >= LAG);
+        let ripe = self.changes.iter().skip(skip).take_while(|change| change.at.elapsed() >= LAG);
         let (mut stored, mut evicted) = (Vec::new(), Vec::new());
         for change in ripe {
-            let list = if change.evicted {
-                &mut evicted
-            } else {
-                &mut stored
-            };
+            let list = if change.evicted { &mut evicted } else { &mut stored };
             list.push(format!("{:016x}", change.hash));
         }
         json!({"first": first, "stored": stored, "evicted": evicted})
--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -63,17 +63,12 @@
     /// A plain service.
     pub fn service(name: &str, service: &str, zone: &str) -> Target {
         let spec = json!({"coldLimit": 2, "warmLimit": 64});
-        Target {
-            stand: Stand::Service,
-            spec,
-            ..Target::engine(name, service, zone)
-        }
+        Target { stand: Stand::Service, spec, ..Target::engine(name, service, zone) }
     }
 
     /// The same target with further arguments of the stand-in.
     pub fn with_arguments(mut self, arguments: &[&str]) -> Target {
-        self.arguments
-            .extend(arguments.iter().map(|argument| (*argument).to_owned()));
+        self.arguments.extend(arguments.iter().map(|argument| (*argument).to_owned()));
         self
     }
 
@@ -153,9 +148,7 @@
     /// A process or file of the cluster cannot be started or written.
     pub fn new(bench: &Path) -> Result<Cluster, Error> {
         let folder = scratch_folder()?;
-        let arguments = ["platform", "--listen", "127.0.0.1:0"]
-            .map(str::to_owned)
-            .to_vec();
+        let arguments = ["platform", "--listen", "127.0.0.1:0"].map(str::to_owned).to_vec();
         let platform = stand_in(bench, "platform", arguments, &folder)?;
         Ok(Cluster {
             platform_address: platform.address,
@@ -190,9 +183,7 @@
             Stand::Engine => "engine",
             Stand::Service => "service",
         };
-        let mut arguments = [role, "--listen", "127.0.0.1:0"]
-            .map(str::to_owned)
-            .to_vec();
+        let mut arguments = [role, "--listen", "127.0.0.1:0"].map(str::to_owned).to_vec();
         arguments.extend(target.arguments.iter().cloned());
         let running = stand_in(&self.bench, &target.name, arguments, &self.folder)?;
         let address = running.address;
@@ -264,12 +255,8 @@
         addresses: &[SocketAddr],
         peers: SocketAddr,
     ) -> Result<(), Error> {
-        let seeds: Vec<String> = self
-            .daemons
-            .iter()
-            .take(3)
-            .map(|daemon| daemon.peers.to_string())
-            .collect();
+        let seeds: Vec<String> =
+            self.daemons.iter().take(3).map(|daemon| daemon.peers.to_string()).collect();
         let platform = format!("http://{}", self.platform_address);
         let settings = json!({
             "vm": vm,
@@ -309,10 +296,7 @@
     /// The process does not start.
     pub fn restart_daemon(&mut self, ix: usize) -> Result<(), Error> {
         self.daemons[ix].process.kill();
-        let (vm, settings) = (
-            self.daemons[ix].vm.clone(),
-            self.daemons[ix].settings.clone(),
-        );
+        let (vm, settings) = (self.daemons[ix].vm.clone(), self.daemons[ix].settings.clone());
         self.daemons[ix].process = self.spawn_daemon(&vm, &settings)?;
         Ok(())
     }
@@ -338,11 +322,7 @@
         let mut process = Process::start(&self.bench, "proxy", &arguments, &log)?;
         let address = process.read_address("proxying")?;
         let control = process.read_address("listening")?;
-        Ok(Proxy {
-            process,
-            address,
-            control,
-        })
+        Ok(Proxy { process, address, control })
     }
 
     /// Creates a resource through the first daemon, trying again until it is taken.
@@ -356,13 +336,7 @@
         let mut last = String::new();
         let started = Instant::now();
         while started.elapsed() < READY_MAX {
-            let sent = self
-                .client
-                .post(&url)
-                .bearer_auth(OPERATOR_KEY)
-                .json(resource)
-                .send()
-                .await;
+            let sent = self.client.post(&url).bearer_auth(OPERATOR_KEY).json(resource).send().await;
             match sent {
                 Ok(answer) if answer.status().is_success() => return Ok(()),
                 Ok(answer) => last = answer.text().await.unwrap_or_default(),
@@ -402,12 +376,7 @@
     ///
     /// The order was not taken.
     pub async fn fault(&self, address: SocketAddr, order: &Value) -> Result<(), Error> {
-        let sent = self
-            .client
-            .post(format!("http://{address}/_fault"))
-            .json(order)
-            .send()
-            .await;
+        let sent = self.client.post(format!("http://{address}/_fault")).json(order).send().await;
         match sent.and_then(reqwest::Response::error_for_status) {
             Ok(_) => Ok(()),
             Err(error) => Err(Error::Failed(error.to_string())),
@@ -453,12 +422,7 @@
     let log = folder.join(format!("{name}.log"));
     let mut process = Process::start(bench, name, &words, &log)?;
     let address = process.read_address("listening")?;
-    Ok(Running {
-        name: name.to_owned(),
-        process,
-        address,
-        arguments,
-    })
+    Ok(Running { name: name.to_owned(), process, address, arguments })
 }
 
 fn scratch_folder() -> Result<PathBuf, Error> {
--- a/crates/bench/src/compare.rs
+++ b/crates/bench/src/compare.rs
@@ -13,7 +13,8 @@
 }
 
 /// Compare two records of experiments.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 struct Args {
     /// the earlier record
     #[argh(positional)]
@@ -30,42 +31,15 @@
 }
 
 const FIGURES: [Figure; 9] = [
-    Figure {
-        name: "whole",
-        read: |run| run.whole as f64,
-    },
-    Figure {
-        name: "refused",
-        read: |run| run.refusals.values().sum::<u64>() as f64,
-    },
-    Figure {
-        name: "lost",
-        read: |run| run.lost.values().sum::<u64>() as f64,
-    },
-    Figure {
-        name: "stall_s",
-        read: |run| run.stall_s,
-    },
-    Figure {
-        name: "preemptions",
-        read: |run| run.preemptions as f64,
-    },
-    Figure {
-        name: "between_p99_ms",
-        read: |run| run.between_all.p99,
-    },
-    Figure {
-        name: "between_p99.9_ms",
-        read: |run| run.between_all.p999,
-    },
-    Figure {
-        name: "worst_share",
-        read: |run| run.worst_share,
-    },
-    Figure {
-        name: "cpu_ms_per_1000",
-        read: |run| run.daemon_cpu_ms_per_1000,
-    },
+    Figure { name: "whole", read: |run| run.whole as f64 },
+    Figure { name: "refused", read: |run| run.refusals.values().sum::<u64>() as f64 },
+    Figure { name: "lost", read: |run| run.lost.values().sum::<u64>() as f64 },
+    Figure { name: "stall_s", read: |run| run.stall_s },
+    Figure { name: "preemptions", read: |run| run.preemptions as f64 },
+    Figure { name: "between_p99_ms", read: |run| run.between_all.p99 },
+    Figure { name: "between_p99.9_ms", read: |run| run.between_all.p999 },
+    Figure { name: "worst_share", read: |run| run.worst_share },
+    Figure { name: "cpu_ms_per_1000", read: |run| run.daemon_cpu_ms_per_1000 },
 ];
 
 fn run(words: &[&str]) -> Result<ExitCode, role::Error> {
@@ -73,10 +47,7 @@
     let (before, after) = (read(&args.before)?, read(&args.after)?);
     println!("| variant | figure | before | after | ratio |\n|---|---|---|---|---|");
     for later in &after.runs {
-        let earlier = before
-            .runs
-            .iter()
-            .find(|earlier| earlier.variant == later.variant);
+        let earlier = before.runs.iter().find(|earlier| earlier.variant == later.variant);
         let Some(earlier) = earlier else { continue };
         for figure in &FIGURES {
             print_row(figure, earlier, later);
@@ -91,10 +62,7 @@
         true => "-".to_owned(),
         false => format!("{:.3}", after / before),
     };
-    println!(
-        "| {} | {} | {before:.3} | {after:.3} | {ratio} |",
-        later.variant, figure.name
-    );
+    println!("| {} | {} | {before:.3} | {after:.3} | {ratio} |", later.variant, figure.name);
 }
 
 fn read(path: &Path) -> Result<Record, role::Error> {
--- a/crates/bench/src/engine.rs
+++ b/crates/bench/src/engine.rs
@@ -36,7 +36,8 @@
 }
 
 /// Stand-in for a model engine.
-#[derive(Debug, Clone, FromArgs)]
+#[derive(Debug, Clone)]
+#[derive(FromArgs)]
 struct Args {
     /// address to listen on
     #[argh(option)]
@@ -125,7 +126,8 @@
     fence: u64,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default, deny_unknown_fields)]
 struct Fault {
     cold_s: Option<f64>,
@@ -265,9 +267,7 @@
         }
         self.next_generation += 1;
         let id = self.next_generation;
-        let length = word(&submit.prompt, "len=")
-            .and_then(|text| text.parse().ok())
-            .unwrap_or(32);
+        let length = word(&submit.prompt, "len=").and_then(|text| text.parse().ok()).unwrap_or(32);
         let prompt = submit.prompt.len() as u64 / TOKEN_BYTES + 1;
         let cached = self.remember(&submit.prompt);
         let sequence =
@@ -292,11 +292,7 @@
     /// Adds a prompt to the prefix cache; returns the bytes of it that were cached.
     fn remember(&mut self, prompt: &str) -> u64 {
         let shared = |other: &String| {
-            other
-                .bytes()
-                .zip(prompt.bytes())
-                .take_while(|(left, right)| left == right)
-                .count()
+            other.bytes().zip(prompt.bytes()).take_while(|(left, right)| left == right).count()
         };
         let cached = self.prompts.iter().map(shared).max().unwrap_or(0);
         self.cache.store(&prefix_hashes(prompt));
@@ -310,18 +306,12 @@
     }
 
     fn find(&self, name: &str) -> Option<&Generation> {
-        let found = self
-            .generations
-            .iter()
-            .find(|(_, generation)| generation.name == name);
+        let found = self.generations.iter().find(|(_, generation)| generation.name == name);
         found.map(|(_, generation)| generation)
     }
 
     fn cancel(&mut self, name: &str) {
-        let found = self
-            .generations
-            .iter()
-            .position(|(_, generation)| generation.name == name);
+        let found = self.generations.iter().position(|(_, generation)| generation.name == name);
         let Some((id, _)) = found.and_then(|ix| self.generations.remove(ix)) else {
             return;
         };
@@ -479,22 +469,13 @@
         .and(warp::body::json())
         .and(core.clone())
         .then(order);
-    let fault = warp::path!("_fault")
-        .and(warp::post())
-        .and(warp::body::json())
-        .and(core)
-        .map(|fault, core: mpsc::UnboundedSender<Command>| {
+    let fault = warp::path!("_fault").and(warp::post()).and(warp::body::json()).and(core).map(
+        |fault, core: mpsc::UnboundedSender<Command>| {
             let _ = core.send(Command::Fault(fault));
             StatusCode::OK
-        });
-    submit
-        .or(resume)
-        .or(cancel)
-        .or(metrics)
-        .or(started)
-        .or(cache)
-        .or(fault)
-        .or(order)
+        },
+    );
+    submit.or(resume).or(cancel).or(metrics).or(started).or(cache).or(fault).or(order)
 }
 
 async fn ask<T>(
@@ -506,12 +487,14 @@
     answer.await.ok()
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Resume {
     starting_after: Option<u64>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Events {
     #[serde(default)]
     after: u64,
@@ -528,11 +511,7 @@
         None => body["messages"].to_string(),
     };
     let priority = body["priority"].as_i64().unwrap_or(0) as i32;
-    let submit = Submit {
-        prompt,
-        priority,
-        chat,
-    };
+    let submit = Submit { prompt, priority, chat };
     match ask(&core, |reply| Command::Submit(submit, reply)).await {
         Some(generation) => answer(generation, 0, request_id),
         None => StatusCode::SERVICE_UNAVAILABLE.into_response(),
@@ -545,15 +524,10 @@
     request_id: Option<String>,
     core: mpsc::UnboundedSender<Command>,
 ) -> warp::reply::Response {
-    match ask(&core, |reply| Command::Find(name, reply))
-        .await
-        .flatten()
-    {
-        Some(generation) => answer(
-            generation,
-            query.starting_after.map_or(0, |seq| seq + 1),
-            request_id,
-        ),
+    match ask(&core, |reply| Command::Find(name, reply)).await.flatten() {
+        Some(generation) => {
+            answer(generation, query.starting_after.map_or(0, |seq| seq + 1), request_id)
+        }
         None => StatusCode::NOT_FOUND.into_response(),
     }
 }
@@ -564,16 +538,8 @@
     body: Value,
     core: mpsc::UnboundedSender<Command>,
 ) -> StatusCode {
-    let name = body["model"]
-        .as_str()
-        .or(body["role"].as_str())
-        .unwrap_or_default()
-        .to_owned();
-    let order = Order {
-        verb,
-        name,
-        fence: fence.unwrap_or(0),
-    };
+    let name = body["model"].as_str().or(body["role"].as_str()).unwrap_or_default().to_owned();
+    let order = Order { verb, name, fence: fence.unwrap_or(0) };
     let answer = ask(&core, |reply| Command::Order(order, reply)).await;
     answer.unwrap_or(StatusCode::SERVICE_UNAVAILABLE)
 }
@@ -602,10 +568,7 @@
         let ready = |progress: &Progress| progress.emitted > next || progress.done;
         let progress = *generation.progress.wait_for(ready).await.ok()?;
         if next >= progress.emitted {
-            return Some((
-                sse::Event::default().data("[DONE]"),
-                (generation, next, true),
-            ));
+            return Some((sse::Event::default().data("[DONE]"), (generation, next, true)));
         }
         let is_last = progress.done && next + 1 == progress.emitted;
         let event = chunk(&generation, next, is_last);
@@ -622,7 +585,5 @@
         false => json!({"index": 0, "text": text, "finish_reason": finish}),
     };
     let data = json!({"id": generation.name, "object": "text_completion", "choices": [choice]});
-    sse::Event::default()
-        .id(seq.to_string())
-        .data(data.to_string())
+    sse::Event::default().id(seq.to_string()).data(data.to_string())
 }
--- a/crates/bench/src/experiment.rs
+++ b/crates/bench/src/experiment.rs
@@ -8,7 +8,8 @@
 use crate::role::Error;
 
 /// An experiment: a cluster, its load and what happens meanwhile.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Experiment {
     /// Name of the record.
@@ -35,7 +36,8 @@
 }
 
 /// An availability zone.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Zone {
     /// Its name.
@@ -47,7 +49,8 @@
 }
 
 /// A service.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
     /// Its name.
@@ -65,7 +68,8 @@
 }
 
 /// An organisation.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Organisation {
     /// Its name.
@@ -75,7 +79,8 @@
 }
 
 /// How a request is made.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Form {
     /// A streamed completion.
@@ -87,7 +92,8 @@
 }
 
 /// A kind of request.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Traffic {
     /// Its name.
@@ -113,7 +119,8 @@
 }
 
 /// Something that happens during an experiment.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Event {
     /// Seconds since the samples started.
@@ -123,7 +130,8 @@
 }
 
 /// What can happen.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Action {
     /// Operators take a zone out.
@@ -141,7 +149,8 @@
 }
 
 /// A configuration to run.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Variant {
     /// Its name.
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -80,11 +80,7 @@
 }
 
 fn pick(experiment: &Experiment, rng: &mut fastrand::Rng) -> usize {
-    let total: f64 = experiment
-        .organisations
-        .iter()
-        .map(|organisation| organisation.load)
-        .sum();
+    let total: f64 = experiment.organisations.iter().map(|organisation| organisation.load).sum();
     let mut rem = rng.f64() * total;
     for (ix, organisation) in experiment.organisations.iter().enumerate() {
         rem -= organisation.load;
@@ -136,10 +132,7 @@
     route: Route,
     started: Instant,
 ) -> Vec<Sample> {
-    let client = reqwest::Client::builder()
-        .pool_max_idle_per_host(512)
-        .build()
-        .unwrap_or_default();
+    let client = reqwest::Client::builder().pool_max_idle_per_host(512).build().unwrap_or_default();
     let (sender, mut samples) = mpsc::unbounded_channel();
     for plan in plans {
         tokio::time::sleep_until((started + plan.at).into()).await;
@@ -201,18 +194,12 @@
             .post(format!("http://{address}/v1/completions"))
             .json(&completion(traffic, &plan)),
         Form::Once => client
-            .post(format!(
-                "http://{address}{}",
-                route.path(&traffic.service, "/notices")
-            ))
+            .post(format!("http://{address}{}", route.path(&traffic.service, "/notices")))
             .header("idempotency-key", format!("k{}", plan.number))
             .body(format!("n{}", plan.number)),
         Form::Read => {
             let path = format!("/notices/n{}", plan.number);
-            client.get(format!(
-                "http://{address}{}",
-                route.path(&traffic.service, &path)
-            ))
+            client.get(format!("http://{address}{}", route.path(&traffic.service, &path)))
         }
     };
     let answer = match builder.bearer_auth(key).send().await {
--- a/crates/bench/src/platform.rs
+++ b/crates/bench/src/platform.rs
@@ -30,7 +30,8 @@
 }
 
 /// Stand-in for the platform's services.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 struct Args {
     /// address to listen on
     #[argh(option)]
@@ -51,7 +52,8 @@
     host::block_on(async move { host::serve(args.listen, routes(Platform::new(&args))).await })
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default, deny_unknown_fields)]
 struct Fault {
     outage: Option<String>,
@@ -240,10 +242,7 @@
         .and(own.clone())
         .and(warp::body::json())
         .then(Platform::transact);
-    let vms = warp::path!("v1" / "vms")
-        .and(warp::get())
-        .and(own.clone())
-        .then(Platform::list_vms);
+    let vms = warp::path!("v1" / "vms").and(warp::get()).and(own.clone()).then(Platform::list_vms);
     let weights = warp::path!("weights" / String)
         .and(warp::get())
         .and(own.clone())
@@ -253,26 +252,14 @@
         .and(own.clone())
         .and(warp::body::json())
         .map(Platform::fault);
-    let stats = warp::path!("_stats")
-        .and(warp::get())
-        .and(own.clone())
-        .map(Platform::stats);
+    let stats = warp::path!("_stats").and(warp::get()).and(own.clone()).map(Platform::stats);
     let object = warp::path!(String / String).map(|bucket, object| format!("{bucket}/{object}"));
     let put = object
         .and(warp::put())
         .and(own.clone())
         .and(warp::body::bytes())
         .then(|path, platform: Platform, body| platform.put_object(path, body));
-    let get = object
-        .and(warp::get())
-        .and(own)
-        .then(|path, platform: Platform| platform.get_object(path));
-    range
-        .or(transact)
-        .or(vms)
-        .or(weights)
-        .or(fault)
-        .or(stats)
-        .or(put)
-        .or(get)
+    let get =
+        object.and(warp::get()).and(own).then(|path, platform: Platform| platform.get_object(path));
+    range.or(transact).or(vms).or(weights).or(fault).or(stats).or(put).or(get)
 }
--- a/crates/bench/src/probe.rs
+++ b/crates/bench/src/probe.rs
@@ -25,11 +25,7 @@
     let text = get(client, daemon, "/metrics").await?;
     let text = text.text().await.map_err(failed)?;
     let id = daemon.process.id();
-    Ok(Sample {
-        cpu_ms: run::cpu_ms(id),
-        memory_mb: memory_mb(id),
-        bytes: bytes(&text),
-    })
+    Ok(Sample { cpu_ms: run::cpu_ms(id), memory_mb: memory_mb(id), bytes: bytes(&text) })
 }
 
 /// The status page of a daemon.
@@ -48,8 +44,7 @@
         .bearer_auth(OPERATOR_KEY)
         .send()
         .await;
-    sent.and_then(reqwest::Response::error_for_status)
-        .map_err(failed)
+    sent.and_then(reqwest::Response::error_for_status).map_err(failed)
 }
 
 pub(crate) fn failed(error: impl std::fmt::Display) -> Error {
@@ -59,10 +54,7 @@
 /// Figures of the time between two samples of one daemon, `seconds` apart.
 pub(crate) fn figures(before: &Sample, after: &Sample, seconds: f64) -> BTreeMap<String, f64> {
     let mut figures = BTreeMap::from([
-        (
-            "cpu_percent".to_owned(),
-            (after.cpu_ms - before.cpu_ms) / 10.0 / seconds,
-        ),
+        ("cpu_percent".to_owned(), (after.cpu_ms - before.cpu_ms) / 10.0 / seconds),
         ("memory_mb".to_owned(), after.memory_mb),
     ]);
     for (name, count) in &after.bytes {
@@ -70,9 +62,7 @@
         let rate = (count - known) / seconds;
         figures.insert(format!("bytes_per_s.{name}"), rate);
         let direction = name.split('.').next().unwrap_or_default();
-        *figures
-            .entry(format!("bytes_per_s.{direction}"))
-            .or_default() += rate;
+        *figures.entry(format!("bytes_per_s.{direction}")).or_default() += rate;
         *figures.entry("bytes_per_s".to_owned()).or_default() += rate;
     }
     figures
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -35,20 +35,14 @@
         arguments: &[&str],
         log: &Path,
     ) -> Result<Process, Error> {
-        let log = std::fs::File::options()
-            .create(true)
-            .append(true)
-            .open(log)?;
+        let log = std::fs::File::options().create(true).append(true).open(log)?;
         let child = Command::new(program)
             .args(arguments)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(log)
             .spawn()?;
-        Ok(Process {
-            child,
-            name: name.to_owned(),
-        })
+        Ok(Process { child, name: name.to_owned() })
     }
 
     /// Reads standard output up to the line `LABEL ADDRESS` and returns the address.
--- a/crates/bench/src/proxy.rs
+++ b/crates/bench/src/proxy.rs
@@ -30,7 +30,8 @@
 }
 
 /// Fault-injecting TCP proxy.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 struct Args {
     /// address to listen on
     #[argh(option)]
@@ -58,7 +59,8 @@
     })
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default, deny_unknown_fields)]
 struct Order {
     delay_ms: Option<u64>,
@@ -105,11 +107,7 @@
 impl Proxy {
     fn new(to: SocketAddr) -> Proxy {
         let (fault, _) = watch::channel(Fault::default());
-        Proxy {
-            to,
-            fault,
-            counts: Arc::default(),
-        }
+        Proxy { to, fault, counts: Arc::default() }
     }
 
     fn lock(&self) -> MutexGuard<'_, Counts> {
@@ -190,16 +188,11 @@
         while let Ok(len @ 1..) = from.read(&mut buf).await {
             let delay = fault.borrow().delay;
             tokio::time::sleep(delay).await;
-            fault
-                .wait_for(|fault| passes(fault, number, direction))
-                .await
-                .map_err(|_| Cut)?;
+            fault.wait_for(|fault| passes(fault, number, direction)).await.map_err(|_| Cut)?;
             if direction == Direction::Down && rem.is_none() {
                 rem = Some(self.answer_limit());
             }
-            let len = rem.map_or(len, |rem| {
-                len.min(usize::try_from(rem).unwrap_or(usize::MAX))
-            });
+            let len = rem.map_or(len, |rem| len.min(usize::try_from(rem).unwrap_or(usize::MAX)));
             to.write_all(&buf[..len]).await.map_err(|_| Cut)?;
             rem = rem.map(|rem| rem - len as u64);
             if rem == Some(0) {
--- a/crates/bench/src/record.rs
+++ b/crates/bench/src/record.rs
@@ -17,7 +17,8 @@
 const OUTPUT_WEIGHT: u64 = 2;
 
 /// Quantiles of a time in milliseconds.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Quantiles {
     /// Samples.
     pub count: u64,
@@ -32,7 +33,8 @@
 }
 
 /// What callers of one organisation saw.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Organisation {
     /// Requests.
     pub requests: u64,
@@ -51,7 +53,8 @@
 }
 
 /// One second of a run.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Second {
     /// Requests that started.
     pub started: u64,
@@ -66,7 +69,8 @@
 }
 
 /// The result of one variant.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Run {
     /// Name of the variant.
     pub variant: String,
@@ -103,7 +107,8 @@
 }
 
 /// The record of an experiment.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Record {
     /// Name of the experiment.
     pub experiment: String,
@@ -130,41 +135,23 @@
     outside: Outside,
 ) -> Result<Run, Error> {
     let warmup = std::time::Duration::from_secs(experiment.warmup_s);
-    let counted: Vec<&Sample> = samples
-        .iter()
-        .filter(|sample| sample.plan.at >= warmup)
-        .collect();
-    let mut run = Run {
-        variant: variant.to_owned(),
-        ..Run::default()
-    };
+    let counted: Vec<&Sample> = samples.iter().filter(|sample| sample.plan.at >= warmup).collect();
+    let mut run = Run { variant: variant.to_owned(), ..Run::default() };
     count(&mut run, &counted);
     stall(&mut run, &counted);
     run.preemptions = outside.preemptions;
     let all_tokens: u64 = samples.iter().map(|sample| sample.tokens).sum();
     run.daemon_cpu_ms_per_1000 = outside.daemon_cpu_ms * 1_000.0 / all_tokens.max(1) as f64;
     for (ix, traffic) in experiment.traffic.iter().enumerate() {
-        let of_kind = || {
-            counted
-                .iter()
-                .copied()
-                .filter(|sample| sample.plan.traffic == ix)
-        };
+        let of_kind = || counted.iter().copied().filter(|sample| sample.plan.traffic == ix);
         run.first.insert(traffic.name.clone(), first(of_kind())?);
-        run.between
-            .insert(traffic.name.clone(), between(of_kind())?);
+        run.between.insert(traffic.name.clone(), between(of_kind())?);
     }
     run.between_all = between(counted.iter().copied())?;
     for (ix, organisation) in experiment.organisations.iter().enumerate() {
-        let own: Vec<&Sample> = counted
-            .iter()
-            .copied()
-            .filter(|sample| sample.plan.organisation == ix)
-            .collect();
-        run.organisations.insert(
-            organisation.name.clone(),
-            by_organisation(experiment, &own)?,
-        );
+        let own: Vec<&Sample> =
+            counted.iter().copied().filter(|sample| sample.plan.organisation == ix).collect();
+        run.organisations.insert(organisation.name.clone(), by_organisation(experiment, &own)?);
     }
     share(&mut run, experiment, &counted);
     run.seconds = seconds(experiment, samples);
@@ -226,10 +213,7 @@
         whole: ended(|end| *end == End::Whole),
         refused: ended(|end| matches!(end, End::Refused(_))),
         lost: ended(|end| matches!(end, End::Lost(_))),
-        service: own
-            .iter()
-            .map(|sample| service(experiment, sample, sample.tokens))
-            .sum(),
+        service: own.iter().map(|sample| service(experiment, sample, sample.tokens)).sum(),
         first: first(own.iter().copied())?,
         between: between(own.iter().copied())?,
     })
@@ -249,30 +233,19 @@
     for sample in samples {
         demands[sample.plan.organisation] += service(experiment, sample, sample.plan.length);
     }
-    let given: u64 = run
-        .organisations
-        .values()
-        .map(|organisation| organisation.service)
-        .sum();
+    let given: u64 = run.organisations.values().map(|organisation| organisation.service).sum();
     let shares = fair_shares(&demands, given);
     let mut ratios = Vec::new();
     for (organisation, share) in experiment.organisations.iter().zip(shares) {
-        let received = run
-            .organisations
-            .get(&organisation.name)
-            .map_or(0, |it| it.service);
+        let received = run.organisations.get(&organisation.name).map_or(0, |it| it.service);
         if share > 0.0 {
             ratios.push(received as f64 / share);
         }
     }
-    let (sum, squares) = ratios.iter().fold((0.0, 0.0), |(sum, squares), ratio| {
-        (sum + ratio, squares + ratio * ratio)
-    });
-    run.jain = if squares > 0.0 {
-        sum * sum / (ratios.len() as f64 * squares)
-    } else {
-        0.0
-    };
+    let (sum, squares) = ratios
+        .iter()
+        .fold((0.0, 0.0), |(sum, squares), ratio| (sum + ratio, squares + ratio * ratio));
+    run.jain = if squares > 0.0 { sum * sum / (ratios.len() as f64 * squares) } else { 0.0 };
     run.worst_share = ratios.into_iter().fold(f64::INFINITY, f64::min);
 }
 
@@ -294,9 +267,7 @@
     let length = usize::try_from(experiment.duration_s).unwrap_or(usize::MAX);
     let mut seconds = vec![Second::default(); length];
     let slot = |at: std::time::Duration| {
-        at.as_secs()
-            .checked_sub(experiment.warmup_s)
-            .and_then(|ix| usize::try_from(ix).ok())
+        at.as_secs().checked_sub(experiment.warmup_s).and_then(|ix| usize::try_from(ix).ok())
     };
     for sample in samples {
         if let Some(second) = slot(sample.plan.at).and_then(|ix| seconds.get_mut(ix)) {
@@ -321,10 +292,7 @@
 
 /// When each token of a sample arrived, since the start of the load.
 fn token_times(sample: &Sample) -> impl Iterator<Item = std::time::Duration> + '_ {
-    let first = sample
-        .first
-        .filter(|_| sample.tokens > 0)
-        .map(|first| sample.plan.at + first);
+    let first = sample.first.filter(|_| sample.tokens > 0).map(|first| sample.plan.at + first);
     let gaps = sample.gaps.iter();
     first.into_iter().flat_map(move |first| {
         let rest = gaps.clone().scan(first, |at, gap| {
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -15,10 +15,7 @@
     std::fs::create_dir_all(folder)?;
     let json = serde_json::to_string_pretty(record).map_err(failed)?;
     std::fs::write(folder.join(format!("{}.json", record.experiment)), json)?;
-    std::fs::write(
-        folder.join(format!("{}.md", record.experiment)),
-        text(record),
-    )?;
+    std::fs::write(folder.join(format!("{}.md", record.experiment)), text(record))?;
     for run in &record.runs {
         let path = folder.join(format!("{}-{}.svg", record.experiment, run.variant));
         plot(run, &path)?;
@@ -72,10 +69,7 @@
 }
 
 fn details(run: &Run) -> String {
-    let mut page = format!(
-        "\n## {}\n\nTime to first token or answer, ms:\n\n",
-        run.variant
-    );
+    let mut page = format!("\n## {}\n\nTime to first token or answer, ms:\n\n", run.variant);
     page += "| kind | count | p50 | p95 | p99 | p99.9 |\n|---|---|---|---|---|---|\n";
     for (kind, quantiles) in &run.first {
         page += &quantile_row(kind, quantiles);
@@ -105,37 +99,20 @@
 fn plot(run: &Run, path: &Path) -> Result<(), Error> {
     let area = SVGBackend::new(path, PLOT_SIZE).into_drawing_area();
     area.fill(&WHITE).map_err(failed)?;
-    let top = run
-        .seconds
-        .iter()
-        .map(|second| second.tokens)
-        .max()
-        .unwrap_or(0) as f64
-        * 1.1
-        + 1.0;
+    let top = run.seconds.iter().map(|second| second.tokens).max().unwrap_or(0) as f64 * 1.1 + 1.0;
     let mut chart = ChartBuilder::on(&area)
         .margin(10)
         .x_label_area_size(30)
         .y_label_area_size(60)
         .build_cartesian_2d(0.0..run.seconds.len() as f64, 0.0..top)
         .map_err(failed)?;
-    chart
-        .configure_mesh()
-        .x_desc("seconds")
-        .y_desc("tokens/s")
-        .draw()
-        .map_err(failed)?;
+    chart.configure_mesh().x_desc("seconds").y_desc("tokens/s").draw().map_err(failed)?;
     let line = |value: fn(&crate::record::Second) -> u64, scale: f64| {
         let points = run.seconds.iter().enumerate();
         points.map(move |(ix, second)| (ix as f64, value(second) as f64 * scale))
     };
-    chart
-        .draw_series(LineSeries::new(line(|second| second.tokens, 1.0), &BLUE))
-        .map_err(failed)?;
-    let events = LineSeries::new(
-        line(|second| second.refused + second.lost, top / 50.0),
-        &RED,
-    );
+    chart.draw_series(LineSeries::new(line(|second| second.tokens, 1.0), &BLUE)).map_err(failed)?;
+    let events = LineSeries::new(line(|second| second.refused + second.lost, top / 50.0), &RED);
     chart.draw_series(events).map_err(failed)?;
     area.present().map_err(failed)
 }
--- a/crates/bench/src/role.rs
+++ b/crates/bench/src/role.rs
@@ -5,7 +5,8 @@
 use argh::FromArgs;
 
 /// A role failed.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// The command line is wrong.
     #[error("{0}")]
@@ -32,7 +33,8 @@
 inventory::collect!(Plugin);
 
 /// Stand-ins, load and experiments for hornbeamloom.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 struct Args {
     /// the role and its arguments
     #[argh(positional, greedy)]
@@ -56,10 +58,7 @@
     let Some((name, rest)) = words.split_first() else {
         return Err(Error::Usage(list()));
     };
-    match inventory::iter::<Plugin>
-        .into_iter()
-        .find(|plugin| plugin.name == *name)
-    {
+    match inventory::iter::<Plugin>.into_iter().find(|plugin| plugin.name == *name) {
         Some(plugin) => (plugin.run)(rest),
         None => Err(Error::Usage(list())),
     }
@@ -68,8 +67,6 @@
 fn list() -> String {
     let mut plugins: Vec<&Plugin> = inventory::iter::<Plugin>.into_iter().collect();
     plugins.sort_by_key(|plugin| plugin.name);
-    let lines = plugins
-        .iter()
-        .map(|plugin| format!("\n  {:<10} {}", plugin.name, plugin.help));
+    let lines = plugins.iter().map(|plugin| format!("\n  {:<10} {}", plugin.name, plugin.help));
     format!("expected a role:{}", lines.collect::<String>())
 }
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -24,7 +24,8 @@
 }
 
 /// Run an experiment and write its record, report and plots.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 struct Args {
     /// the experiment file
     #[argh(positional)]
@@ -74,9 +75,7 @@
     let plans = load::plan(experiment);
     let load = tokio::spawn(load::run(experiment.clone(), plans, route, started));
     play(experiment, &mut cluster, started).await?;
-    let samples = load
-        .await
-        .map_err(|error| role::Error::Failed(error.to_string()))?;
+    let samples = load.await.map_err(|error| role::Error::Failed(error.to_string()))?;
     let after = outside(&mut cluster).await;
     let outside = Outside {
         preemptions: after.preemptions.saturating_sub(before.preemptions),
@@ -100,31 +99,21 @@
         Value::Null => json!({}),
         other => other.clone(),
     };
-    cluster
-        .apply(&resource("Configuration", "default", configuration))
-        .await?;
+    cluster.apply(&resource("Configuration", "default", configuration)).await?;
     for zone in &experiment.zones {
         let spec = json!({"region": zone.region});
-        cluster
-            .apply(&resource("AvailabilityZone", &zone.name, spec))
-            .await?;
+        cluster.apply(&resource("AvailabilityZone", &zone.name, spec)).await?;
     }
     for service in &experiment.services {
-        cluster
-            .apply(&resource("Service", &service.name, service.spec.clone()))
-            .await?;
+        cluster.apply(&resource("Service", &service.name, service.spec.clone())).await?;
     }
     for organisation in &experiment.organisations {
         let spec = json!({"keys": [format!("{}-key", organisation.name)]});
-        cluster
-            .apply(&resource("Organisation", &organisation.name, spec))
-            .await?;
+        cluster.apply(&resource("Organisation", &organisation.name, spec)).await?;
     }
     for target in targets(experiment) {
         let address = cluster.start_target(&target)?;
-        cluster
-            .apply(&Cluster::target_resource(&target, address))
-            .await?;
+        cluster.apply(&Cluster::target_resource(&target, address)).await?;
     }
     cluster.wait_ready().await?;
     Ok(cluster)
@@ -157,24 +146,12 @@
 
 fn route(experiment: &Experiment, variant: &Variant, cluster: &Cluster) -> Route {
     if !variant.direct {
-        return Route::Daemons(
-            cluster
-                .daemons
-                .iter()
-                .map(|daemon| daemon.callers)
-                .collect(),
-        );
+        return Route::Daemons(cluster.daemons.iter().map(|daemon| daemon.callers).collect());
     }
     let services = experiment.services.iter().map(|service| {
         let prefix = format!("{}-", service.name);
-        let own = cluster
-            .targets
-            .iter()
-            .filter(|target| target.name.starts_with(&prefix));
-        (
-            service.name.clone(),
-            own.map(|target| target.address).collect(),
-        )
+        let own = cluster.targets.iter().filter(|target| target.name.starts_with(&prefix));
+        (service.name.clone(), own.map(|target| target.address).collect())
     });
     Route::Targets(services.collect())
 }
@@ -222,13 +199,7 @@
     let operators = cluster.daemons[0].operators;
     let url = format!("http://{operators}/apis/v1/availabilityzones/{zone}");
     let patch = json!({"spec": {"state": state}});
-    let sent = cluster
-        .client
-        .patch(url)
-        .bearer_auth(OPERATOR_KEY)
-        .json(&patch)
-        .send()
-        .await;
+    let sent = cluster.client.patch(url).bearer_auth(OPERATOR_KEY).json(&patch).send().await;
     match sent.and_then(reqwest::Response::error_for_status) {
         Ok(_) => Ok(()),
         Err(error) => Err(role::Error::Failed(error.to_string())),
@@ -241,10 +212,7 @@
         preemptions += preempted(&cluster.client, &target.address.to_string()).await;
     }
     let ids = cluster.daemons.iter().map(|daemon| daemon.process.id());
-    Outside {
-        preemptions,
-        daemon_cpu_ms: ids.map(cpu_ms).sum(),
-    }
+    Outside { preemptions, daemon_cpu_ms: ids.map(cpu_ms).sum() }
 }
 
 async fn preempted(client: &reqwest::Client, address: &str) -> u64 {
@@ -252,13 +220,9 @@
         return 0;
     };
     let text = answer.text().await.unwrap_or_default();
-    let mut values = text
-        .lines()
-        .filter_map(|line| line.strip_prefix("vllm:num_preemptions_total"));
-    values
-        .next()
-        .and_then(|value| value.trim().parse().ok())
-        .unwrap_or(0)
+    let mut values =
+        text.lines().filter_map(|line| line.strip_prefix("vllm:num_preemptions_total"));
+    values.next().and_then(|value| value.trim().parse().ok()).unwrap_or(0)
 }
 
 /// Processor time of a process so far, in milliseconds, from the system's accounts.
--- a/crates/bench/src/scale.rs
+++ b/crates/bench/src/scale.rs
@@ -49,7 +49,8 @@
 }
 
 /// Measure control overhead and propagation for several fleet sizes.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 struct Args {
     /// daemons of each fleet, separated by commas
     #[argh(option, default = "\"3,9,27,81\".to_owned()")]
@@ -96,9 +97,7 @@
     let sizes = sizes.map_err(|error| role::Error::Usage(format!("--daemons {text}: {error}")))?;
     match sizes.iter().all(|size| (1..=DAEMONS_MAX).contains(size)) {
         true => Ok(sizes),
-        false => Err(role::Error::Usage(format!(
-            "--daemons takes 1 to {DAEMONS_MAX}"
-        ))),
+        false => Err(role::Error::Usage(format!("--daemons takes 1 to {DAEMONS_MAX}"))),
     }
 }
 
@@ -134,9 +133,7 @@
     tokio::time::sleep(SETTLE).await;
     idle(&cluster, &owners, stretch, &mut fleet).await?;
     fleet.connected = changes(&cluster, 0).await?;
-    cluster
-        .fault(proxy.control, &json!({"refuse": true, "cut": true}))
-        .await?;
+    cluster.fault(proxy.control, &json!({"refuse": true, "cut": true})).await?;
     tokio::time::sleep(CUT_SETTLE).await;
     fleet.cut = changes(&cluster, CHANGES).await?;
     fleet.from_peers = count_from_peers(&cluster).await;
@@ -150,10 +147,7 @@
 
 async fn start(cluster: &mut Cluster, size: usize, zones: &[String]) -> Result<Proxy, role::Error> {
     let vms: Vec<String> = (0..size).map(|ix| format!("entry-{ix:03}")).collect();
-    let listed: Vec<Value> = vms
-        .iter()
-        .map(|vm| json!({"name": vm, "leaving": false}))
-        .collect();
+    let listed: Vec<Value> = vms.iter().map(|vm| json!({"name": vm, "leaving": false})).collect();
     let platform = cluster.platform.address;
     cluster.fault(platform, &json!({"vms": listed})).await?;
     let proxy = cluster.start_proxy(platform)?;
@@ -174,17 +168,9 @@
 async fn declare(cluster: &mut Cluster, zones: &[String]) -> Result<(), role::Error> {
     for (ix, zone) in zones.iter().enumerate() {
         let region = ["pl-centrum", "riga"][ix * 2 / zones.len()];
-        cluster
-            .apply(&resource(
-                "AvailabilityZone",
-                zone,
-                json!({"region": region}),
-            ))
-            .await?;
+        cluster.apply(&resource("AvailabilityZone", zone, json!({"region": region}))).await?;
     }
-    cluster
-        .apply(&resource("Organisation", "parlour-1", json!({"weight": 1})))
-        .await?;
+    cluster.apply(&resource("Organisation", "parlour-1", json!({"weight": 1}))).await?;
     let mut addresses = Vec::new();
     for ix in 0..PROCESSES {
         let target = Target::service(&format!("process-{ix}"), SERVICES[0], &zones[0]);
@@ -198,9 +184,7 @@
                 let name = format!("{service}-{zone}-{number}");
                 let target = Target::service(&name, service, zone);
                 let address = addresses[(ix + number) % PROCESSES];
-                cluster
-                    .apply(&Cluster::target_resource(&target, address))
-                    .await?;
+                cluster.apply(&Cluster::target_resource(&target, address)).await?;
             }
         }
     }
@@ -235,9 +219,7 @@
 
 fn owners_in(page: &Value) -> Vec<String> {
     let owners = page["owners"].as_array().into_iter().flatten();
-    owners
-        .filter_map(|owner| owner["vm"].as_str().map(str::to_owned))
-        .collect()
+    owners.filter_map(|owner| owner["vm"].as_str().map(str::to_owned)).collect()
 }
 
 /// Measures the stretch without load.
@@ -259,19 +241,14 @@
         let rate = (count(&table.1) - count(&table.0)) / seconds;
         fleet.platform.insert(format!("{name}_per_s"), rate);
     }
-    fleet
-        .platform
-        .insert("vm_list_bytes".to_owned(), vm_list_bytes(cluster).await?);
+    fleet.platform.insert("vm_list_bytes".to_owned(), vm_list_bytes(cluster).await?);
     let figures: Vec<BTreeMap<String, f64>> = before
         .iter()
         .zip(&after)
         .map(|(before, after)| probe::figures(before, after, seconds))
         .collect();
-    let is_owner: Vec<bool> = cluster
-        .daemons
-        .iter()
-        .map(|daemon| owners.contains(&daemon.vm))
-        .collect();
+    let is_owner: Vec<bool> =
+        cluster.daemons.iter().map(|daemon| owners.contains(&daemon.vm)).collect();
     let part = |wanted: fn(bool) -> bool| {
         let chosen = figures.iter().zip(&is_owner);
         spreads(chosen.filter(|(_, is_owner)| wanted(**is_owner)))
@@ -283,10 +260,7 @@
 }
 
 async fn samples(cluster: &Cluster) -> Result<Vec<probe::Sample>, role::Error> {
-    let samples = cluster
-        .daemons
-        .iter()
-        .map(|daemon| probe::sample(&cluster.client, daemon));
+    let samples = cluster.daemons.iter().map(|daemon| probe::sample(&cluster.client, daemon));
     future::try_join_all(samples).await
 }
 
@@ -310,11 +284,7 @@
 async fn stats(cluster: &Cluster) -> Result<Value, role::Error> {
     let url = format!("http://{}/_stats", cluster.platform.address);
     let answer = cluster.client.get(url).send().await;
-    answer
-        .map_err(probe::failed)?
-        .json()
-        .await
-        .map_err(probe::failed)
+    answer.map_err(probe::failed)?.json().await.map_err(probe::failed)
 }
 
 async fn vm_list_bytes(cluster: &Cluster) -> Result<f64, role::Error> {
@@ -335,10 +305,7 @@
 }
 
 async fn change(cluster: &Cluster, weight: u64) -> Result<Change, role::Error> {
-    let url = format!(
-        "http://{}/apis/v1/organisations/parlour-1",
-        cluster.daemons[0].operators
-    );
+    let url = format!("http://{}/apis/v1/organisations/parlour-1", cluster.daemons[0].operators);
     let started = Instant::now();
     let sent = cluster
         .client
@@ -347,18 +314,14 @@
         .json(&json!({"spec": {"weight": weight}}))
         .send()
         .await;
-    let answer = sent
-        .and_then(reqwest::Response::error_for_status)
-        .map_err(probe::failed)?;
+    let answer = sent.and_then(reqwest::Response::error_for_status).map_err(probe::failed)?;
     let accepted = Instant::now();
     let document: Value = answer.json().await.map_err(probe::failed)?;
     let revision = document["status"]["acceptedRevision"]
         .as_u64()
         .ok_or_else(|| probe::failed("the answer names no accepted revision"))?;
-    let arrivals = cluster
-        .daemons
-        .iter()
-        .map(|daemon| arrival(&cluster.client, daemon, revision, accepted));
+    let arrivals =
+        cluster.daemons.iter().map(|daemon| arrival(&cluster.client, daemon, revision, accepted));
     let arrivals = future::join_all(arrivals).await;
     let last: Option<Vec<Duration>> = arrivals.iter().copied().collect();
     let last = last.and_then(|times| times.into_iter().max());
@@ -388,14 +351,7 @@
 }
 
 async fn count_from_peers(cluster: &Cluster) -> usize {
-    let pages = cluster
-        .daemons
-        .iter()
-        .map(|daemon| probe::status(&cluster.client, daemon));
+    let pages = cluster.daemons.iter().map(|daemon| probe::status(&cluster.client, daemon));
     let pages = future::join_all(pages).await;
-    pages
-        .iter()
-        .flatten()
-        .filter(|page| page["source"] == "peer")
-        .count()
+    pages.iter().flatten().filter(|page| page["source"] == "peer").count()
 }
--- a/crates/bench/src/service.rs
+++ b/crates/bench/src/service.rs
@@ -28,7 +28,8 @@
 }
 
 /// Stand-in for a plain service.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 struct Args {
     /// address to listen on
     #[argh(option)]
@@ -49,7 +50,8 @@
     host::block_on(async move { host::serve(args.listen, routes(Service::new(&args))).await })
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default, deny_unknown_fields)]
 struct Fault {
     drop_answers: u32,
@@ -135,12 +137,7 @@
         headers: HeaderMap,
         body: Bytes,
     ) -> warp::reply::Response {
-        let header = |name| {
-            headers
-                .get(name)
-                .and_then(|value| value.to_str().ok())
-                .unwrap_or("")
-        };
+        let header = |name| headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("");
         let (delay, run, spoil) = self.begin(header("idempotency-key"));
         tokio::time::sleep(delay).await;
         self.lock().running -= 1;
@@ -203,7 +200,8 @@
 }
 
 /// Ends a body early, which cuts the connection.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 #[error("the answer is cut")]
 struct Cut;
 
@@ -211,9 +209,7 @@
     service: Service,
 ) -> impl Filter<Extract = (impl Reply,), Error = warp::Rejection> + Clone {
     let own = warp::any().map(move || service.clone());
-    let metrics = warp::path!("metrics")
-        .and(own.clone())
-        .map(Service::metrics);
+    let metrics = warp::path!("metrics").and(own.clone()).map(Service::metrics);
     let runs = warp::path!("_runs")
         .and(own.clone())
         .map(|service: Service| warp::reply::json(&service.lock().runs));
--- a/crates/bench/src/slope.rs
+++ b/crates/bench/src/slope.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A figure over the daemons of one fleet.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Spread {
     /// Half of the daemons are at or below it.
     pub median: f64,
@@ -27,11 +28,7 @@
     pub fn new(values: &[f64]) -> Spread {
         let mut sorted = values.to_vec();
         sorted.sort_by(f64::total_cmp);
-        Spread {
-            median: at(&sorted, 50),
-            p95: at(&sorted, 95),
-            max: at(&sorted, 100),
-        }
+        Spread { median: at(&sorted, 50), p95: at(&sorted, 95), max: at(&sorted, 100) }
     }
 }
 
@@ -41,7 +38,8 @@
 }
 
 /// A line through a figure of several fleets.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Line {
     /// Growth of the figure for one more VM.
     pub slope: f64,
@@ -63,10 +61,7 @@
         let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
         let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
         let spread: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
-        let common: f64 = points
-            .iter()
-            .map(|(x, y)| (x - mean_x) * (y - mean_y))
-            .sum();
+        let common: f64 = points.iter().map(|(x, y)| (x - mean_x) * (y - mean_y)).sum();
         (spread > 0.0).then(|| {
             let slope = common / spread;
             let intercept = mean_y - slope * mean_x;
@@ -81,7 +76,8 @@
 }
 
 /// The propagation of one resource change.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Change {
     /// Time until the write was accepted, in milliseconds.
     pub write_ms: f64,
@@ -93,7 +89,8 @@
 }
 
 /// The figures of one fleet.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Fleet {
     /// Daemons.
     pub daemons: usize,
@@ -120,7 +117,8 @@
 }
 
 /// The lines of one figure.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Growth {
     /// By the number of VMs in the fleet.
     pub fleet: Line,
@@ -129,7 +127,8 @@
 }
 
 /// The record of a scale run.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Record {
     /// Whether the figures are those of a trial on a machine that others used.
     pub trial: bool,
@@ -169,10 +168,8 @@
 
 fn growth(fleets: &[Fleet], name: &str) -> Option<Growth> {
     let line = |size: fn(&Fleet) -> f64| {
-        let points: Option<Vec<(f64, f64)>> = fleets
-            .iter()
-            .map(|fleet| Some((size(fleet), figure(fleet, name)?)))
-            .collect();
+        let points: Option<Vec<(f64, f64)>> =
+            fleets.iter().map(|fleet| Some((size(fleet), figure(fleet, name)?))).collect();
         Line::fit(&points?)
     };
     Some(Growth {
--- a/crates/bench/src/table.rs
+++ b/crates/bench/src/table.rs
@@ -27,11 +27,7 @@
 
 impl Table {
     pub(crate) fn new() -> Table {
-        Table {
-            revision: 1,
-            items: BTreeMap::new(),
-            writes: 0,
-        }
+        Table { revision: 1, items: BTreeMap::new(), writes: 0 }
     }
 
     /// Serves a `RangeRequest`.
@@ -122,10 +118,7 @@
     fn holds(&self, compare: &Value) -> bool {
         let item = self.items.get(&bytes(&compare["key"]));
         let (actual, field) = match compare["target"].as_str() {
-            Some("CREATE") => (
-                item.map_or(0, |item| item.create_revision),
-                "create_revision",
-            ),
+            Some("CREATE") => (item.map_or(0, |item| item.create_revision), "create_revision"),
             Some("VERSION") => (item.map_or(0, |item| item.version), "version"),
             _ => (item.map_or(0, |item| item.mod_revision), "mod_revision"),
         };
@@ -159,9 +152,7 @@
 }
 
 fn bytes(value: &Value) -> Vec<u8> {
-    STANDARD
-        .decode(value.as_str().unwrap_or_default())
-        .unwrap_or_default()
+    STANDARD.decode(value.as_str().unwrap_or_default()).unwrap_or_default()
 }
 
 /// An int64, which the gateway writes as text.
--- a/crates/bench/src/up.rs
+++ b/crates/bench/src/up.rs
@@ -20,11 +20,7 @@
     host::block_on(async {
         let bench = std::env::current_exe()?;
         let mut cluster = Cluster::new(&bench)?;
-        for (vm, zone) in [
-            ("entry-a1", ZONES[0]),
-            ("entry-a2", ZONES[0]),
-            ("entry-b1", ZONES[1]),
-        ] {
+        for (vm, zone) in [("entry-a1", ZONES[0]), ("entry-a2", ZONES[0]), ("entry-b1", ZONES[1])] {
             cluster.start_daemon(vm, zone)?;
         }
         declare(&mut cluster).await?;
@@ -38,26 +34,16 @@
 async fn declare(cluster: &mut Cluster) -> Result<(), role::Error> {
     for zone in ZONES {
         let spec = json!({"region": "pl-centrum"});
-        cluster
-            .apply(&resource("AvailabilityZone", zone, spec))
-            .await?;
+        cluster.apply(&resource("AvailabilityZone", zone, spec)).await?;
     }
-    cluster
-        .apply(&resource("Service", SERVICE, json!({"protocol": "model"})))
-        .await?;
+    cluster.apply(&resource("Service", SERVICE, json!({"protocol": "model"}))).await?;
     let spec = json!({"protocol": "plain", "onceMethods": ["POST"]});
-    cluster
-        .apply(&resource("Service", ORDER_DESK, spec))
-        .await?;
+    cluster.apply(&resource("Service", ORDER_DESK, spec)).await?;
     let spec = json!({"weight": 1, "keys": [CALLER_KEY]});
-    cluster
-        .apply(&resource("Organisation", "parlour-1", spec))
-        .await?;
+    cluster.apply(&resource("Organisation", "parlour-1", spec)).await?;
     for target in targets() {
         let address = cluster.start_target(&target)?;
-        cluster
-            .apply(&Cluster::target_resource(&target, address))
-            .await?;
+        cluster.apply(&Cluster::target_resource(&target, address)).await?;
     }
     Ok(())
 }
@@ -78,10 +64,7 @@
     println!("  curl -N http://{}/v1/completions \\", daemon.callers);
     println!("    -H 'Authorization: Bearer {CALLER_KEY}' -H 'Content-Type: application/json' \\");
     println!("    -d '{{\"model\": \"{SERVICE}\", \"prompt\": \"len=20\", \"stream\": true}}'\n");
-    println!(
-        "  hornbeamctl --server http://{} --key {OPERATOR_KEY} status\n",
-        daemon.operators
-    );
+    println!("  hornbeamctl --server http://{} --key {OPERATOR_KEY} status\n", daemon.operators);
     println!("Settings and logs: {}", cluster.folder().display());
     println!("Ctrl-C stops everything.");
 }
--- a/crates/bench/tests/scale.rs
+++ b/crates/bench/tests/scale.rs
@@ -50,37 +50,21 @@
 }
 
 fn fleet(daemons: usize, zones: usize, median: f64, reads: f64) -> Fleet {
-    let spread = Spread {
-        median,
-        p95: median * 10.0,
-        max: median * 20.0,
-    };
+    let spread = Spread { median, p95: median * 10.0, max: median * 20.0 };
     Fleet {
         daemons,
         zones,
         figures: BTreeMap::from([("cpu_percent".to_owned(), spread)]),
         platform: BTreeMap::from([("reads_per_s".to_owned(), reads)]),
-        connected: vec![Change {
-            write_ms: 4.0,
-            spread_ms: Some(900.0),
-            reached: daemons,
-        }],
-        cut: vec![Change {
-            spread_ms: None,
-            ..Change::default()
-        }],
+        connected: vec![Change { write_ms: 4.0, spread_ms: Some(900.0), reached: daemons }],
+        cut: vec![Change { spread_ms: None, ..Change::default() }],
         ..Fleet::default()
     }
 }
 
 fn record() -> Record {
     let fleets = vec![fleet(9, 3, 1.0, 18.0), fleet(36, 6, 4.0, 72.0)];
-    Record {
-        trial: true,
-        fleets,
-        ..Record::default()
-    }
-    .with_growth()
+    Record { trial: true, fleets, ..Record::default() }.with_growth()
 }
 
 fn grows(name: &str, per_fleet: f64, per_zone: f64) {
--- a/crates/ctl/src/apply.rs
+++ b/crates/ctl/src/apply.rs
@@ -16,7 +16,8 @@
 }
 
 /// Create or replace the resources of a YAML or JSON file.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 struct Args {
     /// the file, with one or more documents; - reads standard input
     #[argh(option, short = 'f')]
@@ -45,16 +46,10 @@
         "-" => std::io::read_to_string(std::io::stdin()),
         path => std::fs::read_to_string(path),
     };
-    let text = text.map_err(|source| Error::File {
-        path: path.to_owned(),
-        source,
-    })?;
+    let text = text.map_err(|source| Error::File { path: path.to_owned(), source })?;
     let documents = manifest::read_file(&text);
     let mut documents = documents.map_err(|error| Error::Usage(format!("{path}: {error}")))?;
-    if let Some(ix) = documents
-        .iter()
-        .position(|document| document.metadata.name.is_none())
-    {
+    if let Some(ix) = documents.iter().position(|document| document.metadata.name.is_none()) {
         let number = ix + 1;
         let text = format!("{path}: document {number}: metadata.name: is missing");
         return Err(Error::Usage(text));
@@ -64,10 +59,7 @@
 }
 
 fn key(document: &Document) -> Key {
-    Key {
-        kind: document.kind,
-        name: document.metadata.name.clone().unwrap_or_default(),
-    }
+    Key { kind: document.kind, name: document.metadata.name.clone().unwrap_or_default() }
 }
 
 fn path(key: &Key) -> String {
@@ -88,9 +80,7 @@
         Ok(current) => current,
         Err(Error::Refused { status: 404, .. }) => {
             let list = document.kind.plural();
-            client
-                .write(Method::POST, list, Some(&body(document, None)))
-                .await?;
+            client.write(Method::POST, list, Some(&body(document, None))).await?;
             return Ok("created");
         }
         Err(error) => return Err(error),
@@ -99,9 +89,7 @@
     let stated = document.metadata.resource_version;
     let version = match stated {
         Some(stated) => Some(stated),
-        None => current["metadata"]["resourceVersion"]
-            .as_u64()
-            .map(Revision),
+        None => current["metadata"]["resourceVersion"].as_u64().map(Revision),
     };
     if stated.is_none() && is_same(document, current) {
         return Ok("unchanged");
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -27,18 +27,12 @@
     /// assert_eq!(client.server(), "http://127.0.0.1:8200");
     /// ```
     pub fn new(server: &str) -> Client {
-        Client {
-            server: server.trim_end_matches('/').to_owned(),
-            key: String::new(),
-        }
+        Client { server: server.trim_end_matches('/').to_owned(), key: String::new() }
     }
 
     /// The same client with an operator key.
     pub fn with_key(self, key: &str) -> Client {
-        Client {
-            key: key.to_owned(),
-            ..self
-        }
+        Client { key: key.to_owned(), ..self }
     }
 
     /// The base URL.
@@ -126,11 +120,7 @@
         return Ok(value);
     }
     let text = |field: &str| value[field].as_str().unwrap_or_default().to_owned();
-    Err(Error::Refused {
-        status: status.as_u16(),
-        reason: text("reason"),
-        detail: text("detail"),
-    })
+    Err(Error::Refused { status: status.as_u16(), reason: text("reason"), detail: text("detail") })
 }
 
 fn malformed(status: StatusCode) -> Error {
@@ -142,7 +132,8 @@
 }
 
 /// Why a subcommand failed.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// The command line is wrong.
     #[error("{0}")]
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -21,7 +21,8 @@
 inventory::collect!(Plugin);
 
 /// Control hornbeamloom: declare resources and follow them.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 struct Args {
     /// base URL of an operators' address (default: $HORNBEAMLOOM_SERVER or http://127.0.0.1:8200)
     #[argh(option)]
@@ -48,9 +49,7 @@
 
 /// Runs a subcommand's work to its end on this thread.
 pub(crate) fn block_on<T>(work: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|error| Error::Usage(format!("cannot start: {error}")))?;
     runtime.block_on(work)
 }
@@ -58,9 +57,7 @@
 /// Runs the command line of this process.
 pub fn main() -> ExitCode {
     let args: Args = argh::from_env();
-    let server = args
-        .server
-        .or_else(|| std::env::var("HORNBEAMLOOM_SERVER").ok());
+    let server = args.server.or_else(|| std::env::var("HORNBEAMLOOM_SERVER").ok());
     let key = args.key.or_else(|| std::env::var("HORNBEAMLOOM_KEY").ok());
     let client = Client::new(server.as_deref().unwrap_or("http://127.0.0.1:8200"))
         .with_key(key.as_deref().unwrap_or_default());
@@ -91,10 +88,7 @@
     let Some((name, rest)) = words.split_first() else {
         return Err(Error::Usage(list()));
     };
-    match inventory::iter::<Plugin>
-        .into_iter()
-        .find(|plugin| plugin.name == *name)
-    {
+    match inventory::iter::<Plugin>.into_iter().find(|plugin| plugin.name == *name) {
         Some(plugin) => (plugin.run)(client, rest),
         None => Err(Error::Usage(list())),
     }
@@ -103,8 +97,6 @@
 fn list() -> String {
     let mut plugins: Vec<&Plugin> = inventory::iter::<Plugin>.into_iter().collect();
     plugins.sort_by_key(|plugin| plugin.name);
-    let lines = plugins
-        .iter()
-        .map(|plugin| format!("\n  {:<10} {}", plugin.name, plugin.help));
+    let lines = plugins.iter().map(|plugin| format!("\n  {:<10} {}", plugin.name, plugin.help));
     format!("expected a subcommand:{}", lines.collect::<String>())
 }
--- a/crates/ctl/src/delete.rs
+++ b/crates/ctl/src/delete.rs
@@ -12,7 +12,8 @@
 }
 
 /// Delete a resource that nothing refers to.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 struct Args {
     /// the kind
     #[argh(positional)]
--- a/crates/ctl/src/describe.rs
+++ b/crates/ctl/src/describe.rs
@@ -12,7 +12,8 @@
 }
 
 /// Show one resource with its status.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 struct Args {
     /// the kind
     #[argh(positional)]
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -11,7 +11,8 @@
 }
 
 /// Show why a request went where it did.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 struct Args {
     /// the request id
     #[argh(positional)]
@@ -31,9 +32,8 @@
         return Ok(());
     }
     let steps = value["steps"].as_array().into_iter().flatten();
-    let rows: Vec<Vec<String>> = steps
-        .map(|step| vec![cell(&step["ageMs"]), cell(&step["text"])])
-        .collect();
+    let rows: Vec<Vec<String>> =
+        steps.map(|step| vec![cell(&step["ageMs"]), cell(&step["text"])]).collect();
     print!("{}", output::table(&["AGE MS", "STEP"], &rows));
     Ok(())
 }
--- a/crates/ctl/src/get.rs
+++ b/crates/ctl/src/get.rs
@@ -12,7 +12,8 @@
 }
 
 /// List the resources of a kind, or show one.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 struct Args {
     /// the kind
     #[argh(positional)]
--- a/crates/ctl/src/output.rs
+++ b/crates/ctl/src/output.rs
@@ -82,10 +82,7 @@
 }
 
 fn line(cells: &[String], widths: &[usize]) -> String {
-    let padded = cells
-        .iter()
-        .zip(widths)
-        .map(|(cell, width)| format!("{cell:<width$}"));
+    let padded = cells.iter().zip(widths).map(|(cell, width)| format!("{cell:<width$}"));
     let text = padded.collect::<Vec<_>>().join("  ");
     format!("{}\n", text.trim_end())
 }
@@ -145,18 +142,15 @@
     match kind {
         Kind::Organisation => &[
             ("WEIGHT", |spec| cell(&spec["weight"])),
-            ("KEYS", |spec| {
-                spec["keys"].as_array().map_or(0, Vec::len).to_string()
-            }),
+            ("KEYS", |spec| spec["keys"].as_array().map_or(0, Vec::len).to_string()),
         ],
         Kind::Service => &[
             ("PROTOCOL", |spec| cell(&spec["protocol"])),
             ("CONFIGURATION", |spec| cell(&spec["configuration"])),
         ],
-        Kind::AvailabilityZone => &[
-            ("REGION", |spec| cell(&spec["region"])),
-            ("STATE", |spec| cell(&spec["state"])),
-        ],
+        Kind::AvailabilityZone => {
+            &[("REGION", |spec| cell(&spec["region"])), ("STATE", |spec| cell(&spec["state"]))]
+        }
         Kind::Target => &[
             ("SERVICE", |spec| cell(&spec["service"])),
             ("ZONE", |spec| cell(&spec["zone"])),
--- a/crates/ctl/src/quarantine.rs
+++ b/crates/ctl/src/quarantine.rs
@@ -13,13 +13,15 @@
 }
 
 /// List or lift quarantined request bodies.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 struct Args {
     #[argh(subcommand)]
     action: Action,
 }
 
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand)]
 enum Action {
     List(List),
@@ -27,7 +29,8 @@
 }
 
 /// List quarantined request bodies.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "list")]
 struct List {
     /// output: table or json
@@ -36,7 +39,8 @@
 }
 
 /// Lift the quarantine of a request body.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "lift")]
 struct Lift {
     /// the body's fingerprint, in hexadecimal
@@ -66,19 +70,12 @@
 }
 
 fn print(value: &Value) {
-    const FIELDS: [&str; 6] = [
-        "fingerprint",
-        "organisation",
-        "service",
-        "state",
-        "deaths",
-        "remainingMs",
-    ];
+    const FIELDS: [&str; 6] =
+        ["fingerprint", "organisation", "service", "state", "deaths", "remainingMs"];
     let headings = FIELDS.map(str::to_uppercase);
     let headings: Vec<&str> = headings.iter().map(String::as_str).collect();
     let items = value["items"].as_array().into_iter().flatten();
-    let rows: Vec<Vec<String>> = items
-        .map(|item| FIELDS.iter().map(|field| cell(&item[*field])).collect())
-        .collect();
+    let rows: Vec<Vec<String>> =
+        items.map(|item| FIELDS.iter().map(|field| cell(&item[*field])).collect()).collect();
     print!("{}", output::table(&headings, &rows));
 }
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -12,7 +12,8 @@
 }
 
 /// Show VMs, targets and pool owners.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 struct Args {
     /// output: table or json
     #[argh(option, short = 'o', default = "Format::Table")]
@@ -33,25 +34,9 @@
 
 fn print(page: &Value) {
     let (vm, revision) = (cell(&page["vm"]), cell(&page["revision"]));
-    println!(
-        "VM {vm}, revision {revision} from {}",
-        cell(&page["source"])
-    );
-    section(
-        &page["vms"],
-        &[
-            "name",
-            "zone",
-            "revision",
-            "standing",
-            "reachable",
-            "silentMs",
-        ],
-    );
-    section(
-        &page["targets"],
-        &["name", "service", "zone", "state", "owner"],
-    );
+    println!("VM {vm}, revision {revision} from {}", cell(&page["source"]));
+    section(&page["vms"], &["name", "zone", "revision", "standing", "reachable", "silentMs"]);
+    section(&page["targets"], &["name", "service", "zone", "state", "owner"]);
     section(&page["owners"], &["service", "zone", "vm", "fence"]);
 }
 
--- a/crates/ctl/src/watch.rs
+++ b/crates/ctl/src/watch.rs
@@ -21,7 +21,8 @@
 }
 
 /// Follow the resources of a kind until interrupted.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 struct Args {
     /// the kind
     #[argh(positional)]
@@ -114,15 +115,9 @@
     let change = event["type"].as_str().unwrap_or_default();
     match change {
         "ERROR" => {
-            let code = object["code"]
-                .as_u64()
-                .and_then(|code| u16::try_from(code).ok());
+            let code = object["code"].as_u64().and_then(|code| u16::try_from(code).ok());
             let text = |field: &str| object[field].as_str().unwrap_or_default().to_owned();
-            return Err(refused(
-                code.unwrap_or(500),
-                &text("reason"),
-                &text("detail"),
-            ));
+            return Err(refused(code.unwrap_or(500), &text("reason"), &text("detail")));
         }
         "BOOKMARK" => {
             // Only a bookmark says that everything up to its revision was sent.
@@ -135,10 +130,8 @@
     match watch.output {
         Format::Json => println!("{event}"),
         Format::Table => {
-            let (name, version) = (
-                output::cell(&metadata["name"]),
-                output::cell(&metadata["resourceVersion"]),
-            );
+            let (name, version) =
+                (output::cell(&metadata["name"]), output::cell(&metadata["resourceVersion"]));
             println!("{change:<9} {}/{name} {version}", watch.plural);
         }
     }
@@ -147,9 +140,5 @@
 }
 
 fn refused(status: u16, reason: &str, detail: &str) -> Error {
-    Error::Refused {
-        status,
-        reason: reason.to_owned(),
-        detail: detail.to_owned(),
-    }
+    Error::Refused { status, reason: reason.to_owned(), detail: detail.to_owned() }
 }
--- a/crates/ctl/src/zone.rs
+++ b/crates/ctl/src/zone.rs
@@ -13,7 +13,8 @@
 const POLL: Duration = Duration::from_millis(500);
 
 /// Change whether an availability zone takes new work.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 struct Args {
     /// the availability zone
     #[argh(positional)]
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -54,11 +54,7 @@
             tokio::spawn(warp::serve(routes).incoming(listener).run());
             format!("http://{address}")
         });
-        Daemon {
-            url,
-            seen,
-            _runtime: runtime,
-        }
+        Daemon { url, seen, _runtime: runtime }
     }
 
     fn run(&self, words: &[&str]) -> Result<(), Error> {
@@ -140,10 +136,8 @@
 fn sends(name: &str, script: Script, text: &str, words: &[&str], expected: &[&str]) {
     let daemon = Daemon::start(script);
     let path = file(name, text);
-    let words: Vec<&str> = words
-        .iter()
-        .map(|word| if *word == "FILE" { &path } else { *word })
-        .collect();
+    let words: Vec<&str> =
+        words.iter().map(|word| if *word == "FILE" { &path } else { *word }).collect();
     daemon.run(&words).unwrap();
     assert_eq!(daemon.requests(), expected);
 }
@@ -188,10 +182,7 @@
 
 fn pending(_: usize, _: &str, _: &str) -> (u16, Value) {
     let status = json!({"pendingCount": 1, "pending": ["entry-2"]});
-    (
-        200,
-        json!({"metadata": {"resourceVersion": 7}, "status": status}),
-    )
+    (200, json!({"metadata": {"resourceVersion": 7}, "status": status}))
 }
 
 fn too_old(_: usize, _: &str, _: &str) -> (u16, Value) {
@@ -245,10 +236,7 @@
 /// In force at the second look only.
 fn in_force_later(number: usize, _: &str, _: &str) -> (u16, Value) {
     let status = json!({"pendingCount": u8::from(number < 2)});
-    (
-        200,
-        json!({"metadata": {"resourceVersion": 7}, "status": status}),
-    )
+    (200, json!({"metadata": {"resourceVersion": 7}, "status": status}))
 }
 
 /// Fails if `--wait` returns while a VM still acts on the old state.
@@ -256,11 +244,8 @@
 fn drain_waits_until_in_force() {
     let daemon = Daemon::start(in_force_later);
     daemon.run(&["drain", "z", "--wait"]).unwrap();
-    let expected = [
-        "PATCH availabilityzones/z",
-        "GET availabilityzones/z",
-        "GET availabilityzones/z",
-    ];
+    let expected =
+        ["PATCH availabilityzones/z", "GET availabilityzones/z", "GET availabilityzones/z"];
     assert_eq!(daemon.requests(), expected);
     assert_eq!(daemon.body(0), json!({"spec": {"state": "out"}}));
 }
@@ -283,10 +268,7 @@
 fn watch_resumes_after_the_last_bookmark() {
     let daemon = Daemon::start(one_event);
     daemon.run(&["watch", "services", "--count", "2"]).unwrap();
-    let expected = [
-        "GET services?watch=true",
-        "GET services?watch=true&resourceVersion=5",
-    ];
+    let expected = ["GET services?watch=true", "GET services?watch=true&resourceVersion=5"];
     assert_eq!(daemon.requests(), expected);
 }
 
--- a/crates/daemon/src/answer.rs
+++ b/crates/daemon/src/answer.rs
@@ -39,11 +39,7 @@
         }
     }
     let id = reader.relay.id.to_string();
-    let body = Body {
-        reader,
-        ready,
-        is_over: false,
-    };
+    let body = Body { reader, ready, is_over: false };
     let parts = futures_util::stream::unfold(body, |mut body| async move {
         let part = body.next().await?;
         Some((Ok::<_, std::convert::Infallible>(part), body))
@@ -78,9 +74,7 @@
         }
         let step = match self.ready.take() {
             Some(step) => Some(step),
-            None => tokio::time::timeout(HEARTBEAT, self.reader.next())
-                .await
-                .ok(),
+            None => tokio::time::timeout(HEARTBEAT, self.reader.next()).await.ok(),
         };
         let mut out = Vec::new();
         match step {
@@ -107,11 +101,9 @@
         match finish {
             Finish::Done => sse::write(out, None, None, "[DONE]"),
             Finish::Refused(refusal) => self.fail(&refusal.into(), out),
-            Finish::Replay(Stored {
-                content_type,
-                body: Some(body),
-                ..
-            }) if content_type == "text/event-stream" => {
+            Finish::Replay(Stored { content_type, body: Some(body), .. })
+                if content_type == "text/event-stream" =>
+            {
                 out.extend_from_slice(body);
             }
             Finish::Replay(_) => self.fail(&not_kept(), out),
@@ -189,10 +181,7 @@
     };
     let answer = Answer {
         status: stored.status,
-        headers: vec![(
-            header::CONTENT_TYPE.to_string(),
-            stored.content_type.clone().into_bytes(),
-        )],
+        headers: vec![(header::CONTENT_TYPE.to_string(), stored.content_type.clone().into_bytes())],
         body: body.clone().into(),
     };
     Ok(passed(&answer))
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -208,11 +208,7 @@
         let (Some(seq), Ok(chunk)) = (seq, openai::chunk(&event.data)) else {
             return Some(self.lost("malformed"));
         };
-        if self
-            .generation
-            .as_deref()
-            .is_some_and(|own| own != chunk.id)
-        {
+        if self.generation.as_deref().is_some_and(|own| own != chunk.id) {
             return Some(self.lost("foreign"));
         }
         match self.cursor.accept(&chunk.id, seq) {
@@ -282,11 +278,7 @@
             Some(last) => format!("/v1/completions/{own}?starting_after={last}"),
             None => format!("/v1/completions/{own}"),
         };
-        let request = self
-            .traffic
-            .client
-            .get(self.url(&path))
-            .header(REQUEST_ID, &self.echo);
+        let request = self.traffic.client.get(self.url(&path)).header(REQUEST_ID, &self.echo);
         let response = http::send(request, Bytes::new(), SILENCE, || {}).await?;
         let is_foreign = generation(&response).is_some_and(|other| other != own)
             || http::echo(&response).is_some_and(|echo| echo != self.echo);
@@ -304,10 +296,7 @@
         let url = self.url(&format!("/v1/completions/{generation}/cancel"));
         let request = self.traffic.client.post(url).header(REQUEST_ID, &self.echo);
         tokio::spawn(async move {
-            if http::send(request, Bytes::new(), SILENCE, || {})
-                .await
-                .is_err()
-            {
+            if http::send(request, Bytes::new(), SILENCE, || {}).await.is_err() {
                 ::metrics::counter!("hornbeamloom_cancels_failed_total").increment(1);
             }
         });
@@ -328,11 +317,7 @@
         .collect();
     match http::body(response, ERROR_BYTES, SILENCE).await {
         Ok(body) => {
-            let answer = Answer {
-                status,
-                headers,
-                body,
-            };
+            let answer = Answer { status, headers, body };
             (End::Complete, Some(Finish::Passed(answer)))
         }
         Err(_) => (End::Broken, None),
--- a/crates/daemon/src/auth.rs
+++ b/crates/daemon/src/auth.rs
@@ -35,8 +35,7 @@
 
 /// Whether `key` is one of `keys`; compares with every one of them.
 pub(crate) fn is_known(keys: &[String], key: &str) -> bool {
-    keys.iter()
-        .fold(false, |known, own| known | is_same(own, key))
+    keys.iter().fold(false, |known, own| known | is_same(own, key))
 }
 
 fn is_same(own: &str, key: &str) -> bool {
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -44,24 +44,14 @@
         .and(warp::query::raw().or(warp::any().map(String::new)).unify())
         .and(warp::header::headers_cloned())
         .and(warp::body::stream())
-        .then(
-            move |method, path: warp::path::FullPath, query, headers, body| {
-                let traffic = traffic.clone();
-                async move {
-                    let head = Head {
-                        method,
-                        path: path.as_str().to_owned(),
-                        query,
-                        headers,
-                    };
-                    handle(&traffic, head, body).await
-                }
-            },
-        );
-    let server = warp::serve(routes)
-        .incoming(listener)
-        .graceful(exit.clone().begun())
-        .run();
+        .then(move |method, path: warp::path::FullPath, query, headers, body| {
+            let traffic = traffic.clone();
+            async move {
+                let head = Head { method, path: path.as_str().to_owned(), query, headers };
+                handle(&traffic, head, body).await
+            }
+        });
+    let server = warp::serve(routes).incoming(listener).graceful(exit.clone().begun()).run();
     tokio::spawn(async move {
         let _permit = exit.register();
         server.await;
@@ -99,10 +89,9 @@
             problem.response(&text)
         }
     };
-    if let (false, Ok(value)) = (
-        response.headers().contains_key(REQUEST_ID),
-        HeaderValue::from_str(&text),
-    ) {
+    if let (false, Ok(value)) =
+        (response.headers().contains_key(REQUEST_ID), HeaderValue::from_str(&text))
+    {
         response.headers_mut().insert(REQUEST_ID, value);
     }
     response
@@ -266,11 +255,7 @@
     let mut bytes = Vec::new();
     while let Some(part) = body.next().await {
         let mut part = part.map_err(|_| {
-            Problem::new(
-                StatusCode::BAD_REQUEST,
-                "body_incomplete",
-                "the body ended early",
-            )
+            Problem::new(StatusCode::BAD_REQUEST, "body_incomplete", "the body ended early")
         })?;
         if bytes.len() + part.remaining() > limit {
             return Err(too_large());
@@ -302,11 +287,7 @@
 ) -> Result<Response, Problem> {
     let call = openai::read(form, &body).map_err(|error| {
         log::debug!("unreadable body id={id} cause={}", cause(&error));
-        Problem::new(
-            StatusCode::BAD_REQUEST,
-            "invalid_body",
-            "the body is not a valid request",
-        )
+        Problem::new(StatusCode::BAD_REQUEST, "invalid_body", "the body is not a valid request")
     })?;
     let service: Name = (&*call.model).into();
     check_service(traffic, &organisation, &service, Protocol::Model)?;
@@ -358,12 +339,7 @@
             methods.any(|method| method.eq_ignore_ascii_case(head.method.as_str()))
         })
     };
-    let parts = [
-        service.as_bytes(),
-        head.method.as_str().as_bytes(),
-        path.as_bytes(),
-        &body,
-    ];
+    let parts = [service.as_bytes(), head.method.as_str().as_bytes(), path.as_bytes(), &body];
     let request = Request {
         prompt_tokens: 0,
         max_tokens: None,
@@ -448,25 +424,14 @@
     protocol: Protocol,
 ) -> Result<(), Problem> {
     let intent = traffic.context.intent.borrow();
-    let is_allowed = intent
-        .organisation(organisation)
-        .is_some_and(|organisation| {
-            organisation.services.is_empty()
-                || organisation
-                    .services
-                    .iter()
-                    .any(|allowed| &**allowed == service)
-        });
-    let is_offered = intent
-        .service(service)
-        .is_some_and(|service| service.protocol == protocol);
+    let is_allowed = intent.organisation(organisation).is_some_and(|organisation| {
+        organisation.services.is_empty()
+            || organisation.services.iter().any(|allowed| &**allowed == service)
+    });
+    let is_offered = intent.service(service).is_some_and(|service| service.protocol == protocol);
     match is_allowed && is_offered {
         true => Ok(()),
-        false => Err(Problem::new(
-            StatusCode::NOT_FOUND,
-            "not_found",
-            "no such service",
-        )),
+        false => Err(Problem::new(StatusCode::NOT_FOUND, "not_found", "no such service")),
     }
 }
 
--- a/crates/daemon/src/check.rs
+++ b/crates/daemon/src/check.rs
@@ -46,12 +46,7 @@
     url("platform.vms", &settings.platform.vms)?;
     keys("keys.operator", &settings.keys.operator)?;
     keys("keys.peer", &settings.keys.peer)?;
-    if let Some(key) = settings
-        .keys
-        .operator
-        .iter()
-        .find(|key| settings.keys.peer.contains(key))
-    {
+    if let Some(key) = settings.keys.operator.iter().find(|key| settings.keys.peer.contains(key)) {
         let length = key.len();
         let text = format!("a key of {length} bytes is listed for operators and for peers");
         return fault("keys", text);
@@ -63,11 +58,7 @@
     range("settle_s", settings.settle_s, &SETTLE_S)?;
     range("limits.body_bytes", settings.limits.body_bytes, &BODY_BYTES)?;
     range("limits.header_s", settings.limits.header_s, &HEADER_S)?;
-    range(
-        "limits.connections",
-        settings.limits.connections as u64,
-        &CONNECTIONS,
-    )?;
+    range("limits.connections", settings.limits.connections as u64, &CONNECTIONS)?;
     if let Some(limit) = settings.shutdown_limit_s {
         range("shutdown_limit_s", limit, &SHUTDOWN_S)?;
         if limit <= settings.settle_s {
@@ -98,10 +89,7 @@
     let parsed: Option<SocketAddr> = address.parse().ok();
     match parsed.filter(|parsed| parsed.port() != 0) {
         Some(parsed) => Ok(parsed),
-        None => Err(Error::Value {
-            field,
-            fault: format!("`{address}` is not IP:port"),
-        }),
+        None => Err(Error::Value { field, fault: format!("`{address}` is not IP:port") }),
     }
 }
 
@@ -126,10 +114,7 @@
     let callers = address("advertise.callers", settings.caller_address())?;
     let peers = address("advertise.peers", settings.peer_address())?;
     match callers == peers {
-        true => fault(
-            "advertise",
-            format!("`{peers}` is told for callers and peers"),
-        ),
+        true => fault("advertise", format!("`{peers}` is told for callers and peers")),
         false => Ok(()),
     }
 }
@@ -153,10 +138,7 @@
     });
     match is_usable {
         true => Ok(()),
-        false => fault(
-            field,
-            format!("`{text}` is not a URL of the form http://HOST:PORT"),
-        ),
+        false => fault(field, format!("`{text}` is not a URL of the form http://HOST:PORT")),
     }
 }
 
@@ -184,13 +166,8 @@
 fn range(field: &'static str, value: u64, range: &RangeInclusive<u64>) -> Checked {
     match range.contains(&value) {
         true => Ok(()),
-        false => fault(
-            field,
-            format!(
-                "{value} is not between {} and {}",
-                range.start(),
-                range.end()
-            ),
-        ),
+        false => {
+            fault(field, format!("{value} is not between {} and {}", range.start(), range.end()))
+        }
     }
 }
--- a/crates/daemon/src/comeback.rs
+++ b/crates/daemon/src/comeback.rs
@@ -53,12 +53,11 @@
         return Ok(0);
     };
     let last = last.to_str().ok().and_then(|last| last.parse::<u64>().ok());
-    last.and_then(|last| last.checked_add(1))
-        .ok_or(Problem::new(
-            StatusCode::BAD_REQUEST,
-            "invalid_last_event_id",
-            "Last-Event-ID is not a number",
-        ))
+    last.and_then(|last| last.checked_add(1)).ok_or(Problem::new(
+        StatusCode::BAD_REQUEST,
+        "invalid_last_event_id",
+        "Last-Event-ID is not a number",
+    ))
 }
 
 /// The callers' address of a VM.
@@ -88,9 +87,7 @@
     let mut response = warp::reply::stream(parts).into_response();
     *response.status_mut() = status;
     if let Some(content_type) = content_type {
-        response
-            .headers_mut()
-            .insert(header::CONTENT_TYPE, content_type);
+        response.headers_mut().insert(header::CONTENT_TYPE, content_type);
     }
     if let Ok(id) = HeaderValue::from_str(&id.to_string()) {
         response.headers_mut().insert(REQUEST_ID, id);
@@ -99,12 +96,8 @@
 }
 
 fn unknown() -> Problem {
-    Problem::new(
-        StatusCode::NOT_FOUND,
-        "stream_not_found",
-        "no such stream is held",
-    )
-    .with_ran(Ran::Unknown)
+    Problem::new(StatusCode::NOT_FOUND, "stream_not_found", "no such stream is held")
+        .with_ran(Ran::Unknown)
 }
 
 fn missing() -> Problem {
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -215,18 +215,14 @@
         progress_at: Millis(0),
         outcomes: Vec::new(),
     };
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .build()?;
-    std::thread::Builder::new()
-        .name("control".to_owned())
-        .spawn(move || {
-            runtime.block_on(async move {
-                tokio::spawn(tick(ticker, wakeup, started));
-                tokio::spawn(pass_on(inbox, address));
-                xtra::run(mailbox, actor).await;
-            });
-        })?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build()?;
+    std::thread::Builder::new().name("control".to_owned()).spawn(move || {
+        runtime.block_on(async move {
+            tokio::spawn(tick(ticker, wakeup, started));
+            tokio::spawn(pass_on(inbox, address));
+            xtra::run(mailbox, actor).await;
+        });
+    })?;
     Ok((control, Ends { intent, drained }))
 }
 
@@ -305,8 +301,7 @@
             Outcome::Log { warn: true, text } => log::warn!("{text}"),
             Outcome::Log { warn: false, text } => log::info!("{text}"),
             Outcome::Publish => {
-                self.intent
-                    .send_replace(Arc::new(self.kernel.state().intent.clone()));
+                self.intent.send_replace(Arc::new(self.kernel.state().intent.clone()));
             }
             Outcome::Drained => {
                 if let Some(drained) = self.drained.take() {
@@ -354,10 +349,8 @@
     }
 
     fn arrive(&mut self, arrival: Arrival) {
-        let running = Running {
-            verdicts: arrival.verdicts.clone(),
-            tokens: arrival.tokens.clone(),
-        };
+        let running =
+            Running { verdicts: arrival.verdicts.clone(), tokens: arrival.tokens.clone() };
         self.requests.insert(arrival.id.clone(), running);
         let repeat = match &arrival.once {
             Some(key) => Repeat::Once { key },
@@ -383,18 +376,9 @@
         first_token_ms: Option<u32>,
         stored: Option<&Stored>,
     ) {
-        let tokens = self
-            .requests
-            .get(id)
-            .map_or(0, |running| running.tokens.load(Ordering::Relaxed));
-        self.handle_event(Event::Ended {
-            id,
-            attempt,
-            end,
-            tokens,
-            first_token_ms,
-            stored,
-        });
+        let tokens =
+            self.requests.get(id).map_or(0, |running| running.tokens.load(Ordering::Relaxed));
+        self.handle_event(Event::Ended { id, attempt, end, tokens, first_token_ms, stored });
         if matches!(end, End::Complete | End::Cancelled) {
             self.requests.remove(id);
         }
@@ -405,13 +389,7 @@
             Input::Tick => self.handle_event(Event::Tick),
             Input::Arrive(arrival) => self.arrive(*arrival),
             Input::Began { id, attempt } => self.handle_event(Event::Began { id: &id, attempt }),
-            Input::Ended {
-                id,
-                attempt,
-                end,
-                first_token_ms,
-                stored,
-            } => {
+            Input::Ended { id, attempt, end, first_token_ms, stored } => {
                 self.ended(&id, attempt, end, first_token_ms, stored.as_ref());
             }
             Input::Departed(id) => {
@@ -420,36 +398,20 @@
             }
             Input::Report(target, report) => {
                 let report = report.as_ref().map_err(|silence| *silence);
-                self.handle_event(Event::Report {
-                    target: &target,
-                    report,
-                });
+                self.handle_event(Event::Report { target: &target, report });
             }
             Input::Cache(target, batch) => {
-                self.handle_event(Event::Cache {
-                    target: &target,
-                    batch: &batch,
-                });
+                self.handle_event(Event::Cache { target: &target, batch: &batch });
             }
             Input::Ordered(order, answer) => {
                 let target = &order.target;
-                self.handle_event(Event::Ordered {
-                    target,
-                    order: &order,
-                    answer,
-                });
+                self.handle_event(Event::Ordered { target, order: &order, answer });
             }
             Input::Peer(from, message) => {
-                self.handle_event(Event::Peer {
-                    from: &from,
-                    message: &message,
-                });
+                self.handle_event(Event::Peer { from: &from, message: &message });
             }
             Input::Store(call, answer) => {
-                self.handle_event(Event::Store {
-                    call,
-                    answer: &answer,
-                });
+                self.handle_event(Event::Store { call, answer: &answer });
             }
             Input::Changes(delta) => self.handle_event(Event::Changes(&delta)),
             Input::Head(revision) => self.handle_event(Event::Head(revision)),
--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -69,7 +69,8 @@
 pub type Inbox = mpsc::UnboundedReceiver<Outcome>;
 
 /// An adapter could not start.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// An address could not be bound.
     #[error("cannot listen on {address} for {purpose}: {source}")]
@@ -88,11 +89,7 @@
 
 /// Binds a listener for one purpose.
 pub fn bind(address: &str, purpose: &'static str) -> Result<tokio::net::TcpListener, Error> {
-    let fail = |source| Error::Bind {
-        address: address.to_owned(),
-        purpose,
-        source,
-    };
+    let fail = |source| Error::Bind { address: address.to_owned(), purpose, source };
     let listener = std::net::TcpListener::bind(address).map_err(fail)?;
     listener.set_nonblocking(true).map_err(fail)?;
     tokio::net::TcpListener::from_std(listener).map_err(fail)
--- a/crates/daemon/src/engines.rs
+++ b/crates/daemon/src/engines.rs
@@ -89,11 +89,7 @@
 
     /// The stream of a request, while it is held here.
     pub(crate) fn stream(&self, id: &Id) -> Option<Arc<Relay>> {
-        self.streams
-            .lock()
-            .expect("no holder of the lock panics")
-            .get(id)
-            .cloned()
+        self.streams.lock().expect("no holder of the lock panics").get(id).cloned()
     }
 
     fn keep(&self, relay: &Arc<Relay>) {
@@ -102,10 +98,7 @@
     }
 
     fn forget(&self, id: &Id) {
-        self.streams
-            .lock()
-            .expect("no holder of the lock panics")
-            .remove(id);
+        self.streams.lock().expect("no holder of the lock panics").remove(id);
     }
 }
 
@@ -154,12 +147,7 @@
 impl Ended {
     /// An attempt that ended this way, without a token.
     pub(crate) fn new(end: End) -> Ended {
-        Ended {
-            end,
-            first_token_ms: None,
-            stored: None,
-            finish: None,
-        }
+        Ended { end, first_token_ms: None, stored: None, finish: None }
     }
 
     /// The same attempt with an answer to keep.
@@ -261,9 +249,7 @@
 ) -> Result<Start, Finish> {
     let queue_ms = {
         let intent = traffic.context.intent.borrow();
-        intent
-            .service(&work.service)
-            .map_or(0, |service| service.queue_ms)
+        intent.service(&work.service).map_or(0, |service| service.queue_ms)
     };
     let patience = Duration::from_millis(queue_ms) + VERDICT_SLACK;
     let verdict = tokio::select! {
@@ -279,14 +265,9 @@
         Some(Verdict::Refuse(refusal)) => Err(Finish::Refused(refusal)),
         Some(Verdict::Replay(stored)) => Err(Finish::Replay(stored)),
         None => {
-            traffic
-                .context
-                .control
-                .tell(Input::Departed(work.id.clone()));
+            traffic.context.control.tell(Input::Departed(work.id.clone()));
             let ran = Ran::Unknown;
-            Err(Finish::Refused(
-                Refusal::new(Reason::NoTarget).with_ran(ran),
-            ))
+            Err(Finish::Refused(Refusal::new(Reason::NoTarget).with_ran(ran)))
         }
     }
 }
--- a/crates/daemon/src/failure.rs
+++ b/crates/daemon/src/failure.rs
@@ -19,11 +19,7 @@
 impl Failure {
     /// A failure of which nothing was applied.
     pub(crate) fn new(status: StatusCode, reason: &'static str) -> Failure {
-        Failure {
-            status,
-            reason,
-            body: json!({"applied": false}),
-        }
+        Failure { status, reason, body: json!({"applied": false}) }
     }
 
     /// The same failure with another field in its body.
@@ -87,10 +83,8 @@
 }
 
 fn in_use(users: &[Key]) -> Failure {
-    let users: Vec<String> = users
-        .iter()
-        .map(|key| format!("{}/{}", key.kind.plural(), key.name))
-        .collect();
+    let users: Vec<String> =
+        users.iter().map(|key| format!("{}/{}", key.kind.plural(), key.name)).collect();
     Failure::new(StatusCode::CONFLICT, "in_use")
         .with_detail(&format!("used by {}", users.join(", ")))
         .with("usedBy", users)
--- a/crates/daemon/src/kept.rs
+++ b/crates/daemon/src/kept.rs
@@ -37,12 +37,7 @@
 fn stream(relay: &Relay) -> Option<Vec<u8>> {
     let mut body = Vec::new();
     for (seq, event) in (0..).zip(relay.events()?) {
-        sse::write(
-            &mut body,
-            Some(seq),
-            None,
-            std::str::from_utf8(&event).ok()?,
-        );
+        sse::write(&mut body, Some(seq), None, std::str::from_utf8(&event).ok()?);
     }
     sse::write(&mut body, None, None, "[DONE]");
     Some(body)
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -121,10 +121,7 @@
 
 impl Waiting {
     fn drop_one(&mut self) -> Option<&'static str> {
-        let gossip = self
-            .frames
-            .iter()
-            .position(|frame| frame.kind == GOSSIP_KIND);
+        let gossip = self.frames.iter().position(|frame| frame.kind == GOSSIP_KIND);
         let frame = self.frames.remove(gossip.unwrap_or(0))?;
         self.bytes -= frame.bytes.len();
         Some(frame.kind)
@@ -141,7 +138,8 @@
 }
 
 /// Why a link ended.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub(crate) enum Error {
     /// Nothing was to be sent for [`UNUSED`].
     #[error("unused")]
@@ -223,9 +221,7 @@
             tokio_tungstenite::client_async_with_config(request, stream, Some(limits())).await?;
         Ok(socket)
     };
-    timeout(SILENCE, opening)
-        .await
-        .unwrap_or(Err(Error::Silent))
+    timeout(SILENCE, opening).await.unwrap_or(Err(Error::Silent))
 }
 
 /// What is known about an open link.
@@ -242,12 +238,7 @@
 
 impl Health {
     fn new(now: Instant) -> Health {
-        Health {
-            used: now,
-            is_unconfirmed: true,
-            beat: now - HEARTBEAT,
-            is_waiting: false,
-        }
+        Health { used: now, is_unconfirmed: true, beat: now - HEARTBEAT, is_waiting: false }
     }
 
     /// When something is due: the end of the wait for an answer, the next heartbeat or the end of
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -7,9 +7,8 @@
 
 /// Upper bounds of the duration buckets, in seconds. 66 ms between tokens and 0.95 s to the first
 /// token are the stated targets, so both are bounds.
-const SECONDS: [f64; 14] = [
-    0.002, 0.005, 0.01, 0.02, 0.04, 0.066, 0.1, 0.25, 0.5, 0.95, 2.0, 5.0, 15.0, 60.0,
-];
+const SECONDS: [f64; 14] =
+    [0.002, 0.005, 0.01, 0.02, 0.04, 0.066, 0.1, 0.25, 0.5, 0.95, 2.0, 5.0, 15.0, 60.0];
 
 /// Time between two rounds that move recorded samples into their buckets.
 const UPKEEP: Duration = Duration::from_secs(5);
@@ -45,10 +44,7 @@
 
 /// All metrics as Prometheus text.
 pub(crate) fn render() -> String {
-    HANDLE
-        .get()
-        .map(PrometheusHandle::render)
-        .unwrap_or_default()
+    HANDLE.get().map(PrometheusHandle::render).unwrap_or_default()
 }
 
 /// Counts an answer that carried another request's id.
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -38,10 +38,7 @@
         hub: watch::Hub::start(context.intent.clone(), context.exit.clone()),
         context,
     });
-    let server = warp::serve(routes(api))
-        .incoming(listener)
-        .graceful(exit.clone().begun())
-        .run();
+    let server = warp::serve(routes(api)).incoming(listener).graceful(exit.clone().begun()).run();
     tokio::spawn(async move {
         let _permit = exit.register();
         server.await;
@@ -74,16 +71,14 @@
         .and(query)
         .and(warp::header::headers_cloned())
         .and(warp::body::stream())
-        .then(
-            move |method, path: warp::path::FullPath, query, headers, body| {
-                let api = api.clone();
-                async move {
-                    let path = path.as_str().to_owned();
-                    let reply = answer(&api, method, path, query, headers, body).await;
-                    reply.unwrap_or_else(Failure::into_response)
-                }
-            },
-        );
+        .then(move |method, path: warp::path::FullPath, query, headers, body| {
+            let api = api.clone();
+            async move {
+                let path = path.as_str().to_owned();
+                let reply = answer(&api, method, path, query, headers, body).await;
+                reply.unwrap_or_else(Failure::into_response)
+            }
+        });
     let malformed = || Failure::new(StatusCode::BAD_REQUEST, "malformed").into_response();
     filter.or(warp::any().map(malformed)).unify()
 }
@@ -112,12 +107,7 @@
     }
     let body = tokio::time::timeout(BODY_DEADLINE, collect(body)).await;
     let body = body.map_err(|_| Failure::new(StatusCode::REQUEST_TIMEOUT, "body_deadline"))??;
-    let request = Request {
-        method,
-        path,
-        query,
-        body,
-    };
+    let request = Request { method, path, query, body };
     route(api, &request).await
 }
 
@@ -179,10 +169,7 @@
         }
         (method, [plural, name]) => {
             let kind = Kind::from_plural(plural).ok_or_else(not_found)?;
-            let key = Key {
-                kind,
-                name: (*name).into(),
-            };
+            let key = Key { kind, name: (*name).into() };
             match *method {
                 Method::GET => one(api, &key).await,
                 _ => change(api, request, &key).await,
@@ -234,10 +221,8 @@
         .filter(|record| record.key.kind == kind && record.spec.is_some())
         .collect();
     records.sort_by(|a, b| a.key.cmp(&b.key));
-    let items: Vec<Value> = records
-        .into_iter()
-        .map(|record| document(record, &fleet, false))
-        .collect();
+    let items: Vec<Value> =
+        records.into_iter().map(|record| document(record, &fleet, false)).collect();
     Ok(ok(json!({
         "apiVersion": manifest::API_VERSION,
         "kind": "List",
@@ -255,9 +240,7 @@
 async fn one(api: &Api, key: &Key) -> Result<Response, Failure> {
     let fleet = ask(api, status::fleet, "").await?;
     let intent = api.context.intent.borrow().clone();
-    let record = intent
-        .records()
-        .find(|record| record.key == *key && record.spec.is_some());
+    let record = intent.records().find(|record| record.key == *key && record.spec.is_some());
     let record = record.ok_or_else(not_found)?;
     Ok(ok(document(record, &fleet, true)))
 }
--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -38,10 +38,7 @@
     pub(crate) fn new(control: &Control, client: &reqwest::Client) -> Queue {
         let (waiting, receiver) = mpsc::channel(WAITING_MAX);
         tokio::spawn(work(receiver, control.clone(), client.clone()));
-        Queue {
-            waiting,
-            control: control.clone(),
-        }
+        Queue { waiting, control: control.clone() }
     }
 
     /// Queues an order; never waits.
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -43,10 +43,7 @@
 async fn route(context: Context, mut inbox: Inbox) {
     let mut links: Map<Name, Arc<Queue>> = Map::default();
     while let Some(outcome) = inbox.recv().await {
-        let Outcome::Send {
-            address, message, ..
-        } = outcome
-        else {
+        let Outcome::Send { address, message, .. } = outcome else {
             continue;
         };
         let kind = frame::kind(&message);
@@ -87,10 +84,7 @@
     let address = to.clone();
     let peer = move || {
         let keys = settings.borrow().keys.peer.first().cloned();
-        Peer {
-            address: address.clone(),
-            key: keys.unwrap_or_default(),
-        }
+        Peer { address: address.clone(), key: keys.unwrap_or_default() }
     };
     tokio::spawn(link::run(peer, queue));
 }
--- a/crates/daemon/src/plain.rs
+++ b/crates/daemon/src/plain.rs
@@ -75,9 +75,7 @@
         Ok(answer) if is_rejection(&answer) => Ended::new(End::Rejected),
         Ok(answer) => {
             let stored = work.once.is_some().then(|| kept::answer(&answer));
-            Ended::new(End::Complete)
-                .with_stored(stored)
-                .with_finish(Finish::Passed(answer))
+            Ended::new(End::Complete).with_stored(stored).with_finish(Finish::Passed(answer))
         }
         Err(Fault::Unsent | Fault::Refused) => Ended::new(End::Unsent),
         Err(Fault::Broken) if http::is_refusing(&start.address).await => Ended::new(End::Died),
@@ -87,12 +85,9 @@
 
 /// Whether the service took nothing of the call, as 429 and 503 say by protocol.
 fn is_rejection(answer: &Answer) -> bool {
-    [
-        StatusCode::TOO_MANY_REQUESTS,
-        StatusCode::SERVICE_UNAVAILABLE,
-    ]
-    .iter()
-    .any(|status| status.as_u16() == answer.status)
+    [StatusCode::TOO_MANY_REQUESTS, StatusCode::SERVICE_UNAVAILABLE]
+        .iter()
+        .any(|status| status.as_u16() == answer.status)
 }
 
 async fn exchange(
@@ -128,11 +123,7 @@
         .map(|(name, value)| (name.to_owned(), value.as_bytes().to_vec()))
         .collect();
     let body = http::body(response, ANSWER_BYTES, PART).await?;
-    Ok(Answer {
-        status,
-        headers,
-        body,
-    })
+    Ok(Answer { status, headers, body })
 }
 
 /// The headers that travel from end to end.
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -84,10 +84,7 @@
 }
 
 async fn pause(context: &Context) -> Duration {
-    let count = context
-        .control
-        .ask(|state, _, _| state.members.iter().count(), "")
-        .await;
+    let count = context.control.ask(|state, _, _| state.members.iter().count(), "").await;
     match count {
         Some(count) if count > LARGE_FLEET => HEAD_EVERY_LARGE,
         _ => HEAD_EVERY,
--- a/crates/daemon/src/poll.rs
+++ b/crates/daemon/src/poll.rs
@@ -44,11 +44,7 @@
 
 impl Poller {
     pub(crate) fn new(context: &Context, client: &reqwest::Client) -> Poller {
-        Poller {
-            context: context.clone(),
-            client: client.clone(),
-            targets: Arc::default(),
-        }
+        Poller { context: context.clone(), client: client.clone(), targets: Arc::default() }
     }
 
     /// Polls a target in a task of its own; skips it while the last poll still runs.
@@ -62,10 +58,9 @@
                     entry.get_mut().is_busy = true;
                     *entry.get()
                 }
-                Entry::Vacant(entry) => *entry.insert(Memory {
-                    is_busy: true,
-                    ..Memory::default()
-                }),
+                Entry::Vacant(entry) => {
+                    *entry.insert(Memory { is_busy: true, ..Memory::default() })
+                }
             }
         };
         let poller = self.clone();
@@ -105,19 +100,13 @@
             }
         }
         let has_report = report.is_ok();
-        self.context
-            .control
-            .tell(Input::Report(target.clone(), report));
-        let is_due = memory
-            .cache_read
-            .is_none_or(|read| read.elapsed() >= CACHE_INTERVAL);
+        self.context.control.tell(Input::Report(target.clone(), report));
+        let is_due = memory.cache_read.is_none_or(|read| read.elapsed() >= CACHE_INTERVAL);
         if has_report && is_due && self.is_engine(target) {
             memory.cache_read = Some(Instant::now());
             if let Some(batch) = self.cache(address, memory.cache_next).await {
                 memory.cache_next = batch.first + (batch.stored.len() + batch.evicted.len()) as u64;
-                self.context
-                    .control
-                    .tell(Input::Cache(target.clone(), batch));
+                self.context.control.tell(Input::Cache(target.clone(), batch));
             }
         }
         memory
@@ -156,9 +145,9 @@
             let response = http::send(self.client.get(url), Bytes::new(), DEADLINE, || {}).await?;
             match response.status().is_success() {
                 // A head came, so the process lives even if the body is cut short.
-                true => http::body(response, ANSWER_BYTES, DEADLINE)
-                    .await
-                    .map_err(|_| Fault::TooLong),
+                true => {
+                    http::body(response, ANSWER_BYTES, DEADLINE).await.map_err(|_| Fault::TooLong)
+                }
                 false => Err(Fault::TooLong),
             }
         };
--- a/crates/daemon/src/refusal.rs
+++ b/crates/daemon/src/refusal.rs
@@ -24,13 +24,7 @@
 impl Problem {
     /// A problem found before anything ran.
     pub(crate) fn new(status: StatusCode, reason: &'static str, message: &'static str) -> Problem {
-        Problem {
-            status,
-            reason,
-            message,
-            ran: Ran::No,
-            retry_after_ms: None,
-        }
+        Problem { status, reason, message, ran: Ran::No, retry_after_ms: None }
     }
 
     /// The same problem with another statement about what ran.
@@ -40,10 +34,7 @@
 
     /// The same problem with advice on when to try again.
     pub(crate) fn with_retry_after(self, ms: u64) -> Problem {
-        Problem {
-            retry_after_ms: Some(ms),
-            ..self
-        }
+        Problem { retry_after_ms: Some(ms), ..self }
     }
 
     /// The problem as JSON text.
@@ -75,10 +66,8 @@
 impl From<&Refusal> for Problem {
     fn from(refusal: &Refusal) -> Problem {
         let (status, message) = describe(refusal.reason);
-        let is_busy = matches!(
-            status,
-            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
-        );
+        let is_busy =
+            matches!(status, StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE);
         Problem {
             status,
             reason: refusal.reason.as_str(),
@@ -92,54 +81,34 @@
 fn describe(reason: Reason) -> (StatusCode, &'static str) {
     match reason {
         Reason::NotFound => (StatusCode::NOT_FOUND, "no such service"),
-        Reason::OrganisationQueue => (
-            StatusCode::TOO_MANY_REQUESTS,
-            "the organisation's queue is full",
-        ),
-        Reason::PoolQueue => (
-            StatusCode::TOO_MANY_REQUESTS,
-            "the queue of the service is full",
-        ),
-        Reason::QueueDeadline => (
-            StatusCode::TOO_MANY_REQUESTS,
-            "the request would wait too long",
-        ),
-        Reason::NoTarget => (
-            StatusCode::SERVICE_UNAVAILABLE,
-            "no target can take the request",
-        ),
-        Reason::Quarantined => (
-            StatusCode::UNPROCESSABLE_ENTITY,
-            "targets crashed while they ran this body",
-        ),
-        Reason::StoreUnavailable => (
-            StatusCode::SERVICE_UNAVAILABLE,
-            "the call cannot be registered to run at most once",
-        ),
-        Reason::InProgress => (
-            StatusCode::CONFLICT,
-            "a call with this idempotency key is in progress",
-        ),
-        Reason::KeyReused => (
-            StatusCode::UNPROCESSABLE_ENTITY,
-            "the idempotency key was used with another body",
-        ),
-        Reason::OutcomeUnknown => (
-            StatusCode::BAD_GATEWAY,
-            "an attempt may have run and its outcome is unknown",
-        ),
-        Reason::RetryBudget => (
-            StatusCode::SERVICE_UNAVAILABLE,
-            "the target failed and retries are used up",
-        ),
-        Reason::TargetFailed => (
-            StatusCode::BAD_GATEWAY,
-            "the target failed during the answer",
-        ),
-        Reason::TooLarge => (
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "the prompt fits no target of the service",
-        ),
+        Reason::OrganisationQueue => {
+            (StatusCode::TOO_MANY_REQUESTS, "the organisation's queue is full")
+        }
+        Reason::PoolQueue => (StatusCode::TOO_MANY_REQUESTS, "the queue of the service is full"),
+        Reason::QueueDeadline => (StatusCode::TOO_MANY_REQUESTS, "the request would wait too long"),
+        Reason::NoTarget => (StatusCode::SERVICE_UNAVAILABLE, "no target can take the request"),
+        Reason::Quarantined => {
+            (StatusCode::UNPROCESSABLE_ENTITY, "targets crashed while they ran this body")
+        }
+        Reason::StoreUnavailable => {
+            (StatusCode::SERVICE_UNAVAILABLE, "the call cannot be registered to run at most once")
+        }
+        Reason::InProgress => {
+            (StatusCode::CONFLICT, "a call with this idempotency key is in progress")
+        }
+        Reason::KeyReused => {
+            (StatusCode::UNPROCESSABLE_ENTITY, "the idempotency key was used with another body")
+        }
+        Reason::OutcomeUnknown => {
+            (StatusCode::BAD_GATEWAY, "an attempt may have run and its outcome is unknown")
+        }
+        Reason::RetryBudget => {
+            (StatusCode::SERVICE_UNAVAILABLE, "the target failed and retries are used up")
+        }
+        Reason::TargetFailed => (StatusCode::BAD_GATEWAY, "the target failed during the answer"),
+        Reason::TooLarge => {
+            (StatusCode::PAYLOAD_TOO_LARGE, "the prompt fits no target of the service")
+        }
         Reason::ShuttingDown => (StatusCode::SERVICE_UNAVAILABLE, "this VM is shutting down"),
     }
 }
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -191,12 +191,7 @@
             buffer.reader
         };
         self.changed.send_replace(());
-        Ok(Reader {
-            number,
-            changed: self.changed.subscribe(),
-            relay: self.clone(),
-            _place: place,
-        })
+        Ok(Reader { number, changed: self.changed.subscribe(), relay: self.clone(), _place: place })
     }
 }
 
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -22,7 +22,8 @@
 const BAD_SETTINGS: u8 = 2;
 
 /// Serve generations as one entry VM of hornbeamloom.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 pub struct Args {
     /// the YAML settings file
     #[argh(option)]
@@ -58,9 +59,7 @@
 }
 
 fn start_log(level: &str) {
-    let config = simplelog::ConfigBuilder::new()
-        .set_time_format_rfc3339()
-        .build();
+    let config = simplelog::ConfigBuilder::new().set_time_format_rfc3339().build();
     // The logger lets everything pass; the level in force is the global one, which can change.
     // A second logger in one process (tests) is not a reason to stop.
     let _ = simplelog::WriteLogger::init(log::LevelFilter::Trace, config, std::io::stderr());
@@ -190,9 +189,7 @@
 }
 
 fn identify(settings: &Settings) -> Identity {
-    let since_epoch = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let incarnation = Incarnation(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX));
     Identity::new(&settings.vm, &settings.zone, incarnation)
         .with_addresses(settings.peer_address(), settings.caller_address())
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -8,7 +8,8 @@
 use crate::check;
 
 /// Everything that a daemon is told at its start.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of this VM, unique in the fleet.
@@ -54,10 +55,7 @@
 
     /// Where other VMs send what callers ask of this VM, as `IP:port`.
     pub(crate) fn caller_address(&self) -> &Name {
-        self.advertise
-            .callers
-            .as_ref()
-            .unwrap_or(&self.listen.callers)
+        self.advertise.callers.as_ref().unwrap_or(&self.listen.callers)
     }
 
     /// Where peers open links to this VM, as `IP:port`.
@@ -67,7 +65,8 @@
 }
 
 /// Addresses to listen on, as `IP:port`.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Listen {
     /// For callers.
@@ -79,7 +78,8 @@
 }
 
 /// Addresses told to other VMs, as `IP:port`; the listen addresses where absent.
-#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Advertise {
     /// For callers' requests that another VM forwards.
@@ -89,7 +89,8 @@
 }
 
 /// Base URLs of the platform's services.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Platform {
     /// The transactional table.
@@ -101,7 +102,8 @@
 }
 
 /// Keys; the first of each list is presented, all are accepted.
-#[derive(Clone, PartialEq, Deserialize)]
+#[derive(Clone, PartialEq)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Keys {
     /// Operator keys.
@@ -117,7 +119,8 @@
 }
 
 /// Logging.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Log {
     /// `error`, `warn`, `info`, `debug` or `trace`.
@@ -126,14 +129,13 @@
 
 impl Default for Log {
     fn default() -> Log {
-        Log {
-            level: "info".to_owned(),
-        }
+        Log { level: "info".to_owned() }
     }
 }
 
 /// Limits on what callers may send.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Limits {
     /// Largest request body in bytes.
@@ -146,11 +148,7 @@
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits {
-            body_bytes: 1 << 20,
-            header_s: 10,
-            connections: 4096,
-        }
+        Limits { body_bytes: 1 << 20, header_s: 10, connections: 4096 }
     }
 }
 
@@ -159,7 +157,8 @@
 }
 
 /// The settings cannot be used.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// The file could not be read.
     #[error("cannot read the settings file: {0}")]
--- a/crates/daemon/src/snapshot.rs
+++ b/crates/daemon/src/snapshot.rs
@@ -33,10 +33,7 @@
 
 impl Store {
     pub(crate) fn new(http: reqwest::Client, base: &str) -> Store {
-        Store {
-            http,
-            url: format!("{}/{OBJECT}", base.trim_end_matches('/')),
-        }
+        Store { http, url: format!("{}/{OBJECT}", base.trim_end_matches('/')) }
     }
 
     /// Reads the snapshot; `None` if the store cannot be reached.
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -56,10 +56,8 @@
 /// A VM that cannot be reached is pending until it is seen with the revision or leaves the
 /// platform's list: it may still act on the older one.
 pub(crate) fn of_record(record: &Record, fleet: &Fleet, is_full: bool) -> Value {
-    let (in_force, pending): (Vec<_>, Vec<_>) = fleet
-        .vms
-        .iter()
-        .partition(|vm| vm.revision >= record.version);
+    let (in_force, pending): (Vec<_>, Vec<_>) =
+        fleet.vms.iter().partition(|vm| vm.revision >= record.version);
     let unreachable = pending.iter().filter(|vm| !vm.is_reachable);
     let unreachable: Vec<&Name> = unreachable.map(|vm| &vm.vm).collect();
     let names = |vms: &[&Standpoint]| vms.iter().map(|vm| vm.vm.clone()).collect::<Vec<_>>();
@@ -228,9 +226,5 @@
         .steps(&id)
         .map(|step| json!({"ageMs": now.since(step.at), "text": step.text}))
         .collect();
-    Explanation::Steps {
-        is_own: id.vm == state.identity.vm,
-        steps,
-        vm: id.vm,
-    }
+    Explanation::Steps { is_own: id.vm == state.identity.vm, steps, vm: id.vm }
 }
--- a/crates/daemon/src/table.rs
+++ b/crates/daemon/src/table.rs
@@ -36,19 +36,12 @@
 
 /// An HTTP client for the platform's services.
 pub(crate) fn http() -> Result<reqwest::Client, reqwest::Error> {
-    reqwest::Client::builder()
-        .no_proxy()
-        .connect_timeout(CONNECT)
-        .timeout(DEADLINE)
-        .build()
+    reqwest::Client::builder().no_proxy().connect_timeout(CONNECT).timeout(DEADLINE).build()
 }
 
 impl Client {
     pub(crate) fn new(http: reqwest::Client, base: &str) -> Client {
-        Client {
-            http,
-            base: base.trim_end_matches('/').to_owned(),
-        }
+        Client { http, base: base.trim_end_matches('/').to_owned() }
     }
 
     async fn post(&self, path: &str, body: Vec<u8>) -> Result<Bytes, Failure> {
@@ -115,10 +108,7 @@
         since: Revision,
         own: Option<&Key>,
     ) -> Result<Changes, Failure> {
-        let txn = Txn {
-            success: read_steps(since, own),
-            ..Txn::default()
-        };
+        let txn = Txn { success: read_steps(since, own), ..Txn::default() };
         let decided = self.txn(&txn).await.map_err(|_| Failure::Unavailable)?;
         Changes::read(since, &decided.steps).map_err(|error| malformed(error, Failure::Unavailable))
     }
@@ -128,11 +118,7 @@
 pub(crate) fn read_steps(since: Revision, own: Option<&Key>) -> Vec<Step> {
     let resources = Range::prefix(table::RESOURCES).with_modified_since(since.0 + 1);
     let own = own.map(|key| Range::one(&table::resource_path(key.kind, &key.name)));
-    [Range::one(table::HEAD), resources]
-        .into_iter()
-        .chain(own)
-        .map(Step::Range)
-        .collect()
+    [Range::one(table::HEAD), resources].into_iter().chain(own).map(Step::Range).collect()
 }
 
 /// Changes of resources as the table has them at one revision.
@@ -165,12 +151,7 @@
         Ok(Changes {
             since,
             head: Revision(head.pairs.first().map_or(0, |pair| pair.version)),
-            stored: resources
-                .pairs
-                .iter()
-                .filter(changed)
-                .filter_map(read)
-                .collect(),
+            stored: resources.pairs.iter().filter(changed).filter_map(read).collect(),
             own_version: Revision(own.map_or(0, |pair| pair.version)),
             own: own.and_then(read),
         })
@@ -218,11 +199,7 @@
         count("connect");
         return Failure::Unavailable;
     }
-    count(if error.is_timeout() {
-        "timeout"
-    } else {
-        "broken"
-    });
+    count(if error.is_timeout() { "timeout" } else { "broken" });
     Failure::Unknown
 }
 
--- a/crates/daemon/src/uplink.rs
+++ b/crates/daemon/src/uplink.rs
@@ -104,9 +104,7 @@
         .keys
         .peer
         .iter()
-        .fold(Choice::from(0), |matched, key| {
-            matched | key.as_bytes().ct_eq(presented)
-        });
+        .fold(Choice::from(0), |matched, key| matched | key.as_bytes().ct_eq(presented));
     matched.into()
 }
 
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -91,11 +91,7 @@
             is_gone && record.spec.is_some()
         });
         changed.extend(removed.map(|record| {
-            let tombstone = Record {
-                version: new.revision,
-                spec: None,
-                ..record.clone()
-            };
+            let tombstone = Record { version: new.revision, spec: None, ..record.clone() };
             Event::new(Change::Deleted, tombstone)
         }));
         changed.sort_by_key(|event| event.record.version);
@@ -199,13 +195,7 @@
             first: Some(present(intent, kind)),
             is_over: false,
         },
-        Start::After(at) => Cursor {
-            hub: hub.clone(),
-            kind,
-            at,
-            first: None,
-            is_over: false,
-        },
+        Start::After(at) => Cursor { hub: hub.clone(), kind, at, first: None, is_over: false },
     };
     futures_util::stream::unfold(cursor, |mut cursor| async move {
         let text = cursor.next().await?;
--- a/crates/daemon/src/write.rs
+++ b/crates/daemon/src/write.rs
@@ -104,9 +104,7 @@
         View {
             base: intent.revision,
             revision: intent.revision,
-            book: records
-                .map(|record| (record.key.clone(), record.clone()))
-                .collect(),
+            book: records.map(|record| (record.key.clone(), record.clone())).collect(),
             news: Vec::new(),
             own_version: None,
         }
@@ -134,12 +132,8 @@
 
     fn written(mut self, record: Record, to: Revision) -> Written {
         self.news.push(record.clone());
-        let delta = Delta {
-            from: self.base,
-            to,
-            complete: self.base == Revision(0),
-            records: self.news,
-        };
+        let delta =
+            Delta { from: self.base, to, complete: self.base == Revision(0), records: self.news };
         Written { record, delta }
     }
 }
@@ -165,17 +159,10 @@
                 return Ok(view.written(record, to));
             }
         };
-        let stored = Stored {
-            replaced: view.replaced(key),
-            record,
-            write_id: write_id(),
-        };
+        let stored = Stored { replaced: view.replaced(key), record, write_id: write_id() };
         match send(table, view.revision, &stored).await? {
             Sent::Applied(version) => {
-                let record = Record {
-                    version,
-                    ..stored.record
-                };
+                let record = Record { version, ..stored.record };
                 return Ok(view.written(record, version));
             }
             Sent::Moved(changes) => view.fold(&changes)?,
@@ -233,10 +220,7 @@
     let path = keys::resource_path(key.kind, &key.name);
     let head = json!({"writeId": stored.write_id}).to_string().into_bytes();
     Txn {
-        compare: vec![
-            Compare::new(keys::HEAD, base.0),
-            Compare::new(&path, stored.replaced.0),
-        ],
+        compare: vec![Compare::new(keys::HEAD, base.0), Compare::new(&path, stored.replaced.0)],
         success: vec![
             Step::Put(path, manifest::stored(stored)),
             Step::Put(keys::HEAD.to_owned(), head),
@@ -255,17 +239,9 @@
         return Ok(Sent::Applied(Revision(decided.revision)));
     }
     let Ok(changes) = Changes::read(base, &decided.steps) else {
-        return Err(if is_lost {
-            Refusal::Unknown
-        } else {
-            Refusal::Unavailable
-        });
+        return Err(if is_lost { Refusal::Unknown } else { Refusal::Unavailable });
     };
-    if let Some(own) = changes
-        .own
-        .as_ref()
-        .filter(|own| own.write_id == sent.write_id)
-    {
+    if let Some(own) = changes.own.as_ref().filter(|own| own.write_id == sent.write_id) {
         return Ok(Sent::Applied(own.record.version));
     }
     if is_lost && may_be_hidden(sent, &changes) {
@@ -280,10 +256,8 @@
 /// exactly that version.
 fn may_be_hidden(sent: &Stored, changes: &Changes) -> bool {
     let is_unchanged = changes.own_version == sent.replaced;
-    let is_replaced_by_other = changes
-        .own
-        .as_ref()
-        .is_some_and(|own| own.replaced == sent.replaced);
+    let is_replaced_by_other =
+        changes.own.as_ref().is_some_and(|own| own.replaced == sent.replaced);
     !is_unchanged && !is_replaced_by_other
 }
 
@@ -363,15 +337,9 @@
 
 /// Whether the stored form, with its write id and version, exceeds the bound of readers.
 fn is_too_large(record: &Record) -> bool {
-    let spec = record
-        .spec
-        .as_ref()
-        .map(|spec: &Spec| manifest::spec(spec).to_string());
-    let labels: usize = record
-        .labels
-        .iter()
-        .map(|(label, value)| 2 * (label.len() + value.len()) + 8)
-        .sum();
+    let spec = record.spec.as_ref().map(|spec: &Spec| manifest::spec(spec).to_string());
+    let labels: usize =
+        record.labels.iter().map(|(label, value)| 2 * (label.len() + value.len()) + 8).sum();
     spec.map_or(0, |spec| spec.len()) + labels + ENVELOPE > DOCUMENT_MAX
 }
 
--- a/crates/daemon/tests/callers.rs
+++ b/crates/daemon/tests/callers.rs
@@ -21,19 +21,11 @@
 async fn told(method: &str, path: &str, key: &str, body: &str, status: u16, reason: &str) {
     let target = Target::start(healthy).await;
     let rig = Rig::with_settings(&target, LIMITS).await;
-    let request = rig
-        .client
-        .request(method.parse().unwrap(), format!("{}{path}", rig.url));
+    let request = rig.client.request(method.parse().unwrap(), format!("{}{path}", rig.url));
     let request = request.header("authorization", key).body(body.to_owned());
-    let answer = tokio::time::timeout(PATIENCE, request.send())
-        .await
-        .unwrap()
-        .unwrap();
+    let answer = tokio::time::timeout(PATIENCE, request.send()).await.unwrap().unwrap();
     let got = answer.status().as_u16();
-    let id = answer.headers()["x-request-id"]
-        .to_str()
-        .unwrap()
-        .to_owned();
+    let id = answer.headers()["x-request-id"].to_str().unwrap().to_owned();
     let text = answer.text().await.unwrap();
     assert_eq!(got, status, "{text}");
     assert!(text.contains(&format!(r#""reason":"{reason}""#)), "{text}");
@@ -73,10 +65,7 @@
         stream.shutdown().await.unwrap();
     }
     let mut answer = [0; 1024];
-    let length = tokio::time::timeout(PATIENCE, stream.read(&mut answer))
-        .await
-        .unwrap()
-        .unwrap();
+    let length = tokio::time::timeout(PATIENCE, stream.read(&mut answer)).await.unwrap().unwrap();
     String::from_utf8_lossy(&answer[..length]).into_owned()
 }
 
@@ -89,10 +78,7 @@
         "POST {PATH} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-1\r\n{framing}\r\n\r\n{body}"
     );
     let answer = raw(&rig, &text, is_closed).await;
-    assert!(
-        answer.starts_with(&format!("HTTP/1.1 {status} ")),
-        "{answer}"
-    );
+    assert!(answer.starts_with(&format!("HTTP/1.1 {status} ")), "{answer}");
 }
 
 hornbeamloom_kernel::cases! {
@@ -114,10 +100,7 @@
     let body = r#"{"model": "model", "prompt": "p", "stream": true}"#;
     let first = rig.post(PATH, body).send().await.unwrap();
     let second = rig.post(PATH, body).send().await.unwrap();
-    assert_eq!(
-        (first.status().as_u16(), second.status().as_u16()),
-        (200, 503)
-    );
+    assert_eq!((first.status().as_u16(), second.status().as_u16()), (200, 503));
     assert!(second.headers().contains_key("retry-after"));
 }
 
@@ -136,26 +119,16 @@
     let body = r#"{"model": "model", "prompt": "p", "stream": true}"#;
     let stream = rig.post(PATH, body).send().await.unwrap();
     target.wait_for(|seen| seen.path == "/v1/completions").await;
-    let Rig {
-        daemon,
-        url,
-        client,
-    } = rig;
+    let Rig { daemon, url, client } = rig;
     let stop = tokio::spawn(daemon.stop());
     let ready = client.get(format!("{url}/readyz")).send();
     let healthy = client.get(format!("{url}/healthz")).send();
     let (ready, healthy) = tokio::join!(ready, healthy);
     assert_eq!(ready.unwrap().status(), 503);
     assert_eq!(healthy.unwrap().status(), 200);
-    let text = tokio::time::timeout(PATIENCE, stream.text())
-        .await
-        .unwrap()
-        .unwrap();
+    let text = tokio::time::timeout(PATIENCE, stream.text()).await.unwrap().unwrap();
     assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
-    tokio::time::timeout(PATIENCE, stop)
-        .await
-        .expect("the daemon stops")
-        .unwrap();
+    tokio::time::timeout(PATIENCE, stop).await.expect("the daemon stops").unwrap();
 }
 
 /// Keys and limits change without a restart; addresses do not.
@@ -165,11 +138,8 @@
     let rig = Rig::start(&target).await;
     let text = support::settings_text("limits: {body_bytes: 1024}").replace("op-key", "op-new");
     rig.daemon.reload(&settings::parse(&text).unwrap());
-    let metrics = |key: &'static str| {
-        rig.client
-            .get(format!("{}/metrics", rig.url))
-            .bearer_auth(key)
-    };
+    let metrics =
+        |key: &'static str| rig.client.get(format!("{}/metrics", rig.url)).bearer_auth(key);
     assert_eq!(metrics("op-key").send().await.unwrap().status(), 401);
     assert_eq!(metrics("op-new").send().await.unwrap().status(), 200);
     let answer = rig.post(PATH, &"x".repeat(2_000)).send().await.unwrap();
--- a/crates/daemon/tests/link.rs
+++ b/crates/daemon/tests/link.rs
@@ -44,29 +44,18 @@
 fn connect(address: &str, key: &str) -> Arc<Queue> {
     let queue = Arc::new(Queue::new());
     let (address, key): (Name, String) = (address.into(), key.into());
-    let peer = move || Peer {
-        address: address.clone(),
-        key: key.clone(),
-    };
+    let peer = move || Peer { address: address.clone(), key: key.clone() };
     tokio::spawn(link::run(peer, queue.clone()));
     queue
 }
 
 fn pull(sender: &str, from: u64) -> Outgoing {
-    let message = Message::Pull {
-        from: Revision(from),
-    };
-    Outgoing {
-        kind: "pull",
-        bytes: frame::encode(sender, &message).unwrap().into(),
-    }
+    let message = Message::Pull { from: Revision(from) };
+    Outgoing { kind: "pull", bytes: frame::encode(sender, &message).unwrap().into() }
 }
 
 async fn next(delivered: &mut Delivered) -> Option<(Name, Message)> {
-    tokio::time::timeout(DEADLINE, delivered.recv())
-        .await
-        .ok()
-        .flatten()
+    tokio::time::timeout(DEADLINE, delivered.recv()).await.ok().flatten()
 }
 
 fn run(test: impl std::future::Future<Output = ()>) {
@@ -91,12 +80,7 @@
         for from in 0..3 {
             let (sender, message) = next(&mut delivered).await.unwrap();
             assert_eq!(&*sender, "entry-b1");
-            assert_eq!(
-                message,
-                Message::Pull {
-                    from: Revision(from)
-                }
-            );
+            assert_eq!(message, Message::Pull { from: Revision(from) });
         }
     });
 }
@@ -213,10 +197,7 @@
 }
 
 fn outgoing(kind: &'static str, bytes: usize) -> Outgoing {
-    Outgoing {
-        kind,
-        bytes: vec![0; bytes].into(),
-    }
+    Outgoing { kind, bytes: vec![0; bytes].into() }
 }
 
 /// Guards against memory that grows with a stalled link, and against requests lost to gossip that
--- a/crates/daemon/tests/operators.rs
+++ b/crates/daemon/tests/operators.rs
@@ -38,22 +38,14 @@
         let table = platform.start().await;
         let client = reqwest::Client::builder().no_proxy().build().unwrap();
         let (daemon, url) = start(&table);
-        Rig {
-            daemon,
-            platform,
-            url,
-            client,
-        }
+        Rig { daemon, platform, url, client }
     }
 
     /// A daemon with a service and a zone, declared through the API.
     async fn declared() -> Rig {
         let rig = Rig::start(Platform::default()).await;
         let zone = json!({"metadata": {"name": "z"}, "spec": {"region": "r"}});
-        assert_eq!(
-            rig.send(Method::POST, "availabilityzones", zone).await.0,
-            201
-        );
+        assert_eq!(rig.send(Method::POST, "availabilityzones", zone).await.0, 201);
         let service = json!({"metadata": {"name": "s"}, "spec": {}});
         assert_eq!(rig.send(Method::POST, "services", service).await.0, 201);
         rig
@@ -103,9 +95,7 @@
         tokio::time::timeout(PATIENCE, read).await.expect("events");
         let text = String::from_utf8(buf).unwrap();
         let lines = text.lines().take(count);
-        lines
-            .map(|line| serde_json::from_str(line).unwrap())
-            .collect()
+        lines.map(|line| serde_json::from_str(line).unwrap()).collect()
     }
 }
 
@@ -129,15 +119,7 @@
     status: u16,
     reason: &'static str,
 ) -> Case {
-    Case {
-        faults: Vec::new(),
-        method,
-        path,
-        body,
-        status,
-        reason,
-        writes: u64::from(status < 300),
-    }
+    Case { faults: Vec::new(), method, path, body, status, reason, writes: u64::from(status < 300) }
 }
 
 impl Case {
@@ -153,9 +135,7 @@
 #[tokio::main]
 async fn answers(case: Case) {
     let rig = Rig::declared().await;
-    case.faults
-        .into_iter()
-        .for_each(|fault| rig.platform.add(fault));
+    case.faults.into_iter().for_each(|fault| rig.platform.add(fault));
     let before = rig.platform.writes();
     let (status, answer) = rig.send(case.method, case.path, case.body).await;
     assert_eq!(status, case.status, "{answer}");
@@ -228,16 +208,9 @@
         rig.send(Method::PUT, "services/s", body)
     };
     let ((a, first), (b, second)) = tokio::join!(put(1), put(2));
-    let (winner, loser) = if a == 200 {
-        (&first, &second)
-    } else {
-        (&second, &first)
-    };
+    let (winner, loser) = if a == 200 { (&first, &second) } else { (&second, &first) };
     assert_eq!([a.min(b), a.max(b)], [200, 409]);
-    assert_eq!(
-        loser["resourceVersion"],
-        winner["metadata"]["resourceVersion"]
-    );
+    assert_eq!(loser["resourceVersion"], winner["metadata"]["resourceVersion"]);
     assert_eq!(rig.get("services/s").await.1["spec"], winner["spec"]);
 }
 
@@ -249,10 +222,7 @@
     spec["coldLimit"] = json!(99);
     let body = json!({"metadata": {"name": "t"}, "spec": spec});
     let (status, answer) = rig.send(Method::POST, "targets", body).await;
-    assert_eq!(
-        (status, &answer["faults"][0]["field"]),
-        (422, &json!("spec.coldLimit"))
-    );
+    assert_eq!((status, &answer["faults"][0]["field"]), (422, &json!("spec.coldLimit")));
     assert_eq!(answer["applied"], json!(false));
 }
 
@@ -262,13 +232,8 @@
     let rig = Rig::declared().await;
     rig.platform.set_down(true);
     let patch = json!({"spec": {"state": "out"}});
-    let (status, answer) = rig
-        .send(Method::PATCH, "availabilityzones/z", patch.clone())
-        .await;
-    assert_eq!(
-        (status, &answer["reason"]),
-        (503, &json!("store_unavailable"))
-    );
+    let (status, answer) = rig.send(Method::PATCH, "availabilityzones/z", patch.clone()).await;
+    assert_eq!((status, &answer["reason"]), (503, &json!("store_unavailable")));
     assert_eq!(answer["applied"], json!(false));
     assert_eq!(rig.get("availabilityzones/z").await.0, 200);
     rig.platform.set_down(false);
@@ -300,10 +265,7 @@
     rig.platform.declare(Kind::Service, "old", &json!({}));
     let patch = json!({"spec": {"state": "out"}});
     let (status, answer) = rig.send(Method::PATCH, "availabilityzones/z", patch).await;
-    assert_eq!(
-        (status, &answer["reason"]),
-        (503, &json!("store_regressed"))
-    );
+    assert_eq!((status, &answer["reason"]), (503, &json!("store_regressed")));
     // Longer than two reads of the head.
     tokio::time::sleep(Duration::from_millis(2_600)).await;
     assert_eq!(rig.get("services/s").await.0, 200);
@@ -331,10 +293,7 @@
 async fn unknown_key_is_refused_without_detail() {
     let rig = Rig::declared().await;
     for key in ["", "op", "op-kez", "op-key2"] {
-        let request = rig
-            .client
-            .get(format!("{}/services", rig.url))
-            .bearer_auth(key);
+        let request = rig.client.get(format!("{}/services", rig.url)).bearer_auth(key);
         let response = request.send().await.unwrap();
         assert_eq!(response.status(), 401);
         let answer: Value = response.json().await.unwrap();
@@ -344,10 +303,7 @@
 
 fn services(from: u64, to: u64) -> Delta {
     let record = |version: u64| Record {
-        key: Key {
-            kind: Kind::Service,
-            name: format!("s-{version}").into(),
-        },
+        key: Key { kind: Kind::Service, name: format!("s-{version}").into() },
         version: Revision(version),
         generation: 1,
         labels: Default::default(),
@@ -371,15 +327,10 @@
 #[tokio::test]
 async fn watch_from_before_the_retained_changes_is_too_old() {
     let rig = Rig::start(Platform::default()).await;
-    rig.daemon
-        .control()
-        .tell(Input::Changes(services(0, 1_124)));
+    rig.daemon.control().tell(Input::Changes(services(0, 1_124)));
     rig.wait_for("services/s-1124").await;
     let old = &rig.watch("&resourceVersion=99", 1).await[0];
-    assert_eq!(
-        (&old["type"], &old["object"]["code"]),
-        (&json!("ERROR"), &json!(410))
-    );
+    assert_eq!((&old["type"], &old["object"]["code"]), (&json!("ERROR"), &json!(410)));
     assert_eq!(old["object"]["reason"], json!("too_old"));
     let events = rig.watch("&resourceVersion=100", 1_024).await;
     assert_eq!(events[0]["object"]["metadata"]["name"], json!("s-101"));
@@ -393,21 +344,12 @@
     let start = rig.get("services").await.1["metadata"]["resourceVersion"].clone();
     let created = json!({"metadata": {"name": "n"}, "spec": {}});
     rig.send(Method::POST, "services", created).await;
-    rig.send(
-        Method::PATCH,
-        "availabilityzones/z",
-        json!({"spec": {"state": "out"}}),
-    )
-    .await;
-    rig.send(Method::PATCH, "services/n", json!({"spec": {"queueMs": 7}}))
-        .await;
+    rig.send(Method::PATCH, "availabilityzones/z", json!({"spec": {"state": "out"}})).await;
+    rig.send(Method::PATCH, "services/n", json!({"spec": {"queueMs": 7}})).await;
     rig.send(Method::DELETE, "services/n", Value::Null).await;
     // The fourth line is the bookmark of an idle watch.
     let events = rig.watch(&format!("&resourceVersion={start}"), 4).await;
-    let types: Vec<&str> = events
-        .iter()
-        .map(|event| event["type"].as_str().unwrap())
-        .collect();
+    let types: Vec<&str> = events.iter().map(|event| event["type"].as_str().unwrap()).collect();
     assert_eq!(types, ["ADDED", "MODIFIED", "DELETED", "BOOKMARK"]);
     let now = rig.get("services").await.1["metadata"]["resourceVersion"].clone();
     assert_eq!(events[3]["object"]["metadata"]["resourceVersion"], now);
@@ -424,9 +366,7 @@
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
     };
-    tokio::time::timeout(PATIENCE, wait)
-        .await
-        .expect("snapshot");
+    tokio::time::timeout(PATIENCE, wait).await.expect("snapshot");
     let platform = Platform::default();
     platform.set_down(true);
     platform.put_object(path, &rig.platform.object_text(path).unwrap());
@@ -453,10 +393,7 @@
 async fn status_and_explanations_have_their_parts() {
     let rig = Rig::declared().await;
     let (_, page) = rig.get("status").await;
-    assert_eq!(
-        (&page["vm"], &page["source"]),
-        (&json!("entry-1"), &json!("store"))
-    );
+    assert_eq!((&page["vm"], &page["source"]), (&json!("entry-1"), &json!("store")));
     assert_eq!(page["vms"][0]["revision"], json!(2));
     let (_, zone) = rig.get("availabilityzones/z").await;
     assert_eq!(zone["status"]["inForce"], json!(["entry-1"]));
@@ -464,10 +401,5 @@
     assert_eq!((status, &elsewhere["vm"]), (404, &json!("entry-9")));
     assert_eq!(rig.get("explain/nonsense").await.0, 400);
     assert_eq!(rig.get("quarantine").await.1["items"], json!([]));
-    assert_eq!(
-        rig.send(Method::DELETE, "quarantine/1f", Value::Null)
-            .await
-            .0,
-        404
-    );
+    assert_eq!(rig.send(Method::DELETE, "quarantine/1f", Value::Null).await.0, 404);
 }
--- a/crates/daemon/tests/plain.rs
+++ b/crates/daemon/tests/plain.rs
@@ -13,29 +13,18 @@
     let target = Target::start(script).await;
     let rig = Rig::start(&target).await;
     let answer = call(&rig, method, key, "notice").await;
-    assert_eq!(
-        (answer.0, target.seen().len()),
-        (status, calls),
-        "{}",
-        answer.1
-    );
+    assert_eq!((answer.0, target.seen().len()), (status, calls), "{}", answer.1);
     assert!(answer.1.contains(says), "{}", answer.1);
 }
 
 async fn call(rig: &Rig, method: &str, key: &str, body: &str) -> (u16, String) {
     let url = format!("{}/services/desk/orders/7?urgent=1", rig.url);
-    let mut request = rig
-        .client
-        .request(method.parse().unwrap(), url)
-        .bearer_auth("key-1")
-        .body(body.to_owned());
+    let mut request =
+        rig.client.request(method.parse().unwrap(), url).bearer_auth("key-1").body(body.to_owned());
     if !key.is_empty() {
         request = request.header("idempotency-key", key);
     }
-    let answer = tokio::time::timeout(PATIENCE, request.send())
-        .await
-        .unwrap()
-        .unwrap();
+    let answer = tokio::time::timeout(PATIENCE, request.send()).await.unwrap().unwrap();
     (answer.status().as_u16(), answer.text().await.unwrap())
 }
 
--- a/crates/daemon/tests/stand_in/mod.rs
+++ b/crates/daemon/tests/stand_in/mod.rs
@@ -53,13 +53,12 @@
             .and(warp::body::json())
             .map(move |path: warp::path::FullPath, body| own.post(path.as_str(), &body));
         let own = self.clone();
-        let object = warp::any()
-            .and(warp::method())
-            .and(warp::path::full())
-            .and(warp::body::bytes())
-            .map(move |method, path: warp::path::FullPath, body| {
-                own.object(&method, path.as_str(), body)
-            });
+        let object =
+            warp::any().and(warp::method()).and(warp::path::full()).and(warp::body::bytes()).map(
+                move |method, path: warp::path::FullPath, body| {
+                    own.object(&method, path.as_str(), body)
+                },
+            );
         tokio::spawn(warp::serve(post.or(object)).incoming(listener).run());
         format!("http://{address}")
     }
@@ -158,11 +157,7 @@
             state.objects.insert(path.to_owned(), body.to_vec());
             return Ok(Vec::new());
         }
-        state
-            .objects
-            .get(path)
-            .cloned()
-            .ok_or(StatusCode::NOT_FOUND)
+        state.objects.get(path).cloned().ok_or(StatusCode::NOT_FOUND)
     }
 }
 
@@ -172,16 +167,14 @@
 impl State {
     fn put(&mut self, key: &str, value: &[u8]) {
         self.revision += 1;
-        self.items
-            .insert(key.to_owned(), (value.to_vec(), self.revision));
+        self.items.insert(key.to_owned(), (value.to_vec(), self.revision));
     }
 
     fn declare(&mut self, kind: Kind, name: &str, spec: &Value) {
         let value = json!({"kind": kind, "generation": 9, "spec": spec, "writeId": "other"});
         self.put(&resource_path(kind, name), value.to_string().as_bytes());
         let revision = self.revision;
-        self.items
-            .insert(HEAD.to_owned(), (b"{}".to_vec(), revision));
+        self.items.insert(HEAD.to_owned(), (b"{}".to_vec(), revision));
     }
 
     fn range(&self, request: &Value) -> Value {
@@ -255,8 +248,5 @@
 }
 
 fn int(value: &Value) -> u64 {
-    value
-        .as_str()
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(0)
+    value.as_str().and_then(|text| text.parse().ok()).unwrap_or(0)
 }
--- a/crates/daemon/tests/streams.rs
+++ b/crates/daemon/tests/streams.rs
@@ -234,17 +234,13 @@
     let request = tokio::spawn(request);
     target.wait_for(|seen| seen.path == "/v1/completions").await;
     request.abort();
-    target
-        .wait_for(|seen| seen.path == "/v1/completions/g1/cancel")
-        .await;
+    target.wait_for(|seen| seen.path == "/v1/completions/g1/cancel").await;
 }
 
 async fn read_until(answer: &mut reqwest::Response, text: &str) -> String {
     let mut seen = String::new();
     while !seen.contains(text) {
-        let part = tokio::time::timeout(PATIENCE, answer.chunk())
-            .await
-            .unwrap();
+        let part = tokio::time::timeout(PATIENCE, answer.chunk()).await.unwrap();
         seen += &String::from_utf8_lossy(&part.unwrap().expect(text));
     }
     seen
@@ -268,25 +264,12 @@
     drop(first);
     let url = format!("{}/v1/streams/{id}", rig.url);
     let again = rig.client.get(&url).header("last-event-id", "0");
-    let stranger = again
-        .try_clone()
-        .unwrap()
-        .bearer_auth("key-2")
-        .send()
-        .await
-        .unwrap();
-    assert_eq!(
-        stranger.status(),
-        404,
-        "a stream belongs to its organisation"
-    );
+    let stranger = again.try_clone().unwrap().bearer_auth("key-2").send().await.unwrap();
+    assert_eq!(stranger.status(), 404, "a stream belongs to its organisation");
     let answer = again.bearer_auth("key-1").send().await.unwrap();
     assert_eq!(answer.status(), 200, "{}", answer.text().await.unwrap());
     assert_eq!(answer.headers()["x-request-id"].to_str().unwrap(), id);
-    let text = tokio::time::timeout(PATIENCE, answer.text())
-        .await
-        .unwrap()
-        .unwrap();
+    let text = tokio::time::timeout(PATIENCE, answer.text()).await.unwrap().unwrap();
     assert_eq!(tokens(&text), "<1><2>", "{text}");
     assert!(text.ends_with(DONE), "{text}");
 }
@@ -329,10 +312,7 @@
 #[tokio::test]
 async fn stream_without_a_caller_is_cancelled_after_the_grace_period() {
     let target = Target::start(|seen, _| {
-        let pings = [
-            Act::Wait(Duration::from_millis(500)),
-            Act::Send(": ping\n\n".to_owned()),
-        ];
+        let pings = [Act::Wait(Duration::from_millis(500)), Act::Send(": ping\n\n".to_owned())];
         let mut acts = vec![Act::Send(head(&seen.id) + &token("g1", 0))];
         acts.extend(std::iter::repeat_n(pings, 120).flatten());
         acts
@@ -343,9 +323,7 @@
     let mut stream = rig.post("/v1/completions", body).send().await.unwrap();
     read_until(&mut stream, "id: 0").await;
     drop(stream);
-    target
-        .wait_for(|seen| seen.path == "/v1/completions/g1/cancel")
-        .await;
+    target.wait_for(|seen| seen.path == "/v1/completions/g1/cancel").await;
 }
 
 /// Tokens of a stream of 40 MB, more than all socket buffers on the way hold.
@@ -361,34 +339,22 @@
         let long = format!("\", \"pad\": \"{}", "x".repeat(10_000));
         let many = (0..MANY).map(|seq| token("g1", seq).replace(">\"", &format!(">{long}\"")));
         let tokens: String = many.collect();
-        vec![
-            Act::Send(head(&seen.id) + &tokens + &last(MANY)),
-            Act::Mark(mark.clone()),
-        ]
+        vec![Act::Send(head(&seen.id) + &tokens + &last(MANY)), Act::Mark(mark.clone())]
     });
     let rig = Rig::start(&target.await).await;
     let body = r#"{"model": "model", "prompt": "p", "stream": true}"#;
     let mut stream = rig.post("/v1/completions", body).send().await.unwrap();
-    let id = stream.headers()["x-request-id"]
-        .to_str()
-        .unwrap()
-        .to_owned();
+    let id = stream.headers()["x-request-id"].to_str().unwrap().to_owned();
     let mut text = read_until(&mut stream, "id: 0").await;
     // Long enough for the whole stream to pass if nothing held it back.
     tokio::time::sleep(Duration::from_secs(3)).await;
-    assert!(
-        !is_sent.load(Ordering::Relaxed),
-        "somebody keeps the whole stream"
-    );
+    assert!(!is_sent.load(Ordering::Relaxed), "somebody keeps the whole stream");
     let rest = tokio::time::timeout(PATIENCE, stream.text()).await.unwrap();
     text += &rest.unwrap();
     let expected: String = (0..=MANY).map(|seq| format!("<{seq}>")).collect();
     assert!(tokens(&text) == expected, "{} bytes", text.len());
     assert!(text.ends_with(DONE));
-    let again = rig
-        .client
-        .get(format!("{}/v1/streams/{id}", rig.url))
-        .bearer_auth("key-1");
+    let again = rig.client.get(format!("{}/v1/streams/{id}", rig.url)).bearer_auth("key-1");
     let answer = again.header("last-event-id", "0").send().await.unwrap();
     assert_eq!(answer.status(), 410);
 }
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -75,10 +75,7 @@
     /// The callers' requests received so far.
     pub fn seen(&self) -> Vec<Seen> {
         let seen = self.seen.lock().unwrap();
-        seen.iter()
-            .filter(|seen| !seen.is_order())
-            .cloned()
-            .collect()
+        seen.iter().filter(|seen| !seen.is_order()).cloned().collect()
     }
 
     /// Waits until a received request fits.
@@ -88,9 +85,7 @@
                 tokio::time::sleep(Duration::from_millis(10)).await;
             }
         };
-        tokio::time::timeout(PATIENCE, wait)
-            .await
-            .expect("the request came");
+        tokio::time::timeout(PATIENCE, wait).await.expect("the request came");
     }
 }
 
@@ -150,9 +145,8 @@
         }
     };
     let head = String::from_utf8_lossy(&buf[..end]).into_owned();
-    let length: usize = field(&head, "content-length")
-        .and_then(|value| value.parse().ok())
-        .unwrap_or(0);
+    let length: usize =
+        field(&head, "content-length").and_then(|value| value.parse().ok()).unwrap_or(0);
     while buf.len() < end + length {
         if stream.read_buf(&mut buf).await.ok()? == 0 {
             return None;
@@ -229,10 +223,7 @@
     let own = address.clone();
     std::thread::spawn(move || {
         let roles = inventory::iter::<hornbeamloom_bench::role::Plugin>;
-        let role = roles
-            .into_iter()
-            .find(|role| role.name == "platform")
-            .unwrap();
+        let role = roles.into_iter().find(|role| role.name == "platform").unwrap();
         (role.run)(&["--listen", &own]).unwrap();
     });
     format!("http://{address}")
@@ -263,14 +254,8 @@
         let url = format!("http://{}", settings.listen.callers);
         let daemon = Daemon::start(settings).unwrap();
         let client = reqwest::Client::builder().no_proxy().build().unwrap();
-        daemon
-            .control()
-            .tell(Input::Changes(resources(&target.address)));
-        let rig = Rig {
-            daemon,
-            url,
-            client,
-        };
+        daemon.control().tell(Input::Changes(resources(&target.address)));
+        let rig = Rig { daemon, url, client };
         rig.wait_until_ready().await;
         rig
     }
@@ -284,11 +269,7 @@
         let url = format!("http://{}", settings.listen.callers);
         let daemon = Daemon::start(settings).unwrap();
         let client = self.client.clone();
-        let rig = Rig {
-            daemon,
-            url,
-            client,
-        };
+        let rig = Rig { daemon, url, client };
         rig.wait_until_ready().await;
         rig
     }
@@ -303,27 +284,19 @@
                 tokio::time::sleep(Duration::from_millis(10)).await;
             }
         };
-        tokio::time::timeout(PATIENCE, wait)
-            .await
-            .expect("the daemon is ready");
+        tokio::time::timeout(PATIENCE, wait).await.expect("the daemon is ready");
     }
 
     /// Starts a request with the caller's key.
     pub fn post(&self, path: &str, body: &str) -> reqwest::RequestBuilder {
-        self.client
-            .post(format!("{}{path}", self.url))
-            .bearer_auth("key-1")
-            .body(body.to_owned())
+        self.client.post(format!("{}{path}", self.url)).bearer_auth("key-1").body(body.to_owned())
     }
 
     /// Streams a completion to its end.
     pub async fn stream(&self) -> (u16, String) {
         let body = r#"{"model": "model", "prompt": "p", "stream": true}"#;
         let request = self.post("/v1/completions", body).send();
-        let answer = tokio::time::timeout(PATIENCE, request)
-            .await
-            .unwrap()
-            .unwrap();
+        let answer = tokio::time::timeout(PATIENCE, request).await.unwrap().unwrap();
         let status = answer.status().as_u16();
         let text = tokio::time::timeout(PATIENCE, answer.text()).await.unwrap();
         (status, text.unwrap())
@@ -339,26 +312,11 @@
 /// One organisation, one zone, a model service, a plain service, a target for each.
 pub fn resources(address: &str) -> Delta {
     let specs = [
-        (
-            "default",
-            r#"{"kind": "Configuration", "spec": {"models": ["m@2"]}}"#.to_owned(),
-        ),
-        (
-            "org-1",
-            r#"{"kind": "Organisation", "spec": {"keys": ["key-1"]}}"#.to_owned(),
-        ),
-        (
-            "org-2",
-            r#"{"kind": "Organisation", "spec": {"keys": ["key-2"]}}"#.to_owned(),
-        ),
-        (
-            "z",
-            r#"{"kind": "AvailabilityZone", "spec": {"region": "r"}}"#.to_owned(),
-        ),
-        (
-            "model",
-            r#"{"kind": "Service", "spec": {"queueMs": 20000}}"#.to_owned(),
-        ),
+        ("default", r#"{"kind": "Configuration", "spec": {"models": ["m@2"]}}"#.to_owned()),
+        ("org-1", r#"{"kind": "Organisation", "spec": {"keys": ["key-1"]}}"#.to_owned()),
+        ("org-2", r#"{"kind": "Organisation", "spec": {"keys": ["key-2"]}}"#.to_owned()),
+        ("z", r#"{"kind": "AvailabilityZone", "spec": {"region": "r"}}"#.to_owned()),
+        ("model", r#"{"kind": "Service", "spec": {"queueMs": 20000}}"#.to_owned()),
         (
             "desk",
             r#"{"kind": "Service", "spec": {"protocol": "plain", "onceMethods": ["PUT"]}}"#
@@ -370,22 +328,14 @@
     let records = specs.iter().map(|(name, spec)| {
         let spec: Spec = serde_json::from_str(spec).unwrap();
         Record {
-            key: Key {
-                kind: spec.kind(),
-                name: (*name).into(),
-            },
+            key: Key { kind: spec.kind(), name: (*name).into() },
             version: Revision(5),
             generation: 1,
             labels: Default::default(),
             spec: Some(spec),
         }
     });
-    Delta {
-        from: Revision(0),
-        to: Revision(5),
-        complete: true,
-        records: records.collect(),
-    }
+    Delta { from: Revision(0), to: Revision(5), complete: true, records: records.collect() }
 }
 
 fn target(service: &str, address: &str) -> String {
--- a/crates/kernel/src/accounting.rs
+++ b/crates/kernel/src/accounting.rs
@@ -106,13 +106,7 @@
 
 /// Lets a request join the queue, or refuses it.
 fn join(state: &mut State, from: &str, ask: &Ask, now: Millis, out: &mut Outbox) {
-    let State {
-        pools,
-        intent,
-        quarantine,
-        log,
-        ..
-    } = state;
+    let State { pools, intent, quarantine, log, .. } = state;
     let Some(pool) = pools.get_mut(&ask.pool) else {
         return;
     };
@@ -121,11 +115,7 @@
     let refusal =
         schedule::admit(pool, quarantine, &ask, now).and_then(|()| is_servable(pool, &ask));
     if let Err(refusal) = refusal {
-        log.note(
-            now,
-            &ask.id,
-            format!("refused: {}", refusal.reason.as_str()),
-        );
+        log.note(now, &ask.id, format!("refused: {}", refusal.reason.as_str()));
         return refuse(&from.into(), &ask.id, ask.attempt, refusal, out);
     }
     let text = format!("queued behind {} in the pool", pool.queue.len());
@@ -151,14 +141,7 @@
 
 fn refuse(to: &Name, id: &Id, attempt: u32, refusal: Refusal, out: &mut Outbox) {
     let id = id.clone();
-    out.send(
-        to,
-        Message::Refuse {
-            id,
-            attempt,
-            refusal,
-        },
-    );
+    out.send(to, Message::Refuse { id, attempt, refusal });
 }
 
 /// Takes in that a request no longer wants a start.
@@ -167,10 +150,7 @@
         return;
     };
     pool.queue.remove(id);
-    let is_unused = pool
-        .ledger
-        .get(id)
-        .is_some_and(|running| !running.confirmed);
+    let is_unused = pool.ledger.get(id).is_some_and(|running| !running.confirmed);
     if is_unused {
         if let Some(running) = pool.forget(id, now) {
             take_back(pool, &running, now);
@@ -255,9 +235,7 @@
     };
     match release.end {
         End::Unsent | End::Rejected => take_back(pool, &running, now),
-        End::Complete => pool
-            .lengths
-            .record(&running.ask.organisation, release.tokens),
+        End::Complete => pool.lengths.record(&running.ask.organisation, release.tokens),
         _ => {}
     }
     let slot = &mut pool.targets[running.target];
@@ -331,9 +309,7 @@
     let excess = pool.targets[target].work.len().saturating_sub(shown);
     let unseen = pool.ledger.select(|running| {
         running.target == target
-            && running
-                .silent
-                .is_some_and(|silent| now.since(silent) >= REPORT_LAG)
+            && running.silent.is_some_and(|silent| now.since(silent) >= REPORT_LAG)
     });
     for id in unseen.into_iter().take(excess) {
         pool.forget(&id, now);
@@ -353,12 +329,7 @@
     running.extend(pool.targets[target].take_broken(now));
     running.sort_by_key(|suspect| suspect.fingerprint);
     running.dedup_by_key(|suspect| suspect.fingerprint);
-    Death {
-        target: pool.targets[target].name.clone(),
-        start_id,
-        running,
-        age_ms: 0,
-    }
+    Death { target: pool.targets[target].name.clone(), start_id, running, age_ms: 0 }
 }
 
 /// Takes in prefix-cache events of an engine.
@@ -432,9 +403,7 @@
 /// The incarnation of each known VM.
 fn incarnations(state: &State) -> crate::map::Map<Name, Incarnation> {
     let members = state.members.iter();
-    members
-        .map(|member| (member.entry.vm.clone(), member.entry.incarnation))
-        .collect()
+    members.map(|member| (member.entry.vm.clone(), member.entry.incarnation)).collect()
 }
 
 /// Frees work whose entry VM has restarted, and silent work of warm targets; marks the rest.
@@ -450,9 +419,7 @@
     let targets = &pool.targets;
     let freed = pool.ledger.select(|running| {
         let id = &running.ask.id;
-        let is_over = newest
-            .get(&id.vm)
-            .is_some_and(|&seen| seen > id.incarnation);
+        let is_over = newest.get(&id.vm).is_some_and(|&seen| seen > id.incarnation);
         let is_soft = !is_holder || targets[running.target].is_warm();
         is_over || (is_soft && now.since(running.heard) >= SILENCE)
     });
@@ -478,10 +445,7 @@
     }
     pool.polled = Some(now);
     for slot in &pool.targets {
-        out.push(Outcome::Poll {
-            target: slot.name.clone(),
-            address: slot.spec.address.clone(),
-        });
+        out.push(Outcome::Poll { target: slot.name.clone(), address: slot.spec.address.clone() });
     }
 }
 
@@ -508,11 +472,7 @@
         });
         slots.map(|slot| slot.name.clone()).collect::<Vec<Name>>()
     };
-    let message = Message::Targets {
-        pool: key.clone(),
-        warm: names(true),
-        cold: names(false),
-    };
+    let message = Message::Targets { pool: key.clone(), warm: names(true), cold: names(false) };
     for vm in vms {
         out.send(&vm, message.clone());
     }
--- a/crates/kernel/src/ask.rs
+++ b/crates/kernel/src/ask.rs
@@ -80,10 +80,8 @@
 /// Tells another VM that its asks arrive, so that a long wait in the queue is not taken for a
 /// lost owner. A VM that knows another owner is silent, because it ignores the ask.
 pub(crate) fn acknowledge(state: &mut State, from: &str, ask: &Ask, now: Millis, out: &mut Outbox) {
-    let is_elsewhere = state
-        .members
-        .owner(&ask.pool)
-        .is_some_and(|(owner, _)| *owner != state.identity.vm);
+    let is_elsewhere =
+        state.members.owner(&ask.pool).is_some_and(|(owner, _)| *owner != state.identity.vm);
     let is_held = state.leases.fence(&ask.pool, now).is_some();
     if *from == *state.identity.vm || (is_elsewhere && !is_held) {
         return;
@@ -121,12 +119,8 @@
     state.log.note(now, id, text);
     request.ask.attempt += 1;
     request.ask.pool = hop.pool;
-    request.phase = Phase::Asking(Asking {
-        to: hop.to,
-        is_fallback: hop.fallback,
-        since: now,
-        last: now,
-    });
+    request.phase =
+        Phase::Asking(Asking { to: hop.to, is_fallback: hop.fallback, since: now, last: now });
     send(state, id, now, out);
 }
 
--- a/crates/kernel/src/attempt.rs
+++ b/crates/kernel/src/attempt.rs
@@ -116,10 +116,7 @@
     if is_leaving || is_out || state.intent.is_out(&grant.pool.zone) {
         return Err(Unusable::Left);
     }
-    if state
-        .quarantine
-        .is_quarantined(request.ask.fingerprint, now)
-    {
+    if state.quarantine.is_quarantined(request.ask.fingerprint, now) {
         return Err(Unusable::Quarantined);
     }
     Ok(())
@@ -283,11 +280,7 @@
         .collect();
     running.sort_by(|a, b| a.ask.id.cmp(&b.ask.id));
     let pool = pool.clone();
-    let inventory = Message::Inventory {
-        pool,
-        fence,
-        running,
-    };
+    let inventory = Message::Inventory { pool, fence, running };
     out.send(&from.into(), inventory);
 }
 
--- a/crates/kernel/src/claim.rs
+++ b/crates/kernel/src/claim.rs
@@ -109,9 +109,7 @@
     let delayed = book.delayed.first().map(|(at, _)| *at);
     let flight = book.flight.iter().map(|flight| flight.sent);
     let reads = book.reads.values().map(|read| read.sent);
-    let lost = flight
-        .chain(reads)
-        .map(|sent| sent.after(claim_table::ANSWER_MS));
+    let lost = flight.chain(reads).map(|sent| sent.after(claim_table::ANSWER_MS));
     lost.chain(delayed).min()
 }
 
@@ -179,11 +177,7 @@
         key: key.into(),
     };
     if let Some(holder) = state.claims.keys.get(&key) {
-        let verdict = state
-            .claims
-            .entries
-            .get(holder)
-            .map(|held| local(held, view));
+        let verdict = state.claims.entries.get(holder).map(|held| local(held, view));
         return conclude(state, view.id, verdict.unwrap_or(Verdict::Own), now, out);
     }
     if state.claims.entries.len() >= CLAIMS_MAX {
@@ -305,10 +299,7 @@
         // Every call that this process runs is in its book, which has no such key.
         return false;
     }
-    let member = state
-        .members
-        .iter()
-        .find(|member| member.entry.vm == claim.vm);
+    let member = state.members.iter().find(|member| member.entry.vm == claim.vm);
     let is_restarted = member.is_some_and(|member| member.entry.incarnation > claim.incarnation);
     let book = &state.claims;
     let is_unknown =
--- a/crates/kernel/src/claim_table.rs
+++ b/crates/kernel/src/claim_table.rs
@@ -55,11 +55,7 @@
         return;
     }
     let call = state.call_id();
-    state.claims.flight = Some(Flight {
-        call,
-        sent: now,
-        writes: pending,
-    });
+    state.claims.flight = Some(Flight { call, sent: now, writes: pending });
     let op = Op::Write(writes);
     out.push(Outcome::Store(Call { id: call, op }));
 }
@@ -87,11 +83,7 @@
         (_, Some(version)) => Condition::Version(version),
         (_, None) => return None,
     };
-    Some(Write {
-        key: entry.key.clone(),
-        condition,
-        value,
-    })
+    Some(Write { key: entry.key.clone(), condition, value })
 }
 
 /// The attempt id in a claim: unique, because no request id is used twice.
--- a/crates/kernel/src/compact.rs
+++ b/crates/kernel/src/compact.rs
@@ -137,6 +137,5 @@
     T: Deserialize<'de>,
     A: SeqAccess<'de>,
 {
-    seq.next_element()?
-        .ok_or_else(|| de::Error::invalid_length(ix, expected))
+    seq.next_element()?.ok_or_else(|| de::Error::invalid_length(ix, expected))
 }
--- a/crates/kernel/src/entry.rs
+++ b/crates/kernel/src/entry.rs
@@ -92,10 +92,8 @@
 
 fn wakeup(state: &State) -> Option<Millis> {
     let table = &state.entry;
-    let drain = table
-        .idle_since
-        .filter(|_| !table.is_drained)
-        .map(|since| since.after(CLAIMS_DRAIN_MS));
+    let drain =
+        table.idle_since.filter(|_| !table.is_drained).map(|since| since.after(CLAIMS_DRAIN_MS));
     let timer = table.timers.first().map(|(at, _)| *at);
     timer.into_iter().chain(drain).min()
 }
@@ -108,14 +106,7 @@
         Event::Departed { id } => attempt::departed(state, id, now, out),
         Event::Began { id, attempt } => attempt::began(state, id, *attempt),
         Event::Progress(counts) => attempt::progress(state, counts, out),
-        Event::Ended {
-            id,
-            attempt,
-            end,
-            tokens,
-            first_token_ms,
-            stored,
-        } => {
+        Event::Ended { id, attempt, end, tokens, first_token_ms, stored } => {
             let ended = attempt::Ended {
                 id,
                 attempt: *attempt,
@@ -140,11 +131,7 @@
             state.entry.owners.heard(from, now);
             attempt::granted(state, from, grant, now, out);
         }
-        Message::Refuse {
-            id,
-            attempt,
-            refusal,
-        } => {
+        Message::Refuse { id, attempt, refusal } => {
             state.entry.owners.heard(from, now);
             ask::refused(state, from, id, *attempt, refusal, now, out);
         }
@@ -253,14 +240,9 @@
     if state.entry.remove(id).is_none() {
         return;
     }
-    state
-        .log
-        .note(now, id, "answered from the kept outcome".to_owned());
+    state.log.note(now, id, "answered from the kept outcome".to_owned());
     out.count(Counter::Event("replay"));
-    out.push(Outcome::Replay {
-        id: id.clone(),
-        stored,
-    });
+    out.push(Outcome::Replay { id: id.clone(), stored });
 }
 
 /// Refuses a request and ends everything that is kept for it.
@@ -285,10 +267,7 @@
 
 fn answer(out: &mut Outbox, id: &Id, refusal: Refusal) {
     out.count(Counter::Refusal(refusal.reason));
-    out.push(Outcome::Refuse {
-        id: id.clone(),
-        refusal,
-    });
+    out.push(Outcome::Refuse { id: id.clone(), refusal });
 }
 
 fn run_timers(state: &mut State, now: Millis, out: &mut Outbox) {
@@ -307,13 +286,7 @@
         match request.phase {
             Phase::Claiming => {
                 let refusal = Refusal::new(Reason::StoreUnavailable);
-                refuse(
-                    state,
-                    &id,
-                    refusal.with_retry_after(RETRY_AFTER_MS),
-                    now,
-                    out,
-                );
+                refuse(state, &id, refusal.with_retry_after(RETRY_AFTER_MS), now, out);
             }
             Phase::Waiting if now < request.deadline => ask::next(state, &id, now, out),
             Phase::Waiting => ask::expire(state, &id, now, out),
@@ -387,10 +360,7 @@
     }
 
     pub(crate) fn clear_timer(&mut self, id: &Id) {
-        let due = self
-            .requests
-            .get_mut(id)
-            .and_then(|request| request.due.take());
+        let due = self.requests.get_mut(id).and_then(|request| request.due.take());
         if let Some(at) = due {
             self.timers.remove(&(at, id.clone()));
         }
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -107,7 +107,8 @@
 }
 
 /// One VM in the platform's list.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Vm {
     /// Name of the entry VM or target.
     pub name: Name,
--- a/crates/kernel/src/explain.rs
+++ b/crates/kernel/src/explain.rs
@@ -46,11 +46,7 @@
         }
         let end = (0..=TEXT_MAX.min(text.len())).rfind(|&ix| text.is_char_boundary(ix));
         text.truncate(end.unwrap_or(0));
-        self.steps.push_back(Step {
-            at,
-            id: id.clone(),
-            text,
-        });
+        self.steps.push_back(Step { at, id: id.clone(), text });
     }
 
     /// The steps of one request, oldest first.
--- a/crates/kernel/src/gossip.rs
+++ b/crates/kernel/src/gossip.rs
@@ -132,10 +132,7 @@
     pub(crate) fn pick(&mut self, members: &Map<Name, Member>) -> Vec<Name> {
         let mut picks: Vec<Name> = Vec::new();
         for _ in 0..OWN_ZONE_PEERS {
-            picks.extend(
-                self.own_zone
-                    .turn(|vm| !is_dead(members, vm) && !picks.contains(vm)),
-            );
+            picks.extend(self.own_zone.turn(|vm| !is_dead(members, vm) && !picks.contains(vm)));
         }
         while picks.len() < PEERS {
             let is_free = |vm: &Name| !is_dead(members, vm) && !picks.contains(vm);
@@ -164,26 +161,14 @@
         if self.count > EAGER_SEED_ROUNDS && self.count % SEED_ROUNDS != 0 {
             return Vec::new();
         }
-        let is_known = |seed: &Name| {
-            members
-                .values()
-                .any(|member| member.entry.peer_address == *seed)
-        };
-        self.seeds
-            .iter()
-            .filter(|seed| !is_known(seed))
-            .cloned()
-            .collect()
+        let is_known =
+            |seed: &Name| members.values().any(|member| member.entry.peer_address == *seed);
+        self.seeds.iter().filter(|seed| !is_known(seed)).cloned().collect()
     }
 
     /// Recently changed VMs, each told once less afterwards.
     fn tell(&mut self, limit: usize) -> Vec<Name> {
-        let told: Vec<Name> = self
-            .news
-            .iter()
-            .take(limit)
-            .map(|(vm, _)| vm.clone())
-            .collect();
+        let told: Vec<Name> = self.news.iter().take(limit).map(|(vm, _)| vm.clone()).collect();
         for _ in 0..told.len() {
             let Some((vm, messages)) = self.news.pop_front() else {
                 break;
@@ -197,9 +182,7 @@
 }
 
 fn is_dead(members: &Map<Name, Member>, vm: &Name) -> bool {
-    members
-        .get(vm)
-        .is_some_and(|member| member.view == View::Dead)
+    members.get(vm).is_some_and(|member| member.view == View::Dead)
 }
 
 /// Whether the sender of `heard` seems to know only a part of the fleet.
@@ -265,9 +248,7 @@
 }
 
 fn compose(members: &mut Table, peer: &str) -> Gossip {
-    let is_own_zone = members
-        .get(peer)
-        .is_none_or(|member| member.entry.zone == members.zone);
+    let is_own_zone = members.get(peer).is_none_or(|member| member.entry.zone == members.zone);
     let entries = whole(members);
     let room = (1 + OTHERS).saturating_sub(entries.len());
     let others = other_zones_share(room, is_own_zone);
@@ -297,12 +278,7 @@
 /// The heartbeats that moved last, of the own zone or of the others. Older ones are of no use to a
 /// peer that has probably heard newer ones.
 fn freshest(members: &mut Table, told: &[Entry], is_own_zone: bool, count: usize) -> Vec<Beat> {
-    let Table {
-        members,
-        rounds,
-        zone,
-        ..
-    } = members;
+    let Table { members, rounds, zone, .. } = members;
     let mut live: Vec<(Reverse<Millis>, u64, &Member)> = members
         .values()
         .filter(|member| (member.entry.zone == *zone) == is_own_zone)
@@ -312,10 +288,7 @@
         .map(|member| (Reverse(member.moved), rounds.random.next(), member))
         .collect();
     live.sort_by_key(|(moved, chance, _)| (*moved, *chance));
-    live.into_iter()
-        .take(count)
-        .map(|(.., member)| of(member))
-        .collect()
+    live.into_iter().take(count).map(|(.., member)| of(member)).collect()
 }
 
 fn of(member: &Member) -> Beat {
--- a/crates/kernel/src/ids.rs
+++ b/crates/kernel/src/ids.rs
@@ -19,9 +19,8 @@
 /// assert_eq!(sent.since(Millis(1_250)), 0);
 /// assert_eq!(sent.after(50), Millis(1_050));
 /// ```
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Millis(pub u64);
 
 impl Millis {
@@ -37,24 +36,21 @@
 }
 
 /// A fencing token: grows with every change of a lease's holder.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Fence(pub u64);
 
 /// A revision of the table: totally ordered, never decreasing on one VM.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Revision(pub u64);
 
 /// The start of one process on one VM; a restart has a higher one.
 ///
 /// Incarnations of different VMs are never compared.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Incarnation(pub u64);
--- a/crates/kernel/src/intent.rs
+++ b/crates/kernel/src/intent.rs
@@ -129,9 +129,8 @@
     /// All targets by name.
     pub fn targets(&self) -> Vec<(&Name, &resource::Target)> {
         let names = self.books[Kind::Target as usize].keys();
-        let mut targets: Vec<_> = names
-            .filter_map(|name| Some((name, self.target(name)?)))
-            .collect();
+        let mut targets: Vec<_> =
+            names.filter_map(|name| Some((name, self.target(name)?))).collect();
         targets.sort_by_key(|(name, _)| *name);
         targets
     }
@@ -159,38 +158,28 @@
         service: &str,
         zone: &str,
     ) -> impl Iterator<Item = (&'a Name, &'a resource::Target)> {
-        let group = self
-            .pools_of(service)
-            .iter()
-            .find(|group| *group.key.zone == *zone);
+        let group = self.pools_of(service).iter().find(|group| *group.key.zone == *zone);
         let names = group.map_or(&[][..], |group| &group.targets);
-        names
-            .iter()
-            .filter_map(|name| Some((name, self.target(name)?)))
+        names.iter().filter_map(|name| Some((name, self.target(name)?)))
     }
 
     /// The pools of one availability zone that have targets, ordered by service.
     pub fn pools_in(&self, zone: &str) -> Vec<&pool::Key> {
         let groups = self.pools.values().flatten();
-        let mut keys: Vec<_> = groups
-            .map(|group| &group.key)
-            .filter(|key| *key.zone == *zone)
-            .collect();
+        let mut keys: Vec<_> =
+            groups.map(|group| &group.key).filter(|key| *key.zone == *zone).collect();
         keys.sort();
         keys
     }
 
     /// All records, tombstones included.
     pub fn records(&self) -> impl Iterator<Item = &Record> {
-        self.books
-            .iter()
-            .flat_map(|book| book.values().map(|held| &held.record))
+        self.books.iter().flat_map(|book| book.values().map(|held| &held.record))
     }
 
     /// Whether operators have taken the zone out.
     pub fn is_out(&self, zone: &str) -> bool {
-        self.zone(zone)
-            .is_some_and(|zone| zone.state == resource::Presence::Out)
+        self.zone(zone).is_some_and(|zone| zone.state == resource::Presence::Out)
     }
 
     /// What a VM at revision `from` needs to reach this VM's revision.
@@ -198,18 +187,10 @@
     /// It is the complete set where deletions after `from` may have been forgotten here.
     pub fn changes(&self, from: Revision) -> Delta {
         let complete = from < self.floor;
-        let mut records: Vec<Record> = self
-            .records()
-            .filter(|record| complete || record.version > from)
-            .cloned()
-            .collect();
+        let mut records: Vec<Record> =
+            self.records().filter(|record| complete || record.version > from).cloned().collect();
         records.sort_by(|left, right| (left.version, &left.key).cmp(&(right.version, &right.key)));
-        Delta {
-            from,
-            to: self.revision,
-            complete,
-            records,
-        }
+        Delta { from, to: self.revision, complete, records }
     }
 
     fn version(&self, key: &resource::Key) -> Option<Revision> {
@@ -219,13 +200,9 @@
 
     fn put(&mut self, record: &Record, now: Millis) {
         if record.spec.is_none() {
-            self.tombstones
-                .push((now, record.key.clone(), record.version));
+            self.tombstones.push((now, record.key.clone(), record.version));
         }
-        let held = Held {
-            record: record.clone(),
-            fault: None,
-        };
+        let held = Held { record: record.clone(), fault: None };
         self.books[record.key.kind as usize].insert(record.key.name.clone(), held);
     }
 
@@ -241,18 +218,12 @@
 
     fn forget_tombstones(&mut self, now: Millis) {
         let excess = self.tombstones.len().saturating_sub(TOMBSTONES);
-        let old = self
-            .tombstones
-            .iter()
-            .take_while(|(at, ..)| now.since(*at) >= TOMBSTONE_MS);
+        let old = self.tombstones.iter().take_while(|(at, ..)| now.since(*at) >= TOMBSTONE_MS);
         let forgotten = old.count().max(excess);
         for (_, key, version) in self.tombstones.drain(..forgotten) {
             let book = &mut self.books[key.kind as usize];
             // A resource that was created again has a newer version.
-            if book
-                .get(&key.name)
-                .is_some_and(|held| held.record.version == version)
-            {
+            if book.get(&key.name).is_some_and(|held| held.record.version == version) {
                 book.remove(&key.name);
             }
             self.floor = self.floor.max(version);
@@ -286,16 +257,10 @@
     let mut pools: Map<Name, Vec<Group>> = Map::default();
     for (name, target) in intent.targets() {
         let groups = pools.entry(target.service.clone()).or_default();
-        match groups
-            .iter_mut()
-            .find(|group| group.key.zone == target.zone)
-        {
+        match groups.iter_mut().find(|group| group.key.zone == target.zone) {
             Some(group) => group.targets.push(name.clone()),
             None => groups.push(Group {
-                key: pool::Key {
-                    service: target.service.clone(),
-                    zone: target.zone.clone(),
-                },
+                key: pool::Key { service: target.service.clone(), zone: target.zone.clone() },
                 targets: vec![name.clone()],
             }),
         }
@@ -335,10 +300,7 @@
 
 /// Bytes of the texts that operators choose freely.
 fn text_bytes(record: &Record) -> usize {
-    let labels = record
-        .labels
-        .iter()
-        .map(|(name, value)| name.len() + value.len());
+    let labels = record.labels.iter().map(|(name, value)| name.len() + value.len());
     let spec = match &record.spec {
         Some(Spec::Organisation(organisation)) => {
             let keys = organisation.keys.iter().map(String::len);
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -44,11 +44,7 @@
 
     /// The same identity with the addresses that other VMs and callers use.
     pub fn with_addresses(self, peer: &str, caller: &str) -> Identity {
-        Identity {
-            peer_address: peer.into(),
-            caller_address: caller.into(),
-            ..self
-        }
+        Identity { peer_address: peer.into(), caller_address: caller.into(), ..self }
     }
 
     /// The same identity with addresses of peers to contact first.
@@ -159,10 +155,7 @@
 impl Kernel {
     /// A kernel without resources and without peers.
     pub fn new(identity: Identity) -> Kernel {
-        Kernel {
-            state: State::new(identity),
-            plugins: control::all(),
-        }
+        Kernel { state: State::new(identity), plugins: control::all() }
     }
 
     /// Applies `event` at `now` and appends what has to be done to `out`.
@@ -186,22 +179,11 @@
         let own = self.state.identity.vm.clone();
         while let Some((to, message)) = outbox.sends.pop_front() {
             if to == own {
-                self.dispatch(
-                    &Event::Peer {
-                        from: &own,
-                        message: &message,
-                    },
-                    now,
-                    &mut outbox,
-                );
+                self.dispatch(&Event::Peer { from: &own, message: &message }, now, &mut outbox);
                 continue;
             }
             match self.state.members.address(&to) {
-                Some(address) => outbox.push(Outcome::Send {
-                    to,
-                    address,
-                    message,
-                }),
+                Some(address) => outbox.push(Outcome::Send { to, address, message }),
                 None => outbox.count(Counter::Ignored("send_without_address")),
             }
         }
@@ -219,10 +201,7 @@
 
     /// When the kernel next needs a `Tick`.
     pub fn next_wakeup(&self) -> Option<Millis> {
-        self.plugins
-            .iter()
-            .filter_map(|plugin| (plugin.wakeup)(&self.state))
-            .min()
+        self.plugins.iter().filter_map(|plugin| (plugin.wakeup)(&self.state)).min()
     }
 
     /// The state, for status pages and checks.
--- a/crates/kernel/src/lease.rs
+++ b/crates/kernel/src/lease.rs
@@ -96,10 +96,7 @@
     /// While the store is down the last holder goes on scheduling warm targets.
     pub fn last_fence(&self, pool: &Key) -> Option<Fence> {
         let mine = self.watches.get(pool)?.mine.as_ref()?;
-        let is_released = mine
-            .handover
-            .as_ref()
-            .is_some_and(|handover| handover.is_sent);
+        let is_released = mine.handover.as_ref().is_some_and(|handover| handover.is_sent);
         (!is_released).then_some(mine.fence)
     }
 
@@ -114,9 +111,7 @@
 
     /// Whether a stopping VM has no lease left to release, or gave up releasing.
     pub fn is_released(&self, now: Millis) -> bool {
-        let gave_up = self
-            .stopped
-            .is_some_and(|at| now.since(at) >= RELEASE_LIMIT_MS);
+        let gave_up = self.stopped.is_some_and(|at| now.since(at) >= RELEASE_LIMIT_MS);
         gave_up || self.watches.values().all(Watch::is_idle)
     }
 }
@@ -129,8 +124,7 @@
             let attempt = watches.get(pool).and_then(|watch| watch.attempt.as_ref());
             attempt.is_some_and(|attempt| attempt.call == *call)
         };
-        self.writing
-            .retain(|call, pools| pools.iter().any(|pool| is_open(call, pool)));
+        self.writing.retain(|call, pools| pools.iter().any(|pool| is_open(call, pool)));
     }
 }
 
@@ -146,10 +140,9 @@
             state.leases.stopped.get_or_insert(now);
             true
         }
-        Event::Peer {
-            message: Message::Handover(snapshot),
-            ..
-        } => succeed(&mut state.leases, &snapshot.pool, now),
+        Event::Peer { message: Message::Handover(snapshot), .. } => {
+            succeed(&mut state.leases, &snapshot.pool, now)
+        }
         _ => false,
     };
     let is_due = state.leases.wake.is_some_and(|at| now >= at);
@@ -198,12 +191,7 @@
 
 /// Watches exactly the pools of the own zone that have targets.
 fn follow_intent(state: &mut State, now: Millis) {
-    let State {
-        intent,
-        leases,
-        identity,
-        ..
-    } = state;
+    let State { intent, leases, identity, .. } = state;
     if leases.revision == intent.revision {
         return;
     }
@@ -215,9 +203,7 @@
             mine.handover.get_or_insert(Handover::new(None, now));
         }
     }
-    leases
-        .watches
-        .retain(|_, watch| watch.mine.is_some() || watch.is_wanted);
+    leases.watches.retain(|_, watch| watch.mine.is_some() || watch.is_wanted);
     for pool in pools {
         leases.watches.entry(pool.clone()).or_default().is_wanted = true;
     }
@@ -225,9 +211,7 @@
 
 /// Gives up pools for which a later holder is known by gossip.
 fn yield_to_higher(state: &mut State, out: &mut Outbox) {
-    let State {
-        leases, members, ..
-    } = state;
+    let State { leases, members, .. } = state;
     for (pool, watch) in &mut leases.watches {
         let higher = members.highest_fence(pool);
         if watch.mine.as_ref().is_some_and(|mine| mine.fence < higher) {
@@ -237,10 +221,7 @@
 }
 
 fn give_up_waiting(keeper: &mut Keeper, now: Millis) {
-    if keeper
-        .reading
-        .is_some_and(|(_, sent)| now.since(sent) >= ANSWER_MS)
-    {
+    if keeper.reading.is_some_and(|(_, sent)| now.since(sent) >= ANSWER_MS) {
         keeper.reading = None;
     }
     for watch in keeper.watches.values_mut() {
@@ -258,11 +239,7 @@
 fn balance(state: &mut State, now: Millis) {
     let candidates = rank::candidates(&state.members, &state.identity.zone);
     let keeper = &state.leases;
-    let held = keeper
-        .watches
-        .values()
-        .filter(|watch| watch.mine.is_some())
-        .count();
+    let held = keeper.watches.values().filter(|watch| watch.mine.is_some()).count();
     let vms = candidates.len().max(1);
     let is_excess = held * vms > keeper.watches.len() + EXCESS * vms;
     if !is_excess || keeper.stopped.is_some() {
@@ -274,11 +251,7 @@
     let Some(to) = least.filter(|_| now.since(since) >= BALANCE_MS) else {
         return;
     };
-    let mut mine = state
-        .leases
-        .watches
-        .values_mut()
-        .filter_map(|watch| watch.mine.as_mut());
+    let mut mine = state.leases.watches.values_mut().filter_map(|watch| watch.mine.as_mut());
     if let Some(mine) = mine.find(|mine| mine.handover.is_none() && mine.is_valid(now)) {
         mine.handover = Some(Handover::new(Some(to), now));
         state.leases.excess_since = Some(now);
@@ -315,12 +288,7 @@
 /// Sends every write that is due, in one call.
 fn write(state: &mut State, now: Millis, out: &mut Outbox) {
     let id = state.call_id();
-    let State {
-        leases,
-        members,
-        identity,
-        ..
-    } = state;
+    let State { leases, members, identity, .. } = state;
     let view = View {
         candidates: rank::candidates(members, &identity.zone),
         members,
@@ -382,11 +350,7 @@
             continue;
         };
         // After a read back the attempt is decided already.
-        let Some(attempt) = watch
-            .attempt
-            .as_mut()
-            .filter(|attempt| attempt.call == call)
-        else {
+        let Some(attempt) = watch.attempt.as_mut().filter(|attempt| attempt.call == call) else {
             continue;
         };
         let written = match answer {
@@ -442,9 +406,8 @@
         let found = found.remove(pool);
         match &watch.attempt {
             Some(attempt) if attempt.lost.is_some_and(|lost| lost <= sent) => {
-                let is_applied = found
-                    .as_ref()
-                    .filter(|(_, lease)| lease.as_ref() == Some(&attempt.lease));
+                let is_applied =
+                    found.as_ref().filter(|(_, lease)| lease.as_ref() == Some(&attempt.lease));
                 match is_applied {
                     Some((version, _)) => watch.applied(*version, now, out),
                     None => watch.refused(found, &own, now, out),
@@ -461,13 +424,8 @@
 
 /// A record of a later start of this VM than its own: the clock went back between two starts.
 fn raise(state: &mut State, out: &mut Outbox) {
-    let State {
-        leases, identity, ..
-    } = state;
-    let leases = leases
-        .watches
-        .values()
-        .filter_map(|watch| watch.sight.as_ref()?.lease.as_ref());
+    let State { leases, identity, .. } = state;
+    let leases = leases.watches.values().filter_map(|watch| watch.sight.as_ref()?.lease.as_ref());
     let own = leases.filter(|lease| lease.vm == identity.vm);
     let highest = own.map(|lease| lease.incarnation).max().unwrap_or_default();
     if highest > identity.incarnation {
--- a/crates/kernel/src/ledger.rs
+++ b/crates/kernel/src/ledger.rs
@@ -55,9 +55,7 @@
 
     /// The fencing token under which it was granted.
     pub fn fence(&self) -> Fence {
-        self.grant
-            .as_ref()
-            .map_or(Fence::default(), |grant| grant.fence)
+        self.grant.as_ref().map_or(Fence::default(), |grant| grant.fence)
     }
 }
 
--- a/crates/kernel/src/length.rs
+++ b/crates/kernel/src/length.rs
@@ -18,7 +18,8 @@
 const UNKNOWN_TOKENS: u32 = 256;
 
 /// A logarithmic histogram of output lengths in tokens, with decay.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Histogram {
     counts: Vec<u32>,
     total: u32,
@@ -26,10 +27,7 @@
 
 impl Default for Histogram {
     fn default() -> Histogram {
-        Histogram {
-            counts: vec![0; BUCKETS],
-            total: 0,
-        }
+        Histogram { counts: vec![0; BUCKETS], total: 0 }
     }
 }
 
@@ -140,7 +138,8 @@
 }
 
 /// The lengths of one service's answers in one pool.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Lengths {
     service: Histogram,
     organisations: BTreeMap<Name, Histogram>,
@@ -150,10 +149,7 @@
     /// Counts a complete answer to `organisation`.
     pub fn record(&mut self, organisation: &Name, tokens: u32) {
         self.service.record(tokens);
-        self.organisations
-            .entry(organisation.clone())
-            .or_default()
-            .record(tokens);
+        self.organisations.entry(organisation.clone()).or_default().record(tokens);
     }
 
     /// The expected final length of an output that has `tokens` so far.
@@ -183,18 +179,12 @@
     ) -> Survival<'_> {
         let own = self.organisations.get(organisation);
         let known = own.into_iter().chain([&self.service]);
-        let histogram = known
-            .into_iter()
-            .find(|lengths| lengths.above(tokens) >= SAMPLES_MIN);
+        let histogram = known.into_iter().find(|lengths| lengths.above(tokens) >= SAMPLES_MIN);
         let end = match histogram {
             Some(_) => max_tokens.unwrap_or(u32::MAX),
             None => self.expected(organisation, tokens, max_tokens),
         };
-        Survival {
-            histogram,
-            tokens,
-            end,
-        }
+        Survival { histogram, tokens, end }
     }
 
     /// Forgets the organisations that `keep` rejects.
