--- a/crates/kernel/src/member.rs
+++ b/crates/kernel/src/member.rs
@@ -128,17 +128,15 @@
 
     /// Whether a VM is about to leave, by its own account or by the platform's.
     pub fn is_leaving(&self, vm: &str) -> bool {
-        let announced = self
-            .get(vm)
-            .is_some_and(|member| member.entry.standing == Standing::Leaving);
+        let announced =
+            self.get(vm).is_some_and(|member| member.entry.standing == Standing::Leaving);
         let listed = self.listed.as_ref().and_then(|listed| listed.get(vm));
         announced || listed == Some(&true)
     }
 
     /// The VMs of `zone` that are not dead in this view, this VM included.
     pub fn in_zone<'a>(&'a self, zone: &'a str) -> impl Iterator<Item = &'a Member> {
-        self.iter()
-            .filter(move |member| *member.entry.zone == *zone && member.view != View::Dead)
+        self.iter().filter(move |member| *member.entry.zone == *zone && member.view != View::Dead)
     }
 
     /// The VM that owns a pool, by the highest fencing token heard; `None` while that VM is dead in
@@ -189,9 +187,7 @@
         if let Some(before) = &before {
             member.keep_beat(before);
         }
-        let is_news = before
-            .as_ref()
-            .is_none_or(|member| !is_same_but_beat(&member.entry, &entry));
+        let is_news = before.as_ref().is_none_or(|member| !is_same_but_beat(&member.entry, &entry));
         if is_news {
             self.rounds.note(&vm, self.members.len());
             self.own_pools(before.as_ref().map(|member| &member.entry), &entry);
@@ -238,15 +234,8 @@
         };
         let (entry, beat) = (member.entry, member.beat);
         self.rounds.leave(vm);
-        self.own_pools(
-            Some(&entry),
-            &Entry {
-                pools: Vec::new(),
-                ..entry.clone()
-            },
-        );
-        self.removed
-            .push_back((vm.clone(), entry.incarnation, beat));
+        self.own_pools(Some(&entry), &Entry { pools: Vec::new(), ..entry.clone() });
+        self.removed.push_back((vm.clone(), entry.incarnation, beat));
         if self.removed.len() > REMOVED {
             self.removed.pop_front();
         }
@@ -255,12 +244,7 @@
 
 impl Member {
     fn new(entry: Entry, moved: Millis) -> Member {
-        Member {
-            beat: entry.heartbeat,
-            entry,
-            moved,
-            view: View::Alive,
-        }
+        Member { beat: entry.heartbeat, entry, moved, view: View::Alive }
     }
 
     /// Keeps what heartbeats showed before where the entry is not newer than they are.
@@ -294,10 +278,7 @@
 fn handle(state: &mut State, event: &Event<'_>, now: Millis, out: &mut Outbox) {
     forgive_pause(&mut state.members, now);
     match event {
-        Event::Peer {
-            from,
-            message: Message::Gossip(heard),
-        } if **from != *state.identity.vm => {
+        Event::Peer { from, message: Message::Gossip(heard) } if **from != *state.identity.vm => {
             let is_unaware = gossip::is_unaware(&state.members, heard);
             let entries = heard.entries.iter().take(1 + gossip::OTHERS);
             for entry in entries {
@@ -350,12 +331,7 @@
 }
 
 fn is_plausible(entry: &Entry) -> bool {
-    let texts = [
-        &entry.vm,
-        &entry.zone,
-        &entry.peer_address,
-        &entry.caller_address,
-    ];
+    let texts = [&entry.vm, &entry.zone, &entry.peer_address, &entry.caller_address];
     !entry.vm.is_empty() && texts.iter().all(|text| text.len() <= NAME_BYTES)
 }
 
@@ -387,10 +363,7 @@
 /// Continues under a higher incarnation.
 pub(crate) fn raise(state: &mut State, incarnation: Incarnation, out: &mut Outbox) {
     out.count(Counter::Event("incarnation_raised"));
-    out.warn(format!(
-        "incarnation={} raised: a later start is known",
-        incarnation.0
-    ));
+    out.warn(format!("incarnation={} raised: a later start is known", incarnation.0));
     state.identity.incarnation = incarnation;
     let mut entry = state.members.own_entry().clone();
     entry.incarnation = incarnation;
--- a/crates/kernel/src/outcome.rs
+++ b/crates/kernel/src/outcome.rs
@@ -8,7 +8,8 @@
 use crate::{reconcile, store};
 
 /// Whether any part of a refused request may have run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Ran {
     /// No byte of it can have reached a target.
     No,
@@ -19,7 +20,8 @@
 }
 
 /// Why a request is refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum Reason {
     /// The organisation or service does not exist or may not be called.
     NotFound,
@@ -80,7 +82,8 @@
 }
 
 /// A typed refusal.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Refusal {
     /// Why.
     pub reason: Reason,
@@ -93,11 +96,7 @@
 impl Refusal {
     /// A refusal of a request of which nothing ran.
     pub fn new(reason: Reason) -> Refusal {
-        Refusal {
-            reason,
-            ran: Ran::No,
-            retry_after_ms: None,
-        }
+        Refusal { reason, ran: Ran::No, retry_after_ms: None }
     }
 
     /// The same refusal with another statement about what ran.
@@ -107,10 +106,7 @@
 
     /// The same refusal with advice on when to try again.
     pub fn with_retry_after(self, ms: u64) -> Refusal {
-        Refusal {
-            retry_after_ms: Some(ms),
-            ..self
-        }
+        Refusal { retry_after_ms: Some(ms), ..self }
     }
 }
 
--- a/crates/kernel/src/peer.rs
+++ b/crates/kernel/src/peer.rs
@@ -8,7 +8,8 @@
 use crate::{pool, resource};
 
 /// A message between two daemons.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum Message {
     /// Membership and revisions.
     Gossip(Gossip),
@@ -98,7 +99,8 @@
 }
 
 /// Membership and revisions.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Gossip {
     /// Entries about the sender (first) and others.
     pub entries: Vec<Entry>,
@@ -121,7 +123,8 @@
 }
 
 /// Whether a VM takes requests.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Standing {
     /// Started, without a configuration so far.
     #[default]
@@ -156,7 +159,8 @@
 }
 
 /// Changes of resources from one revision to another.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Delta {
     /// Applies to a VM at this revision or later, or to any VM if `complete`.
     pub from: Revision,
@@ -169,7 +173,8 @@
 }
 
 /// A request for a start.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Ask {
     /// The pool.
     pub pool: pool::Key,
@@ -198,7 +203,8 @@
 }
 
 /// Permission to start one attempt on one target.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Grant {
     /// The pool.
     pub pool: pool::Key,
@@ -228,7 +234,8 @@
 }
 
 /// The end of one attempt.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Release {
     /// The pool.
     pub pool: pool::Key,
@@ -247,7 +254,8 @@
 }
 
 /// One running request in an inventory.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Running {
     /// The question it came from.
     pub ask: Ask,
@@ -258,7 +266,8 @@
 }
 
 /// A target's death.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Death {
     /// The target.
     pub target: Name,
@@ -271,7 +280,8 @@
 }
 
 /// A body that ran on a target when it died.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Suspect {
     /// The body.
     pub fingerprint: u64,
--- a/crates/kernel/src/pool.rs
+++ b/crates/kernel/src/pool.rs
@@ -36,7 +36,8 @@
 const HORIZONS: [u32; 10] = [0, 16, 32, 64, 128, 256, 512, 1_024, 2_048, 4_096];
 
 /// A pool: one service in one availability zone.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Key {
     /// The service.
     pub service: Name,
@@ -47,10 +48,7 @@
 impl Key {
     /// The pool of `service` in `zone`.
     pub fn new(service: &str, zone: &str) -> Key {
-        Key {
-            service: service.into(),
-            zone: zone.into(),
-        }
+        Key { service: service.into(), zone: zone.into() }
     }
 }
 
@@ -154,19 +152,12 @@
 
     /// Whether the pool was handed over a short time ago.
     pub fn is_handed(&self, key: &Key, now: Millis) -> bool {
-        self.handed
-            .get(key)
-            .is_some_and(|at| now.since(*at) < HANDED_PAUSE)
+        self.handed.get(key).is_some_and(|at| now.since(*at) < HANDED_PAUSE)
     }
 
     /// The pool `key`, created if this VM has not scheduled it so far.
     pub(crate) fn ensure(&mut self, key: &Key, intent: &Intent, now: Millis) -> &mut Pool {
-        let Set {
-            pools,
-            policies,
-            hints,
-            ..
-        } = self;
+        let Set { pools, policies, hints, .. } = self;
         pools.entry(key.clone()).or_insert_with(|| {
             let mut pool = Pool::new(key, now);
             pool.refresh(intent, policies, hints.get(key), now);
@@ -212,11 +203,7 @@
             accounting::progress(state, from, pool, entries, now, out);
         }
         Message::Release(release) => accounting::released(state, release, now, out),
-        Message::Inventory {
-            pool,
-            fence,
-            running,
-        } => {
+        Message::Inventory { pool, fence, running } => {
             takeover::inventory(state, from, pool, *fence, running, now, out);
             schedule::run(state, pool, now, out);
         }
@@ -232,10 +219,7 @@
     if state.intent.service(&key.service).is_none() || key.zone != state.identity.zone {
         return;
     }
-    let hint = Hint {
-        warm: warm.iter().cloned().collect(),
-        at: now,
-    };
+    let hint = Hint { warm: warm.iter().cloned().collect(), at: now };
     if let Some(pool) = state.pools.get_mut(key) {
         pool.apply_hint(&hint, now);
     }
@@ -245,13 +229,7 @@
 /// Brings every pool up to date with the resources in force.
 fn refresh(state: &mut State, now: Millis) {
     let State { pools, intent, .. } = state;
-    let Set {
-        pools,
-        policies,
-        hints,
-        revision,
-        ..
-    } = pools;
+    let Set { pools, policies, hints, revision, .. } = pools;
     *revision = intent.revision;
     hints.retain(|key, _| intent.service(&key.service).is_some());
     for pool in pools.values_mut() {
@@ -322,9 +300,7 @@
 
     /// Whether all work that earlier schedulers started is known.
     pub fn is_complete(&self) -> bool {
-        self.takeover
-            .as_ref()
-            .is_some_and(|takeover| takeover.complete)
+        self.takeover.as_ref().is_some_and(|takeover| takeover.complete)
     }
 
     /// Whether a new holder does not yet know all work that earlier schedulers started.
@@ -358,11 +334,7 @@
     /// Whether the work on a target is known: from all VMs, or from a report late enough.
     fn is_counted(&self, slot: &Slot) -> bool {
         self.takeover.as_ref().is_some_and(|takeover| {
-            takeover.complete
-                || slot
-                    .seen
-                    .as_ref()
-                    .is_some_and(|seen| takeover.covers(seen.at))
+            takeover.complete || slot.seen.as_ref().is_some_and(|seen| takeover.covers(seen.at))
         })
     }
 
@@ -381,9 +353,7 @@
     }
 
     fn projected_at(&self, ask: &Ask, tokens: u32) -> u64 {
-        let output = self
-            .lengths
-            .expected(&ask.organisation, tokens, ask.max_tokens);
+        let output = self.lengths.expected(&ask.organisation, tokens, ask.max_tokens);
         u64::from(ask.prompt_tokens) + u64::from(output)
     }
 
@@ -395,24 +365,18 @@
     pub fn peak(&self, target: usize, more: Option<&Ask>) -> u64 {
         let running = self.targets[target].work.iter();
         let running = running.filter_map(|id| self.ledger.get(id));
-        let mut growths: Vec<Growth<'_>> = running
-            .map(|running| self.growth(&running.ask, running.tokens))
-            .collect();
+        let mut growths: Vec<Growth<'_>> =
+            running.map(|running| self.growth(&running.ask, running.tokens)).collect();
         growths.extend(more.map(|ask| self.growth(ask, 0)));
         let bounds = growths.iter().filter_map(|growth| growth.survival.bound());
         let ahead = HORIZONS.into_iter().chain(bounds);
-        ahead
-            .map(|ahead| likely_use(&growths, ahead))
-            .max()
-            .unwrap_or(0)
+        ahead.map(|ahead| likely_use(&growths, ahead)).max().unwrap_or(0)
     }
 
     fn growth<'a>(&'a self, ask: &'a Ask, tokens: u32) -> Growth<'a> {
         Growth {
             used: u64::from(ask.prompt_tokens) + u64::from(tokens),
-            survival: self
-                .lengths
-                .survival(&ask.organisation, tokens, ask.max_tokens),
+            survival: self.lengths.survival(&ask.organisation, tokens, ask.max_tokens),
         }
     }
 
@@ -514,9 +478,8 @@
     }
 
     fn refresh_targets(&mut self, intent: &Intent, hint: Option<&Hint>, now: Millis) {
-        let own: Vec<(&Name, &resource::Target)> = intent
-            .pool_targets(&self.key.service, &self.key.zone)
-            .collect();
+        let own: Vec<(&Name, &resource::Target)> =
+            intent.pool_targets(&self.key.service, &self.key.zone).collect();
         for &(name, spec) in &own {
             if let Some(ix) = self.position(name) {
                 self.targets[ix].respecify(spec);
@@ -551,14 +514,8 @@
     /// A new holder gets the word of its predecessor from others; then reports must confirm it.
     fn apply_hint(&mut self, hint: &Hint, now: Millis) {
         if self.is_holder() {
-            let is_new = self
-                .takeover
-                .as_ref()
-                .is_some_and(|new| new.is_recent(hint.at));
-            let targets = self
-                .targets
-                .iter_mut()
-                .filter(|slot| is_new && slot.is_new());
+            let is_new = self.takeover.as_ref().is_some_and(|new| new.is_recent(hint.at));
+            let targets = self.targets.iter_mut().filter(|slot| is_new && slot.is_new());
             for slot in targets.filter(|slot| hint.warm.contains(&slot.name)) {
                 slot.hint_warm(false);
             }
@@ -599,7 +556,5 @@
 
 /// The weight of an organisation; one that is not declared has weight 1.
 pub(crate) fn weight(intent: &Intent, organisation: &str) -> u32 {
-    intent
-        .organisation(organisation)
-        .map_or(1, |organisation| organisation.weight.max(1))
+    intent.organisation(organisation).map_or(1, |organisation| organisation.weight.max(1))
 }
--- a/crates/kernel/src/quarantine.rs
+++ b/crates/kernel/src/quarantine.rs
@@ -102,9 +102,7 @@
     /// assert!(!Registry::default().is_quarantined(7, Millis(0)));
     /// ```
     pub fn is_quarantined(&self, fingerprint: u64, now: Millis) -> bool {
-        self.bodies
-            .get(&fingerprint)
-            .is_some_and(|body| body.is_quarantined(now))
+        self.bodies.get(&fingerprint).is_some_and(|body| body.is_quarantined(now))
     }
 
     /// Whether a body ran on a target that died and has not completed since.
@@ -116,9 +114,7 @@
     /// assert!(!Registry::default().is_suspect(7, Millis(0)));
     /// ```
     pub fn is_suspect(&self, fingerprint: u64, now: Millis) -> bool {
-        self.bodies
-            .get(&fingerprint)
-            .is_some_and(|body| body.is_suspect(now))
+        self.bodies.get(&fingerprint).is_some_and(|body| body.is_suspect(now))
     }
 
     /// The suspects and quarantined bodies at `now`, by fingerprint.
@@ -149,8 +145,7 @@
         if self.deaths.len() == DEATHS_MAX {
             self.deaths.pop_front();
         }
-        self.deaths
-            .push_back((death.target.clone(), death.start_id));
+        self.deaths.push_back((death.target.clone(), death.start_id));
         true
     }
 
@@ -246,24 +241,13 @@
             let is_own = *from == *state.identity.vm;
             died(state, death, is_own, now, out);
         }
-        Message::Quarantine {
-            fingerprint,
-            deaths: 0,
-            remaining_ms: 0,
-            ..
-        } => clear(state, *fingerprint),
-        Message::Quarantine {
-            fingerprint,
-            remaining_ms: 0,
-            ..
-        } => forget(state, *fingerprint, now),
-        Message::Quarantine {
-            fingerprint,
-            organisation,
-            service,
-            deaths,
-            remaining_ms,
-        } => {
+        Message::Quarantine { fingerprint, deaths: 0, remaining_ms: 0, .. } => {
+            clear(state, *fingerprint)
+        }
+        Message::Quarantine { fingerprint, remaining_ms: 0, .. } => {
+            forget(state, *fingerprint, now)
+        }
+        Message::Quarantine { fingerprint, organisation, service, deaths, remaining_ms } => {
             let suspect = Suspect {
                 fingerprint: *fingerprint,
                 organisation: organisation.clone(),
@@ -287,9 +271,7 @@
     let registry = &mut state.quarantine;
     let at = Millis(now.0.saturating_sub(death.age_ms));
     let running = &death.running[..death.running.len().min(BODIES_MAX)];
-    let earlier = running
-        .iter()
-        .filter(|suspect| registry.is_suspect(suspect.fingerprint, now));
+    let earlier = running.iter().filter(|suspect| registry.is_suspect(suspect.fingerprint, now));
     let is_ambiguous = earlier.count() > 1;
     for suspect in running {
         let is_stale = !state.quarantine.is_suspect(suspect.fingerprint, now);
@@ -379,10 +361,7 @@
 /// Forgets a suspect; a quarantined body stays quarantined.
 fn clear(state: &mut State, fingerprint: u64) {
     let bodies = &mut state.quarantine.bodies;
-    if bodies
-        .get(&fingerprint)
-        .is_some_and(|body| body.until.is_none())
-    {
+    if bodies.get(&fingerprint).is_some_and(|body| body.until.is_none()) {
         bodies.remove(&fingerprint);
     }
 }
--- a/crates/kernel/src/quarantine_table.rs
+++ b/crates/kernel/src/quarantine_table.rs
@@ -23,10 +23,7 @@
         return;
     }
     // Answers that never came would otherwise be waited for without a bound.
-    state
-        .quarantine
-        .calls
-        .retain(|_, pending| !matches!(pending, Pending::List { .. }));
+    state.quarantine.calls.retain(|_, pending| !matches!(pending, Pending::List { .. }));
     let jitter = draw(seed(&state.identity), now.0) % (LIST_MS / 10);
     state.quarantine.list_at = now.after(LIST_MS - jitter);
     let list = Op::List(Family::Quarantine);
@@ -90,11 +87,7 @@
 fn act(state: &mut State, fingerprint: u64, due: Due, now: Millis, out: &mut Outbox) {
     let write = |condition, value| {
         let key = Key::Quarantine(fingerprint);
-        Op::Write(vec![Write {
-            key,
-            condition,
-            value,
-        }])
+        Op::Write(vec![Write { key, condition, value }])
     };
     let registry = &mut state.quarantine;
     match due {
@@ -123,10 +116,7 @@
                 deaths: body.deaths,
                 organisation: body.organisation.clone(),
                 service: body.service.clone(),
-                remaining_s: body
-                    .until
-                    .map_or(0, |until| until.since(now))
-                    .div_ceil(1_000),
+                remaining_s: body.until.map_or(0, |until| until.since(now)).div_ceil(1_000),
             });
             let op = write(Condition::Absent, Some(value));
             call(state, op, Pending::Store(fingerprint), out);
--- a/crates/kernel/src/queue.rs
+++ b/crates/kernel/src/queue.rs
@@ -29,12 +29,7 @@
 
 impl Queued {
     fn new(ask: Ask, now: Millis) -> Queued {
-        Queued {
-            arrived: ask.arrived(now),
-            asked: now,
-            deadline: now.after(ask.patience_ms),
-            ask,
-        }
+        Queued { arrived: ask.arrived(now), asked: now, deadline: now.after(ask.patience_ms), ask }
     }
 }
 
@@ -111,10 +106,7 @@
 
     /// Number of organisations with waiting requests.
     pub fn backlogged(&self) -> usize {
-        self.organisations
-            .iter()
-            .filter(|organisation| !organisation.is_empty())
-            .count()
+        self.organisations.iter().filter(|organisation| !organisation.is_empty()).count()
     }
 
     /// The organisation `name`, if it is known.
@@ -158,9 +150,7 @@
             organisation.served = organisation.served.max(lowest);
         }
         let name = organisation.name.clone();
-        organisation
-            .waiting_mut(class)
-            .push_back(Queued::new(ask, now));
+        organisation.waiting_mut(class).push_back(Queued::new(ask, now));
         let ix = self.names[&name];
         self.places.insert(id, (ix, class));
     }
@@ -204,28 +194,20 @@
         let queued = self.remove(id)?;
         let served = self.organisation(&queued.ask.organisation, now).served;
         self.reached = self.reached.max(served);
-        self.charge(
-            &queued.ask.organisation,
-            u64::from(queued.ask.prompt_tokens),
-            now,
-        );
+        self.charge(&queued.ask.organisation, u64::from(queued.ask.prompt_tokens), now);
         Some(queued)
     }
 
     /// Counts service in tokens for an organisation.
     pub(crate) fn charge(&mut self, name: &Name, tokens: u64, now: Millis) {
         let organisation = self.organisation(name, now);
-        organisation.served = organisation
-            .served
-            .saturating_add(organisation.cost(tokens));
+        organisation.served = organisation.served.saturating_add(organisation.cost(tokens));
     }
 
     /// Takes back service that was counted and not received.
     pub(crate) fn refund(&mut self, name: &Name, tokens: u64, now: Millis) {
         let organisation = self.organisation(name, now);
-        organisation.served = organisation
-            .served
-            .saturating_sub(organisation.cost(tokens));
+        organisation.served = organisation.served.saturating_sub(organisation.cost(tokens));
     }
 
     /// Takes over counters from an earlier scheduler.
@@ -243,9 +225,7 @@
             .organisations
             .iter()
             .flat_map(|organisation| organisation.short.iter().chain(&organisation.long));
-        all.filter(|queued| is_due(queued))
-            .map(|queued| queued.ask.id.clone())
-            .collect()
+        all.filter(|queued| is_due(queued)).map(|queued| queued.ask.id.clone()).collect()
     }
 
     /// Every waiting request, in a fixed order.
--- a/crates/kernel/src/reconcile.rs
+++ b/crates/kernel/src/reconcile.rs
@@ -36,7 +36,8 @@
 const VERSION_MARK: char = '@';
 
 /// What an engine is told to do.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Action {
     /// Load a model or adapter.
     Load(Name),
@@ -47,7 +48,8 @@
 }
 
 /// An order to one engine.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Order {
     /// The engine.
     pub target: Name,
@@ -119,15 +121,10 @@
 
 fn handle(state: &mut State, event: &Event<'_>, now: Millis, out: &mut Outbox) {
     match event {
-        Event::Report {
-            target,
-            report: Ok(report),
-        } => reported(state, target, report, now, out),
-        Event::Ordered {
-            target,
-            order,
-            answer,
-        } => answered(state, target, order, *answer, now, out),
+        Event::Report { target, report: Ok(report) } => reported(state, target, report, now, out),
+        Event::Ordered { target, order, answer } => {
+            answered(state, target, order, *answer, now, out)
+        }
         Event::Store { call, answer } => {
             let is_own = state.planner.slots.answered(*call, answer, now, out);
             look_if(is_own, state, now, out);
@@ -153,12 +150,7 @@
 
 /// Takes a report of an engine whose pool is held here; returns whether it is one.
 fn observe(state: &mut State, target: &str, report: &Report, now: Millis) -> bool {
-    let State {
-        intent,
-        leases,
-        planner,
-        ..
-    } = state;
+    let State { intent, leases, planner, .. } = state;
     let Some((name, pool)) = engine_of(intent, target) else {
         planner.forget(target);
         return false;
@@ -186,10 +178,7 @@
 fn engine_of(intent: &crate::intent::Intent, target: &str) -> Option<(Name, pool::Key)> {
     let spec = intent.target(target)?;
     let service = intent.service(&spec.service)?;
-    let pool = pool::Key {
-        service: spec.service.clone(),
-        zone: spec.zone.clone(),
-    };
+    let pool = pool::Key { service: spec.service.clone(), zone: spec.zone.clone() };
     (service.protocol == Protocol::Model).then(|| (target.into(), pool))
 }
 
@@ -200,20 +189,12 @@
         if known == Some(fence) {
             return;
         }
-        for engine in self
-            .engines
-            .values_mut()
-            .filter(|engine| engine.pool == *pool)
-        {
+        for engine in self.engines.values_mut().filter(|engine| engine.pool == *pool) {
             engine.issued = None;
             engine.failures = 0;
             engine.retry_at = now;
         }
-        let tenure = Tenure {
-            fence,
-            since: now,
-            is_fenced: false,
-        };
+        let tenure = Tenure { fence, since: now, is_fenced: false };
         self.tenures.insert(pool.clone(), tenure);
     }
 
@@ -224,11 +205,7 @@
 
     /// Whether another target of the pool keeps the service warm, or none could.
     fn may_disturb(&self, target: &str, pool: &pool::Key, now: Millis) -> bool {
-        if self
-            .engines
-            .get(target)
-            .is_none_or(|engine| engine.report.phase != Phase::Warm)
-        {
+        if self.engines.get(target).is_none_or(|engine| engine.report.phase != Phase::Warm) {
             return true;
         }
         let mut others = self
@@ -290,12 +267,7 @@
 
 /// Sends the engine's next order if one is due.
 fn plan(state: &mut State, target: &str, now: Millis, out: &mut Outbox) {
-    let State {
-        intent,
-        leases,
-        planner,
-        ..
-    } = state;
+    let State { intent, leases, planner, .. } = state;
     let Some(spec) = intent.target(target) else {
         return;
     };
@@ -373,16 +345,10 @@
 
 /// The first difference between what is wanted and what is reported.
 fn next_action(configuration: &Configuration, spec: &Target, report: &Report) -> Option<Action> {
-    if let Some(role) = spec
-        .role
-        .as_ref()
-        .filter(|role| report.role.as_ref() != Some(role))
-    {
+    if let Some(role) = spec.role.as_ref().filter(|role| report.role.as_ref() != Some(role)) {
         return Some(Action::Role(role.clone()));
     }
-    let Configuration {
-        models, adapters, ..
-    } = configuration;
+    let Configuration { models, adapters, .. } = configuration;
     let mut wanted = models.iter().chain(adapters);
     if let Some(name) = wanted.find(|name| !report.loaded.contains(name)) {
         return Some(Action::Load(name.clone()));
@@ -398,12 +364,7 @@
 }
 
 fn send(state: &mut State, target: &str, action: Action, now: Millis, out: &mut Outbox) {
-    let State {
-        intent,
-        leases,
-        planner,
-        ..
-    } = state;
+    let State { intent, leases, planner, .. } = state;
     let (Some(spec), Some(engine)) = (intent.target(target), planner.engines.get_mut(target))
     else {
         return;
@@ -419,11 +380,7 @@
         fence,
         deadline_ms: ORDER_DEADLINE_MS,
     };
-    engine.issued = Some(Issued {
-        order: order.clone(),
-        at: now,
-        accepted: None,
-    });
+    engine.issued = Some(Issued { order: order.clone(), at: now, accepted: None });
     out.push(Outcome::Order(order));
 }
 
@@ -435,17 +392,11 @@
     now: Millis,
     out: &mut Outbox,
 ) {
-    let Planner {
-        engines, tenures, ..
-    } = &mut state.planner;
+    let Planner { engines, tenures, .. } = &mut state.planner;
     let Some(engine) = engines.get_mut(target) else {
         return;
     };
-    let Some(issued) = engine
-        .issued
-        .as_mut()
-        .filter(|issued| issued.order == *order)
-    else {
+    let Some(issued) = engine.issued.as_mut().filter(|issued| issued.order == *order) else {
         return out.count(Counter::Ignored("order_answer_old"));
     };
     match answer {
@@ -467,10 +418,7 @@
         }
     }
     // The state is read back after every order, whatever its answer.
-    out.push(Outcome::Poll {
-        target: order.target.clone(),
-        address: order.address.clone(),
-    });
+    out.push(Outcome::Poll { target: order.target.clone(), address: order.address.clone() });
 }
 
 /// Looks after slots and what waits for them.
--- a/crates/kernel/src/request.rs
+++ b/crates/kernel/src/request.rs
@@ -20,7 +20,8 @@
 /// assert_eq!(id.to_string(), "entry-1-18f-2a");
 /// assert!("nonsense".parse::<Id>().is_err());
 /// ```
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Id {
     /// The entry VM that accepted the request.
     pub vm: Name,
@@ -33,11 +34,7 @@
 impl Id {
     /// The id of request number `counter` of one incarnation of `vm`.
     pub fn new(vm: &str, incarnation: Incarnation, counter: u64) -> Id {
-        Id {
-            vm: vm.into(),
-            incarnation,
-            counter,
-        }
+        Id { vm: vm.into(), incarnation, counter }
     }
 }
 
@@ -48,7 +45,8 @@
 }
 
 /// The text is not a request id.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[error("not a request id: expected VM-INCARNATION-COUNTER")]
 pub struct Malformed;
 
@@ -67,7 +65,8 @@
 }
 
 /// The latency class of a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum Class {
     /// Interactive work with a short expected answer.
     Short,
@@ -109,7 +108,8 @@
 }
 
 /// How one attempt at a target ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum End {
     /// The whole answer was received.
     Complete,
--- a/crates/kernel/src/resource.rs
+++ b/crates/kernel/src/resource.rs
@@ -6,7 +6,8 @@
 use crate::map::Map;
 
 /// The kinds of resource.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum Kind {
     /// A customer with its caller keys and weight.
     Organisation,
@@ -57,7 +58,8 @@
 }
 
 /// A named reference to a resource.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Key {
     /// The kind.
     pub kind: Kind,
@@ -66,7 +68,8 @@
 }
 
 /// One stored version of a resource, or its tombstone.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Record {
     /// What it is.
     pub key: Key,
@@ -82,7 +85,8 @@
 }
 
 /// The specification of a resource.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "kind", content = "spec")]
 pub enum Spec {
     /// An organisation.
@@ -111,7 +115,8 @@
 }
 
 /// A customer organisation.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase", deny_unknown_fields)]
 pub struct Organisation {
     /// Share of service relative to other organisations, 1 to 1,000.
@@ -126,7 +131,8 @@
 }
 
 /// What kind of back ends a service has.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub enum Protocol {
     /// OpenAI-compatible model engines.
@@ -137,7 +143,8 @@
 }
 
 /// A service offered to callers.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase", deny_unknown_fields)]
 pub struct Service {
     /// Protocol of the service's targets.
@@ -158,7 +165,8 @@
 }
 
 /// Whether a zone takes part in serving.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub enum Presence {
     /// It serves.
@@ -169,7 +177,8 @@
 }
 
 /// An availability zone.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase", deny_unknown_fields)]
 pub struct AvailabilityZone {
     /// The region that the zone belongs to.
@@ -180,7 +189,8 @@
 }
 
 /// One engine or plain-service back end.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase", deny_unknown_fields)]
 pub struct Target {
     /// The service it belongs to.
@@ -210,7 +220,8 @@
 }
 
 /// Names of the policies in use at the stages that choose.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase", deny_unknown_fields, default)]
 pub struct Policy {
     /// The `Order` policy: `fair` or `fifo`.
@@ -224,16 +235,13 @@
 impl Default for Policy {
     fn default() -> Policy {
         let score = vec!["kvload".into(), "affinity".into()];
-        Policy {
-            order: "fair".into(),
-            score,
-            off: Vec::new(),
-        }
+        Policy { order: "fair".into(), score, off: Vec::new() }
     }
 }
 
 /// Limits, policy and wanted engine state of the services that name it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase", deny_unknown_fields, default)]
 pub struct Configuration {
     /// Queued requests per organisation and pool.
--- a/crates/kernel/src/retry.rs
+++ b/crates/kernel/src/retry.rs
@@ -71,10 +71,7 @@
         let index = now.0 / STEP_MS;
         let step = &mut self.steps[(index % STEPS as u64) as usize];
         if step.index != index {
-            *step = Step {
-                index,
-                ..Step::default()
-            };
+            *step = Step { index, ..Step::default() };
         }
         step
     }
@@ -92,9 +89,7 @@
 /// assert!(backoff(60, u64::MAX) <= 1_000);
 /// ```
 pub fn backoff(retry: u32, draw: u64) -> u64 {
-    let bound = BACKOFF_MIN_MS
-        .saturating_mul(1 << retry.min(16))
-        .min(BACKOFF_MAX_MS);
+    let bound = BACKOFF_MIN_MS.saturating_mul(1 << retry.min(16)).min(BACKOFF_MAX_MS);
     bound / 2 + draw % (bound / 2 + 1)
 }
 
--- a/crates/kernel/src/route.rs
+++ b/crates/kernel/src/route.rs
@@ -86,17 +86,10 @@
 fn hop(view: &View<'_>, ask: &Ask, zone: &Name) -> Hop {
     let pool = pool::Key::new(&ask.pool.service, zone);
     let owner = owner(view, &pool).cloned();
-    Hop {
-        fallback: owner.is_none(),
-        to: owner.unwrap_or_else(|| view.members.own().clone()),
-        pool,
-    }
+    Hop { fallback: owner.is_none(), to: owner.unwrap_or_else(|| view.members.own().clone()), pool }
 }
 
 /// The owner of a pool if it answers.
 pub(crate) fn owner<'a>(view: &View<'a>, pool: &pool::Key) -> Option<&'a Name> {
-    view.members
-        .owner(pool)
-        .map(|(vm, _)| vm)
-        .filter(|vm| !view.silent.contains(vm))
+    view.members.owner(pool).map(|(vm, _)| vm).filter(|vm| !view.silent.contains(vm))
 }
--- a/crates/kernel/src/schedule.rs
+++ b/crates/kernel/src/schedule.rs
@@ -68,15 +68,8 @@
     ask: &Ask,
     now: Millis,
 ) -> Result<(), Refusal> {
-    let view = policy::View {
-        pool,
-        quarantine,
-        now,
-    };
-    pool.stages
-        .admit
-        .iter()
-        .try_for_each(|admit| admit(&view, ask))
+    let view = policy::View { pool, quarantine, now };
+    pool.stages.admit.iter().try_for_each(|admit| admit(&view, ask))
 }
 
 /// Grants starts in a pool until no waiting request can be placed.
@@ -86,12 +79,7 @@
     if state.entry.doubted_until(now).is_some() {
         return;
     }
-    let State {
-        pools,
-        quarantine,
-        log,
-        ..
-    } = state;
+    let State { pools, quarantine, log, .. } = state;
     let Some(pool) = pools.get_mut(key) else {
         return;
     };
@@ -132,11 +120,7 @@
 }
 
 fn choose(pool: &Pool, quarantine: &Registry, now: Millis) -> Option<Choice> {
-    let view = policy::View {
-        pool,
-        quarantine,
-        now,
-    };
+    let view = policy::View { pool, quarantine, now };
     if pool.queue.is_empty() {
         return None;
     }
@@ -149,11 +133,7 @@
             let ask = &queued.ask;
             if let Some(target) = place(&view, ask, targets) {
                 let id = ask.id.clone();
-                return Some(Choice {
-                    id,
-                    target,
-                    passed: first,
-                });
+                return Some(Choice { id, target, passed: first });
             }
             first.get_or_insert_with(|| ask.id.clone());
             if !is_particular(&view, ask) {
@@ -195,11 +175,7 @@
 }
 
 fn is_open(view: &policy::View<'_>, ask: &Ask, target: usize) -> bool {
-    view.pool
-        .stages
-        .filter
-        .iter()
-        .all(|filter| filter(view, ask, target))
+    view.pool.stages.filter.iter().all(|filter| filter(view, ask, target))
 }
 
 fn place(view: &policy::View<'_>, ask: &Ask, targets: &[usize]) -> Option<usize> {
@@ -211,9 +187,7 @@
 
 fn score(view: &policy::View<'_>, ask: &Ask, target: usize) -> i64 {
     let scores = view.pool.stages.score.iter();
-    scores.fold(0_i64, |sum, (_, score)| {
-        sum.saturating_add(score(view, ask, target))
-    })
+    scores.fold(0_i64, |sum, (_, score)| sum.saturating_add(score(view, ask, target)))
 }
 
 /// Counts that the first request in order was passed, and holds a target for it after a while.
@@ -226,11 +200,7 @@
     if passes < PASSES_MAX || pool.reserved.is_some() {
         return;
     }
-    let view = policy::View {
-        pool,
-        quarantine,
-        now,
-    };
+    let view = policy::View { pool, quarantine, now };
     let Some(queued) = pool.queue.find(id) else {
         return;
     };
@@ -238,20 +208,12 @@
         .filter(|&target| headroom::lacks_memory(&view, &queued.ask, target))
         .min_by_key(|&target| (pool.targets[target].kv_use(now), target));
     let class = queued.ask.class;
-    pool.reserved = target.map(|target| Reservation {
-        id: id.clone(),
-        class,
-        target,
-    });
+    pool.reserved = target.map(|target| Reservation { id: id.clone(), class, target });
 }
 
 /// Why the target won, for the record of the request.
 fn explain(pool: &Pool, quarantine: &Registry, choice: &Choice, now: Millis) -> String {
-    let view = policy::View {
-        pool,
-        quarantine,
-        now,
-    };
+    let view = policy::View { pool, quarantine, now };
     let Some(queued) = pool.queue.find(&choice.id) else {
         return String::new();
     };
--- a/crates/kernel/src/slots.rs
+++ b/crates/kernel/src/slots.rs
@@ -117,22 +117,13 @@
             condition,
             value: slot.clone().map(Value::Slot),
         };
-        self.attempt = Some(Attempt {
-            call: id,
-            sent: now,
-            number,
-            target,
-            slot,
-        });
+        self.attempt = Some(Attempt { call: id, sent: now, number, target, slot });
         let op = Op::Write(vec![write]);
         out.push(Outcome::Store(Call { id, op }));
     }
 
     fn give_up_waiting(&mut self, now: Millis) {
-        if self
-            .reading
-            .is_some_and(|(_, sent)| now.since(sent) >= ANSWER_MS)
-        {
+        if self.reading.is_some_and(|(_, sent)| now.since(sent) >= ANSWER_MS) {
             self.reading = None;
         }
         let is_lost = |attempt: &Attempt| now.since(attempt.sent) >= ANSWER_MS;
@@ -167,11 +158,8 @@
                 return Some((target.clone(), held.number, condition, None));
             }
             if now >= held.renew_at {
-                let slot = Slot {
-                    target: target.clone(),
-                    vm: own.clone(),
-                    renewal: held.renewal + 1,
-                };
+                let slot =
+                    Slot { target: target.clone(), vm: own.clone(), renewal: held.renewal + 1 };
                 return Some((target.clone(), held.number, condition, Some(slot)));
             }
         }
@@ -179,10 +167,7 @@
         let mut wanted = self.wanted.iter();
         wanted.find_map(|(target, limit)| {
             let (number, condition) = self.free(target, *limit, now)?;
-            let renewal = self
-                .sights
-                .get(&number)
-                .and_then(|sight| sight.slot.as_ref());
+            let renewal = self.sights.get(&number).and_then(|sight| sight.slot.as_ref());
             let slot = Slot {
                 target: target.clone(),
                 vm: own.clone(),
@@ -194,26 +179,22 @@
 
     /// The slot that already names the target, else one that is free.
     fn free(&self, target: &Name, limit: u32, now: Millis) -> Option<(u32, Condition)> {
-        let names_target = |sight: &Sight| {
-            sight
-                .slot
-                .as_ref()
-                .is_some_and(|slot| slot.target == *target)
-        };
+        let names_target =
+            |sight: &Sight| sight.slot.as_ref().is_some_and(|slot| slot.target == *target);
         let own = self.sights.iter().find(|(_, sight)| names_target(sight));
         if let Some((number, sight)) = own {
             return Some((*number, Condition::Version(sight.version)));
         }
         let is_held = |number: &u32| self.held.values().any(|held| held.number == *number);
-        (0..limit)
-            .filter(|number| !is_held(number))
-            .find_map(|number| match self.sights.get(&number) {
+        (0..limit).filter(|number| !is_held(number)).find_map(|number| {
+            match self.sights.get(&number) {
                 None => Some((number, Condition::Absent)),
                 Some(sight) if now.since(sight.since) >= EXPIRY_MS => {
                     Some((number, Condition::Version(sight.version)))
                 }
                 Some(_) => None,
-            })
+            }
+        })
     }
 
     /// Takes the answer to a call; returns whether the call was made here.
@@ -231,11 +212,7 @@
             }
             return true;
         }
-        if self
-            .attempt
-            .as_ref()
-            .is_none_or(|attempt| attempt.call != call)
-        {
+        if self.attempt.as_ref().is_none_or(|attempt| attempt.call != call) {
             return false;
         }
         match answer {
@@ -273,11 +250,7 @@
             Some(Value::Slot(slot)) => Some(slot.clone()),
             _ => None,
         };
-        let sight = Sight {
-            version: record.version,
-            slot,
-            since: now,
-        };
+        let sight = Sight { version: record.version, slot, since: now };
         self.sights.insert(number, sight);
     }
 
@@ -296,11 +269,7 @@
             renewal: slot.renewal,
             renew_at: attempt.sent.after(RENEW_MS),
         };
-        let sight = Sight {
-            version,
-            slot: Some(slot),
-            since: now,
-        };
+        let sight = Sight { version, slot: Some(slot), since: now };
         self.sights.insert(attempt.number, sight);
         self.wanted.remove(&attempt.target);
         self.held.insert(attempt.target, held);
--- a/crates/kernel/src/store.rs
+++ b/crates/kernel/src/store.rs
@@ -86,7 +86,8 @@
 }
 
 /// A typed record value.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum Value {
     /// A lease.
     Lease(Lease),
@@ -99,7 +100,8 @@
 }
 
 /// Who owns a pool.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Lease {
     /// Owner VM.
     pub vm: Name,
@@ -114,7 +116,8 @@
 }
 
 /// An at-most-once call.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Claim {
     /// Unique to the attempt; used to read back a lost answer.
     pub attempt: Name,
@@ -129,7 +132,8 @@
 }
 
 /// A kept answer.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Stored {
     /// HTTP status.
     pub status: u16,
@@ -140,7 +144,8 @@
 }
 
 /// A quarantined request body.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Quarantine {
     /// Target deaths it was correlated with.
     pub deaths: u32,
@@ -153,7 +158,8 @@
 }
 
 /// A weight-store load slot.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Slot {
     /// Target that loads.
     pub target: Name,
--- a/crates/kernel/src/stream.rs
+++ b/crates/kernel/src/stream.rs
@@ -78,7 +78,8 @@
 }
 
 /// The events that a caller asked for are no longer kept.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[error("events before number {first} are no longer kept")]
 pub struct TooOld {
     /// Sequence number of the first event kept.
--- a/crates/kernel/src/takeover.rs
+++ b/crates/kernel/src/takeover.rs
@@ -84,8 +84,7 @@
         for gone in self.listed.difference(&listed) {
             self.departed.insert(gone.clone(), now);
         }
-        self.departed
-            .retain(|name, at| !listed.contains(name) && now.since(*at) < DEPARTED_AGE);
+        self.departed.retain(|name, at| !listed.contains(name) && now.since(*at) < DEPARTED_AGE);
         self.listed = listed;
         self.seen = true;
     }
@@ -97,7 +96,8 @@
 }
 
 /// The state that a holder hands to its successor.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Snapshot {
     /// The pool.
     pub pool: Key,
@@ -167,11 +167,7 @@
 
 /// Names of all known VMs, sorted.
 pub(crate) fn vms(state: &State) -> Vec<Name> {
-    let mut vms: Vec<Name> = state
-        .members
-        .iter()
-        .map(|member| member.entry.vm.clone())
-        .collect();
+    let mut vms: Vec<Name> = state.members.iter().map(|member| member.entry.vm.clone()).collect();
     vms.sort();
     vms
 }
@@ -223,12 +219,7 @@
 
 impl Takeover {
     fn new(at: Millis) -> Takeover {
-        Takeover {
-            at,
-            complete: false,
-            answered: BTreeSet::new(),
-            asked: BTreeMap::new(),
-        }
+        Takeover { at, complete: false, answered: BTreeSet::new(), asked: BTreeMap::new() }
     }
 
     /// Whether a report that came at `seen` shows all work that started before the take-over.
@@ -243,10 +234,7 @@
 
     /// Takes back that a VM has told everything: it reports work that is not in the ledger.
     pub(crate) fn doubt(&mut self, vm: &str, now: Millis) {
-        let due = self
-            .asked
-            .get(vm)
-            .is_none_or(|at| now.since(*at) >= HELLO_INTERVAL);
+        let due = self.asked.get(vm).is_none_or(|at| now.since(*at) >= HELLO_INTERVAL);
         if due && self.answered.remove(vm) {
             self.asked.remove(vm);
             self.complete = false;
@@ -259,10 +247,7 @@
             false => HELLO_SLOW_INTERVAL,
         };
         !self.answered.contains(vm)
-            && self
-                .asked
-                .get(vm)
-                .is_none_or(|at| now.since(*at) >= interval)
+            && self.asked.get(vm).is_none_or(|at| now.since(*at) >= interval)
     }
 }
 
@@ -340,11 +325,7 @@
     if pool.ledger.is_ended(id, work.ask.attempt) {
         return false;
     }
-    if pool
-        .ledger
-        .get(id)
-        .is_some_and(|known| known.ask.attempt >= work.ask.attempt)
-    {
+    if pool.ledger.get(id).is_some_and(|known| known.ask.attempt >= work.ask.attempt) {
         return true;
     }
     pool.forget(id, now);
--- a/crates/kernel/src/target.rs
+++ b/crates/kernel/src/target.rs
@@ -38,7 +38,8 @@
 const PREFIXES_MAX: usize = 65_536;
 
 /// What a target says about its readiness.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Phase {
     /// In cold start: it carries only a little.
     #[default]
@@ -50,7 +51,8 @@
 }
 
 /// A target's load report. It lags what the target does.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Report {
     /// Changes with every start of the target's process.
     pub start_id: u64,
@@ -77,7 +79,8 @@
 }
 
 /// Why no report could be had.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Silence {
     /// The connection was refused or reset: no process listens.
     Refused,
@@ -88,7 +91,8 @@
 }
 
 /// A batch of prefix-cache events of one engine.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct CacheBatch {
     /// Sequence number of the first event; a jump means lost events.
     pub first: u64,
@@ -99,7 +103,8 @@
 }
 
 /// How far a target has come from cold to warm.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Ramp {
     /// Concurrent requests allowed while it is cold.
     pub limit: u32,
@@ -112,20 +117,12 @@
 impl Ramp {
     /// A ramp at its start.
     pub fn cold(spec: &resource::Target) -> Ramp {
-        Ramp {
-            limit: spec.cold_limit.max(1),
-            answers: 0,
-            warm: false,
-        }
+        Ramp { limit: spec.cold_limit.max(1), answers: 0, warm: false }
     }
 
     /// A ramp at its end.
     pub fn warm(spec: &resource::Target) -> Ramp {
-        Ramp {
-            limit: spec.warm_limit,
-            answers: 0,
-            warm: true,
-        }
+        Ramp { limit: spec.warm_limit, answers: 0, warm: true }
     }
 
     /// Counts a successful answer of a target that reports warm.
@@ -292,17 +289,12 @@
     /// KV capacity in tokens; zero if it has no limit.
     pub fn kv_capacity(&self) -> u64 {
         let reported = self.seen.as_ref().map(|seen| seen.report.kv_capacity);
-        reported
-            .filter(|&capacity| capacity > 0)
-            .unwrap_or(self.spec.kv_tokens)
+        reported.filter(|&capacity| capacity > 0).unwrap_or(self.spec.kv_tokens)
     }
 
     /// KV use in tokens that a fresh report shows; zero without one.
     pub fn kv_shown(&self, now: Millis) -> u64 {
-        let fresh = self
-            .seen
-            .as_ref()
-            .filter(|seen| now.since(seen.at) <= REPORT_LAG);
+        let fresh = self.seen.as_ref().filter(|seen| now.since(seen.at) <= REPORT_LAG);
         fresh.map_or(0, |seen| seen.report.kv_used)
     }
 
@@ -338,10 +330,7 @@
 
     /// Number of the request's prefixes, from the shortest, that the engine is thought to hold.
     pub fn cached(&self, prefixes: &[u64]) -> usize {
-        prefixes
-            .iter()
-            .take_while(|&prefix| self.prefixes.contains(prefix))
-            .count()
+        prefixes.iter().take_while(|&prefix| self.prefixes.contains(prefix)).count()
     }
 
     /// Sends the target back to the start of its ramp.
@@ -385,10 +374,7 @@
     /// Takes in a report.
     pub(crate) fn report(&mut self, report: &Report, now: Millis) -> Finding {
         self.failed = 0;
-        let earlier = self.seen.replace(Seen {
-            report: report.clone(),
-            at: now,
-        });
+        let earlier = self.seen.replace(Seen { report: report.clone(), at: now });
         let inherited = self.inherited.take();
         let known = earlier.as_ref().map(|seen| seen.report.start_id);
         let known = known.or(inherited);
@@ -434,11 +420,7 @@
 
     /// Requests that a report shows beyond those granted here within the report's lag.
     fn beyond_grants(&mut self, report: &Report, now: Millis) -> u32 {
-        while self
-            .released
-            .front()
-            .is_some_and(|&at| now.since(at) > REPORT_LAG)
-        {
+        while self.released.front().is_some_and(|&at| now.since(at) > REPORT_LAG) {
             self.released.pop_front();
         }
         let granted = self.running() + self.released.len() as u32;
@@ -542,9 +524,7 @@
     pub(crate) fn take_broken(&mut self, now: Millis) -> Vec<Suspect> {
         self.died_at = Some(now);
         let broken = std::mem::take(&mut self.broken);
-        let recent = broken
-            .into_iter()
-            .filter(|(at, _)| now.since(*at) <= BROKEN_AGE);
+        let recent = broken.into_iter().filter(|(at, _)| now.since(*at) <= BROKEN_AGE);
         recent.map(|(_, suspect)| suspect).collect()
     }
 
--- a/crates/kernel/src/validate.rs
+++ b/crates/kernel/src/validate.rs
@@ -31,14 +31,7 @@
 /// `Score` policies of the design page.
 const SCORE: &[&str] = &["kvload", "affinity", "round-robin", "least-outstanding"];
 /// `Admit` and `Filter` policies of the design page.
-const SWITCHED: &[&str] = &[
-    "overload",
-    "quarantine",
-    "ramp",
-    "headroom",
-    "eligible",
-    "isolate",
-];
+const SWITCHED: &[&str] = &["overload", "quarantine", "ramp", "headroom", "eligible", "isolate"];
 
 /// One field with an unusable value. The text never holds the value of a secret.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -52,10 +45,7 @@
 impl Fault {
     /// A fault of a field.
     pub fn new(field: &str, problem: &str) -> Fault {
-        Fault {
-            field: field.to_owned(),
-            problem: problem.to_owned(),
-        }
+        Fault { field: field.to_owned(), problem: problem.to_owned() }
     }
 }
 
@@ -75,10 +65,7 @@
 /// ```
 pub fn is_name(text: &str) -> bool {
     let is_length = (1..=NAME_MAX).contains(&text.len());
-    is_length
-        && text
-            .bytes()
-            .all(|byte| matches!(byte, b'a'..=b'z' | b'0'..=b'9' | b'-'))
+    is_length && text.bytes().all(|byte| matches!(byte, b'a'..=b'z' | b'0'..=b'9' | b'-'))
 }
 
 /// Every fault of a record by itself and against the resources in force.
@@ -115,10 +102,7 @@
     for reference in references(spec) {
         if !exists(&reference.key, book) {
             let kind = reference.key.kind.plural();
-            faults.add(
-                &reference.field,
-                &format!("refers to {kind} that do not exist"),
-            );
+            faults.add(&reference.field, &format!("refers to {kind} that do not exist"));
         }
     }
     if let Spec::Organisation(spec) = spec {
@@ -142,10 +126,7 @@
 pub fn references(spec: &Spec) -> Vec<Reference> {
     let one = |field: &str, kind, name: &Name| Reference {
         field: field.to_owned(),
-        key: Key {
-            kind,
-            name: name.clone(),
-        },
+        key: Key { kind, name: name.clone() },
     };
     match spec {
         Spec::Organisation(spec) => {
@@ -156,9 +137,7 @@
         }
         Spec::Service(spec) => {
             let configuration = spec.configuration.iter();
-            configuration
-                .map(|name| one("spec.configuration", Kind::Configuration, name))
-                .collect()
+            configuration.map(|name| one("spec.configuration", Kind::Configuration, name)).collect()
         }
         Spec::Target(spec) => vec![
             one("spec.service", Kind::Service, &spec.service),
@@ -174,11 +153,7 @@
         .values()
         .filter(|record| {
             let spec = record.spec.as_ref();
-            spec.is_some_and(|spec| {
-                references(spec)
-                    .iter()
-                    .any(|reference| reference.key == *key)
-            })
+            spec.is_some_and(|spec| references(spec).iter().any(|reference| reference.key == *key))
         })
         .map(|record| record.key.clone())
         .collect();
@@ -248,10 +223,7 @@
     fn text(&mut self, field: &str, text: &str) {
         let is_length = (1..=TEXT_MAX).contains(&text.len());
         if !is_length || !text.bytes().all(|byte| byte.is_ascii_graphic()) {
-            self.add(
-                field,
-                "expected 1 to 256 printable ASCII characters without spaces",
-            );
+            self.add(field, "expected 1 to 256 printable ASCII characters without spaces");
         }
     }
 }
@@ -308,11 +280,7 @@
 }
 
 fn configuration(spec: &Configuration, faults: &mut Faults) {
-    faults.range(
-        "spec.organisationQueue",
-        spec.organisation_queue,
-        1..=COUNT_MAX,
-    );
+    faults.range("spec.organisationQueue", spec.organisation_queue, 1..=COUNT_MAX);
     faults.range("spec.poolQueue", spec.pool_queue, 1..=COUNT_MAX);
     faults.range("spec.kvPercent", spec.kv_percent, 1..=100);
     faults.range("spec.loadSlots", spec.load_slots, 0..=1_000);
@@ -333,9 +301,7 @@
 fn policies(spec: &crate::resource::Policy, faults: &mut Faults) {
     let plugins = policy::all();
     let registered = |name: &str, is_stage: fn(&Stage) -> bool| {
-        plugins
-            .iter()
-            .any(|plugin| plugin.name == name && is_stage(&plugin.stage))
+        plugins.iter().any(|plugin| plugin.name == name && is_stage(&plugin.stage))
     };
     let is_order = |stage: &Stage| matches!(stage, Stage::Order(_));
     if !ORDER.contains(&&*spec.order) && !registered(&spec.order, is_order) {
--- a/crates/kernel/src/watch.rs
+++ b/crates/kernel/src/watch.rs
@@ -83,21 +83,14 @@
 
 impl Mine {
     pub(crate) fn is_valid(&self, now: Millis) -> bool {
-        let is_released = self
-            .handover
-            .as_ref()
-            .is_some_and(|handover| handover.is_sent);
+        let is_released = self.handover.as_ref().is_some_and(|handover| handover.is_sent);
         !is_released && now.since(self.sent) < HOLD_MS
     }
 }
 
 impl Handover {
     pub(crate) fn new(to: Option<Name>, now: Millis) -> Handover {
-        Handover {
-            to,
-            release_at: now.after(HANDOVER_MS),
-            is_sent: false,
-        }
+        Handover { to, release_at: now.after(HANDOVER_MS), is_sent: false }
     }
 }
 
@@ -185,12 +178,7 @@
         if let (Some(handover), true) = (release, lease.released) {
             handover.is_sent = true;
         }
-        self.attempt = Some(Attempt {
-            call,
-            sent: now,
-            lease: lease.clone(),
-            lost: None,
-        });
+        self.attempt = Some(Attempt { call, sent: now, lease: lease.clone(), lost: None });
     }
 
     /// Whether nothing is held and nothing is being written.
@@ -227,10 +215,7 @@
             Some((version, lease)) => (Some(version), lease),
             None => (None, None),
         };
-        let is_same = self
-            .sight
-            .as_ref()
-            .is_some_and(|sight| sight.version == version);
+        let is_same = self.sight.as_ref().is_some_and(|sight| sight.version == version);
         if is_same {
             return;
         }
@@ -238,11 +223,7 @@
             self.fence = self.fence.max(lease.fence);
             self.is_successor &= lease.released || self.sight.is_none();
         }
-        self.sight = Some(Sight {
-            version,
-            lease,
-            since: now,
-        });
+        self.sight = Some(Sight { version, lease, since: now });
     }
 
     /// What stands in the table after a write that did not take effect.
--- a/crates/kernel/tests/common/mod.rs
+++ b/crates/kernel/tests/common/mod.rs
@@ -108,11 +108,7 @@
 }
 
 pub fn stored() -> Stored {
-    Stored {
-        status: 200,
-        content_type: "text/plain".to_owned(),
-        body: Some(b"done".to_vec()),
-    }
+    Stored { status: 200, content_type: "text/plain".to_owned(), body: Some(b"done".to_vec()) }
 }
 
 pub fn suspects(bodies: &[u64]) -> Vec<Suspect> {
@@ -126,10 +122,7 @@
 
 fn record(kind: Kind, name: &str, spec: Spec) -> Record {
     Record {
-        key: resource::Key {
-            kind,
-            name: name.into(),
-        },
+        key: resource::Key { kind, name: name.into() },
         version: Revision(1),
         generation: 1,
         labels: Default::default(),
@@ -145,20 +138,14 @@
         queue_ms: 20_000,
         configuration: None,
     };
-    let school = resource::Organisation {
-        weight: 1,
-        keys: Vec::new(),
-        services: Vec::new(),
-    };
+    let school = resource::Organisation { weight: 1, keys: Vec::new(), services: Vec::new() };
     let mut records = vec![
         record(Kind::Service, "menu", Spec::Service(service)),
         record(Kind::Organisation, "school", Spec::Organisation(school)),
     ];
     for (zone, region) in [("a1", "a"), ("a2", "a"), ("b1", "b")] {
-        let spec = resource::AvailabilityZone {
-            region: region.into(),
-            state: resource::Presence::In,
-        };
+        let spec =
+            resource::AvailabilityZone { region: region.into(), state: resource::Presence::In };
         let spec = Spec::AvailabilityZone(spec);
         records.push(record(Kind::AvailabilityZone, zone, spec));
     }
@@ -269,13 +256,7 @@
                 pools: self.owners.iter().filter_map(held).collect(),
             };
             let entries = vec![entry];
-            self.peer(
-                vm,
-                Message::Gossip(Gossip {
-                    entries,
-                    beats: Vec::new(),
-                }),
-            );
+            self.peer(vm, Message::Gossip(Gossip { entries, beats: Vec::new() }));
         }
     }
 
@@ -326,14 +307,7 @@
         let id = &id(n);
         let attempt = self.attempt(n);
         let first_token_ms = (tokens > 0).then_some(5);
-        self.handle(Event::Ended {
-            id,
-            attempt,
-            end,
-            tokens,
-            first_token_ms,
-            stored,
-        });
+        self.handle(Event::Ended { id, attempt, end, tokens, first_token_ms, stored });
     }
 
     fn attempt(&self, n: u64) -> u32 {
@@ -366,11 +340,7 @@
             Do::Late(n, attempt, from, target) => self.grant(n, attempt, from, target),
             Do::Refuse(n, from, reason) => {
                 let (id, attempt, refusal) = (id(n), self.attempt(n), Refusal::new(reason));
-                let refuse = Message::Refuse {
-                    id,
-                    attempt,
-                    refusal,
-                };
+                let refuse = Message::Refuse { id, attempt, refusal };
                 self.peer(from, refuse);
             }
             Do::Began(n) => {
@@ -419,10 +389,7 @@
             Do::Store(store) => self.store = store,
             Do::Seed(key, vm, incarnation, body) => self.seed(key, vm, incarnation, body),
             Do::Listed(names) => {
-                let vm = |name: &&str| Vm {
-                    name: (*name).into(),
-                    leaving: false,
-                };
+                let vm = |name: &&str| Vm { name: (*name).into(), leaving: false };
                 let vms: Vec<Vm> = names.iter().map(vm).collect();
                 self.handle(Event::Vms(&vms));
             }
@@ -430,14 +397,12 @@
             Do::Look(key) => self.look(key),
             Do::State(body) => {
                 let (registry, now) = (&self.kernel.state().quarantine, Millis(self.now));
-                let text = match (
-                    registry.is_quarantined(body, now),
-                    registry.is_suspect(body, now),
-                ) {
-                    (true, _) => "quarantined",
-                    (false, true) => "suspect",
-                    (false, false) => "clear",
-                };
+                let text =
+                    match (registry.is_quarantined(body, now), registry.is_suspect(body, now)) {
+                        (true, _) => "quarantined",
+                        (false, true) => "suspect",
+                        (false, false) => "clear",
+                    };
                 self.trace.push(format!("body {body} {text}"));
             }
             Do::Stop => self.handle(Event::Stop),
@@ -452,10 +417,9 @@
             Outcome::Start(start) => {
                 Some(format!("start {} on {}", start.id.counter, start.target))
             }
-            Outcome::Refuse { id, refusal } => Some(format!(
-                "refuse {} {:?} ran {:?}",
-                id.counter, refusal.reason, refusal.ran
-            )),
+            Outcome::Refuse { id, refusal } => {
+                Some(format!("refuse {} {:?} ran {:?}", id.counter, refusal.reason, refusal.ran))
+            }
             Outcome::Replay { id, .. } => Some(format!("replay {}", id.counter)),
             Outcome::Count(Counter::Retry(retry)) => Some(format!("retry {retry:?}")),
             Outcome::Drained => Some("drained".to_owned()),
--- a/crates/kernel/tests/common/table.rs
+++ b/crates/kernel/tests/common/table.rs
@@ -10,11 +10,7 @@
 
 impl World {
     fn claim_key(key: &str) -> Key {
-        Key::Claim {
-            organisation: "school".into(),
-            service: "menu".into(),
-            key: key.into(),
-        }
+        Key::Claim { organisation: "school".into(), service: "menu".into(), key: key.into() }
     }
 
     pub fn seed(&mut self, key: &str, vm: &str, incarnation: u64, fingerprint: u64) {
@@ -118,9 +114,7 @@
         }
         let version = 1_000 + self.heartbeat + self.outcomes.len() as u64;
         match &write.value {
-            Some(value) => self
-                .table
-                .insert(write.key.clone(), (version, value.clone())),
+            Some(value) => self.table.insert(write.key.clone(), (version, value.clone())),
             None => self.table.remove(&write.key),
         };
         Written::Applied(Revision(version))
--- a/crates/kernel/tests/entry.rs
+++ b/crates/kernel/tests/entry.rs
@@ -300,9 +300,7 @@
 fn jitters(first: u64, second: u64, is_equal: bool) {
     let delays = |seed: u64| -> Vec<u64> {
         let draw = |index| hornbeamloom_kernel::retry::draw(seed, index);
-        (0..8)
-            .map(|n| hornbeamloom_kernel::retry::backoff(n, draw(u64::from(n))))
-            .collect()
+        (0..8).map(|n| hornbeamloom_kernel::retry::backoff(n, draw(u64::from(n)))).collect()
     };
     assert_eq!(delays(first) == delays(second), is_equal);
 }
@@ -337,15 +335,8 @@
     for _ in 0..asks {
         world.peer("e3", Message::Ask(ask.clone()));
     }
-    let is_ack = |outcome: &&Outcome| {
-        matches!(
-            outcome,
-            Outcome::Send {
-                message: Message::Ack { .. },
-                ..
-            }
-        )
-    };
+    let is_ack =
+        |outcome: &&Outcome| matches!(outcome, Outcome::Send { message: Message::Ack { .. }, .. });
     assert_eq!(world.outcomes.iter().filter(is_ack).count(), expected);
 }
 
--- a/crates/kernel/tests/fleet/mod.rs
+++ b/crates/kernel/tests/fleet/mod.rs
@@ -127,10 +127,7 @@
     }
 
     pub fn node(&mut self, vm: &str) -> &mut Node {
-        self.nodes
-            .iter_mut()
-            .find(|node| *node.name == *vm)
-            .unwrap()
+        self.nodes.iter_mut().find(|node| *node.name == *vm).unwrap()
     }
 
     /// The VM's own time.
@@ -172,22 +169,12 @@
     }
 
     pub fn event_at(&mut self, vm: &str, event: Event<'_>) {
-        let ix = self
-            .nodes
-            .iter()
-            .position(|node| *node.name == *vm)
-            .unwrap();
+        let ix = self.nodes.iter().position(|node| *node.name == *vm).unwrap();
         self.event(ix, event);
     }
 
     pub fn list(&mut self, vms: &[&str]) {
-        let vms: Vec<Vm> = vms
-            .iter()
-            .map(|vm| Vm {
-                name: name(vm),
-                leaving: false,
-            })
-            .collect();
+        let vms: Vec<Vm> = vms.iter().map(|vm| Vm { name: name(vm), leaving: false }).collect();
         for ix in 0..self.nodes.len() {
             self.event(ix, Event::Vms(&vms));
         }
@@ -213,19 +200,9 @@
         let inbox: Vec<_> = self.nodes[ix].inbox.drain(..).collect();
         for (from, message) in inbox {
             let message = &message;
-            self.event(
-                ix,
-                Event::Peer {
-                    from: &from,
-                    message,
-                },
-            );
+            self.event(ix, Event::Peer { from: &from, message });
         }
-        while self.nodes[ix]
-            .answers
-            .front()
-            .is_some_and(|(at, ..)| *at <= self.now)
-        {
+        while self.nodes[ix].answers.front().is_some_and(|(at, ..)| *at <= self.now) {
             let (_, call, answer) = self.nodes[ix].answers.pop_front().unwrap();
             let answer = &answer;
             self.event(ix, Event::Store { call, answer });
@@ -239,11 +216,7 @@
 
     fn carry_out(&mut self, ix: usize, outcome: Outcome) {
         match outcome {
-            Outcome::Send {
-                address: to,
-                message,
-                ..
-            } => self.send(ix, &to, message),
+            Outcome::Send { address: to, message, .. } => self.send(ix, &to, message),
             Outcome::Store(call) => self.store(ix, call),
             Outcome::Order(order) => {
                 let now = Millis(self.now);
@@ -324,9 +297,7 @@
         let place = format!("{:?}", write.key);
         self.written.insert(place.clone(), self.now);
         match &write.value {
-            Some(value) => self
-                .table
-                .insert(place, (write.key.clone(), revision, value.clone())),
+            Some(value) => self.table.insert(place, (write.key.clone(), revision, value.clone())),
             None => self.table.remove(&place),
         };
         Written::Applied(revision)
@@ -368,11 +339,7 @@
             .collect();
         for pool in pools {
             let holders = self.holders(&pool);
-            assert!(
-                holders.len() <= 1,
-                "two holders at {}: {holders:?}",
-                self.now
-            );
+            assert!(holders.len() <= 1, "two holders at {}: {holders:?}", self.now);
             let Some((vm, fence)) = holders.into_iter().next() else {
                 continue;
             };
@@ -381,11 +348,7 @@
             assert!(age <= 5_000, "{vm} acts {age} ms after its last write");
             let known = self.held.entry(pool).or_insert((fence, vm.clone()));
             assert!(fence >= known.0, "fence went back at {}", self.now);
-            assert!(
-                fence > known.0 || vm == known.1,
-                "fence of two VMs at {}",
-                self.now
-            );
+            assert!(fence > known.0 || vm == known.1, "fence of two VMs at {}", self.now);
             *known = (fence, vm);
         }
     }
@@ -402,11 +365,7 @@
 }
 
 fn record((key, version, value): &(store::Key, Revision, Value)) -> store::Record {
-    store::Record {
-        key: key.clone(),
-        version: *version,
-        value: Some(value.clone()),
-    }
+    store::Record { key: key.clone(), version: *version, value: Some(value.clone()) }
 }
 
 fn belongs(key: &store::Key, family: &Family) -> bool {
@@ -423,10 +382,7 @@
 }
 
 pub fn spec_key(key: &str, spec: &Spec) -> resource::Key {
-    resource::Key {
-        kind: spec.kind(),
-        name: key.into(),
-    }
+    resource::Key { kind: spec.kind(), name: key.into() }
 }
 
 pub fn record_of(key: &str, version: u64, spec: Spec) -> Record {
@@ -441,10 +397,7 @@
 
 pub fn tombstone(kind: Kind, key: &str, version: u64) -> Record {
     Record {
-        key: resource::Key {
-            kind,
-            name: key.into(),
-        },
+        key: resource::Key { kind, name: key.into() },
         version: Revision(version),
         generation: 1,
         labels: Default::default(),
@@ -453,15 +406,8 @@
 }
 
 pub fn delta(from: u64, to: u64, specs: &[(&str, Spec)]) -> Delta {
-    let records = specs
-        .iter()
-        .map(|(key, spec)| record_of(key, to, spec.clone()));
-    Delta {
-        from: Revision(from),
-        to: Revision(to),
-        complete: false,
-        records: records.collect(),
-    }
+    let records = specs.iter().map(|(key, spec)| record_of(key, to, spec.clone()));
+    Delta { from: Revision(from), to: Revision(to), complete: false, records: records.collect() }
 }
 
 pub fn service() -> Spec {
@@ -481,10 +427,7 @@
 }
 
 pub fn configuration(fields: &str) -> Spec {
-    serde_json::from_str(&format!(
-        r#"{{"kind": "Configuration", "spec": {{{fields}}}}}"#
-    ))
-    .unwrap()
+    serde_json::from_str(&format!(r#"{{"kind": "Configuration", "spec": {{{fields}}}}}"#)).unwrap()
 }
 
 /// One service in zone `riga-a` with one engine.
--- a/crates/kernel/tests/fuzz/bed/carry.rs
+++ b/crates/kernel/tests/fuzz/bed/carry.rs
@@ -15,11 +15,7 @@
 use crate::schedule::Store;
 
 fn stored() -> Stored {
-    Stored {
-        status: 200,
-        content_type: "text/plain".to_owned(),
-        body: Some(b"done".to_vec()),
-    }
+    Stored { status: 200, content_type: "text/plain".to_owned(), body: Some(b"done".to_vec()) }
 }
 
 impl Bed {
@@ -32,13 +28,7 @@
                     self.granted.insert(attempt, granter.unwrap_or(vm));
                 }
                 let message = &message;
-                self.handle(
-                    vm,
-                    Event::Peer {
-                        from: &from,
-                        message,
-                    },
-                );
+                self.handle(vm, Event::Peer { from: &from, message });
             }
             Pending::Answer(call, answer) => {
                 let answer = &answer;
@@ -94,11 +84,7 @@
     }
 
     fn ended(&mut self, vm: usize, id: &Id, attempt: u32, end: End, tokens: u32) {
-        if self.vms[vm]
-            .open
-            .get(id)
-            .is_none_or(|open| open.0 != attempt)
-        {
+        if self.vms[vm].open.get(id).is_none_or(|open| open.0 != attempt) {
             return;
         }
         self.vms[vm].open.remove(id);
@@ -151,9 +137,7 @@
                 self.note("replay");
                 self.oracle.verdict(&id, self.now);
             }
-            Outcome::Send {
-                address, message, ..
-            } => self.send(vm, &address, message),
+            Outcome::Send { address, message, .. } => self.send(vm, &address, message),
             Outcome::Store(call) => self.store(vm, call),
             Outcome::Poll { target, .. } => self.poll(vm, &target),
             Outcome::Order(_) => self.note("order"),
@@ -167,14 +151,9 @@
             return;
         };
         let (id, attempt) = (start.id.clone(), start.attempt);
-        self.oracle
-            .started(&id, attempt, vm, &self.targets[ix], self.now);
+        self.oracle.started(&id, attempt, vm, &self.targets[ix], self.now);
         let granter = self.granted.remove(&(id.clone(), attempt));
-        let run = Run {
-            started: self.now,
-            ends: self.now + 100 + self.draw(2_500),
-            begun: false,
-        };
+        let run = Run { started: self.now, ends: self.now + 100 + self.draw(2_500), begun: false };
         self.targets[ix].runs.insert((id.clone(), attempt), run);
         let told = self.vms[granter.unwrap_or(vm)].told[ix];
         self.oracle.check_cold(&self.targets[ix], told, self.now);
--- a/crates/kernel/tests/fuzz/bed/time.rs
+++ b/crates/kernel/tests/fuzz/bed/time.rs
@@ -94,20 +94,12 @@
         if self.now >= self.vms[vm].progress_at {
             self.vms[vm].progress_at = self.now + PROGRESS_MS;
             let open = self.vms[vm].open.keys();
-            let counts: Vec<Count> = open
-                .map(|id| Count {
-                    id: id.clone(),
-                    tokens: 0,
-                })
-                .collect();
+            let counts: Vec<Count> = open.map(|id| Count { id: id.clone(), tokens: 0 }).collect();
             self.handle(vm, Event::Progress(&counts));
         }
         if self.now >= self.vms[vm].list_at {
             self.vms[vm].list_at = self.now + LIST_MS;
-            let listed = |name: &&str| Listed {
-                name: (*name).into(),
-                leaving: false,
-            };
+            let listed = |name: &&str| Listed { name: (*name).into(), leaving: false };
             let listed: Vec<Listed> = NAMES.iter().map(listed).collect();
             self.handle(vm, Event::Vms(&listed));
         }
--- a/crates/kernel/tests/fuzz/main.rs
+++ b/crates/kernel/tests/fuzz/main.rs
@@ -39,11 +39,7 @@
         }
     }
     bed.settle();
-    Outcome {
-        violations: bed.oracle.violations,
-        digest: bed.digest.finish(),
-        seen: bed.seen,
-    }
+    Outcome { violations: bed.oracle.violations, digest: bed.digest.finish(), seen: bed.seen }
 }
 
 /// The first violation of a schedule; a panic of the kernel is one.
@@ -51,11 +47,7 @@
     let outcome = catch_unwind(AssertUnwindSafe(|| run(seed, steps, Fault::None)));
     match outcome {
         Ok(outcome) => outcome.violations.into_iter().next(),
-        Err(_) => Some(Violation {
-            rule: "panic",
-            at: 0,
-            text: "the kernel panicked".to_owned(),
-        }),
+        Err(_) => Some(Violation { rule: "panic", at: 0, text: "the kernel panicked".to_owned() }),
     }
 }
 
@@ -76,14 +68,8 @@
             fail(seed, &steps, &found);
         }
         if seed % TWICE == 0 {
-            let (one, other) = (
-                run(seed, &steps, Fault::None),
-                run(seed, &steps, Fault::None),
-            );
-            assert_eq!(
-                one.digest, other.digest,
-                "seed {seed} does not repeat itself"
-            );
+            let (one, other) = (run(seed, &steps, Fault::None), run(seed, &steps, Fault::None));
+            assert_eq!(one.digest, other.digest, "seed {seed} does not repeat itself");
             for (what, count) in one.seen {
                 *seen.entry(what).or_insert(0) += count;
             }
--- a/crates/kernel/tests/fuzz/oracle.rs
+++ b/crates/kernel/tests/fuzz/oracle.rs
@@ -79,13 +79,7 @@
     }
 
     pub fn arrived(&mut self, id: &Id, vm: usize, key: Option<u8>) {
-        let request = Request {
-            vm,
-            key,
-            verdicts: 0,
-            has_run: false,
-            is_lost: false,
-        };
+        let request = Request { vm, key, verdicts: 0, has_run: false, is_lost: false };
         self.requests.insert(id.clone(), request);
     }
 
@@ -156,11 +150,7 @@
                 continue;
             };
             if now > at + CHANGE_MS && self.could_know(vm, revision, now) {
-                let text = format!(
-                    "VM {vm} starts {id} on {} {} ms late",
-                    target.name,
-                    now - at
-                );
+                let text = format!("VM {vm} starts {id} on {} {} ms late", target.name, now - at);
                 self.report(rule, now, text);
             }
         }
@@ -215,9 +205,7 @@
                 continue;
             }
             let held = self.held[at].iter();
-            let has_held = held
-                .clone()
-                .any(|(r, when)| *r >= revision && *when <= limit);
+            let has_held = held.clone().any(|(r, when)| *r >= revision && *when <= limit);
             if self.since.store[at] <= limit || has_held {
                 return true;
             }
@@ -232,11 +220,7 @@
     pub fn revision(&mut self, vm: usize, incarnation: Incarnation, held: Revision, now: u64) {
         let (known, before) = self.known[vm];
         if known == incarnation && held < before {
-            self.report(
-                "I9-back",
-                now,
-                format!("VM {vm} went from {before:?} to {held:?}"),
-            );
+            self.report("I9-back", now, format!("VM {vm} went from {before:?} to {held:?}"));
         }
         if known != incarnation || held > before {
             self.held[vm].push((held, now));
--- a/crates/kernel/tests/fuzz/stream.rs
+++ b/crates/kernel/tests/fuzz/stream.rs
@@ -80,10 +80,7 @@
         let got = read(seed, Reader::Cursor);
         assert!(is_exact(&got), "seed {seed}: {got:?}");
     }
-    println!(
-        "fuzz: {} token events from seed {first}",
-        answers * EVENTS as u64
-    );
+    println!("fuzz: {} token events from seed {first}", answers * EVENTS as u64);
 }
 
 hornbeamloom_kernel::cases! {
--- a/crates/kernel/tests/fuzz/table.rs
+++ b/crates/kernel/tests/fuzz/table.rs
@@ -33,10 +33,7 @@
     pub fn put(&mut self, name: &str, spec: Spec) -> Revision {
         self.revision += 1;
         self.head = Revision(self.revision);
-        let key = resource::Key {
-            kind: spec.kind(),
-            name: name.into(),
-        };
+        let key = resource::Key { kind: spec.kind(), name: name.into() };
         let record = Record {
             key: key.clone(),
             version: self.head,
@@ -51,12 +48,7 @@
     /// The resources changed after a revision.
     pub fn changes(&self, from: Revision) -> Delta {
         let changed = self.records.values().filter(|record| record.version > from);
-        Delta {
-            from,
-            to: self.head,
-            complete: false,
-            records: changed.cloned().collect(),
-        }
+        Delta { from, to: self.head, complete: false, records: changed.cloned().collect() }
     }
 
     pub fn perform(&mut self, op: &Op) -> Answer {
@@ -92,11 +84,8 @@
         }
         match &write.value {
             Some(value) => {
-                let row = store::Record {
-                    key: write.key.clone(),
-                    version,
-                    value: Some(value.clone()),
-                };
+                let row =
+                    store::Record { key: write.key.clone(), version, value: Some(value.clone()) };
                 self.rows.insert(place(&write.key), row);
             }
             None => {
--- a/crates/kernel/tests/intent.rs
+++ b/crates/kernel/tests/intent.rs
@@ -22,12 +22,7 @@
 }
 
 fn changes(from: u64, to: u64, complete: bool, records: Vec<Record>) -> Delta {
-    Delta {
-        from: Revision(from),
-        to: Revision(to),
-        complete,
-        records,
-    }
+    Delta { from: Revision(from), to: Revision(to), complete, records }
 }
 
 /// A VM at revision 5 with a service, a zone and a target.
@@ -43,13 +38,7 @@
     match is_from_peer {
         true => {
             let message = &Message::Delta(given);
-            fleet.event_at(
-                "a1",
-                Event::Peer {
-                    from: "z9",
-                    message,
-                },
-            );
+            fleet.event_at("a1", Event::Peer { from: "z9", message });
         }
         false => apply(&mut fleet, &given),
     }
@@ -76,13 +65,7 @@
 fn head_is_read(revision: u64, regressed: u64, source: Source) {
     let mut fleet = Fleet::of_zone(1);
     let message = &Message::Delta(delta(0, 5, &fleet::one_pool()));
-    fleet.event_at(
-        "a1",
-        Event::Peer {
-            from: "z9",
-            message,
-        },
-    );
+    fleet.event_at("a1", Event::Peer { from: "z9", message });
     assert_eq!(intent(&mut fleet, "a1").source, Source::Peer);
     fleet.event_at("a1", Event::Head(Revision(revision)));
     assert_eq!(fleet.node("a1").count("store_regressed"), regressed);
@@ -176,10 +159,7 @@
 #[test]
 fn dangling_record_comes_into_force_with_its_reference() {
     let mut fleet = at_five();
-    apply(
-        &mut fleet,
-        &delta(5, 6, &[("x", target("new-model", "riga-a", ""))]),
-    );
+    apply(&mut fleet, &delta(5, 6, &[("x", target("new-model", "riga-a", ""))]));
     assert!(intent(&mut fleet, "a1").target("x").is_none());
     apply(&mut fleet, &delta(6, 7, &[("new-model", service())]));
     let intent = intent(&mut fleet, "a1");
@@ -200,10 +180,7 @@
     fleet.now += wait_ms;
     apply(&mut fleet, &delta(5 + deleted, 6 + deleted, &[]));
     let intent = intent(&mut fleet, "a1");
-    let tombstones = intent
-        .records()
-        .filter(|record| record.spec.is_none())
-        .count();
+    let tombstones = intent.records().filter(|record| record.spec.is_none()).count();
     assert_eq!(tombstones, kept);
     assert_eq!(intent.changes(Revision(5)).complete, is_complete);
     let newest = intent.changes(Revision(5 + deleted));
@@ -228,9 +205,7 @@
     fleet.run(fleet::STEP_MS);
     let reached = |fleet: &Fleet| {
         let nodes = fleet.nodes.iter();
-        nodes
-            .filter(|node| node.kernel.state().intent.revision == Revision(5))
-            .count()
+        nodes.filter(|node| node.kernel.state().intent.revision == Revision(5)).count()
     };
     assert!(reached(&fleet) >= 4);
     fleet.run(9 * ROUND_MS);
@@ -260,10 +235,7 @@
     fleet.run(10 * ROUND_MS);
     fleet.partition(&["a3"], &["a1", "a2"]);
     let revision = intent(&mut fleet, "a1").revision.0;
-    apply(
-        &mut fleet,
-        &delta(revision, 900, &[("other-model", service())]),
-    );
+    apply(&mut fleet, &delta(revision, 900, &[("other-model", service())]));
     fleet.run(10 * ROUND_MS);
     assert_eq!(intent(&mut fleet, "a3").revision, Revision(revision));
     fleet.cut.clear();
@@ -289,13 +261,7 @@
     fleet.cut.clear();
     for change in [other, one] {
         let message = &Message::Delta(change);
-        fleet.event_at(
-            "a2",
-            Event::Peer {
-                from: "a1",
-                message,
-            },
-        );
+        fleet.event_at("a2", Event::Peer { from: "a1", message });
         // The gap makes the VM ask at once; gossip alone takes longer than one step.
         fleet.run(fleet::STEP_MS);
         assert_eq!(intent(&mut fleet, "a2").revision, Revision(7));
--- a/crates/kernel/tests/lease.rs
+++ b/crates/kernel/tests/lease.rs
@@ -109,15 +109,7 @@
         let owner = node.kernel.state().members.owner(&pool());
         assert_eq!(owner, Some((&holder, fence)));
     }
-    assert_eq!(
-        fleet
-            .node(&holder)
-            .kernel
-            .state()
-            .leases
-            .last_fence(&pool()),
-        Some(fence)
-    );
+    assert_eq!(fleet.node(&holder).kernel.state().leases.last_fence(&pool()), Some(fence));
     for node in &mut fleet.nodes {
         node.store = Store::Up;
     }
@@ -276,10 +268,7 @@
     let mut specs = vec![("riga-a".to_owned(), fleet::zone())];
     for ix in 0..count {
         let service = format!("model-{ix}");
-        specs.push((
-            format!("engine-{ix}"),
-            fleet::target(&service, "riga-a", ""),
-        ));
+        specs.push((format!("engine-{ix}"), fleet::target(&service, "riga-a", "")));
         specs.push((service, fleet::service()));
     }
     specs
@@ -287,17 +276,12 @@
 
 fn declare_many(fleet: &mut Fleet, count: usize) {
     let specs = many_pools(count);
-    let specs: Vec<_> = specs
-        .iter()
-        .map(|(key, spec)| (&**key, spec.clone()))
-        .collect();
+    let specs: Vec<_> = specs.iter().map(|(key, spec)| (&**key, spec.clone())).collect();
     fleet.declare(&specs);
 }
 
 fn loads(fleet: &Fleet, count: usize) -> Vec<usize> {
-    let keys: Vec<Key> = (0..count)
-        .map(|ix| Key::new(&format!("model-{ix}"), "riga-a"))
-        .collect();
+    let keys: Vec<Key> = (0..count).map(|ix| Key::new(&format!("model-{ix}"), "riga-a")).collect();
     let holders: Vec<Name> = keys.iter().filter_map(|key| fleet.holder(key)).collect();
     assert_eq!(holders.len(), count, "every pool has a holder");
     let load = |vm: &Name| holders.iter().filter(|holder| *holder == vm).count();
--- a/crates/kernel/tests/member.rs
+++ b/crates/kernel/tests/member.rs
@@ -24,28 +24,13 @@
 }
 
 fn hear(fleet: &mut Fleet, vm: &str, entries: Vec<Entry>) {
-    let message = Message::Gossip(Gossip {
-        entries,
-        beats: Vec::new(),
-    });
+    let message = Message::Gossip(Gossip { entries, beats: Vec::new() });
     let message = &message;
-    fleet.event_at(
-        vm,
-        Event::Peer {
-            from: "z9",
-            message,
-        },
-    );
+    fleet.event_at(vm, Event::Peer { from: "z9", message });
 }
 
 fn view(fleet: &mut Fleet, of: &str, at: &str) -> Option<View> {
-    fleet
-        .node(at)
-        .kernel
-        .state()
-        .members
-        .get(of)
-        .map(|member| member.view)
+    fleet.node(at).kernel.state().members.get(of).map(|member| member.view)
 }
 
 /// Zones `riga-a` (VMs a1 to aN) and `riga-b` (b1 to bN).
@@ -89,12 +74,7 @@
     // The last heartbeat reached the observer up to a few rounds ago.
     fleet.run(ms);
     assert_eq!(view(&mut fleet, "a2", observer), Some(expected));
-    let is_reachable = fleet
-        .node(observer)
-        .kernel
-        .state()
-        .members
-        .is_reachable("a2");
+    let is_reachable = fleet.node(observer).kernel.state().members.is_reachable("a2");
     assert_eq!(is_reachable, expected != View::Dead);
 }
 
@@ -175,10 +155,7 @@
         assert!(node.most_items <= 49);
         let members = &node.kernel.state().members;
         assert_eq!(members.iter().count(), VMS);
-        let dead = members
-            .iter()
-            .filter(|member| member.view == View::Dead)
-            .count();
+        let dead = members.iter().filter(|member| member.view == View::Dead).count();
         assert_eq!(dead, 0, "{} sees {dead} dead VMs", node.name);
     }
 }
@@ -212,14 +189,7 @@
     fleet.run(ROUND_MS);
     hear(&mut fleet, "a1", vec![entry("z9", 5, 10)]);
     hear(&mut fleet, "a1", vec![entry("z9", second.0, second.1)]);
-    let entry = &fleet
-        .node("a1")
-        .kernel
-        .state()
-        .members
-        .get("z9")
-        .unwrap()
-        .entry;
+    let entry = &fleet.node("a1").kernel.state().members.get("z9").unwrap().entry;
     assert_eq!((entry.incarnation.0, entry.heartbeat), expected);
 }
 
@@ -236,11 +206,7 @@
 fn own_entry_of_a_later_start_raises_the_incarnation(heard: (u64, u64), expected: u64) {
     let mut fleet = Fleet::of_zone(2);
     fleet.run(4 * ROUND_MS);
-    hear(
-        &mut fleet,
-        "a1",
-        vec![entry("z9", 1, 1), entry("a1", heard.0, heard.1)],
-    );
+    hear(&mut fleet, "a1", vec![entry("z9", 1, 1), entry("a1", heard.0, heard.1)]);
     let state = fleet.node("a1").kernel.state();
     assert_eq!(state.identity.incarnation.0, expected);
     fleet.run(20 * ROUND_MS);
@@ -304,17 +270,11 @@
 fn implausible_entries_are_ignored_and_counted() {
     let mut fleet = Fleet::of_zone(1);
     let long = "z".repeat(1_000);
-    hear(
-        &mut fleet,
-        "a1",
-        vec![entry("z9", 1, 1), entry("", 1, 1), entry(&long, 1, 1)],
-    );
+    hear(&mut fleet, "a1", vec![entry("z9", 1, 1), entry("", 1, 1), entry(&long, 1, 1)]);
     let node = fleet.node("a1");
     assert_eq!(node.count("gossip_entry"), 2);
     assert_eq!(node.kernel.state().members.iter().count(), 2);
-    let many = (0..10_000)
-        .map(|ix| entry(&format!("v{ix}"), 1, 1))
-        .collect();
+    let many = (0..10_000).map(|ix| entry(&format!("v{ix}"), 1, 1)).collect();
     hear(&mut fleet, "a1", many);
     assert!(fleet.node("a1").kernel.state().members.iter().count() <= 51);
 }
--- a/crates/kernel/tests/pool/bed.rs
+++ b/crates/kernel/tests/pool/bed.rs
@@ -42,11 +42,7 @@
 pub fn config(order: &str, score: &[&str], off: &[&str]) -> Configuration {
     let names = |names: &[&str]| names.iter().map(|name| Name::from(*name)).collect();
     Configuration {
-        policy: resource::Policy {
-            order: order.into(),
-            score: names(score),
-            off: names(off),
-        },
+        policy: resource::Policy { order: order.into(), score: names(score), off: names(off) },
         ..Configuration::default()
     }
 }
@@ -191,35 +187,18 @@
     }
 
     pub fn held(&self) -> Option<Fence> {
-        self.kernel
-            .state()
-            .pools
-            .get(&key())
-            .and_then(|pool| pool.held)
+        self.kernel.state().pools.get(&key()).and_then(|pool| pool.held)
     }
 
     pub fn inventory(&mut self, from: &str, running: Vec<Running>) {
         let fence = self.held().expect("the pool is held");
         let pool = key();
-        self.hear(
-            from,
-            Message::Inventory {
-                pool,
-                fence,
-                running,
-            },
-        );
+        self.hear(from, Message::Inventory { pool, fence, running });
     }
 
     fn engine(&mut self, name: &str, phase: Phase) {
-        let engine = Engine {
-            phase,
-            start_id: 1,
-            foreign: 0,
-            running: None,
-            kv_used: 0,
-            silence: None,
-        };
+        let engine =
+            Engine { phase, start_id: 1, foreign: 0, running: None, kv_used: 0, silence: None };
         self.engines.insert(name.into(), engine);
     }
 
@@ -241,11 +220,8 @@
     }
 
     pub fn set_weight(&mut self, name: &str, weight: u32) {
-        let organisation = resource::Organisation {
-            weight,
-            keys: Vec::new(),
-            services: Vec::new(),
-        };
+        let organisation =
+            resource::Organisation { weight, keys: Vec::new(), services: Vec::new() };
         self.declare(name, Spec::Organisation(organisation));
         self.apply();
     }
@@ -257,33 +233,20 @@
         let to = Revision(self.revision);
         let records = self.records.iter().flat_map(|(kind, specs)| {
             specs.iter().map(move |(name, spec)| Record {
-                key: resource::Key {
-                    kind: *kind,
-                    name: name.clone(),
-                },
+                key: resource::Key { kind: *kind, name: name.clone() },
                 version: to,
                 generation: to.0,
                 labels: BTreeMap::new(),
                 spec: Some(spec.clone()),
             })
         });
-        let delta = Delta {
-            from,
-            to,
-            complete: true,
-            records: records.collect(),
-        };
+        let delta = Delta { from, to, complete: true, records: records.collect() };
         self.handle(Event::Changes(&delta));
     }
 
     pub fn list(&mut self, names: &[&str]) {
-        let vms: Vec<Vm> = names
-            .iter()
-            .map(|name| Vm {
-                name: (*name).into(),
-                leaving: false,
-            })
-            .collect();
+        let vms: Vec<Vm> =
+            names.iter().map(|name| Vm { name: (*name).into(), leaving: false }).collect();
         self.handle(Event::Vms(&vms));
     }
 
@@ -368,11 +331,7 @@
         let key = store::Key::Lease(key());
         self.rows.retain(|row| row.key != key);
         let value = Some(store::Value::Lease(lease));
-        self.rows.push(store::Record {
-            key,
-            version,
-            value,
-        });
+        self.rows.push(store::Record { key, version, value });
     }
 
     /// Answers a poll of a target.
@@ -380,9 +339,8 @@
         let Some(engine) = self.engines.get(name).cloned() else {
             return;
         };
-        let running = engine
-            .running
-            .unwrap_or_else(|| engine.foreign + self.on_target(name).len() as u32);
+        let running =
+            engine.running.unwrap_or_else(|| engine.foreign + self.on_target(name).len() as u32);
         let report = Report {
             start_id: engine.start_id,
             phase: engine.phase,
@@ -502,9 +460,7 @@
 
     pub fn granted(&self, id: &Id) -> Option<Name> {
         let mut running = self.running().into_iter();
-        running
-            .find(|(other, _)| other == id)
-            .map(|(_, target)| target)
+        running.find(|(other, _)| other == id).map(|(_, target)| target)
     }
 
     pub fn is_waiting(&self, id: &Id) -> bool {
@@ -554,9 +510,7 @@
             .steps(id)
             .find(|step| step.text.starts_with("refused: "))
             .map(|step| step.text.clone())?;
-        reasons
-            .into_iter()
-            .find(|reason| text.ends_with(reason.as_str()))
+        reasons.into_iter().find(|reason| text.ends_with(reason.as_str()))
     }
 
     pub fn count(&self, label: &str) -> usize {
--- a/crates/kernel/tests/pool/cold.rs
+++ b/crates/kernel/tests/pool/cold.rs
@@ -9,11 +9,7 @@
 use crate::bed::{target, Bed};
 
 fn cold(limit: u32, warm: u32, phase: Phase) -> Bed {
-    Bed::holder(
-        &[("engine-1", target(limit, warm, 0))],
-        phase,
-        Configuration::default(),
-    )
+    Bed::holder(&[("engine-1", target(limit, warm, 0))], phase, Configuration::default())
 }
 
 /// Without the ramp a cold target would get all eight requests.
--- a/crates/kernel/tests/pool/consistency.rs
+++ b/crates/kernel/tests/pool/consistency.rs
@@ -17,10 +17,8 @@
 
 impl Draw {
     fn below(&mut self, bound: u64) -> u64 {
-        self.0 = self
-            .0
-            .wrapping_mul(6_364_136_223_846_793_005)
-            .wrapping_add(1_442_695_040_888_963_407);
+        self.0 =
+            self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
         (self.0 >> 33) % bound
     }
 }
@@ -41,10 +39,7 @@
     }
     let waiting: usize = pool.queue.organisations.iter().map(|one| one.len()).sum();
     assert_eq!(waiting, pool.queue.len());
-    assert!(pool
-        .queue
-        .iter()
-        .all(|one| pool.ledger.get(&one.ask.id).is_none()));
+    assert!(pool.queue.iter().all(|one| pool.ledger.get(&one.ask.id).is_none()));
 }
 
 fn step(bed: &mut Bed, draw: &mut Draw) {
@@ -60,20 +55,9 @@
             let running = bed.running();
             if !running.is_empty() {
                 let (id, _) = &running[draw.below(running.len() as u64) as usize];
-                let ends = [
-                    End::Complete,
-                    End::Complete,
-                    End::Broken,
-                    End::Rejected,
-                    End::Unsent,
-                ];
+                let ends = [End::Complete, End::Complete, End::Broken, End::Rejected, End::Unsent];
                 let end = ends[draw.below(5) as usize];
-                bed.end(
-                    id,
-                    end,
-                    draw.below(400) as u32,
-                    Some(draw.below(2_000) as u32),
-                );
+                bed.end(id, end, draw.below(400) as u32, Some(draw.below(2_000) as u32));
             }
         }
         12 => bed.engines.get_mut(engine).unwrap().start_id += 1,
@@ -94,11 +78,7 @@
             }
         }
         18 => {
-            let listed: &[&str] = if draw.below(2) == 0 {
-                &[OWNER]
-            } else {
-                &[OWNER, ENTRY]
-            };
+            let listed: &[&str] = if draw.below(2) == 0 { &[OWNER] } else { &[OWNER, ENTRY] };
             bed.list(listed);
         }
         _ => bed.pass(draw.below(4_000)),
--- a/crates/kernel/tests/pool/fair.rs
+++ b/crates/kernel/tests/pool/fair.rs
@@ -17,10 +17,7 @@
 
 /// One warm target; nine of its ten slots are open to long requests.
 fn bed(order: &str) -> Bed {
-    Bed::warm(
-        &[("engine-1", target(1, STARTS, KV))],
-        config(order, &["kvload"], &[]),
-    )
+    Bed::warm(&[("engine-1", target(1, STARTS, KV))], config(order, &["kvload"], &[]))
 }
 
 /// Keeps every organisation backlogged for a time and returns the service of each in tokens.
@@ -36,14 +33,7 @@
         bed.pass(500);
         let oldest = bed.running().into_iter().take(4);
         for (id, _) in oldest.collect::<Vec<_>>() {
-            let owner = bed
-                .pool()
-                .ledger
-                .get(&id)
-                .unwrap()
-                .ask
-                .organisation
-                .to_string();
+            let owner = bed.pool().ledger.get(&id).unwrap().ask.organisation.to_string();
             bed.end(&id, End::Complete, OUTPUT as u32, Some(100));
             *served.entry(owner).or_default() += PROMPT + 2 * OUTPUT;
         }
@@ -99,19 +89,12 @@
     let mut bed = bed("fair");
     bed.asks("alone", 20);
     bed.pass(500);
-    assert_eq!(
-        bed.running().len(),
-        9,
-        "one slot is kept for short requests"
-    );
+    assert_eq!(bed.running().len(), 9, "one slot is kept for short requests");
 }
 
 /// Short requests that wait behind long ones of their organisation come too late.
 fn short_goes_first(kind: fn(&mut Bed) -> Id, expected: bool) {
-    let mut bed = Bed::warm(
-        &[("engine-1", target(1, STARTS, KV))],
-        Configuration::default(),
-    );
+    let mut bed = Bed::warm(&[("engine-1", target(1, STARTS, KV))], Configuration::default());
     bed.asks("parlour-1", 20);
     bed.pass(500);
     let id = kind(&mut bed);
--- a/crates/kernel/tests/pool/memory.rs
+++ b/crates/kernel/tests/pool/memory.rs
@@ -129,17 +129,10 @@
 /// Prefix hints choose among open targets; lost events make them worthless.
 fn affinity(first: u64, score: &[&str], expected: &str) {
     let config = config("fair", score, &[]);
-    let targets = [
-        ("engine-1", target(1, 8, KV)),
-        ("engine-2", target(1, 8, KV)),
-    ];
+    let targets = [("engine-1", target(1, 8, KV)), ("engine-2", target(1, 8, KV))];
     let mut bed = Bed::warm(&targets, config);
     for (first, stored) in [(0, vec![7, 8]), (first, vec![9])] {
-        let batch = CacheBatch {
-            first,
-            stored,
-            evicted: Vec::new(),
-        };
+        let batch = CacheBatch { first, stored, evicted: Vec::new() };
         let target = "engine-2";
         let batch = &batch;
         bed.handle(hornbeamloom_kernel::event::Event::Cache { target, batch });
--- a/crates/kernel/tests/pool/policy.rs
+++ b/crates/kernel/tests/pool/policy.rs
@@ -44,10 +44,7 @@
 
 /// Round-robin and least-outstanding differ once a target has finished work.
 fn after_finish(score: &[&str], expected: &str) {
-    let targets = [
-        ("engine-1", target(1, 40, 0)),
-        ("engine-2", target(1, 40, 0)),
-    ];
+    let targets = [("engine-1", target(1, 40, 0)), ("engine-2", target(1, 40, 0))];
     let mut bed = Bed::warm(&targets, config("fair", score, &[]));
     let ids = bed.asks("parlour-1", 3);
     bed.finish(&ids[0]);
@@ -64,10 +61,7 @@
 
 /// First come, first served ignores organisations and classes.
 fn order(name: &str, expected: &str) {
-    let mut bed = Bed::warm(
-        &[("engine-1", target(1, 1, 0))],
-        config(name, &["kvload"], &[]),
-    );
+    let mut bed = Bed::warm(&[("engine-1", target(1, 1, 0))], config(name, &["kvload"], &[]));
     let first = bed.ask("busy");
     for organisation in ["busy", "busy", "quiet"] {
         bed.pass(10);
@@ -105,11 +99,8 @@
 /// A change of configuration must reach pools that are already scheduled.
 #[test]
 fn changed_configuration_applies_to_a_running_pool() {
-    let mut bed = Bed::holder(
-        &[("engine-1", target(1, 8, 0))],
-        Phase::Warm,
-        Configuration::default(),
-    );
+    let mut bed =
+        Bed::holder(&[("engine-1", target(1, 8, 0))], Phase::Warm, Configuration::default());
     bed.asks("parlour-1", 8);
     assert_eq!(bed.running().len(), 1);
     let off = config("fair", &["kvload"], &["ramp"]);
--- a/crates/kernel/tests/pool/queue.rs
+++ b/crates/kernel/tests/pool/queue.rs
@@ -18,11 +18,7 @@
 }
 
 fn bounds(organisation_queue: u32, pool_queue: u32) -> Configuration {
-    Configuration {
-        organisation_queue,
-        pool_queue,
-        ..Configuration::default()
-    }
+    Configuration { organisation_queue, pool_queue, ..Configuration::default() }
 }
 
 /// A queue without bounds takes memory and time without end.
@@ -117,20 +113,12 @@
     bed.now = bed.now.after(500);
     bed.hear(ENTRY, Message::Ask(ask.clone()));
     assert_eq!(bed.count("grant_resent"), 1);
-    let granted = bed
-        .pool()
-        .ledger
-        .get(&ask.id)
-        .map(|running| running.granted);
+    let granted = bed.pool().ledger.get(&ask.id).map(|running| running.granted);
     assert_eq!(granted, Some(start), "the same grant and no newer one");
     assert_eq!(bed.granted(&ask.id), first);
     bed.now = bed.now.after(2_500);
     bed.hear(ENTRY, Message::Ask(ask.clone()));
-    assert_eq!(
-        bed.granted(&ask.id),
-        first,
-        "a renewed grant stays where it was"
-    );
+    assert_eq!(bed.granted(&ask.id), first, "a renewed grant stays where it was");
     bed.pass(600);
     bed.hear(ENTRY, Message::Ask(ask.clone()));
     assert_eq!(bed.count("grant_resent"), 2, "running work needs no grant");
@@ -230,11 +218,8 @@
 /// A pool that is neither held nor used takes memory for nothing.
 #[test]
 fn unused_pool_is_dropped() {
-    let mut bed = Bed::idle(
-        &[("engine-1", target(1, 1, 0))],
-        Phase::Cold,
-        Configuration::default(),
-    );
+    let mut bed =
+        Bed::idle(&[("engine-1", target(1, 1, 0))], Phase::Cold, Configuration::default());
     bed.ask("parlour-1");
     assert!(bed.kernel.state().pools.get(&key()).is_some());
     bed.stop_asking();
--- a/crates/kernel/tests/pool/takeover.rs
+++ b/crates/kernel/tests/pool/takeover.rs
@@ -11,10 +11,7 @@
 
 /// A new holder of a cold and a warm target, while another VM has not told what it runs.
 fn new_holder() -> Bed {
-    let targets = [
-        ("engine-cold", target(1, 4, 0)),
-        ("engine-warm", target(1, 4, 0)),
-    ];
+    let targets = [("engine-cold", target(1, 4, 0)), ("engine-warm", target(1, 4, 0))];
     let mut bed = Bed::idle(&targets, Phase::Warm, Configuration::default());
     bed.engines.get_mut("engine-cold").unwrap().phase = Phase::Cold;
     bed.list(&[OWNER, ENTRY]);
@@ -24,11 +21,7 @@
 }
 
 fn running(bed: &mut Bed, target: &str) -> Running {
-    Running {
-        ask: bed.draft("parlour-1"),
-        target: target.into(),
-        tokens: 5,
-    }
+    Running { ask: bed.draft("parlour-1"), target: target.into(), tokens: 5 }
 }
 
 /// A silent VM may run work on the cold target; the warm one is soft and must not wait.
@@ -116,11 +109,8 @@
 /// Two schedulers with full rights would fill the same targets twice.
 #[test]
 fn pool_of_another_holder_is_scheduled_only_for_own_requests() {
-    let mut bed = Bed::idle(
-        &[("engine-1", target(1, 2, 0))],
-        Phase::Warm,
-        Configuration::default(),
-    );
+    let mut bed =
+        Bed::idle(&[("engine-1", target(1, 2, 0))], Phase::Warm, Configuration::default());
     let waiting = bed.ask("parlour-1");
     assert!(bed.is_waiting(&waiting));
     bed.gossip("entry-3", 1, vec![(key(), Fence(9))]);
@@ -202,11 +192,8 @@
 fn unknown_progress_reopens_the_take_over() {
     let mut bed = new_holder();
     bed.inventory(ENTRY, Vec::new());
-    let entry = hornbeamloom_kernel::peer::Progress {
-        incarnation: Incarnation(9),
-        counter: 77,
-        tokens: 3,
-    };
+    let entry =
+        hornbeamloom_kernel::peer::Progress { incarnation: Incarnation(9), counter: 77, tokens: 3 };
     let (pool, entries) = (key(), vec![entry]);
     bed.hear(ENTRY, Message::Progress { pool, entries });
     bed.asks("parlour-1", 8);
@@ -289,11 +276,7 @@
     bed.join("entry-3", 1);
     bed.asks("parlour-1", 3);
     bed.pass(600);
-    let mut bodies: Vec<u64> = bed
-        .pool()
-        .running_on(0)
-        .map(|ask| ask.fingerprint)
-        .collect();
+    let mut bodies: Vec<u64> = bed.pool().running_on(0).map(|ask| ask.fingerprint).collect();
     bodies.sort();
     kill(&mut bed);
     bed.pass(1_000);
@@ -301,15 +284,8 @@
     let Some(Message::Death(death)) = deaths.first() else {
         panic!("no death in {:?}", bed.sent);
     };
-    let ran: Vec<u64> = death
-        .running
-        .iter()
-        .map(|suspect| suspect.fingerprint)
-        .collect();
-    assert_eq!(
-        (&*death.target, death.start_id, ran),
-        ("engine-1", 1, bodies)
-    );
+    let ran: Vec<u64> = death.running.iter().map(|suspect| suspect.fingerprint).collect();
+    assert_eq!((&*death.target, death.start_id, ran), ("engine-1", 1, bodies));
 }
 
 cases! {
@@ -331,11 +307,8 @@
 /// A new holder that asks nobody never learns of work on cold targets.
 #[test]
 fn new_holder_asks_every_vm_until_it_answers() {
-    let mut bed = Bed::idle(
-        &[("engine-1", target(1, 4, 0))],
-        Phase::Cold,
-        Configuration::default(),
-    );
+    let mut bed =
+        Bed::idle(&[("engine-1", target(1, 4, 0))], Phase::Cold, Configuration::default());
     bed.join("entry-3", 1);
     bed.list(&[OWNER, "entry-3"]);
     bed.become_holder();
@@ -362,9 +335,7 @@
     bed.become_holder();
     bed.join("entry-3", 1);
     bed.pass(3_000);
-    let told = bed.sent_to("entry-3", |message| {
-        matches!(message, Message::Targets { .. })
-    });
+    let told = bed.sent_to("entry-3", |message| matches!(message, Message::Targets { .. }));
     assert_eq!(told.len(), 3);
     let (warm, cold) = (vec!["engine-2".into()], vec!["engine-1".into()]);
     let pool = key();
@@ -379,34 +350,20 @@
     bed.engines.get_mut("engine-2").unwrap().phase = Phase::Cold;
     bed.hint(&["engine-1", "engine-2"]);
     bed.pass(1_000);
-    let warm: Vec<bool> = bed
-        .pool()
-        .targets
-        .iter()
-        .map(|slot| slot.is_warm())
-        .collect();
-    assert_eq!(
-        warm,
-        [true, false],
-        "a report must confirm the word of others"
-    );
+    let warm: Vec<bool> = bed.pool().targets.iter().map(|slot| slot.is_warm()).collect();
+    assert_eq!(warm, [true, false], "a report must confirm the word of others");
 }
 
 /// The other half: a VM that heard the former holder passes its word on.
 #[test]
 fn vm_tells_a_new_holder_what_its_predecessor_said() {
-    let mut bed = Bed::idle(
-        &[("engine-1", target(1, 4, 0))],
-        Phase::Warm,
-        Configuration::default(),
-    );
+    let mut bed =
+        Bed::idle(&[("engine-1", target(1, 4, 0))], Phase::Warm, Configuration::default());
     bed.join("entry-3", 1);
     bed.hint(&["engine-1"]);
     let (pool, fence) = (key(), Fence(7));
     bed.hear("entry-3", Message::Hello { pool, fence });
-    let told = bed.sent_to("entry-3", |message| {
-        matches!(message, Message::Targets { .. })
-    });
+    let told = bed.sent_to("entry-3", |message| matches!(message, Message::Targets { .. }));
     assert_eq!(told.len(), 1);
 }
 
--- a/crates/kernel/tests/quarantine.rs
+++ b/crates/kernel/tests/quarantine.rs
@@ -81,12 +81,8 @@
 
 /// A death that this VM saw itself, as the owner of the target's pool tells it.
 fn own_death(world: &mut World, target: &str) {
-    let death = Death {
-        target: target.into(),
-        start_id: 1,
-        running: common::suspects(&[7]),
-        age_ms: 0,
-    };
+    let death =
+        Death { target: target.into(), start_id: 1, running: common::suspects(&[7]), age_ms: 0 };
     world.peer("e1", Message::Death(death));
 }
 
@@ -97,13 +93,7 @@
     own_death(&mut world, "t1");
     own_death(&mut world, "t2");
     let is_told = |outcome: &&Outcome| {
-        matches!(
-            outcome,
-            Outcome::Send {
-                message: Message::Quarantine { fingerprint: 7, .. },
-                ..
-            }
-        )
+        matches!(outcome, Outcome::Send { message: Message::Quarantine { fingerprint: 7, .. }, .. })
     };
     assert_eq!(world.outcomes.iter().filter(is_told).count(), peers);
     world.run(&[Do::Store(Store::Up), Do::Wait(wait_ms)]);
@@ -145,10 +135,7 @@
     }
     world.run(&[Do::Wait(wait_ms)]);
     let now = Millis(world.now);
-    assert_eq!(
-        world.kernel.state().quarantine.is_quarantined(7, now),
-        expected
-    );
+    assert_eq!(world.kernel.state().quarantine.is_quarantined(7, now), expected);
 }
 
 hornbeamloom_kernel::cases! {
--- a/crates/kernel/tests/reconcile.rs
+++ b/crates/kernel/tests/reconcile.rs
@@ -73,11 +73,8 @@
 fn specs(models: &str, slots: u32, fencing: bool) -> Vec<(&'static str, Spec)> {
     let more = format!(r#", "fencing": {fencing}, "role": "decode""#);
     let fields = format!(r#""models": [{models}], "loadSlots": {slots}"#);
-    let mut specs = vec![
-        ("default", configuration(&fields)),
-        ("riga-a", zone()),
-        ("menu-model", service()),
-    ];
+    let mut specs =
+        vec![("default", configuration(&fields)), ("riga-a", zone()), ("menu-model", service())];
     specs.extend(ENGINES.map(|engine| (engine, target("menu-model", "riga-a", &more))));
     specs
 }
@@ -97,9 +94,7 @@
             },
             ..Engine::default()
         };
-        let engines = ENGINES[..engines]
-            .iter()
-            .map(|name| (*name, engine.clone()));
+        let engines = ENGINES[..engines].iter().map(|name| (*name, engine.clone()));
         Site {
             fleet,
             engines: engines.collect(),
@@ -140,14 +135,7 @@
             self.orders.push((now, order.clone()));
         }
         let target = &order.target;
-        self.fleet.event(
-            ix,
-            Event::Ordered {
-                target,
-                order,
-                answer,
-            },
-        );
+        self.fleet.event(ix, Event::Ordered { target, order, answer });
     }
 
     fn report(&mut self) {
@@ -170,18 +158,11 @@
     }
 
     fn loaded(&self, engine: &str) -> Vec<&str> {
-        self.engines[engine]
-            .report
-            .loaded
-            .iter()
-            .map(|name| &**name)
-            .collect()
+        self.engines[engine].report.loaded.iter().map(|name| &**name).collect()
     }
 
     fn all_have(&self, models: &[&str]) -> bool {
-        self.engines
-            .keys()
-            .all(|engine| self.loaded(engine) == models)
+        self.engines.keys().all(|engine| self.loaded(engine) == models)
     }
 }
 
@@ -239,17 +220,9 @@
     assert!(site.all_have(&["menu@2"]));
     assert_eq!(site.most_loading, 1);
     let is_load = |order: &&(u64, Order)| matches!(order.1.action, Action::Load(_));
-    let loads: Vec<u64> = site
-        .orders
-        .iter()
-        .filter(is_load)
-        .map(|(at, _)| *at)
-        .collect();
+    let loads: Vec<u64> = site.orders.iter().filter(is_load).map(|(at, _)| *at).collect();
     // The second load follows the first without the wait of 30 s for a slot that expires.
-    assert!(
-        loads[1] - loads[0] <= 3 * LOAD_MS + 5_000,
-        "loads at {loads:?}"
-    );
+    assert!(loads[1] - loads[0] <= 3 * LOAD_MS + 5_000, "loads at {loads:?}");
 }
 
 /// Guards against a long load whose slot another VM takes for free.
@@ -257,22 +230,14 @@
 fn slot_of_a_long_load_stays_taken() {
     let mut site = Site::new(1, 2, 1, true);
     site.fleet.join("b1", "riga-b", 1);
-    let elsewhere = target(
-        "menu-model",
-        "riga-b",
-        r#", "fencing": true, "role": "decode""#,
-    );
+    let elsewhere = target("menu-model", "riga-b", r#", "fencing": true, "role": "decode""#);
     site.fleet.declare(&specs(r#""menu@1""#, 1, true));
-    site.fleet
-        .declare(&[("riga-b", zone()), ("engine-2", elsewhere)]);
+    site.fleet.declare(&[("riga-b", zone()), ("engine-2", elsewhere)]);
     site.run(SETTLE_MS);
     for engine in site.engines.values_mut() {
         engine.load_ms = 10 * LOAD_MS;
     }
-    site.fleet.declare(&[(
-        "default",
-        configuration(r#""models": ["menu@2"], "loadSlots": 1"#),
-    )]);
+    site.fleet.declare(&[("default", configuration(r#""models": ["menu@2"], "loadSlots": 1"#))]);
     site.run(25 * LOAD_MS);
     assert!(site.all_have(&["menu@2"]));
     assert_eq!(site.most_loading, 1);
--- a/crates/kernel/tests/validate.rs
+++ b/crates/kernel/tests/validate.rs
@@ -9,10 +9,7 @@
 
 fn record(name: &str, spec: Spec) -> Record {
     Record {
-        key: Key {
-            kind: spec.kind(),
-            name: name.into(),
-        },
+        key: Key { kind: spec.kind(), name: name.into() },
         version: Revision(1),
         generation: 1,
         labels: Default::default(),
@@ -94,9 +91,7 @@
     let faults = validate::record(&record(name, spec), &book());
     let fields: Vec<&str> = faults.iter().map(|fault| fault.field.as_str()).collect();
     assert_eq!(fields, expected, "{faults:?}");
-    assert!(faults
-        .iter()
-        .all(|fault| !fault.to_string().contains("secret-key")));
+    assert!(faults.iter().all(|fault| !fault.to_string().contains("secret-key")));
 }
 
 hornbeamloom_kernel::cases! {
@@ -158,9 +153,7 @@
 fn refers_only_to_earlier_kinds(spec: Spec) {
     let rank = |kind: Kind| Kind::ALL.iter().position(|other| *other == kind);
     let own = rank(spec.kind());
-    assert!(references(&spec)
-        .iter()
-        .all(|reference| rank(reference.key.kind) < own));
+    assert!(references(&spec).iter().all(|reference| rank(reference.key.kind) < own));
 }
 
 hornbeamloom_kernel::cases! {
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -4,7 +4,8 @@
 use serde::{Serialize, Serializer};
 
 /// Why a request was not answered, as a caller reads it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Body<'a> {
     /// Broad class, for example `rate_limit_error`.
     #[serde(rename = "type")]
--- a/crates/wire/src/etcd.rs
+++ b/crates/wire/src/etcd.rs
@@ -16,7 +16,8 @@
 const DEPTH_MAX: u32 = 4;
 
 /// The bytes are not the answer that was asked for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[error("malformed answer from the table: {0}")]
 pub struct Malformed(pub &'static str);
 
@@ -34,11 +35,7 @@
 impl Range {
     /// One key.
     pub fn one(key: &str) -> Range {
-        Range {
-            key: key.to_owned(),
-            end: None,
-            modified_since: 0,
-        }
+        Range { key: key.to_owned(), end: None, modified_since: 0 }
     }
 
     /// Every key with a non-empty ASCII prefix.
@@ -52,19 +49,12 @@
         let mut end = prefix.to_owned();
         let last = end.pop().unwrap_or('/');
         end.push(char::from_u32(last as u32 + 1).unwrap_or(char::MAX));
-        Range {
-            key: prefix.to_owned(),
-            end: Some(end),
-            modified_since: 0,
-        }
+        Range { key: prefix.to_owned(), end: Some(end), modified_since: 0 }
     }
 
     /// The same range restricted to records changed at `revision` or later.
     pub fn with_modified_since(self, revision: u64) -> Range {
-        Range {
-            modified_since: revision,
-            ..self
-        }
+        Range { modified_since: revision, ..self }
     }
 
     fn encode(&self) -> Value {
@@ -92,10 +82,7 @@
 impl Compare {
     /// The key must exist at this modification revision, or not at all if it is zero.
     pub fn new(key: &str, version: u64) -> Compare {
-        Compare {
-            key: key.to_owned(),
-            version,
-        }
+        Compare { key: key.to_owned(), version }
     }
 
     fn encode(&self) -> Value {
@@ -250,18 +237,13 @@
 fn parse(bytes: &[u8]) -> Result<Value, Malformed> {
     let value: Value = serde_json::from_slice(bytes).map_err(|_| Malformed("not JSON"))?;
     let is_answer = value.is_object() && value.get("error").is_none();
-    is_answer
-        .then_some(value)
-        .ok_or(Malformed("not an answer object"))
+    is_answer.then_some(value).ok_or(Malformed("not an answer object"))
 }
 
 fn found(value: &Value) -> Result<Found, Malformed> {
     let kvs = list(value, "kvs")?;
     let pairs = kvs.iter().map(pair).collect::<Result<_, _>>()?;
-    Ok(Found {
-        revision: revision(value)?,
-        pairs,
-    })
+    Ok(Found { revision: revision(value)?, pairs })
 }
 
 fn pair(value: &Value) -> Result<Pair, Malformed> {
@@ -280,15 +262,9 @@
         Some(Value::Bool(succeeded)) => *succeeded,
         Some(_) => return Err(Malformed("succeeded is not a boolean")),
     };
-    let steps = list(value, "responses")?
-        .iter()
-        .map(|step| done(step, depth))
-        .collect::<Result<_, _>>()?;
-    Ok(Decided {
-        revision: revision(value)?,
-        succeeded,
-        steps,
-    })
+    let steps =
+        list(value, "responses")?.iter().map(|step| done(step, depth)).collect::<Result<_, _>>()?;
+    Ok(Decided { revision: revision(value)?, succeeded, steps })
 }
 
 fn done(value: &Value, depth: u32) -> Result<Done, Malformed> {
@@ -320,11 +296,7 @@
 }
 
 fn revision(value: &Value) -> Result<u64, Malformed> {
-    number(
-        value
-            .get("header")
-            .and_then(|header| header.get("revision")),
-    )
+    number(value.get("header").and_then(|header| header.get("revision")))
 }
 
 fn number(value: Option<&Value>) -> Result<u64, Malformed> {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -49,7 +49,8 @@
 }
 
 /// Why a frame was not encoded or decoded. Readers count these and skip the frame.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// The frame is of another version.
     #[error("frame version {0} is not supported")]
@@ -204,9 +205,7 @@
         }
         let message: Message = seq.next_element()?.ok_or_else(|| missing(3))?;
         if kind(&message) != name {
-            return Err(de::Error::custom(
-                "the message is not of the announced kind",
-            ));
+            return Err(de::Error::custom("the message is not of the announced kind"));
         }
         Ok(Parsed::Frame(Frame { sender, message }))
     }
--- a/crates/wire/src/manifest.rs
+++ b/crates/wire/src/manifest.rs
@@ -12,7 +12,8 @@
 pub const API_VERSION: &str = "hornbeamloom/v1";
 
 /// The document cannot be used.
-#[derive(Debug, Clone, PartialEq, thiserror::Error)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// It is not a resource document at all.
     #[error("not a resource document: {0}")]
@@ -26,7 +27,8 @@
 }
 
 /// Metadata of a document.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase", deny_unknown_fields)]
 pub struct Metadata {
     /// Name of the resource; may be absent where the path names it.
@@ -36,11 +38,7 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub generation: Option<u64>,
     /// Table revision of the version, as a number or a text of digits.
-    #[serde(
-        default,
-        skip_serializing_if = "Option::is_none",
-        deserialize_with = "version"
-    )]
+    #[serde(default, skip_serializing_if = "Option::is_none", deserialize_with = "version")]
     pub resource_version: Option<Revision>,
     /// Free labels.
     #[serde(default)]
@@ -57,10 +55,9 @@
     match Option::<Form>::deserialize(deserializer)? {
         None => Ok(None),
         Some(Form::Number(number)) => Ok(Some(Revision(number))),
-        Some(Form::Text(text)) => text
-            .parse()
-            .map(|number| Some(Revision(number)))
-            .map_err(serde::de::Error::custom),
+        Some(Form::Text(text)) => {
+            text.parse().map(|number| Some(Revision(number))).map_err(serde::de::Error::custom)
+        }
     }
 }
 
@@ -207,9 +204,7 @@
     if !value.is_object() {
         return Err(fault("spec", "expected an object"));
     }
-    T::deserialize(&value)
-        .map(wrap)
-        .map_err(|error| typed::<T>("spec", &value, &error))
+    T::deserialize(&value).map(wrap).map_err(|error| typed::<T>("spec", &value, &error))
 }
 
 /// Names the field at fault.
@@ -352,9 +347,5 @@
         labels: form.labels,
         spec,
     };
-    Ok(Stored {
-        record,
-        write_id: form.write_id,
-        replaced: form.replaced,
-    })
+    Ok(Stored { record, write_id: form.write_id, replaced: form.replaced })
 }
--- a/crates/wire/src/openai.rs
+++ b/crates/wire/src/openai.rs
@@ -40,7 +40,8 @@
 }
 
 /// The text is not a usable request or answer.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// Not JSON of the expected shape.
     #[error("{0}")]
@@ -51,7 +52,8 @@
 }
 
 /// A generation request as read from its body.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub struct Call<'a> {
     /// The service called.
     #[serde(borrow)]
@@ -69,7 +71,8 @@
     messages: Option<Vec<Turn<'a>>>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(untagged)]
 enum Prompt<'a> {
     Text(#[serde(borrow)] Cow<'a, str>),
@@ -78,7 +81,8 @@
     TokenLists(Vec<Vec<u32>>),
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Turn<'a> {
     #[serde(borrow, default)]
     role: Cow<'a, str>,
@@ -86,14 +90,16 @@
     content: Option<Content<'a>>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(untagged)]
 enum Content<'a> {
     Text(#[serde(borrow)] Cow<'a, str>),
     Parts(Vec<Part<'a>>),
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Part<'a> {
     #[serde(borrow, default)]
     text: Cow<'a, str>,
@@ -165,10 +171,7 @@
                 tokens.iter().for_each(|token| see(Piece::Token(*token)))
             }
             Some(Prompt::TokenLists(lists)) => {
-                lists
-                    .iter()
-                    .flatten()
-                    .for_each(|token| see(Piece::Token(*token)));
+                lists.iter().flatten().for_each(|token| see(Piece::Token(*token)));
             }
             None => {}
         }
@@ -209,11 +212,7 @@
 
 impl Prefixes {
     fn new() -> Prefixes {
-        Prefixes {
-            hashes: Vec::new(),
-            hash: FNV.0,
-            length: 0,
-        }
+        Prefixes { hashes: Vec::new(), hash: FNV.0, length: 0 }
     }
 
     fn add(&mut self, bytes: &[u8]) {
@@ -287,7 +286,8 @@
 }
 
 /// One chunk of a streamed answer, as far as routing needs it.
-#[derive(Debug, PartialEq, Eq, Deserialize)]
+#[derive(Debug, PartialEq, Eq)]
+#[derive(Deserialize)]
 pub struct Chunk<'a> {
     /// The generation.
     #[serde(borrow)]
@@ -296,7 +296,8 @@
     choices: Vec<Choice<'a>>,
 }
 
-#[derive(Debug, PartialEq, Eq, Deserialize)]
+#[derive(Debug, PartialEq, Eq)]
+#[derive(Deserialize)]
 struct Choice<'a> {
     #[serde(borrow, default)]
     finish_reason: Option<Cow<'a, str>>,
@@ -305,9 +306,7 @@
 impl Chunk<'_> {
     /// Whether this is the last chunk of a choice.
     pub fn is_last(&self) -> bool {
-        self.choices
-            .iter()
-            .any(|choice| choice.finish_reason.is_some())
+        self.choices.iter().any(|choice| choice.finish_reason.is_some())
     }
 }
 
@@ -345,10 +344,7 @@
 impl Whole {
     /// An answer without chunks.
     pub fn new(form: Form) -> Whole {
-        Whole {
-            form,
-            answer: Map::new(),
-        }
+        Whole { form, answer: Map::new() }
     }
 
     /// Adds the next chunk.
@@ -368,10 +364,7 @@
 
     fn extend(&mut self, choices: Vec<Value>) -> Result<(), Error> {
         let is_chat = self.form == Form::Chat;
-        let whole = self
-            .answer
-            .entry("choices")
-            .or_insert_with(|| Value::Array(Vec::new()));
+        let whole = self.answer.entry("choices").or_insert_with(|| Value::Array(Vec::new()));
         for mut choice in choices {
             if let (true, Value::Object(members)) = (is_chat, &mut choice) {
                 if let Some(delta) = members.remove("delta") {
--- a/crates/wire/src/report.rs
+++ b/crates/wire/src/report.rs
@@ -10,7 +10,8 @@
 const EVENTS_MAX: usize = 16_384;
 
 /// The text is not a report.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// `engine_start_id` is missing.
     #[error("engine_start_id is missing")]
@@ -73,22 +74,12 @@
     let Some((metric, rest)) = line.split_once('{') else {
         let (metric, value) = line.split_once(char::is_whitespace)?;
         let value = value.split_whitespace().next()?;
-        return Some(Sample {
-            metric,
-            label: None,
-            value,
-        });
+        return Some(Sample { metric, label: None, value });
     };
     let (labels, value) = rest.rsplit_once('}')?;
     let value = value.split_whitespace().next()?;
-    let label = labels
-        .split_once("=\"")
-        .and_then(|(_, rest)| rest.split('"').next());
-    Some(Sample {
-        metric,
-        label,
-        value,
-    })
+    let label = labels.split_once("=\"").and_then(|(_, rest)| rest.split('"').next());
+    Some(Sample { metric, label, value })
 }
 
 fn is_set(value: &str) -> bool {
@@ -158,7 +149,5 @@
     if list.len() > EVENTS_MAX {
         return Err(Error::Batch);
     }
-    list.iter()
-        .map(|hash| u64::from_str_radix(hash, 16).map_err(|_| Error::Batch))
-        .collect()
+    list.iter().map(|hash| u64::from_str_radix(hash, 16).map_err(|_| Error::Batch)).collect()
 }
--- a/crates/wire/src/sse.rs
+++ b/crates/wire/src/sse.rs
@@ -25,7 +25,8 @@
 }
 
 /// The stream cannot be read on.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// One event is longer than the parser's limit.
     #[error("an event is longer than {0} bytes")]
@@ -59,12 +60,7 @@
 impl Parser {
     /// A parser that refuses events longer than `limit` bytes.
     pub fn new(limit: usize) -> Parser {
-        Parser {
-            buf: Vec::new(),
-            start: 0,
-            scanned: 0,
-            limit,
-        }
+        Parser { buf: Vec::new(), start: 0, scanned: 0, limit }
     }
 
     /// Adds received bytes; the items found so far should have been taken before.
@@ -114,11 +110,7 @@
 }
 
 fn item(block: &str) -> Item<'_> {
-    let mut event = Event {
-        id: None,
-        name: None,
-        data: Cow::Borrowed(""),
-    };
+    let mut event = Event { id: None, name: None, data: Cow::Borrowed("") };
     let mut has_data = false;
     for line in block.lines() {
         let (field, value) = line.split_once(':').unwrap_or((line, ""));
--- a/crates/wire/src/table.rs
+++ b/crates/wire/src/table.rs
@@ -51,10 +51,7 @@
 /// The resource that a table key stands for; `None` for another key or an unknown kind.
 pub fn read_resource_path(path: &str) -> Option<resource::Key> {
     let (plural, name) = path.strip_prefix(RESOURCES)?.split_once('/')?;
-    Some(resource::Key {
-        kind: Kind::from_plural(plural)?,
-        name: unsegment(name)?.into(),
-    })
+    Some(resource::Key { kind: Kind::from_plural(plural)?, name: unsegment(name)?.into() })
 }
 
 /// The table key of one of the kernel's records.
@@ -70,11 +67,7 @@
 pub fn path(key: &Key) -> String {
     match key {
         Key::Lease(pool) => format!("{LEASES}{}/{}", segment(&pool.zone), segment(&pool.service)),
-        Key::Claim {
-            organisation,
-            service,
-            key,
-        } => {
+        Key::Claim { organisation, service, key } => {
             let (organisation, service) = (segment(organisation), segment(service));
             format!("{CLAIMS}{organisation}/{service}/{}", segment(key))
         }
@@ -87,10 +80,7 @@
 pub fn read_path(path: &str) -> Option<Key> {
     if let Some(rest) = path.strip_prefix(LEASES) {
         let (zone, service) = rest.split_once('/')?;
-        return Some(Key::Lease(pool::Key::new(
-            &unsegment(service)?,
-            &unsegment(zone)?,
-        )));
+        return Some(Key::Lease(pool::Key::new(&unsegment(service)?, &unsegment(zone)?)));
     }
     if let Some(rest) = path.strip_prefix(CLAIMS) {
         let mut parts = rest.split('/').map(unsegment);
@@ -140,10 +130,7 @@
 pub fn request(op: &Op) -> (&'static str, Vec<u8>) {
     match op {
         Op::Read(key) => (etcd::RANGE_PATH, etcd::range_body(&Range::one(&path(key)))),
-        Op::List(family) => (
-            etcd::RANGE_PATH,
-            etcd::range_body(&Range::prefix(&prefix(family))),
-        ),
+        Op::List(family) => (etcd::RANGE_PATH, etcd::range_body(&Range::prefix(&prefix(family)))),
         Op::Write(writes) => (etcd::TXN_PATH, etcd::txn_body(&batch(writes))),
     }
 }
@@ -158,13 +145,7 @@
 
 /// Each write is a nested transaction, so that one refused condition does not undo the others.
 fn batch(writes: &[Write]) -> Txn {
-    Txn {
-        success: writes
-            .iter()
-            .map(|write| Step::Txn(single(write)))
-            .collect(),
-        ..Txn::default()
-    }
+    Txn { success: writes.iter().map(|write| Step::Txn(single(write))).collect(), ..Txn::default() }
 }
 
 fn single(write: &Write) -> Txn {
@@ -178,11 +159,7 @@
         Some(new) => Step::Put(key.clone(), value(new)),
         None => Step::Delete(key.clone()),
     };
-    Txn {
-        compare,
-        success: vec![step],
-        failure: vec![Step::Range(Range::one(&key))],
-    }
+    Txn { compare, success: vec![step], failure: vec![Step::Range(Range::one(&key))] }
 }
 
 /// Reads the answer to an operation.
@@ -198,9 +175,7 @@
         }
         Op::List(_) => {
             let found = etcd::read_range(bytes)?;
-            Ok(Answer::Listed(
-                found.pairs.iter().filter_map(record).collect(),
-            ))
+            Ok(Answer::Listed(found.pairs.iter().filter_map(record).collect()))
         }
         Op::Write(writes) => {
             let decided = etcd::read_txn(bytes)?;
--- a/crates/wire/tests/etcd.rs
+++ b/crates/wire/tests/etcd.rs
@@ -60,11 +60,7 @@
 
 fn write(condition: Condition, value: Option<Value>) -> Op {
     let key = key();
-    Op::Write(vec![Write {
-        key,
-        condition,
-        value,
-    }])
+    Op::Write(vec![Write { key, condition, value }])
 }
 
 /// Guards against requests that a real gateway would read otherwise: 64-bit integers are text.
@@ -89,20 +85,13 @@
 fn pair(value: &Value) -> String {
     use base64::engine::general_purpose::STANDARD;
     use base64::Engine as _;
-    let (key, value) = (
-        STANDARD.encode(table::path(&key())),
-        STANDARD.encode(table::value(value)),
-    );
+    let (key, value) = (STANDARD.encode(table::path(&key())), STANDARD.encode(table::value(value)));
     format!(r#"{{"key":"{key}","value":"{value}","create_revision":"2","mod_revision":"5"}}"#)
 }
 
 fn found(version: u64, value: Option<Value>) -> Record {
     let version = Revision(version);
-    Record {
-        key: key(),
-        version,
-        value,
-    }
+    Record { key: key(), version, value }
 }
 
 /// Guards against an answer that is taken for another one.
@@ -126,10 +115,7 @@
 fn nested(depth: u32) -> String {
     match depth {
         0 => "{}".to_owned(),
-        _ => format!(
-            r#"{{"responses":[{{"response_txn":{}}}]}}"#,
-            nested(depth - 1)
-        ),
+        _ => format!(r#"{{"responses":[{{"response_txn":{}}}]}}"#, nested(depth - 1)),
     }
 }
 
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -45,15 +45,9 @@
 }
 
 fn delta() -> Message {
-    let zone = resource::AvailabilityZone {
-        region: "riga".into(),
-        state: resource::Presence::Out,
-    };
+    let zone = resource::AvailabilityZone { region: "riga".into(), state: resource::Presence::Out };
     let record = Record {
-        key: resource::Key {
-            kind: Kind::AvailabilityZone,
-            name: "riga-a".into(),
-        },
+        key: resource::Key { kind: Kind::AvailabilityZone, name: "riga-a".into() },
         version: Revision(12),
         generation: 2,
         labels: [("team".to_owned(), "soma".to_owned())].into(),
@@ -111,11 +105,7 @@
 fn progress() -> Message {
     Message::Progress {
         pool: pool(),
-        entries: vec![Progress {
-            incarnation: Incarnation(0x18f),
-            counter: 42,
-            tokens: 7,
-        }],
+        entries: vec![Progress { incarnation: Incarnation(0x18f), counter: 42, tokens: 7 }],
     }
 }
 
@@ -128,16 +118,8 @@
 }
 
 fn inventory() -> Message {
-    let running = Running {
-        ask: ask(),
-        target: "engine-1".into(),
-        tokens: 3,
-    };
-    Message::Inventory {
-        pool: pool(),
-        fence: Fence(5),
-        running: vec![running],
-    }
+    let running = Running { ask: ask(), target: "engine-1".into(), tokens: 3 };
+    Message::Inventory { pool: pool(), fence: Fence(5), running: vec![running] }
 }
 
 fn death() -> Message {
@@ -154,11 +136,7 @@
 }
 
 fn targets() -> Message {
-    Message::Targets {
-        pool: pool(),
-        warm: vec!["engine-1".into()],
-        cold: vec!["engine-2".into()],
-    }
+    Message::Targets { pool: pool(), warm: vec!["engine-1".into()], cold: vec!["engine-2".into()] }
 }
 
 fn samples() -> Vec<Message> {
@@ -174,14 +152,8 @@
         death(),
         targets(),
         Message::Pull { from: Revision(3) },
-        Message::Withdraw {
-            pool: pool(),
-            id: id(),
-        },
-        Message::Hello {
-            pool: pool(),
-            fence: Fence(5),
-        },
+        Message::Withdraw { pool: pool(), id: id() },
+        Message::Hello { pool: pool(), fence: Fence(5) },
     ]
 }
 
@@ -263,11 +235,7 @@
         damage(&mut bytes, &mut gen);
         if let Ok(frame) = frame::decode(&bytes) {
             let again = frame::encode(&frame.sender, &frame.message).unwrap();
-            assert_eq!(
-                frame::decode(&again),
-                Ok(frame),
-                "seed {seed} round {round}"
-            );
+            assert_eq!(frame::decode(&again), Ok(frame), "seed {seed} round {round}");
         }
         let noise = Vec::<u8>::arbitrary(&mut gen);
         drop(frame::decode(&noise));
--- a/crates/wire/tests/manifest.rs
+++ b/crates/wire/tests/manifest.rs
@@ -32,10 +32,7 @@
 /// Guards against a record that is stored but cannot be read by the fleet.
 fn stored_is_read_back(text: &str) {
     let document = manifest::read(text.as_bytes(), None).unwrap();
-    let key = Key {
-        kind: document.kind,
-        name: "x".into(),
-    };
+    let key = Key { kind: document.kind, name: "x".into() };
     let stored = Stored {
         record: hornbeamloom_kernel::resource::Record {
             key: key.clone(),
@@ -62,10 +59,7 @@
 
 /// Guards against one bad record that hides the good ones, or is taken for a good one.
 fn stored_is_refused(bytes: &[u8]) {
-    let key = Key {
-        kind: Kind::Service,
-        name: "x".into(),
-    };
+    let key = Key { kind: Kind::Service, name: "x".into() };
     assert!(manifest::read_stored(&key, bytes, Revision(1)).is_err());
 }
 
--- a/crates/wire/tests/openai.rs
+++ b/crates/wire/tests/openai.rs
@@ -80,11 +80,7 @@
 #[test]
 fn prefix_hashes_of_a_longer_prompt_continue_those_of_its_beginning() {
     let prompt = |length: usize| format!(r#"{{"model": "m", "prompt": "{}"}}"#, "x".repeat(length));
-    let hashes = |length| {
-        read(Completion, prompt(length).as_bytes())
-            .unwrap()
-            .prefixes()
-    };
+    let hashes = |length| read(Completion, prompt(length).as_bytes()).unwrap().prefixes();
     assert!(hashes(PREFIX_BYTES - 1).is_empty());
     let (short, long) = (hashes(2 * PREFIX_BYTES), hashes(3 * PREFIX_BYTES));
     assert_eq!((short.len(), long.len()), (2, 3));
@@ -130,10 +126,7 @@
         let _ = Whole::new(Chat).push(&text);
         if let Ok(body) = forward(text.as_bytes(), -2) {
             let body: serde_json::Value = serde_json::from_slice(&body).expect(&text);
-            assert_eq!(
-                (&body["stream"], &body["priority"]),
-                (&true.into(), &(-2).into())
-            );
+            assert_eq!((&body["stream"], &body["priority"]), (&true.into(), &(-2).into()));
         }
     }
 }
--- a/crates/wire/tests/report.rs
+++ b/crates/wire/tests/report.rs
@@ -13,10 +13,7 @@
 }
 
 fn report() -> Report {
-    Report {
-        start_id: 7,
-        ..Report::default()
-    }
+    Report { start_id: 7, ..Report::default() }
 }
 
 hornbeamloom_kernel::cases! {
--- a/crates/wire/tests/sse.rs
+++ b/crates/wire/tests/sse.rs
@@ -48,10 +48,7 @@
                 Err(error) => return (found, Some(error)),
             }
         }
-        assert!(
-            parser.held() <= LIMIT + 1,
-            "the parser holds more than one event"
-        );
+        assert!(parser.held() <= LIMIT + 1, "the parser holds more than one event");
     }
     (found, None)
 }
--- a/tests/cluster/bed.rs
+++ b/tests/cluster/bed.rs
@@ -21,10 +21,8 @@
 
 /// Runs a test on its own runtime.
 pub fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build();
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
     runtime.expect("a runtime starts").block_on(test);
 }
 
@@ -54,30 +52,15 @@
         let spec = json!({"region": "pl-centrum"});
         apply(cluster, resource("AvailabilityZone", zone, spec)).await;
     }
-    apply(
-        cluster,
-        resource("Service", MODEL, json!({"protocol": "model"})),
-    )
-    .await;
+    apply(cluster, resource("Service", MODEL, json!({"protocol": "model"}))).await;
     let spec = json!({"protocol": "plain", "onceMethods": ["POST"]});
     apply(cluster, resource("Service", PLAIN, spec)).await;
-    apply(
-        cluster,
-        resource("Organisation", "parlour-1", json!({"keys": [KEY]})),
-    )
-    .await;
-    apply(
-        cluster,
-        resource("Organisation", "parlour-2", json!({"keys": [OTHER_KEY]})),
-    )
-    .await;
+    apply(cluster, resource("Organisation", "parlour-1", json!({"keys": [KEY]}))).await;
+    apply(cluster, resource("Organisation", "parlour-2", json!({"keys": [OTHER_KEY]}))).await;
 }
 
 async fn apply(cluster: &Cluster, resource: Value) {
-    cluster
-        .apply(&resource)
-        .await
-        .expect("the resource is accepted");
+    cluster.apply(&resource).await.expect("the resource is accepted");
 }
 
 /// Starts targets, declares them and waits until the daemons are ready.
@@ -86,10 +69,7 @@
         let address = cluster.start_target(target).expect("a target starts");
         apply(cluster, Cluster::target_resource(target, address)).await;
     }
-    cluster
-        .wait_ready()
-        .await
-        .expect("the daemons become ready");
+    cluster.wait_ready().await.expect("the daemons become ready");
 }
 
 /// The owner of the model service's pool in `zone` and its fencing token, as daemon number
@@ -97,9 +77,7 @@
 pub async fn owner(cluster: &Cluster, daemon: usize, zone: &str) -> Option<(usize, u64)> {
     let status = operate(cluster, daemon, "/apis/v1/status").await;
     let owners = status["owners"].as_array()?;
-    let found = owners
-        .iter()
-        .find(|owner| owner["zone"] == zone && owner["service"] == MODEL)?;
+    let found = owners.iter().find(|owner| owner["zone"] == zone && owner["service"] == MODEL)?;
     let vm = found["vm"].as_str()?;
     let ix = cluster.daemons.iter().position(|daemon| daemon.vm == vm)?;
     Some((ix, found["fence"].as_u64()?))
@@ -107,10 +85,8 @@
 
 /// Waits until daemon number `daemon` knows an owner of the pool in `zone`.
 pub async fn known_owner(cluster: &Cluster, daemon: usize, zone: &str) -> (usize, u64) {
-    eventually("the pool has an owner", || async {
-        owner(cluster, daemon, zone).await.is_some()
-    })
-    .await;
+    eventually("the pool has an owner", || async { owner(cluster, daemon, zone).await.is_some() })
+        .await;
     owner(cluster, daemon, zone).await.expect("an owner")
 }
 
@@ -131,10 +107,7 @@
 
 /// Gives a fault order.
 pub async fn fault(cluster: &Cluster, address: std::net::SocketAddr, order: Value) {
-    cluster
-        .fault(address, &order)
-        .await
-        .expect("the fault is taken");
+    cluster.fault(address, &order).await.expect("the fault is taken");
 }
 
 /// The revision in force at daemon number `daemon`, zero without an answer.
@@ -157,16 +130,8 @@
 /// Requests that an engine has started since its own start.
 pub async fn started(cluster: &mut Cluster, name: &str) -> u64 {
     let address = cluster.target(name).expect("the engine runs").address;
-    let answer = cluster
-        .client
-        .get(format!("http://{address}/_started"))
-        .send()
-        .await;
-    let text = answer
-        .expect("the engine answers")
-        .text()
-        .await
-        .expect("a count");
+    let answer = cluster.client.get(format!("http://{address}/_started")).send().await;
+    let text = answer.expect("the engine answers").text().await.expect("a count");
     text.trim().parse().expect("a number")
 }
 
@@ -254,27 +219,15 @@
 pub async fn prompt(cluster: &Cluster, daemon: usize, prompt: &str) -> Answer {
     let url = format!("http://{}/v1/completions", cluster.daemons[daemon].callers);
     let body = json!({"model": MODEL, "prompt": prompt, "stream": true});
-    let sent = cluster
-        .client
-        .post(url)
-        .bearer_auth(KEY)
-        .json(&body)
-        .send()
-        .await;
+    let sent = cluster.client.post(url).bearer_auth(KEY).json(&body).send().await;
     match sent {
         Ok(answer) => read(answer).await,
-        Err(error) => Answer {
-            error: json!(error.to_string()),
-            ..Answer::default()
-        },
+        Err(error) => Answer { error: json!(error.to_string()), ..Answer::default() },
     }
 }
 
 async fn read(answer: reqwest::Response) -> Answer {
-    let request_id = answer
-        .headers()
-        .get("x-request-id")
-        .and_then(|value| value.to_str().ok());
+    let request_id = answer.headers().get("x-request-id").and_then(|value| value.to_str().ok());
     let mut result = Answer {
         status: answer.status().as_u16(),
         request_id: request_id.unwrap_or_default().to_owned(),
@@ -328,42 +281,23 @@
     key: Option<&str>,
     body: &str,
 ) -> Reply {
-    let url = format!(
-        "http://{}/services/{PLAIN}{path}",
-        cluster.daemons[daemon].callers
-    );
+    let url = format!("http://{}/services/{PLAIN}{path}", cluster.daemons[daemon].callers);
     let method = method.parse().expect("a method");
-    let mut request = cluster
-        .client
-        .request(method, url)
-        .bearer_auth(KEY)
-        .body(body.to_owned());
+    let mut request = cluster.client.request(method, url).bearer_auth(KEY).body(body.to_owned());
     if let Some(key) = key {
         request = request.header("idempotency-key", key);
     }
     let Ok(answer) = request.send().await else {
-        return Reply {
-            status: 0,
-            body: Value::Null,
-        };
+        return Reply { status: 0, body: Value::Null };
     };
     let status = answer.status().as_u16();
-    Reply {
-        status,
-        body: answer.json().await.unwrap_or_default(),
-    }
+    Reply { status, body: answer.json().await.unwrap_or_default() }
 }
 
 /// Reads a path of the operators' interface of a daemon.
 pub async fn operate(cluster: &Cluster, daemon: usize, path: &str) -> Value {
     let url = format!("http://{}{path}", cluster.daemons[daemon].operators);
-    let Ok(answer) = cluster
-        .client
-        .get(url)
-        .bearer_auth(OPERATOR_KEY)
-        .send()
-        .await
-    else {
+    let Ok(answer) = cluster.client.get(url).bearer_auth(OPERATOR_KEY).send().await else {
         return Value::Null;
     };
     answer.json().await.unwrap_or_default()
--- a/tests/cluster/cold.rs
+++ b/tests/cluster/cold.rs
@@ -17,11 +17,7 @@
 
 fn burst_on_cold_engine(cold_limit: u32) {
     run(async move {
-        let daemons = [
-            ("entry-a1", "lodz-a"),
-            ("entry-a2", "lodz-a"),
-            ("entry-a3", "lodz-a"),
-        ];
+        let daemons = [("entry-a1", "lodz-a"), ("entry-a2", "lodz-a"), ("entry-a3", "lodz-a")];
         let mut cluster = cluster(&daemons).await;
         let limit = cold_limit.to_string();
         let engine = Target::engine("engine-a1", MODEL, "lodz-a")
@@ -32,16 +28,11 @@
             let cluster = &cluster;
             async move {
                 let tag = format!("r{number}");
-                complete(cluster, number % 3, &tag, 12)
-                    .await
-                    .assert_whole(&tag, 12);
+                complete(cluster, number % 3, &tag, 12).await.assert_whole(&tag, 12);
             }
         });
         futures_util::future::join_all(burst).await;
-        assert!(
-            cluster.targets[0].process.status().is_none(),
-            "the engine was overloaded"
-        );
+        assert!(cluster.targets[0].process.status().is_none(), "the engine was overloaded");
     });
 }
 
@@ -59,30 +50,20 @@
             .with_arguments(&["--cold-limit", &limit])
             .with_spec("coldLimit", json!(cold_limit));
         add_targets(&mut cluster, &[engine]).await;
-        complete(&cluster, 0, "warm", 5)
-            .await
-            .assert_whole("warm", 5);
+        complete(&cluster, 0, "warm", 5).await.assert_whole("warm", 5);
         let address = cluster.targets[0].address;
-        cluster
-            .fault(address, &json!({"cold_s": 8.0}))
-            .await
-            .expect("the fault is taken");
+        cluster.fault(address, &json!({"cold_s": 8.0})).await.expect("the fault is taken");
         // The report lags by 300 ms and is read twice a second.
         tokio::time::sleep(Duration::from_secs(2)).await;
         let burst = (0..12).map(|number| {
             let cluster = &cluster;
             async move {
                 let tag = format!("r{number}");
-                complete(cluster, number % 2, &tag, 12)
-                    .await
-                    .assert_whole(&tag, 12);
+                complete(cluster, number % 2, &tag, 12).await.assert_whole(&tag, 12);
             }
         });
         futures_util::future::join_all(burst).await;
-        assert!(
-            cluster.targets[0].process.status().is_none(),
-            "the engine was overloaded"
-        );
+        assert!(cluster.targets[0].process.status().is_none(), "the engine was overloaded");
     });
 }
 
@@ -106,9 +87,7 @@
         let engine =
             Target::engine("engine-a1", MODEL, "lodz-a").with_arguments(&["--cold-s", "6"]);
         add_targets(&mut cluster, &[engine]).await;
-        complete(&cluster, 0, "first", 3)
-            .await
-            .assert_whole("first", 3);
+        complete(&cluster, 0, "first", 3).await.assert_whole("first", 3);
         let answers = burst(&cluster, &[0, 1], 12, 12).await;
         let died = cluster.targets[0].process.status().is_some();
         assert_eq!(died, dies, "{answers:?}");
--- a/tests/cluster/entry.rs
+++ b/tests/cluster/entry.rs
@@ -33,10 +33,7 @@
         let pid = cluster.daemons[0].process.id();
         let post = call(&cluster, 0, "POST", "/notices", Some("k1"), "text");
         let kill = async {
-            eventually("the call runs", || async {
-                runs(&cluster, desk).await == 1
-            })
-            .await;
+            eventually("the call runs", || async { runs(&cluster, desk).await == 1 }).await;
             let pid = nix::unistd::Pid::from_raw(i32::try_from(pid).expect("a process id"));
             nix::sys::signal::kill(pid, nix::sys::signal::Signal::SIGKILL).expect("it runs");
         };
--- a/tests/cluster/hostile.rs
+++ b/tests/cluster/hostile.rs
@@ -59,9 +59,7 @@
                 complete(&cluster, 0, "t", 3).await.assert_whole("t", 3);
             }
         }
-        complete(&cluster, 0, "after", 5)
-            .await
-            .assert_whole("after", 5);
+        complete(&cluster, 0, "after", 5).await.assert_whole("after", 5);
         let status = operate(&cluster, 0, "/apis/v1/status").await;
         assert_eq!(status["vm"], "entry-a1");
         let resident = resident_kib(cluster.daemons[0].process.id());
@@ -107,10 +105,8 @@
         4 => serde_json::Value::Null,
         _ => serde_json::json!({"x": bool::arbitrary(gen)}),
     };
-    let object: serde_json::Map<String, serde_json::Value> = fields
-        .iter()
-        .map(|field| ((*field).to_owned(), value(gen)))
-        .collect();
+    let object: serde_json::Map<String, serde_json::Value> =
+        fields.iter().map(|field| ((*field).to_owned(), value(gen))).collect();
     let mut text = serde_json::Value::from(object).to_string().into_bytes();
     if bool::arbitrary(gen) {
         text.truncate(usize::arbitrary(gen) % text.len());
@@ -119,28 +115,18 @@
 }
 
 fn completion(gen: &mut Gen) -> Vec<u8> {
-    let mut body = json(
-        gen,
-        &["prompt", "messages", "stream", "max_tokens", "temperature"],
-    );
+    let mut body = json(gen, &["prompt", "messages", "stream", "max_tokens", "temperature"]);
     if bool::arbitrary(gen) {
         let head = format!("{{\"model\":\"{MODEL}\",");
         body.splice(..1.min(body.len()), head.into_bytes());
     }
-    let paths = [
-        "/v1/completions",
-        "/v1/chat/completions",
-        "/v1/streams/x-1-1",
-    ];
+    let paths = ["/v1/completions", "/v1/chat/completions", "/v1/streams/x-1-1"];
     let path = gen.choose(&paths).copied().unwrap_or_default();
     request("POST", path, KEY, "", &body)
 }
 
 fn header(gen: &mut Gen) -> Vec<u8> {
-    let name: String = String::arbitrary(gen)
-        .chars()
-        .filter(char::is_ascii_graphic)
-        .collect();
+    let name: String = String::arbitrary(gen).chars().filter(char::is_ascii_graphic).collect();
     let value = String::arbitrary(gen);
     let length = u64::arbitrary(gen);
     let extra =
@@ -150,13 +136,7 @@
 }
 
 fn manifest(gen: &mut Gen) -> Vec<u8> {
-    let kinds = [
-        "organisations",
-        "services",
-        "targets",
-        "configurations",
-        "nothing",
-    ];
+    let kinds = ["organisations", "services", "targets", "configurations", "nothing"];
     let kind = gen.choose(&kinds).copied().unwrap_or_default();
     let methods = ["POST", "PUT", "PATCH", "DELETE"];
     let method = gen.choose(&methods).copied().unwrap_or_default();
--- a/tests/cluster/leaving.rs
+++ b/tests/cluster/leaving.rs
@@ -23,10 +23,7 @@
 fn reclaimed(platform_fault: Value) {
     run(async move {
         let mut cluster = cluster(&[("entry-a1", "lodz-a"), ("entry-a2", "lodz-a")]).await;
-        let engines = [
-            warm_engine("engine-a1", "lodz-a"),
-            warm_engine("engine-a2", "lodz-a"),
-        ];
+        let engines = [warm_engine("engine-a1", "lodz-a"), warm_engine("engine-a2", "lodz-a")];
         add_targets(&mut cluster, &engines).await;
         for (tag, answer) in burst(&cluster, &[0, 1], 12, 5).await {
             answer.assert_whole(&tag, 5);
@@ -46,9 +43,7 @@
         let before = started(&mut cluster, "engine-a1").await;
         for number in 0..10 {
             let tag = format!("n{number}");
-            complete(&cluster, number % 2, &tag, 5)
-                .await
-                .assert_whole(&tag, 5);
+            complete(&cluster, number % 2, &tag, 5).await.assert_whole(&tag, 5);
         }
         let after = started(&mut cluster, "engine-a1").await;
         assert_eq!(after, before, "the leaving engine got new work");
--- a/tests/cluster/links.rs
+++ b/tests/cluster/links.rs
@@ -27,10 +27,7 @@
         let (cluster, proxy) = behind_proxy().await;
         let (answer, ()) = tokio::join!(complete(&cluster, 0, "t", LENGTH), async {
             tokio::time::sleep(STRIKE).await;
-            cluster
-                .fault(proxy.control, &fault)
-                .await
-                .expect("the fault is taken");
+            cluster.fault(proxy.control, &fault).await.expect("the fault is taken");
         });
         answer.assert_whole("t", LENGTH);
     });
@@ -43,14 +40,8 @@
     let address = cluster.start_target(&engine).expect("the engine starts");
     let proxy = cluster.start_proxy(address).expect("the proxy starts");
     let resource = Cluster::target_resource(&engine, proxy.address);
-    cluster
-        .apply(&resource)
-        .await
-        .expect("the target is accepted");
-    cluster
-        .wait_ready()
-        .await
-        .expect("the daemon becomes ready");
+    cluster.apply(&resource).await.expect("the target is accepted");
+    cluster.wait_ready().await.expect("the daemon becomes ready");
     (cluster, proxy)
 }
 
@@ -87,14 +78,9 @@
 fn retried_elsewhere(names: [&'static str; 2]) {
     run(async move {
         let mut cluster = cluster(&[("entry-a1", "lodz-a")]).await;
-        let targets: Vec<Target> = names
-            .iter()
-            .map(|name| warm_engine(name, "lodz-a"))
-            .collect();
+        let targets: Vec<Target> = names.iter().map(|name| warm_engine(name, "lodz-a")).collect();
         add_targets(&mut cluster, &targets).await;
-        complete(&cluster, 0, "first", 5)
-            .await
-            .assert_whole("first", 5);
+        complete(&cluster, 0, "first", 5).await.assert_whole("first", 5);
         cluster.targets[0].process.kill();
         for number in 0..6 {
             let tag = format!("r{number}");
--- a/tests/cluster/once.rs
+++ b/tests/cluster/once.rs
@@ -80,34 +80,19 @@
             platform: cluster.platform.address,
         };
         let (address, fault) = setup(&faults);
-        cluster
-            .fault(address, &fault)
-            .await
-            .expect("the fault is taken");
+        cluster.fault(address, &fault).await.expect("the fault is taken");
         let first = call(&cluster, 0, "POST", "/notices", Some("k1"), "text").await;
         let second = call(&cluster, 1, "POST", "/notices", Some("k1"), "text").await;
         check(&first, &second);
-        assert_eq!(
-            count(&cluster, faults.service).await,
-            runs,
-            "{first:?}\n{second:?}"
-        );
+        assert_eq!(count(&cluster, faults.service).await, runs, "{first:?}\n{second:?}");
     });
 }
 
 async fn count(cluster: &Cluster, service: std::net::SocketAddr) -> u64 {
     // Late retries inside the system would come within a second.
     tokio::time::sleep(Duration::from_millis(1_500)).await;
-    let answer = cluster
-        .client
-        .get(format!("http://{service}/_runs"))
-        .send()
-        .await;
-    let runs: Value = answer
-        .expect("the service answers")
-        .json()
-        .await
-        .expect("counts");
+    let answer = cluster.client.get(format!("http://{service}/_runs")).send().await;
+    let runs: Value = answer.expect("the service answers").json().await.expect("counts");
     runs["k1"].as_u64().unwrap_or(0)
 }
 
@@ -118,14 +103,8 @@
     let address = cluster.start_target(&desk).expect("the service starts");
     let proxy = cluster.start_proxy(address).expect("the proxy starts");
     let resource = Cluster::target_resource(&desk, proxy.address);
-    cluster
-        .apply(&resource)
-        .await
-        .expect("the target is accepted");
-    cluster
-        .wait_ready()
-        .await
-        .expect("the daemons become ready");
+    cluster.apply(&resource).await.expect("the target is accepted");
+    cluster.wait_ready().await.expect("the daemons become ready");
     let ready = call(&cluster, 0, "GET", "/ready", None, "").await;
     assert_eq!(ready.status, 200, "{ready:?}");
     let ready = call(&cluster, 1, "GET", "/ready", None, "").await;
--- a/tests/cluster/operators.rs
+++ b/tests/cluster/operators.rs
@@ -11,11 +11,8 @@
 
 /// Time within which a zone that was taken out must have stopped getting new work.
 const LEAVE_MAX: Duration = Duration::from_secs(5);
-const DAEMONS: [(&str, &str); 3] = [
-    ("entry-a1", "lodz-a"),
-    ("entry-b1", "lodz-b"),
-    ("entry-b2", "lodz-b"),
-];
+const DAEMONS: [(&str, &str); 3] =
+    [("entry-a1", "lodz-a"), ("entry-b1", "lodz-b"), ("entry-b2", "lodz-b")];
 
 hornbeamloom_kernel::cases! {
     zone_out;
@@ -29,39 +26,27 @@
     run(async move {
         let mut cluster = two_zones().await;
         for daemon in 0..3 {
-            complete(&cluster, daemon, "before", 3)
-                .await
-                .assert_whole("before", 3);
+            complete(&cluster, daemon, "before", 3).await.assert_whole("before", 3);
         }
         let patched = patch(&cluster, 0, "lodz-b", json!({"spec": {"state": "out"}})).await;
         assert_eq!(patched, 200);
         let platform = cluster.platform.address;
-        cluster
-            .fault(platform, &fault)
-            .await
-            .expect("the fault is taken");
+        cluster.fault(platform, &fault).await.expect("the fault is taken");
         tokio::time::sleep(LEAVE_MAX).await;
         let before = started(&mut cluster, "engine-b1").await;
         for number in 0..12 {
             let tag = format!("r{number}");
-            complete(&cluster, number % 3, &tag, 5)
-                .await
-                .assert_whole(&tag, 5);
+            complete(&cluster, number % 3, &tag, 5).await.assert_whole(&tag, 5);
         }
         assert_eq!(started(&mut cluster, "engine-b1").await, before);
-        cluster
-            .fault(platform, &json!({"outage": ""}))
-            .await
-            .expect("the fault is taken");
+        cluster.fault(platform, &json!({"outage": ""})).await.expect("the fault is taken");
         eventually("the zone is brought back", || async {
             patch(&cluster, 1, "lodz-b", json!({"spec": {"state": "in"}})).await == 200
         })
         .await;
         let served = Instant::now();
         while started(&mut cluster, "engine-b1").await == before {
-            complete(&cluster, 1, "back", 3)
-                .await
-                .assert_whole("back", 3);
+            complete(&cluster, 1, "back", 3).await.assert_whole("back", 3);
             assert!(
                 served.elapsed() < crate::bed::DEADLINE,
                 "the zone gets no work after its return"
@@ -72,10 +57,7 @@
 
 async fn two_zones() -> Cluster {
     let mut cluster = cluster(&DAEMONS).await;
-    let engines = [
-        warm_engine("engine-a1", "lodz-a"),
-        warm_engine("engine-b1", "lodz-b"),
-    ];
+    let engines = [warm_engine("engine-a1", "lodz-a"), warm_engine("engine-b1", "lodz-b")];
     add_targets(&mut cluster, &engines).await;
     cluster
 }
@@ -83,13 +65,7 @@
 async fn patch(cluster: &Cluster, daemon: usize, zone: &str, body: Value) -> u16 {
     let operators = cluster.daemons[daemon].operators;
     let url = format!("http://{operators}/apis/v1/availabilityzones/{zone}");
-    let sent = cluster
-        .client
-        .patch(url)
-        .bearer_auth(OPERATOR_KEY)
-        .json(&body)
-        .send()
-        .await;
+    let sent = cluster.client.patch(url).bearer_auth(OPERATOR_KEY).json(&body).send().await;
     sent.map_or(0, |answer| answer.status().as_u16())
 }
 
@@ -104,20 +80,12 @@
 fn store_out(outage: &'static str) {
     run(async move {
         let mut cluster = two_zones().await;
-        complete(&cluster, 0, "before", 3)
-            .await
-            .assert_whole("before", 3);
+        complete(&cluster, 0, "before", 3).await.assert_whole("before", 3);
         let revision = revision(&cluster, 0).await;
         let platform = cluster.platform.address;
-        cluster
-            .fault(platform, &json!({"outage": outage}))
-            .await
-            .expect("the fault is taken");
+        cluster.fault(platform, &json!({"outage": outage})).await.expect("the fault is taken");
         let refused = patch(&cluster, 0, "lodz-b", json!({"spec": {"state": "out"}})).await;
-        assert!(
-            refused >= 500,
-            "a write without the store was answered {refused}"
-        );
+        assert!(refused >= 500, "a write without the store was answered {refused}");
         cluster.restart_daemon(1).expect("the daemon starts");
         eventually("the restarted VM holds the revision", || async {
             self::revision(&cluster, 1).await == revision
@@ -127,9 +95,7 @@
         tokio::time::sleep(Duration::from_secs(9)).await;
         for daemon in 0..3 {
             let tag = format!("r{daemon}");
-            complete(&cluster, daemon, &tag, 5)
-                .await
-                .assert_whole(&tag, 5);
+            complete(&cluster, daemon, &tag, 5).await.assert_whole(&tag, 5);
         }
         let after = self::revision(&cluster, 0).await;
         assert_eq!(after, revision, "the revision moved during the outage");
@@ -137,9 +103,7 @@
 }
 
 async fn revision(cluster: &Cluster, daemon: usize) -> u64 {
-    operate(cluster, daemon, "/apis/v1/status").await["revision"]
-        .as_u64()
-        .unwrap_or(0)
+    operate(cluster, daemon, "/apis/v1/status").await["revision"].as_u64().unwrap_or(0)
 }
 
 hornbeamloom_kernel::cases! {
@@ -168,13 +132,7 @@
 
 async fn put(cluster: &Cluster, daemon: usize, path: &str, body: Value) -> u16 {
     let url = format!("http://{}{path}", cluster.daemons[daemon].operators);
-    let sent = cluster
-        .client
-        .put(url)
-        .bearer_auth(OPERATOR_KEY)
-        .json(&body)
-        .send()
-        .await;
+    let sent = cluster.client.put(url).bearer_auth(OPERATOR_KEY).json(&body).send().await;
     sent.map_or(0, |answer| answer.status().as_u16())
 }
 
@@ -188,17 +146,10 @@
 fn crashing_prompt(engines: usize) {
     run(async move {
         let mut cluster = cluster(&[("entry-a1", "lodz-a"), ("entry-a2", "lodz-a")]).await;
-        let names: Vec<String> = (1..=engines)
-            .map(|number| format!("engine-a{number}"))
-            .collect();
-        let targets: Vec<Target> = names
-            .iter()
-            .map(|name| warm_engine(name, "lodz-a"))
-            .collect();
+        let names: Vec<String> = (1..=engines).map(|number| format!("engine-a{number}")).collect();
+        let targets: Vec<Target> = names.iter().map(|name| warm_engine(name, "lodz-a")).collect();
         add_targets(&mut cluster, &targets).await;
-        complete(&cluster, 0, "before", 3)
-            .await
-            .assert_whole("before", 3);
+        complete(&cluster, 0, "before", 3).await.assert_whole("before", 3);
         let mut deaths = 0;
         let mut refusal = Value::Null;
         for attempt in 0..8 {
@@ -209,18 +160,14 @@
                 let target = cluster.target(name).expect("the engine is known");
                 if target.process.status().is_some() {
                     deaths += 1;
-                    cluster
-                        .restart_target(name)
-                        .expect("the engine starts again");
+                    cluster.restart_target(name).expect("the engine starts again");
                 }
             }
             tokio::time::sleep(Duration::from_secs(2)).await;
         }
         assert_eq!(refusal, json!("quarantined"));
         assert!(deaths <= 3, "{deaths} engines died of one prompt");
-        complete(&cluster, 0, "after", 3)
-            .await
-            .assert_whole("after", 3);
+        complete(&cluster, 0, "after", 3).await.assert_whole("after", 3);
         let listed = operate(&cluster, 1, "/apis/v1/quarantine").await;
         assert!(listed.to_string().contains(MODEL), "{listed}");
     });
--- a/tests/cluster/orders.rs
+++ b/tests/cluster/orders.rs
@@ -79,24 +79,15 @@
 
 impl Observer {
     fn new(cluster: &Cluster) -> Observer {
-        let engines: Vec<SocketAddr> = cluster
-            .targets
-            .iter()
-            .map(|target| target.address)
-            .collect();
-        Observer {
-            fences: vec![0; engines.len()],
-            engines,
-        }
+        let engines: Vec<SocketAddr> =
+            cluster.targets.iter().map(|target| target.address).collect();
+        Observer { fences: vec![0; engines.len()], engines }
     }
 
     async fn wait_loaded(&mut self, cluster: &Cluster, model: &str) {
         let started = Instant::now();
         while !self.look(cluster, model).await {
-            assert!(
-                started.elapsed() < DEADLINE,
-                "{model} is not loaded in time"
-            );
+            assert!(started.elapsed() < DEADLINE, "{model} is not loaded in time");
         }
     }
 
@@ -121,9 +112,7 @@
         let answer = cluster.client.get(url).send().await;
         let text = answer.expect("the engine answers").text().await;
         let text = text.expect("a report");
-        let fence = text
-            .lines()
-            .find_map(|line| line.strip_prefix("engine_fence "));
+        let fence = text.lines().find_map(|line| line.strip_prefix("engine_fence "));
         let fence = fence.and_then(|text| text.trim().parse().ok());
         let fence: u64 = fence.expect("a fence");
         assert!(fence >= self.fences[ix], "a fence went back to {fence}");
--- a/tests/cluster/overload.rs
+++ b/tests/cluster/overload.rs
@@ -39,10 +39,8 @@
         let engine = warm_engine("engine-a1", "lodz-a").with_spec("warmLimit", json!(2));
         add_targets(&mut cluster, &[engine]).await;
         let answers = burst(&cluster, &[0, 1], 40, 60).await;
-        let whole = answers
-            .iter()
-            .filter(|(tag, answer)| answer.assert_whole_or_refused(tag, 60))
-            .count();
+        let whole =
+            answers.iter().filter(|(tag, answer)| answer.assert_whole_or_refused(tag, 60)).count();
         assert!(whole > 0, "nothing was served");
         let reasons: Vec<&Value> = answers
             .iter()
--- a/tests/cluster/owner.rs
+++ b/tests/cluster/owner.rs
@@ -49,9 +49,7 @@
             .with_spec("coldLimit", json!(cold_limit));
         add_targets(&mut cluster, &[engine]).await;
         let (frozen, _) = known_owner(&cluster, 0, ZONE).await;
-        complete(&cluster, frozen, "first", 3)
-            .await
-            .assert_whole("first", 3);
+        complete(&cluster, frozen, "first", 3).await.assert_whole("first", 3);
         fault(&cluster, cluster.platform.address, platform_fault).await;
         let others = others(frozen);
         // The frozen holder has work of its own queue and running work when it stops.
@@ -91,9 +89,8 @@
 fn killed_owner(engines: usize) {
     run(async move {
         let mut cluster = cluster(&DAEMONS).await;
-        let warm: Vec<Target> = (1..=engines)
-            .map(|number| warm_engine(&format!("engine-a{number}"), ZONE))
-            .collect();
+        let warm: Vec<Target> =
+            (1..=engines).map(|number| warm_engine(&format!("engine-a{number}"), ZONE)).collect();
         add_targets(&mut cluster, &warm).await;
         let (killed, fence) = known_owner(&cluster, 0, ZONE).await;
         let others = others(killed);
@@ -107,10 +104,8 @@
         };
         let (answers, ()) = tokio::join!(burst(&cluster, &others, 40, 40), kill);
         let dead = Instant::now();
-        let whole = answers
-            .iter()
-            .filter(|(tag, answer)| answer.assert_whole_or_refused(tag, 40))
-            .count();
+        let whole =
+            answers.iter().filter(|(tag, answer)| answer.assert_whole_or_refused(tag, 40)).count();
         assert!(whole > 0, "every request was refused");
         let cold = Target::engine("engine-cold", MODEL, ZONE).with_arguments(&["--cold-s", "60"]);
         for target in &mut cluster.targets {
@@ -128,10 +123,7 @@
             if answer.assert_whole_or_refused("cold", 3) {
                 break;
             }
-            assert!(
-                dead.elapsed() < crate::bed::DEADLINE,
-                "no cold start: {answer:?}"
-            );
+            assert!(dead.elapsed() < crate::bed::DEADLINE, "no cold start: {answer:?}");
         }
         assert!(
             dead.elapsed() < NEW_OWNER_MAX,
@@ -144,10 +136,7 @@
 async fn add_cold(cluster: &mut Cluster, through: usize, target: &Target) {
     let address = cluster.start_target(target).expect("the engine starts");
     let resource = Cluster::target_resource(target, address);
-    let url = format!(
-        "http://{}/apis/v1/targets",
-        cluster.daemons[through].operators
-    );
+    let url = format!("http://{}/apis/v1/targets", cluster.daemons[through].operators);
     let sent = cluster
         .client
         .post(url)
--- a/tests/cluster/pairs.rs
+++ b/tests/cluster/pairs.rs
@@ -25,10 +25,7 @@
 fn engine_death_in_outage(outage: &'static str) {
     run(async move {
         let mut cluster = cluster(&[("entry-a1", "lodz-a"), ("entry-a2", "lodz-a")]).await;
-        let engines = [
-            quick_engine("engine-a1", "lodz-a"),
-            quick_engine("engine-a2", "lodz-a"),
-        ];
+        let engines = [quick_engine("engine-a1", "lodz-a"), quick_engine("engine-a2", "lodz-a")];
         add_targets(&mut cluster, &engines).await;
         warm_up(&cluster, 0).await;
         warm_up(&cluster, 1).await;
@@ -40,9 +37,7 @@
         for (tag, answer) in burst(&cluster, &[0, 1], 10, 10).await {
             answer.assert_whole(&tag, 10);
         }
-        cluster
-            .restart_target("engine-a1")
-            .expect("the engine starts again");
+        cluster.restart_target("engine-a1").expect("the engine starts again");
         for (tag, answer) in burst(&cluster, &[0, 1], 10, 10).await {
             answer.assert_whole(&tag, 10);
         }
@@ -52,10 +47,7 @@
             for (tag, answer) in burst(&cluster, &[0, 1], 8, 10).await {
                 answer.assert_whole(&tag, 10);
             }
-            assert!(
-                std::time::Instant::now() < deadline,
-                "the restarted engine gets no work"
-            );
+            assert!(std::time::Instant::now() < deadline, "the restarted engine gets no work");
         }
     });
 }
@@ -69,16 +61,9 @@
 
 fn zone_out_while_frozen(freeze_s: u64) {
     run(async move {
-        let daemons = [
-            ("entry-a1", "lodz-a"),
-            ("entry-b1", "lodz-b"),
-            ("entry-b2", "lodz-b"),
-        ];
+        let daemons = [("entry-a1", "lodz-a"), ("entry-b1", "lodz-b"), ("entry-b2", "lodz-b")];
         let mut cluster = cluster(&daemons).await;
-        let engines = [
-            quick_engine("engine-a1", "lodz-a"),
-            quick_engine("engine-b1", "lodz-b"),
-        ];
+        let engines = [quick_engine("engine-a1", "lodz-a"), quick_engine("engine-b1", "lodz-b")];
         add_targets(&mut cluster, &engines).await;
         warm_up(&cluster, 0).await;
         warm_up(&cluster, 1).await;
@@ -95,19 +80,14 @@
             send(&cluster, frozen, Signal::SIGCONT);
         };
         let queued = [frozen];
-        let (through_awake, through_frozen, ()) = tokio::join!(
-            burst(&cluster, &awake, 8, 10),
-            burst(&cluster, &queued, 4, 10),
-            thaw
-        );
+        let (through_awake, through_frozen, ()) =
+            tokio::join!(burst(&cluster, &awake, 8, 10), burst(&cluster, &queued, 4, 10), thaw);
         for (tag, answer) in through_awake.iter().chain(&through_frozen) {
             answer.assert_whole(tag, 10);
         }
         for number in 0..6 {
             let tag = format!("n{number}");
-            complete(&cluster, number % 3, &tag, 5)
-                .await
-                .assert_whole(&tag, 5);
+            complete(&cluster, number % 3, &tag, 5).await.assert_whole(&tag, 5);
         }
         let after = started(&mut cluster, "engine-b1").await;
         assert_eq!(after, before, "a zone that is out got new work");
@@ -135,9 +115,7 @@
         let declared = Cluster::target_resource(&engine, proxy.address);
         cluster.apply(&declared).await.expect("it is accepted");
         cluster.wait_ready().await.expect("the daemons are ready");
-        complete(&cluster, 0, "warm", 5)
-            .await
-            .assert_whole("warm", 5);
+        complete(&cluster, 0, "warm", 5).await.assert_whole("warm", 5);
         let strike = async {
             tokio::time::sleep(Duration::from_millis(500)).await;
             fault(&cluster, address, json!({"cold_s": 10.0})).await;
--- a/tests/cluster/path.rs
+++ b/tests/cluster/path.rs
@@ -13,21 +13,13 @@
 
 fn stream_through(daemon: usize, length: usize) {
     run(async move {
-        let daemons = [
-            ("entry-a1", "lodz-a"),
-            ("entry-a2", "lodz-a"),
-            ("entry-b1", "lodz-b"),
-        ];
+        let daemons = [("entry-a1", "lodz-a"), ("entry-a2", "lodz-a"), ("entry-b1", "lodz-b")];
         let mut cluster = cluster(&daemons).await;
         add_targets(&mut cluster, &[warm_engine("engine-a1", "lodz-a")]).await;
         let answer = complete(&cluster, daemon, "t", length).await;
         assert_eq!(answer.status, 200, "{answer:?}");
         answer.assert_whole("t", length);
         let entry = &cluster.daemons[daemon].vm;
-        assert!(
-            answer.request_id.starts_with(&format!("{entry}-")),
-            "{}",
-            answer.request_id
-        );
+        assert!(answer.request_id.starts_with(&format!("{entry}-")), "{}", answer.request_id);
     });
 }
--- a/tests/cluster/peers.rs
+++ b/tests/cluster/peers.rs
@@ -134,12 +134,7 @@
             false => &proxies[..2],
         };
         for proxy in cut {
-            fault(
-                &cluster,
-                proxy.control,
-                json!({"refuse": true, "cut": true}),
-            )
-            .await;
+            fault(&cluster, proxy.control, json!({"refuse": true, "cut": true})).await;
         }
         set_weight(&cluster, 7).await;
         for _ in 0..2 {
@@ -174,9 +169,7 @@
 async fn unfinished(cluster: &Cluster, daemon: usize) {
     let zone = &cluster.daemons[daemon].zone;
     known_owner(cluster, daemon, zone).await;
-    complete(cluster, daemon, "first", 3)
-        .await
-        .assert_whole("first", 3);
+    complete(cluster, daemon, "first", 3).await.assert_whole("first", 3);
 }
 
 /// A VM and an engine in each of two zones, and the proxies in front of the VMs' peer ports and
@@ -192,10 +185,7 @@
     let second = cluster.start_daemon_behind_proxy("entry-b1", "lodz-b");
     let second = second.expect("a daemon starts");
     declare(&cluster, &daemons).await;
-    let engines = [
-        quick_engine("engine-a1", "lodz-a"),
-        quick_engine("engine-b1", "lodz-b"),
-    ];
+    let engines = [quick_engine("engine-a1", "lodz-a"), quick_engine("engine-b1", "lodz-b")];
     add_targets(&mut cluster, &engines).await;
     (cluster, [first, second, platform])
 }
--- a/tests/cluster/shutdown.rs
+++ b/tests/cluster/shutdown.rs
@@ -17,9 +17,7 @@
     run(async move {
         let mut cluster = cluster(&[("entry-a1", "lodz-a"), ("entry-a2", "lodz-a")]).await;
         add_targets(&mut cluster, &[warm_engine("engine-a1", "lodz-a")]).await;
-        complete(&cluster, 0, "first", 3)
-            .await
-            .assert_whole("first", 3);
+        complete(&cluster, 0, "first", 3).await.assert_whole("first", 3);
         let pid = cluster.daemons[stopped].process.id();
         let answer = {
             let stream = complete(&cluster, caller, "t", 300);
@@ -31,20 +29,13 @@
         };
         answer.assert_whole("t", 300);
         let status = cluster.daemons[stopped].process.wait(DEADLINE).await;
-        assert!(
-            status.is_some_and(|status| status.success()),
-            "exit status: {status:?}"
-        );
+        assert!(status.is_some_and(|status| status.success()), "exit status: {status:?}");
         let other = 1 - stopped;
-        complete(&cluster, other, "after", 3)
-            .await
-            .assert_whole("after", 3);
+        complete(&cluster, other, "after", 3).await.assert_whole("after", 3);
     });
 }
 
 fn terminate(pid: u32) {
-    let status = std::process::Command::new("kill")
-        .arg(pid.to_string())
-        .status();
+    let status = std::process::Command::new("kill").arg(pid.to_string()).status();
     assert!(status.is_ok_and(|status| status.success()));
 }
--- a/tests/cluster/store.rs
+++ b/tests/cluster/store.rs
@@ -17,13 +17,9 @@
     let platform = cluster.platform.address;
     let proxy = cluster.start_proxy(platform).expect("the proxy starts");
     cluster.platform_address = proxy.address;
-    cluster
-        .start_daemon("entry-a1", "lodz-a")
-        .expect("it starts");
+    cluster.start_daemon("entry-a1", "lodz-a").expect("it starts");
     cluster.platform_address = platform;
-    cluster
-        .start_daemon("entry-a2", "lodz-a")
-        .expect("it starts");
+    cluster.start_daemon("entry-a2", "lodz-a").expect("it starts");
     declare(&cluster, &DAEMONS).await;
     cluster.wait_ready().await.expect("the daemons are ready");
     (cluster, proxy)
@@ -116,10 +112,7 @@
             if round % 5 == 0 {
                 let body = json!({"spec": {"weight": 8}});
                 let (status, answer) = patch(&cluster, round % 2, ORGANISATION, body).await;
-                assert!(
-                    status >= 409,
-                    "an older store took a write: {status} {answer}"
-                );
+                assert!(status >= 409, "an older store took a write: {status} {answer}");
             }
             tokio::time::sleep(Duration::from_millis(300)).await;
         }
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -67,10 +67,7 @@
     let output = daemon(&file("in-use", &text)).output().expect("it runs");
     assert_eq!(output.status.code(), Some(2), "{output:?}");
     let lines = lines(&output);
-    assert!(
-        lines.last().is_some_and(|line| line.contains(address)),
-        "{lines:?}"
-    );
+    assert!(lines.last().is_some_and(|line| line.contains(address)), "{lines:?}");
 }
 
 /// A running daemon, ended with the test.
@@ -99,10 +96,7 @@
         if answer.is_ok_and(|answer| answer.status() == 200) {
             return;
         }
-        assert!(
-            started.elapsed() < DEADLINE,
-            "{key} is not accepted in time"
-        );
+        assert!(started.elapsed() < DEADLINE, "{key} is not accepted in time");
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
@@ -112,30 +106,19 @@
 async fn hangup_takes_new_keys_and_refuses_a_bad_file_whole() {
     let old = text(5);
     let path = file("hangup", &old);
-    let child = daemon(&path)
-        .stderr(Stdio::null())
-        .spawn()
-        .expect("it runs");
+    let child = daemon(&path).stderr(Stdio::null()).spawn().expect("it runs");
     let running = Running(child);
     let (_, rest) = old.split_once("callers: '").expect("an address");
     let (address, _) = rest.split_once('\'').expect("an address");
     let url = format!("http://{address}/metrics");
-    let client = reqwest::Client::builder()
-        .no_proxy()
-        .build()
-        .expect("a client");
+    let client = reqwest::Client::builder().no_proxy().build().expect("a client");
     eventually_accepted(&client, &url, "op-old").await;
     // The bad file has a new key too, which must not be taken.
     std::fs::write(&path, old.replace("op-old", "op-bad") + "extra: 1\n").expect("written");
     running.signal("-HUP");
     tokio::time::sleep(Duration::from_millis(300)).await;
     std::fs::write(&path, old.replace("op-old", "op-old, op-new")).expect("written");
-    let bad = client
-        .get(&url)
-        .bearer_auth("op-bad")
-        .send()
-        .await
-        .expect("an answer");
+    let bad = client.get(&url).bearer_auth("op-bad").send().await.expect("an answer");
     assert_eq!(bad.status(), 401);
     eventually_accepted(&client, &url, "op-old").await;
     running.signal("-HUP");
