Keep the place of a broken attempt on a cold target

Cause: an attempt whose connection broke before its answer began was released as free, while the engine went on with it. Ruled out: the ramp and the report, which were right. Change: a broken attempt counts as unknown work until reports taken after the lag show that it is gone. Words of a holder about warm targets older than the report lag need a report at the start of a pool as well.

--- a/crates/kernel/src/pool.rs
+++ b/crates/kernel/src/pool.rs
@@ -20,7 +20,7 @@
 use crate::resource::{self, Protocol};
 use crate::schedule::{self, Stages};
 use crate::takeover::{self, Hint, Listing, Rights, Takeover, HANDED_PAUSE};
-use crate::target::{Phase, Slot, REPORT_LAG};
+use crate::target::{Phase, Slot};
 
 pub use crate::ledger::Running;
 pub use crate::takeover::Snapshot;
@@ -521,7 +521,7 @@
             }
             return;
         }
-        let is_recent = now.since(hint.at) <= REPORT_LAG;
+        let is_recent = hint.is_fresh(now);
         for slot in &mut self.targets {
             match hint.warm.contains(&slot.name) {
                 // A holder that was paused describes the past, so its word does not overrule a
--- a/crates/kernel/src/takeover.rs
+++ b/crates/kernel/src/takeover.rs
@@ -25,9 +25,10 @@
 const HELLO_EAGER: u64 = 10_000;
 /// VMs that left the platform's list are remembered for this time.
 const DEPARTED_AGE: u64 = 3_600_000;
-/// A predecessor's word about warm targets counts by itself for this time, in which the lease lapses
-/// (8 s) and a candidate takes it over. An older word needs a report that confirms it.
-const HINT_AGE: u64 = 20_000;
+/// A holder's word about warm targets counts by itself only as long as a report may lag. An older
+/// word needs a report that confirms it: a target that turned cold meanwhile would get the share of
+/// a warm one (seed 400005 of the fuzzer).
+const HINT_AGE: u64 = REPORT_LAG;
 
 /// What this VM may do in a pool.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/kernel/src/target.rs
+++ b/crates/kernel/src/target.rs
@@ -208,6 +208,8 @@
     doubted: bool,
     firsts: VecDeque<u32>,
     released: VecDeque<Millis>,
+    /// When attempts broke that may still run on the target.
+    lost: VecDeque<Millis>,
     broken: VecDeque<(Millis, Suspect)>,
     /// An attempt found the process gone before any report had shown its start.
     gone: bool,
@@ -241,6 +243,7 @@
             doubted: false,
             firsts: VecDeque::new(),
             released: VecDeque::new(),
+            lost: VecDeque::new(),
             broken: VecDeque::new(),
             gone: false,
             prefixes: Set::default(),
@@ -424,7 +427,25 @@
             self.released.pop_front();
         }
         let granted = self.running() + self.released.len() as u32;
-        (report.running + report.waiting).saturating_sub(granted)
+        (report.running + report.waiting).saturating_sub(granted).max(self.lost(now))
+    }
+
+    /// Attempts that broke so recently that a report may not show them yet.
+    fn lost(&mut self, now: Millis) -> u32 {
+        while self.lost.front().is_some_and(|&at| now.since(at) > REPORT_LAG) {
+            self.lost.pop_front();
+        }
+        self.lost.len() as u32
+    }
+
+    /// Keeps the place of an attempt whose connection broke: the target may go on with it.
+    fn keep_lost(&mut self, now: Millis) {
+        self.released.pop_back();
+        if self.lost.len() == BROKEN_MAX {
+            self.lost.pop_front();
+        }
+        self.lost.push_back(now);
+        self.foreign = self.foreign.max(self.lost(now));
     }
 
     /// Keeps what an earlier report showed beyond the grants, as far as a later one can contain it.
@@ -459,6 +480,9 @@
     /// Takes in how an attempt ended.
     pub(crate) fn ended(&mut self, end: End, suspect: Suspect, granted: Millis, now: Millis) {
         self.gone |= end == End::Died && self.seen.is_none();
+        if end == End::Broken {
+            self.keep_lost(now);
+        }
         match end {
             End::Complete if self.phase() == Some(Phase::Warm) => {
                 self.doubted = false;
