Keep unknown work counted until a report must show that it ended

Change: unknown work on a target stays counted until a report shows no more than the granted work that is old enough to be part of it. A cold target may get one place less while it is busy; warm targets are not affected.

--- a/crates/kernel/src/accounting.rs
+++ b/crates/kernel/src/accounting.rs
@@ -286,9 +286,8 @@
         Err(silence) => pool.targets[ix].failed(silence),
     };
     if let Ok(report) = report {
-        if is_learning {
-            pool.targets[ix].keep_foreign(foreign, report);
-        }
+        let visible = if is_learning { 0 } else { visible(pool, ix, now) };
+        pool.targets[ix].keep_foreign(foreign, report, visible);
         free_unseen(pool, ix, report, now);
     }
     if let Finding::Died(start_id) = finding {
@@ -303,6 +302,12 @@
     schedule::run(state, &key, now, out);
 }
 
+/// Granted work on a target that has run for long enough to be part of any report.
+fn visible(pool: &Pool, target: usize, now: Millis) -> u32 {
+    let work = pool.targets[target].work.iter().filter_map(|id| pool.ledger.get(id));
+    work.filter(|running| now.since(running.granted) > REPORT_LAG).count() as u32
+}
+
 /// Frees silent work of which a target's report shows nothing.
 fn free_unseen(pool: &mut Pool, target: usize, report: &Report, now: Millis) {
     let shown = (report.running + report.waiting) as usize;
--- a/crates/kernel/src/target.rs
+++ b/crates/kernel/src/target.rs
@@ -450,11 +450,11 @@
 
     /// Keeps what an earlier report showed beyond the grants, as far as a later one can contain it.
     ///
-    /// Work of earlier schedulers ends without a word here. A report that lags can show granted work
+    /// Work of earlier schedulers and of broken attempts ends without a word here. A report that lags can show granted work
     /// that has ended, or not yet show what was granted since, so a difference from the ledger does
-    /// not prove that other work ended.
-    pub(crate) fn keep_foreign(&mut self, earlier: u32, report: &Report) {
-        let shown = report.running + report.waiting;
+    /// not prove that other work ended. `visible` requests granted here must be part of the report.
+    pub(crate) fn keep_foreign(&mut self, earlier: u32, report: &Report, visible: u32) {
+        let shown = (report.running + report.waiting).saturating_sub(visible);
         self.foreign = self.foreign.max(earlier.min(shown));
     }
 
