Hold back memory only for short requests that come; keep leases while requests wait

Also, a stopping VM without a successor in its zone gave its leases up at once, and requests waiting there for a cold target met their deadline (seen once by hand). Change: the part for short requests is kept for 60 s after one came; what a report shows beyond the present use of granted work counts on top; leases without a successor are kept until no request waits. Names that were figurative are replaced.

--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -49,6 +49,14 @@
 
 impl Target {
     /// An engine with the stand-in's default sizes.
+    ///
+    /// ```
+    /// use hornbeamloom_bench::cluster::{Stand, Target};
+    ///
+    /// let engine = Target::engine("engine-a1", "pisarz-modelu", "lodz-a");
+    /// assert_eq!(engine.stand, Stand::Engine);
+    /// assert_eq!(engine.spec["coldLimit"], 2);
+    /// ```
     pub fn engine(name: &str, service: &str, zone: &str) -> Target {
         Target {
             name: name.to_owned(),
@@ -61,18 +69,41 @@
     }
 
     /// A plain service.
+    ///
+    /// ```
+    /// use hornbeamloom_bench::cluster::{Stand, Target};
+    ///
+    /// let desk = Target::service("desk-a1", "biuro-zlecen", "lodz-a");
+    /// assert_eq!(desk.stand, Stand::Service);
+    /// ```
     pub fn service(name: &str, service: &str, zone: &str) -> Target {
         let spec = json!({"coldLimit": 2, "warmLimit": 64});
         Target { stand: Stand::Service, spec, ..Target::engine(name, service, zone) }
     }
 
     /// The same target with further arguments of the stand-in.
+    ///
+    /// ```
+    /// use hornbeamloom_bench::cluster::Target;
+    ///
+    /// let engine = Target::engine("engine-a1", "pisarz-modelu", "lodz-a")
+    ///     .with_arguments(&["--cold-s", "0"]);
+    /// assert_eq!(engine.arguments, ["--cold-s", "0"]);
+    /// ```
     pub fn with_arguments(mut self, arguments: &[&str]) -> Target {
         self.arguments.extend(arguments.iter().map(|argument| (*argument).to_owned()));
         self
     }
 
     /// The same target with one field of its specification set.
+    ///
+    /// ```
+    /// use hornbeamloom_bench::cluster::Target;
+    ///
+    /// let engine = Target::engine("engine-a1", "pisarz-modelu", "lodz-a")
+    ///     .with_spec("coldLimit", 1.into());
+    /// assert_eq!(engine.spec["coldLimit"], 1);
+    /// ```
     pub fn with_spec(mut self, field: &str, value: Value) -> Target {
         self.spec[field] = value;
         self
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -31,6 +31,11 @@
     }
 
     /// The same client with an operator key.
+    ///
+    /// ```
+    /// let client = hornbeamloom_ctl::client::Client::new("http://127.0.0.1:8200").with_key("op");
+    /// assert_eq!(client.server(), "http://127.0.0.1:8200");
+    /// ```
     pub fn with_key(self, key: &str) -> Client {
         Client { key: key.to_owned(), ..self }
     }
@@ -169,6 +174,15 @@
 
 impl Error {
     /// The process exit status: 2 usage, 3 unreachable, 4 refused, 5 conflict, 6 unknown outcome.
+    ///
+    /// ```
+    /// use hornbeamloom_ctl::client::Error;
+    ///
+    /// let refused =
+    ///     |status| Error::Refused { status, reason: String::new(), detail: String::new() };
+    /// assert_eq!(refused(409).exit_status(), 5);
+    /// assert_eq!(refused(503).exit_status(), 4);
+    /// ```
     pub fn exit_status(&self) -> u8 {
         match self {
             Error::Usage(_) | Error::File { .. } => 2,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -187,6 +187,12 @@
 /// let error = hornbeamloom_daemon::settings::parse("vm: a\nvn: b\n").unwrap_err();
 /// assert!(error.to_string().contains("vn"));
 /// ```
+///
+/// ```
+/// use hornbeamloom_daemon::settings;
+///
+/// assert!(settings::parse("vm: entry-a1").is_err());
+/// ```
 pub fn parse(text: &str) -> Result<Settings, Error> {
     let settings: Settings = serde_yaml_ng::from_str(text)?;
     check::settings(&settings)?;
--- a/crates/kernel/src/accounting.rs
+++ b/crates/kernel/src/accounting.rs
@@ -9,7 +9,7 @@
 use crate::outcome::{Counter, Outcome, Reason, Refusal};
 use crate::peer::{Ask, Death, Message, Progress, Release, Standing, Suspect};
 use crate::pool::{self, Key, Pool};
-use crate::request::{End, Id};
+use crate::request::{Class, End, Id};
 use crate::schedule;
 use crate::takeover::{self, Rights};
 use crate::target::{CacheBatch, Finding, Report, Silence, REPORT_LAG};
@@ -112,6 +112,9 @@
     };
     let mut ask = ask.clone();
     ask.class = pool.class(&ask);
+    if ask.class == Class::Short {
+        pool.short_at = Some(now);
+    }
     let refusal =
         schedule::admit(pool, quarantine, &ask, now).and_then(|()| is_servable(pool, &ask));
     if let Err(refusal) = refusal {
@@ -191,7 +194,7 @@
         pool.advance(&id, entry.tokens, now);
     }
     if let Some(takeover) = pool.takeover.as_mut().filter(|_| is_unknown) {
-        takeover.doubt(from, now);
+        takeover.reopen(from, now);
     }
     // The batch names all that runs: what it has left out for long has ended.
     let left_out = pool
@@ -455,7 +458,7 @@
 }
 
 /// Describes the targets to the VMs of the zone, which use it in fallback.
-pub(crate) fn tell(state: &mut State, key: &Key, now: Millis, out: &mut Outbox) {
+pub(crate) fn describe_targets(state: &mut State, key: &Key, now: Millis, out: &mut Outbox) {
     let own = state.identity.vm.clone();
     let members = state.members.in_zone(&key.zone);
     let mut vms: Vec<Name> = members
--- a/crates/kernel/src/attempt.rs
+++ b/crates/kernel/src/attempt.rs
@@ -107,7 +107,7 @@
     if now.since(asked) >= GRANT_MS {
         return Err(Unusable::Expired);
     }
-    if let Some(until) = state.entry.doubted_until(now) {
+    if let Some(until) = state.entry.catching_up_until(now) {
         return Err(Unusable::Paused(until));
     }
     let target = state.intent.target(&grant.target);
--- a/crates/kernel/src/entry.rs
+++ b/crates/kernel/src/entry.rs
@@ -37,13 +37,13 @@
     /// When the last event was handled.
     awake: Option<Millis>,
     /// Until then no attempt starts: this VM was paused and may have missed changes.
-    doubt: Millis,
+    catch_up_until: Millis,
 }
 
 /// A daemon handles an event every 500 ms at least; a longer gap means that it was paused.
 const PAUSE_MS: u64 = 2_000;
 /// Time after a pause in which changes made meanwhile arrive from the store or a peer.
-const DOUBT_MS: u64 = 1_500;
+const CATCH_UP_MS: u64 = 1_500;
 
 /// One request from its arrival to its answer.
 #[derive(Debug)]
@@ -330,14 +330,14 @@
     /// Notices a pause of this process.
     fn note_time(&mut self, now: Millis) {
         if self.awake.is_some_and(|awake| now.since(awake) >= PAUSE_MS) {
-            self.doubt = now.after(DOUBT_MS);
+            self.catch_up_until = now.after(CATCH_UP_MS);
         }
         self.awake = Some(now);
     }
 
     /// Until when no attempt may start after a pause, if that is still ahead.
-    pub(crate) fn doubted_until(&self, now: Millis) -> Option<Millis> {
-        (now < self.doubt).then_some(self.doubt)
+    pub(crate) fn catching_up_until(&self, now: Millis) -> Option<Millis> {
+        (now < self.catch_up_until).then_some(self.catch_up_until)
     }
 
     /// Number of attempts running at targets.
--- a/crates/kernel/src/explain.rs
+++ b/crates/kernel/src/explain.rs
@@ -40,6 +40,17 @@
 
 impl Log {
     /// Records a step; of a long text only the beginning is kept.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::explain::Log;
+    /// use hornbeamloom_kernel::ids::{Incarnation, Millis};
+    /// use hornbeamloom_kernel::request::Id;
+    ///
+    /// let id = Id::new("entry-1", Incarnation(1), 1);
+    /// let mut log = Log::default();
+    /// log.note(Millis(5), &id, "asked entry-2 for lodz-a".to_owned());
+    /// assert_eq!(log.steps(&id).count(), 1);
+    /// ```
     pub fn note(&mut self, at: Millis, id: &Id, mut text: String) {
         if self.steps.len() == STEPS_MAX {
             self.steps.pop_front();
--- a/crates/kernel/src/gossip.rs
+++ b/crates/kernel/src/gossip.rs
@@ -167,7 +167,7 @@
     }
 
     /// Recently changed VMs, each told once less afterwards.
-    fn tell(&mut self, limit: usize) -> Vec<Name> {
+    fn select(&mut self, limit: usize) -> Vec<Name> {
         let told: Vec<Name> = self.news.iter().take(limit).map(|(vm, _)| vm.clone()).collect();
         for _ in 0..told.len() {
             let Some((vm, messages)) = self.news.pop_front() else {
@@ -261,7 +261,7 @@
 /// The entries that a message carries whole: this VM's, changed ones and a few of the rest.
 fn whole(members: &mut Table) -> Vec<Entry> {
     let mut vms = vec![members.own.clone()];
-    vms.extend(members.rounds.tell(NEWS));
+    vms.extend(members.rounds.select(NEWS));
     for _ in 0..WINDOW {
         vms.extend(members.rounds.entries.turn(|_| true));
     }
--- a/crates/kernel/src/headroom.rs
+++ b/crates/kernel/src/headroom.rs
@@ -56,9 +56,13 @@
     if slot.work.is_empty() && slot.foreign == 0 {
         return u64::from(ask.prompt_tokens) < usable(view, slot, ask.class);
     }
-    // A report shows use by others and errors of the estimate.
-    let shown = slot.kv_shown(view.now) + view.pool.projected(ask);
-    shown.max(view.pool.peak(target, Some(ask))) < usable(view, slot, ask.class)
+    let unknown = view.pool.unknown_kv(target, view.now);
+    // A part that no short request asks for would only hold long ones up.
+    let usable = match view.pool.expects_short(view.now) {
+        true => usable(view, slot, ask.class),
+        false => capacity(view, slot),
+    };
+    view.pool.peak(target, Some(ask)) + unknown < usable
 }
 
 /// Whether the target is held for another request, which has waited long for its memory.
--- a/crates/kernel/src/intent.rs
+++ b/crates/kernel/src/intent.rs
@@ -81,6 +81,13 @@
     }
 
     /// The organisation `name`.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::intent::Intent;
+    ///
+    /// let intent = Intent::default();
+    /// assert!(intent.organisation("parlour-1").is_none());
+    /// ```
     pub fn organisation(&self, name: &str) -> Option<&resource::Organisation> {
         match self.spec(Kind::Organisation, name) {
             Some(Spec::Organisation(organisation)) => Some(organisation),
@@ -89,6 +96,13 @@
     }
 
     /// The service `name`.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::intent::Intent;
+    ///
+    /// let intent = Intent::default();
+    /// assert!(intent.service("pisarz-modelu").is_none());
+    /// ```
     pub fn service(&self, name: &str) -> Option<&resource::Service> {
         match self.spec(Kind::Service, name) {
             Some(Spec::Service(service)) => Some(service),
@@ -97,6 +111,13 @@
     }
 
     /// The availability zone `name`.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::intent::Intent;
+    ///
+    /// let intent = Intent::default();
+    /// assert!(intent.zone("lodz-a").is_none());
+    /// ```
     pub fn zone(&self, name: &str) -> Option<&resource::AvailabilityZone> {
         match self.spec(Kind::AvailabilityZone, name) {
             Some(Spec::AvailabilityZone(zone)) => Some(zone),
@@ -105,6 +126,13 @@
     }
 
     /// The target `name`.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::intent::Intent;
+    ///
+    /// let intent = Intent::default();
+    /// assert!(intent.target("engine-a1").is_none());
+    /// ```
     pub fn target(&self, name: &str) -> Option<&resource::Target> {
         match self.spec(Kind::Target, name) {
             Some(Spec::Target(target)) => Some(target),
@@ -178,6 +206,13 @@
     }
 
     /// Whether operators have taken the zone out.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::intent::Intent;
+    ///
+    /// let intent = Intent::default();
+    /// assert!(!intent.is_out("lodz-a"));
+    /// ```
     pub fn is_out(&self, zone: &str) -> bool {
         self.zone(zone).is_some_and(|zone| zone.state == resource::Presence::Out)
     }
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -30,6 +30,15 @@
 
 impl Identity {
     /// An identity without addresses, seeds and jitter.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::ids::Incarnation;
+    /// use hornbeamloom_kernel::kernel::Identity;
+    ///
+    /// let identity = Identity::new("entry-1", "lodz-a", Incarnation(1));
+    /// assert_eq!(&*identity.zone, "lodz-a");
+    /// assert!(identity.seeds.is_empty());
+    /// ```
     pub fn new(vm: &str, zone: &str, incarnation: Incarnation) -> Identity {
         Identity {
             vm: vm.into(),
@@ -43,16 +52,42 @@
     }
 
     /// The same identity with the addresses that other VMs and callers use.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::ids::Incarnation;
+    /// use hornbeamloom_kernel::kernel::Identity;
+    ///
+    /// let identity = Identity::new("entry-1", "lodz-a", Incarnation(1))
+    ///     .with_addresses("127.0.0.1:8300", "127.0.0.1:8100");
+    /// assert_eq!(&*identity.peer_address, "127.0.0.1:8300");
+    /// ```
     pub fn with_addresses(self, peer: &str, caller: &str) -> Identity {
         Identity { peer_address: peer.into(), caller_address: caller.into(), ..self }
     }
 
     /// The same identity with addresses of peers to contact first.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::ids::Incarnation;
+    /// use hornbeamloom_kernel::kernel::Identity;
+    ///
+    /// let identity = Identity::new("entry-1", "lodz-a", Incarnation(1))
+    ///     .with_seeds(vec!["127.0.0.1:8301".into()]);
+    /// assert_eq!(identity.seeds.len(), 1);
+    /// ```
     pub fn with_seeds(self, seeds: Vec<Name>) -> Identity {
         Identity { seeds, ..self }
     }
 
     /// The same identity with another random seed.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::ids::Incarnation;
+    /// use hornbeamloom_kernel::kernel::Identity;
+    ///
+    /// let identity = Identity::new("entry-1", "lodz-a", Incarnation(1)).with_seed(7);
+    /// assert_eq!(identity.seed, 7);
+    /// ```
     pub fn with_seed(self, seed: u64) -> Identity {
         Identity { seed, ..self }
     }
@@ -154,6 +189,14 @@
 
 impl Kernel {
     /// A kernel without resources and without peers.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::ids::{Incarnation, Revision};
+    /// use hornbeamloom_kernel::kernel::{Identity, Kernel};
+    ///
+    /// let kernel = Kernel::new(Identity::new("entry-1", "lodz-a", Incarnation(1)));
+    /// assert_eq!(kernel.state().intent.revision, Revision(0));
+    /// ```
     pub fn new(identity: Identity) -> Kernel {
         Kernel { state: State::new(identity), plugins: control::all() }
     }
--- a/crates/kernel/src/lease.rs
+++ b/crates/kernel/src/lease.rs
@@ -168,9 +168,12 @@
     }
     let own = state.identity.vm.clone();
     let candidates = rank::candidates(&state.members, &state.identity.zone);
+    let is_busy = !state.entry.is_empty();
     for (pool, watch) in &mut state.leases.watches {
-        if let Some(mine) = &mut watch.mine {
-            let to = rank::successor(pool, &own, &candidates);
+        let Some(mine) = &mut watch.mine else { continue };
+        let to = rank::successor(pool, &own, &candidates);
+        // Without a successor nobody else could grant cold starts to the requests that wait here.
+        if to.is_some() || !is_busy {
             mine.handover.get_or_insert(Handover::new(to, now));
         }
     }
--- a/crates/kernel/src/length.rs
+++ b/crates/kernel/src/length.rs
@@ -88,6 +88,13 @@
 
 impl Survival<'_> {
     /// Tokens from now to the end, where a bound on the output is known.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::length::Lengths;
+    ///
+    /// let lengths = Lengths::default();
+    /// assert_eq!(lengths.survival("school-1", 10, Some(50)).bound(), Some(40));
+    /// ```
     pub fn bound(&self) -> Option<u32> {
         (self.end != u32::MAX).then(|| self.end.saturating_sub(self.tokens))
     }
@@ -147,6 +154,14 @@
 
 impl Lengths {
     /// Counts a complete answer to `organisation`.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::length::Lengths;
+    ///
+    /// let mut lengths = Lengths::default();
+    /// (0..16).for_each(|_| lengths.record(&"school-1".into(), 6));
+    /// assert_eq!(lengths.learned("school-1", 0), Some(6));
+    /// ```
     pub fn record(&mut self, organisation: &Name, tokens: u32) {
         self.service.record(tokens);
         self.organisations.entry(organisation.clone()).or_default().record(tokens);
@@ -155,6 +170,14 @@
     /// The expected final length of an output that has `tokens` so far.
     ///
     /// With too few samples of the organisation, those of the whole service count.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::length::Lengths;
+    ///
+    /// let lengths = Lengths::default();
+    /// assert_eq!(lengths.expected("school-1", 0, Some(40)), 40);
+    /// assert!(lengths.expected("school-1", 500, None) >= 500);
+    /// ```
     pub fn expected(&self, organisation: &str, tokens: u32, max_tokens: Option<u32>) -> u32 {
         let expected = self
             .learned(organisation, tokens)
@@ -163,6 +186,12 @@
     }
 
     /// The expected final length, if enough comparable answers were seen.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::length::Lengths;
+    ///
+    /// assert_eq!(Lengths::default().learned("school-1", 0), None);
+    /// ```
     pub fn learned(&self, organisation: &str, tokens: u32) -> Option<u32> {
         self.organisations
             .get(organisation)
--- a/crates/kernel/src/outcome.rs
+++ b/crates/kernel/src/outcome.rs
@@ -95,16 +95,38 @@
 
 impl Refusal {
     /// A refusal of a request of which nothing ran.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::outcome::{Ran, Reason, Refusal};
+    ///
+    /// let refusal = Refusal::new(Reason::PoolQueue);
+    /// assert_eq!(refusal.ran, Ran::No);
+    /// assert_eq!(refusal.retry_after_ms, None);
+    /// ```
     pub fn new(reason: Reason) -> Refusal {
         Refusal { reason, ran: Ran::No, retry_after_ms: None }
     }
 
     /// The same refusal with another statement about what ran.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::outcome::{Ran, Reason, Refusal};
+    ///
+    /// let refusal = Refusal::new(Reason::TargetFailed).with_ran(Ran::Yes);
+    /// assert_eq!(refusal.ran, Ran::Yes);
+    /// ```
     pub fn with_ran(self, ran: Ran) -> Refusal {
         Refusal { ran, ..self }
     }
 
     /// The same refusal with advice on when to try again.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::outcome::{Reason, Refusal};
+    ///
+    /// let refusal = Refusal::new(Reason::PoolQueue).with_retry_after(1_500);
+    /// assert_eq!(refusal.retry_after_ms, Some(1_500));
+    /// ```
     pub fn with_retry_after(self, ms: u64) -> Refusal {
         Refusal { retry_after_ms: Some(ms), ..self }
     }
@@ -131,6 +153,13 @@
 
 impl Retry {
     /// The stable text used as a counter label.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::outcome::Retry;
+    ///
+    /// assert_eq!(Retry::AskTimeout.as_str(), "ask_timeout");
+    /// assert_eq!(Retry::VmPaused.as_str(), "vm_paused");
+    /// ```
     pub fn as_str(self) -> &'static str {
         match self {
             Retry::AskTimeout => "ask_timeout",
--- a/crates/kernel/src/peer.rs
+++ b/crates/kernel/src/peer.rs
@@ -293,6 +293,29 @@
 
 impl Ask {
     /// When the request arrived, on the clock of the VM whose time is `now`.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::ids::{Incarnation, Millis};
+    /// use hornbeamloom_kernel::peer::Ask;
+    /// use hornbeamloom_kernel::pool::Key;
+    /// use hornbeamloom_kernel::request::{Class, Id};
+    ///
+    /// let ask = Ask {
+    ///     pool: Key::new("menu-model", "riga-a"),
+    ///     id: Id::new("entry-1", Incarnation(1), 1),
+    ///     attempt: 1,
+    ///     organisation: "school-1".into(),
+    ///     prompt_tokens: 10,
+    ///     max_tokens: None,
+    ///     class: Class::Long,
+    ///     fingerprint: 0,
+    ///     prefixes: Vec::new(),
+    ///     waited_ms: 300,
+    ///     patience_ms: 30_000,
+    ///     exclude: Vec::new(),
+    /// };
+    /// assert_eq!(ask.arrived(Millis(1_000)), Millis(700));
+    /// ```
     pub fn arrived(&self, now: Millis) -> Millis {
         Millis(now.0.saturating_sub(self.waited_ms))
     }
--- a/crates/kernel/src/pool.rs
+++ b/crates/kernel/src/pool.rs
@@ -32,6 +32,8 @@
 const UNUSED_LIMIT: u64 = 10_000;
 /// An output of at most this many tokens makes a request short.
 const SHORT_TOKENS: u32 = 128;
+/// Memory is kept for short requests for this time after one came, in milliseconds.
+const SHORT_EXPECTED: u64 = 60_000;
 /// Tokens ahead at which KV use is estimated.
 const HORIZONS: [u32; 10] = [0, 16, 32, 64, 128, 256, 512, 1_024, 2_048, 4_096];
 
@@ -47,6 +49,13 @@
 
 impl Key {
     /// The pool of `service` in `zone`.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::pool::Key;
+    ///
+    /// let key = Key::new("pisarz-modelu", "lodz-a");
+    /// assert_eq!((&*key.service, &*key.zone), ("pisarz-modelu", "lodz-a"));
+    /// ```
     pub fn new(service: &str, zone: &str) -> Key {
         Key { service: service.into(), zone: zone.into() }
     }
@@ -90,6 +99,8 @@
     pub reserved: Option<Reservation>,
     pub(crate) stages: Stages,
     pub(crate) passed: Option<(Id, u32)>,
+    /// When a short request was last asked for.
+    pub(crate) short_at: Option<Millis>,
     pub(crate) turns: u64,
     pub(crate) used: Millis,
     pub(crate) polled: Option<Millis>,
@@ -209,12 +220,12 @@
         }
         Message::Handover(snapshot) => takeover::receive(&mut state.pools, snapshot, now, out),
         Message::Targets { pool, warm, .. } => hint(state, pool, warm, now),
-        Message::Hello { pool, .. } => takeover::advise(state, from, pool, now, out),
+        Message::Hello { pool, .. } => takeover::forward_hint(state, from, pool, now, out),
         _ => {}
     }
 }
 
-/// Keeps the holder's word about its targets, for fallback and take-over.
+/// Keeps the holder's description of its targets, for fallback and take-over.
 fn hint(state: &mut State, key: &Key, warm: &[Name], now: Millis) {
     if state.intent.service(&key.service).is_none() || key.zone != state.identity.zone {
         return;
@@ -257,7 +268,7 @@
         takeover::inquire(state, key, now, out);
         accounting::expire(state, key, now, out);
         accounting::poll(state, key, now, out);
-        accounting::tell(state, key, now, out);
+        accounting::describe_targets(state, key, now, out);
         schedule::run(state, key, now, out);
     }
     let pools = &mut state.pools;
@@ -281,6 +292,7 @@
             reserved: None,
             stages: Stages::default(),
             passed: None,
+            short_at: None,
             turns: 0,
             used: now,
             polled: None,
@@ -373,6 +385,19 @@
         ahead.map(|ahead| likely_use(&growths, ahead)).max().unwrap_or(0)
     }
 
+    /// KV use in tokens that a fresh report of a target shows beyond the granted work.
+    pub fn unknown_kv(&self, target: usize, now: Millis) -> u64 {
+        let slot = &self.targets[target];
+        let running = slot.work.iter().filter_map(|id| self.ledger.get(id));
+        let used = running.map(|running| self.growth(&running.ask, running.tokens).used);
+        slot.kv_shown(now).saturating_sub(used.sum())
+    }
+
+    /// Whether a short request came lately.
+    pub fn expects_short(&self, now: Millis) -> bool {
+        self.short_at.is_some_and(|at| now.since(at) < SHORT_EXPECTED)
+    }
+
     fn growth<'a>(&'a self, ask: &'a Ask, tokens: u32) -> Growth<'a> {
         Growth {
             used: u64::from(ask.prompt_tokens) + u64::from(tokens),
@@ -464,7 +489,7 @@
         self.stages = Stages::new(policies, &self.config.policy);
         let out = intent.is_out(&self.key.zone);
         if self.out && !out {
-            self.targets.iter_mut().for_each(Slot::chill);
+            self.targets.iter_mut().for_each(Slot::reset_ramp);
         }
         self.out = out;
         self.refresh_weights(intent);
@@ -509,9 +534,9 @@
         }
     }
 
-    /// Takes the holder's word that targets are warm, where this VM knows nothing itself.
+    /// Takes over the holder's description of warm targets, where this VM knows nothing itself.
     ///
-    /// A new holder gets the word of its predecessor from others; then reports must confirm it.
+    /// A new holder gets its predecessor's description from others; then reports must confirm it.
     fn apply_hint(&mut self, hint: &Hint, now: Millis) {
         if self.is_holder() {
             let is_new = self.takeover.as_ref().is_some_and(|new| new.is_recent(hint.at));
@@ -524,12 +549,12 @@
         let is_recent = hint.is_fresh(now);
         for slot in &mut self.targets {
             match hint.warm.contains(&slot.name) {
-                // A holder that was paused describes the past, so its word does not overrule a
+                // A holder that was paused describes the past, which does not override a
                 // report that says cold; it counts once a report confirms it.
                 true if !slot.is_warm() => {
                     slot.hint_warm(is_recent && slot.phase() != Some(Phase::Cold));
                 }
-                false if slot.is_warm() => slot.chill(),
+                false if slot.is_warm() => slot.reset_ramp(),
                 _ => {}
             }
         }
--- a/crates/kernel/src/request.rs
+++ b/crates/kernel/src/request.rs
@@ -33,6 +33,14 @@
 
 impl Id {
     /// The id of request number `counter` of one incarnation of `vm`.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::ids::Incarnation;
+    /// use hornbeamloom_kernel::request::Id;
+    ///
+    /// let id = Id::new("entry-1", Incarnation(0x18f), 0x2a);
+    /// assert_eq!(id.to_string(), "entry-1-18f-2a");
+    /// ```
     pub fn new(vm: &str, incarnation: Incarnation, counter: u64) -> Id {
         Id { vm: vm.into(), incarnation, counter }
     }
--- a/crates/kernel/src/resource.rs
+++ b/crates/kernel/src/resource.rs
@@ -34,6 +34,12 @@
     ];
 
     /// The lower-case plural used in paths and keys.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::resource::Kind;
+    ///
+    /// assert_eq!(Kind::AvailabilityZone.plural(), "availabilityzones");
+    /// ```
     pub fn plural(self) -> &'static str {
         match self {
             Kind::Organisation => "organisations",
--- a/crates/kernel/src/schedule.rs
+++ b/crates/kernel/src/schedule.rs
@@ -76,7 +76,7 @@
 pub(crate) fn run(state: &mut State, key: &Key, now: Millis, out: &mut Outbox) {
     // The lease is checked again on each event: the process may have been paused.
     takeover::check(state, key, now, out);
-    if state.entry.doubted_until(now).is_some() {
+    if state.entry.catching_up_until(now).is_some() {
         return;
     }
     let State { pools, quarantine, log, .. } = state;
--- a/crates/kernel/src/takeover.rs
+++ b/crates/kernel/src/takeover.rs
@@ -25,8 +25,8 @@
 const HELLO_EAGER: u64 = 10_000;
 /// VMs that left the platform's list are remembered for this time.
 const DEPARTED_AGE: u64 = 3_600_000;
-/// A holder's word about warm targets counts by itself only as long as a report may lag. An older
-/// word needs a report that confirms it: a target that turned cold meanwhile would get the share of
+/// A holder's description of warm targets counts by itself only as long as a report may lag. An older
+/// description needs a report that confirms it: a target that turned cold meanwhile would get the share of
 /// a warm one (seed 400005 of the fuzzer).
 const HINT_AGE: u64 = REPORT_LAG;
 
@@ -233,8 +233,8 @@
         now.since(self.at) < HELLO_EAGER
     }
 
-    /// Takes back that a VM has told everything: it reports work that is not in the ledger.
-    pub(crate) fn doubt(&mut self, vm: &str, now: Millis) {
+    /// Marks the inventory of a VM as incomplete: it reports work that is not in the ledger.
+    pub(crate) fn reopen(&mut self, vm: &str, now: Millis) {
         let due = self.asked.get(vm).is_none_or(|at| now.since(*at) >= HELLO_INTERVAL);
         if due && self.answered.remove(vm) {
             self.asked.remove(vm);
@@ -252,7 +252,7 @@
     }
 }
 
-/// Asks the VMs that have not told what they run, and checks whether all have.
+/// Asks the VMs whose inventory is missing, and checks whether all have answered.
 pub(crate) fn inquire(state: &mut State, key: &Key, now: Millis, out: &mut Outbox) {
     let known = suspects(state);
     let reachable = vms(state);
@@ -277,7 +277,7 @@
 }
 
 /// Tells a new holder which targets its predecessor called warm.
-pub(crate) fn advise(state: &State, from: &str, key: &Key, now: Millis, out: &mut Outbox) {
+pub(crate) fn forward_hint(state: &State, from: &str, key: &Key, now: Millis, out: &mut Outbox) {
     let hint = state.pools.hints.get(key);
     let Some(hint) = hint.filter(|hint| hint.is_fresh(now) && *from != *state.identity.vm) else {
         return;
--- a/crates/kernel/src/target.rs
+++ b/crates/kernel/src/target.rs
@@ -205,7 +205,7 @@
     inherited: Option<u64>,
     slow: u32,
     /// It was slow like a cold target while it reported warm.
-    doubted: bool,
+    slow_while_warm: bool,
     firsts: VecDeque<u32>,
     released: VecDeque<Millis>,
     /// When attempts broke that may still run on the target.
@@ -240,7 +240,7 @@
             was_cold: false,
             inherited: None,
             slow: 0,
-            doubted: false,
+            slow_while_warm: false,
             firsts: VecDeque::new(),
             released: VecDeque::new(),
             lost: VecDeque::new(),
@@ -268,7 +268,7 @@
 
     /// Whether it reports warm, behaves so, and has not completed its ramp.
     pub fn is_ramping(&self) -> bool {
-        !self.ramp.warm && !self.doubted && self.phase() == Some(Phase::Warm)
+        !self.ramp.warm && !self.slow_while_warm && self.phase() == Some(Phase::Warm)
     }
 
     /// Whether its resource, its report or the platform says that it leaves.
@@ -337,7 +337,7 @@
     }
 
     /// Sends the target back to the start of its ramp.
-    pub(crate) fn chill(&mut self) {
+    pub(crate) fn reset_ramp(&mut self) {
         self.ramp = Ramp::cold(&self.spec);
         self.hinted = false;
         self.was_cold = true;
@@ -356,7 +356,7 @@
             self.forget_prefixes();
         }
         if returns || moved || self.absence.removed {
-            self.chill();
+            self.reset_ramp();
         } else if limits != (spec.cold_limit, spec.warm_limit) {
             self.ramp = match self.ramp.warm {
                 true => Ramp::warm(spec),
@@ -369,7 +369,7 @@
     /// Takes over what the platform's list says.
     pub(crate) fn set_platform(&mut self, leaving: bool) {
         if self.absence.platform && !leaving {
-            self.chill();
+            self.reset_ramp();
         }
         self.absence.platform = leaving;
     }
@@ -385,7 +385,7 @@
         let restarted = known.is_some_and(|known| known != report.start_id);
         let returns = left && report.phase != Phase::Leaving;
         if restarted || returns || report.phase == Phase::Cold {
-            self.chill();
+            self.reset_ramp();
         }
         if restarted {
             self.forget_prefixes();
@@ -413,7 +413,7 @@
         }
     }
 
-    /// Takes a holder's word that the target is warm, at once or when a report confirms it.
+    /// Takes over a holder's statement that the target is warm, at once or when a report confirms it.
     pub(crate) fn hint_warm(&mut self, is_fresh: bool) {
         match is_fresh {
             true => self.ramp = Ramp::warm(&self.spec),
@@ -450,7 +450,7 @@
 
     /// Keeps what an earlier report showed beyond the grants, as far as a later one can contain it.
     ///
-    /// Work of earlier schedulers and of broken attempts ends without a word here. A report that lags can show granted work
+    /// Work of earlier schedulers and of broken attempts ends without a release here. A report that lags can show granted work
     /// that has ended, or not yet show what was granted since, so a difference from the ledger does
     /// not prove that other work ended. `visible` requests granted here must be part of the report.
     pub(crate) fn keep_foreign(&mut self, earlier: u32, report: &Report, visible: u32) {
@@ -469,7 +469,7 @@
         match start {
             Some(start) if self.died != Some(start) => {
                 self.died = Some(start);
-                self.chill();
+                self.reset_ramp();
                 Finding::Died(start)
             }
             None => self.unseen_death(),
@@ -485,7 +485,7 @@
         }
         match end {
             End::Complete if self.phase() == Some(Phase::Warm) => {
-                self.doubted = false;
+                self.slow_while_warm = false;
                 self.ramp.answered(&self.spec);
             }
             End::Rejected => self.paused = now.after(REJECTED_PAUSE),
@@ -511,8 +511,8 @@
             self.firsts.push_back(first_ms);
         }
         if self.slow >= SLOW_ROW {
-            self.chill();
-            self.doubted = true;
+            self.reset_ramp();
+            self.slow_while_warm = true;
         }
     }
 
--- a/crates/kernel/tests/fuzz/main.rs
+++ b/crates/kernel/tests/fuzz/main.rs
@@ -92,6 +92,10 @@
     a_paused_holder_speaks_of_the_past: (100_780, 1);
     // A new holder took ended own work for the unknown work that a report showed (I2).
     unknown_work_is_not_taken_for_own_work: (300_790, 1);
+    // A pool that was started anew trusted a word about warm targets that was 12 s old (I2).
+    an_old_word_needs_a_report: (400_005, 1);
+    // A last holder granted in the turn in which it woke up, on what it knew before (I2).
+    nothing_is_granted_on_waking: (500_308, 1);
 }
 
 /// Schedules chosen by the environment; without it nothing runs.
--- a/tests/cluster/shutdown.rs
+++ b/tests/cluster/shutdown.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use crate::bed::{add_targets, cluster, complete, run, warm_engine, DEADLINE};
+use hornbeamloom_bench::cluster::Target;
+use serde_json::json;
+
+use crate::bed::{add_targets, cluster, complete, run, warm_engine, DEADLINE, MODEL};
 
 hornbeamloom_kernel::cases! {
     stop_under_a_stream;
@@ -39,3 +42,33 @@
     let status = std::process::Command::new("kill").arg(pid.to_string()).status();
     assert!(status.is_ok_and(|status| status.success()));
 }
+
+hornbeamloom_kernel::cases! {
+    stop_with_a_queue;
+    // Guards against a stopping VM that gives its lease up while requests wait for a cold target
+    // that no other VM of the zone can grant.
+    queued_requests_end_whole_when_the_only_vm_stops: (6);
+}
+
+fn stop_with_a_queue(requests: usize) {
+    run(async move {
+        let mut cluster = cluster(&[("entry-a1", "lodz-a")]).await;
+        let engine = Target::engine("engine-a1", MODEL, "lodz-a")
+            .with_arguments(&["--cold-limit", "1", "--cold-s", "60"])
+            .with_spec("coldLimit", json!(1));
+        add_targets(&mut cluster, &[engine]).await;
+        let pid = cluster.daemons[0].process.id();
+        let tags: Vec<String> = (0..requests).map(|number| format!("r{number}")).collect();
+        let burst = tags.iter().map(|tag| complete(&cluster, 0, tag, 50));
+        let stop = async {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            terminate(pid);
+        };
+        let (answers, ()) = tokio::join!(futures_util::future::join_all(burst), stop);
+        for (tag, answer) in tags.iter().zip(answers) {
+            answer.assert_whole(tag, 50);
+        }
+        let status = cluster.daemons[0].process.wait(DEADLINE).await;
+        assert!(status.is_some_and(|status| status.success()), "exit status: {status:?}");
+    });
+}
