--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -243,11 +243,30 @@
     }
 
     /// When the kernel next needs a `Tick`.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::ids::Incarnation;
+    /// use hornbeamloom_kernel::kernel::{Identity, Kernel};
+    ///
+    /// let kernel = Kernel::new(Identity::new("entry-1", "lodz-a", Incarnation(1)));
+    /// // Nothing was handled so far: whatever is due may run at once.
+    /// let due = kernel.next_wakeup();
+    /// assert!(due.is_none_or(|at| at.0 < 60_000));
+    /// ```
     pub fn next_wakeup(&self) -> Option<Millis> {
         self.plugins.iter().filter_map(|plugin| (plugin.wakeup)(&self.state)).min()
     }
 
     /// The state, for status pages and checks.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::ids::Incarnation;
+    /// use hornbeamloom_kernel::kernel::{Identity, Kernel};
+    ///
+    /// let kernel = Kernel::new(Identity::new("entry-1", "lodz-a", Incarnation(1)));
+    /// assert_eq!(&*kernel.state().identity.vm, "entry-1");
+    /// assert!(!kernel.state().stopping);
+    /// ```
     pub fn state(&self) -> &State {
         &self.state
     }
--- a/crates/kernel/src/member.rs
+++ b/crates/kernel/src/member.rs
@@ -152,6 +152,14 @@
     }
 
     /// This VM's name.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::ids::Incarnation;
+    /// use hornbeamloom_kernel::kernel::{Identity, Kernel};
+    ///
+    /// let kernel = Kernel::new(Identity::new("entry-1", "lodz-a", Incarnation(1)));
+    /// assert_eq!(&**kernel.state().members.own(), "entry-1");
+    /// ```
     pub fn own(&self) -> &Name {
         &self.own
     }
--- a/crates/kernel/src/resource.rs
+++ b/crates/kernel/src/resource.rs
@@ -109,6 +109,12 @@
 
 impl Spec {
     /// The kind of this specification.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::resource::{Configuration, Kind, Spec};
+    ///
+    /// assert_eq!(Spec::Configuration(Configuration::default()).kind(), Kind::Configuration);
+    /// ```
     pub fn kind(&self) -> Kind {
         match self {
             Spec::Organisation(_) => Kind::Organisation,
--- a/crates/kernel/src/stream.rs
+++ b/crates/kernel/src/stream.rs
@@ -29,6 +29,14 @@
     }
 
     /// Sequence number of the next token wanted, from 0.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::stream::Cursor;
+    ///
+    /// let mut cursor = Cursor::new();
+    /// cursor.accept("g1", 0);
+    /// assert_eq!(cursor.next(), 1);
+    /// ```
     pub fn next(&self) -> u64 {
         self.next
     }
