--- a/crates/ctl/src/output.rs
+++ b/crates/ctl/src/output.rs
@@ -157,6 +157,11 @@
             ("ADDRESS", |spec| cell(&spec["address"])),
             ("LEAVING", |spec| cell(&spec["leaving"])),
         ],
+        Kind::Route => &[
+            ("HOST", |spec| cell(&spec["host"])),
+            ("PREFIX", |spec| cell(&spec["pathPrefix"])),
+            ("RERUN", |spec| cell(&spec["rerun"])),
+        ],
         Kind::Configuration => &[
             ("ORDER", |spec| cell(&spec["policy"]["order"])),
             ("KV PERCENT", |spec| cell(&spec["kvPercent"])),
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -152,7 +152,7 @@
         "GET organisations/o", "POST organisations", "GET targets/t", "POST targets",
     ]);
     dry_run_only_reads: ("dry", empty, FILE, &["apply", "-f", "FILE", "--dry-run"], &[
-        "GET configurations", "GET availabilityzones", "GET services", "GET organisations", "GET targets",
+        "GET configurations", "GET availabilityzones", "GET services", "GET organisations", "GET targets", "GET routes",
     ]);
     // Fails if applying a file again brings a drained zone back.
     apply_keeps_a_drained_zone: ("keep", drained, ZONE, &["apply", "-f", "FILE"], &["GET availabilityzones/z"]);
--- a/crates/daemon/src/auth.rs
+++ b/crates/daemon/src/auth.rs
@@ -18,7 +18,7 @@
 ///
 /// Every key in force is compared in full, so that the time taken does not depend on which one
 /// matches.
-pub(crate) fn organisation(intent: &Intent, key: &str) -> Option<Name> {
+pub fn organisation(intent: &Intent, key: &str) -> Option<Name> {
     let mut found = None;
     for record in intent.records() {
         let Some(Spec::Organisation(organisation)) = &record.spec else {
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -9,8 +9,9 @@
 use bytes::{Buf, Bytes};
 use futures_util::{Stream, StreamExt};
 use hornbeamloom_kernel::ids::Name;
-use hornbeamloom_kernel::request::Id;
-use hornbeamloom_kernel::resource::Protocol;
+use hornbeamloom_kernel::ingress;
+use hornbeamloom_kernel::request::{Id, Terms};
+use hornbeamloom_kernel::resource::{self, Protocol};
 use hornbeamloom_wire::openai::{self, Form};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -18,18 +19,19 @@
 use warp::reply::Response;
 use warp::Filter;
 
-use crate::control::{Arrival, Input};
+use crate::control::{Arrival, Input, Rerun};
 use crate::engines::{self, Job, Place, Traffic, Work};
 use crate::plain::{self, IDEMPOTENCY_KEY};
 use crate::refusal::{Problem, REQUEST_ID};
 use crate::relay::{Reader, Relay, GRACE};
+use crate::settings::Settings;
 use crate::{answer, auth, comeback, edge, http};
 
 /// Longest idempotency key, in bytes.
 const KEY_BYTES: usize = 255;
 
 inventory::submit! {
-    edge::Plugin { name: "callers", rank: 40, takes: |_| false, start }
+    edge::Plugin { name: "callers", rank: 40, serves: Settings::is_own, takes: |_| false, start }
 }
 
 fn start(context: edge::Context, _inbox: edge::Inbox) -> Result<(), edge::Error> {
@@ -122,7 +124,11 @@
         return comeback::resume(traffic, &organisation, stream, &head.headers, place).await;
     }
     if let Some(path) = head.path.strip_prefix("/services/") {
-        return call(traffic, id, organisation, path, head, body, place).await;
+        let destination = Destination::new(traffic, path, &head.method);
+        return call(traffic, id, organisation, destination, head, body, place).await;
+    }
+    if let Some(destination) = destination(traffic, id, &organisation, head) {
+        return call(traffic, id, organisation, destination, head, body, place).await;
     }
     let form = match head.path.as_str() {
         "/v1/completions" => Form::Completion,
@@ -301,6 +307,7 @@
         organisation,
         once,
         job: Job::Generate { form, stream },
+        terms: Terms::default(),
         body: body.clone(),
     };
     let reader = submit(traffic, id, request, place);
@@ -310,11 +317,51 @@
     }
 }
 
+/// Where a call of a plain service goes.
+struct Destination {
+    service: Name,
+    path: String,
+    is_once: bool,
+    terms: Terms,
+}
+
+impl Destination {
+    /// The service that the first segment of a path names.
+    fn new(traffic: &Traffic, path: &str, method: &Method) -> Destination {
+        let (service, path) = path.split_once('/').unwrap_or((path, ""));
+        let intent = traffic.context.intent.borrow();
+        let is_once = intent.service(service).is_some_and(|service| {
+            let mut methods = service.once_methods.iter();
+            methods.any(|once| once.eq_ignore_ascii_case(method.as_str()))
+        });
+        Destination {
+            service: service.into(),
+            path: format!("/{path}"),
+            is_once,
+            terms: Terms::default(),
+        }
+    }
+}
+
+/// The service that a declared route leads to.
+fn destination(traffic: &Traffic, id: &Id, organisation: &str, head: &Head) -> Option<Destination> {
+    let host = head.headers.get(header::HOST)?.to_str().ok()?;
+    let intent = traffic.context.intent.borrow();
+    let (_, route) = ingress::find(&intent, host, &head.path)?;
+    let service = ingress::pick(route, id.counter)?;
+    Some(Destination {
+        service: service.clone(),
+        path: head.path.clone(),
+        is_once: route.rerun == resource::Rerun::Never,
+        terms: ingress::terms(&intent, route, service, organisation),
+    })
+}
+
 async fn call<S, B>(
     traffic: &Arc<Traffic>,
     id: &Id,
     organisation: Name,
-    path: &str,
+    destination: Destination,
     head: &Head,
     body: S,
     place: Place,
@@ -323,21 +370,13 @@
     S: Stream<Item = Result<B, warp::Error>> + Send,
     B: Buf,
 {
-    let (service, path) = path.split_once('/').unwrap_or((path, ""));
-    check_service(traffic, &organisation, service, Protocol::Plain)?;
+    let Destination { service, path, is_once, terms } = destination;
+    check_service(traffic, &organisation, &service, Protocol::Plain)?;
     let key = idempotency_key(&head.headers)?;
     let body = read_body(traffic, &head.headers, body).await?;
     let path = match head.query.as_str() {
-        "" => format!("/{path}"),
-        query => format!("/{path}?{query}"),
-    };
-    let is_once = {
-        let intent = traffic.context.intent.borrow();
-        let service = intent.service(service);
-        service.is_some_and(|service| {
-            let mut methods = service.once_methods.iter();
-            methods.any(|method| method.eq_ignore_ascii_case(head.method.as_str()))
-        })
+        "" => path,
+        query => format!("{path}?{query}"),
     };
     let parts = [service.as_bytes(), head.method.as_str().as_bytes(), path.as_bytes(), &body];
     let request = Request {
@@ -345,7 +384,7 @@
         max_tokens: None,
         prefixes: Vec::new(),
         fingerprint: fingerprint(&parts),
-        service: service.into(),
+        service,
         organisation,
         // A declared method without a key runs under a key of its own.
         once: key.or_else(|| is_once.then(|| id.to_string().into())),
@@ -354,6 +393,7 @@
             path,
             headers: head.headers.clone(),
         }),
+        terms,
         body,
     };
     answer::passed_on(submit(traffic, id, request, place)).await
@@ -369,6 +409,7 @@
     fingerprint: u64,
     once: Option<Name>,
     job: Job,
+    terms: Terms,
     body: Bytes,
 }
 
@@ -384,7 +425,8 @@
         max_tokens: request.max_tokens,
         fingerprint: request.fingerprint,
         prefixes: request.prefixes,
-        once: request.once.clone(),
+        rerun: request.once.clone().map_or(Rerun::Allowed, Rerun::Keyed),
+        terms: request.terms,
         verdicts,
         tokens: tokens.clone(),
     };
@@ -436,7 +478,7 @@
 }
 
 /// A hash of the parts that is the same on every VM.
-pub(crate) fn fingerprint(parts: &[&[u8]]) -> u64 {
+pub fn fingerprint(parts: &[&[u8]]) -> u64 {
     // The default hasher has fixed keys, unlike the one of a default hash map.
     let mut hasher = std::hash::DefaultHasher::new();
     for part in parts {
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -15,7 +15,7 @@
 use hornbeamloom_kernel::outcome::{Counter, Outcome, Refusal, Start};
 use hornbeamloom_kernel::peer::{Delta, Message};
 use hornbeamloom_kernel::reconcile;
-use hornbeamloom_kernel::request::{End, Id, Repeat, View};
+use hornbeamloom_kernel::request::{End, Id, Repeat, Terms, View};
 use hornbeamloom_kernel::store::{Answer, CallId, Stored};
 use hornbeamloom_kernel::target::{CacheBatch, Report, Silence};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -41,19 +41,44 @@
     pub fingerprint: u64,
     /// Hashes of growing prompt prefixes.
     pub prefixes: Vec<u64>,
-    /// The idempotency key of a call that runs at most once.
-    pub once: Option<Name>,
+    /// Whether it may be run again.
+    pub rerun: Rerun,
+    /// What its route says about it.
+    pub terms: Terms,
     /// Where verdicts go.
     pub verdicts: mpsc::UnboundedSender<Verdict>,
     /// Output tokens delivered, counted by the traffic task.
     pub tokens: Arc<AtomicU32>,
 }
 
+/// Whether a request may be run again.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Rerun {
+    /// Any number of times.
+    Allowed,
+    /// It runs at most once, and its caller never sends it again under the same id.
+    Never,
+    /// It runs at most once under this idempotency key.
+    Keyed(Name),
+}
+
+impl Rerun {
+    fn repeat(&self) -> Repeat<'_> {
+        match self {
+            Rerun::Allowed => Repeat::Free,
+            Rerun::Never => Repeat::Single,
+            Rerun::Keyed(key) => Repeat::Once { key },
+        }
+    }
+}
+
 /// What the kernel decided about a request.
 #[derive(Debug)]
 pub enum Verdict {
     /// Start an attempt.
     Start(Start),
+    /// Copy the memory of the running generation to another target and go on there.
+    Move(Start),
     /// Refuse it.
     Refuse(Refusal),
     /// Answer from a kept outcome.
@@ -87,6 +112,13 @@
         /// The answer to keep.
         stored: Option<Stored>,
     },
+    /// A generation goes on at another target.
+    Moved {
+        /// The leg that ended.
+        from: Id,
+        /// The leg that carries on.
+        to: Id,
+    },
     /// The caller went away.
     Departed(Id),
     /// A target's report.
@@ -101,6 +133,8 @@
     Store(CallId, Answer),
     /// Resources from the table.
     Changes(Delta),
+    /// Targets that the platform has found.
+    Discovered(Delta),
     /// The head revision, not newer than ours.
     Head(Revision),
     /// The table could not be read.
@@ -166,6 +200,15 @@
 struct Running {
     verdicts: mpsc::UnboundedSender<Verdict>,
     tokens: Arc<AtomicU32>,
+    /// Tokens that earlier legs of the generation have delivered.
+    made: u32,
+}
+
+impl Running {
+    /// Tokens that the present leg has delivered.
+    fn delivered(&self) -> u32 {
+        self.tokens.load(Ordering::Relaxed).saturating_sub(self.made)
+    }
 }
 
 /// Where outcomes go.
@@ -289,6 +332,7 @@
                 let id = start.id.clone();
                 self.verdict(&id, Verdict::Start(start));
             }
+            Outcome::Move { from, start } => self.relocate(&from, start),
             Outcome::Refuse { id, refusal } => {
                 self.verdict(&id, Verdict::Refuse(refusal));
                 self.requests.remove(&id);
@@ -338,10 +382,7 @@
         let counts: Vec<Count> = self
             .requests
             .iter()
-            .map(|(id, running)| Count {
-                id: id.clone(),
-                tokens: running.tokens.load(Ordering::Relaxed),
-            })
+            .map(|(id, running)| Count { id: id.clone(), tokens: running.delivered() })
             .collect();
         if !counts.is_empty() {
             self.handle_event(Event::Progress(&counts));
@@ -350,12 +391,8 @@
 
     fn arrive(&mut self, arrival: Arrival) {
         let running =
-            Running { verdicts: arrival.verdicts.clone(), tokens: arrival.tokens.clone() };
+            Running { verdicts: arrival.verdicts.clone(), tokens: arrival.tokens.clone(), made: 0 };
         self.requests.insert(arrival.id.clone(), running);
-        let repeat = match &arrival.once {
-            Some(key) => Repeat::Once { key },
-            None => Repeat::Free,
-        };
         self.handle_event(Event::Arrive(View {
             id: &arrival.id,
             organisation: &arrival.organisation,
@@ -364,7 +401,8 @@
             max_tokens: arrival.max_tokens,
             fingerprint: arrival.fingerprint,
             prefixes: &arrival.prefixes,
-            repeat,
+            repeat: arrival.rerun.repeat(),
+            terms: arrival.terms,
         }));
     }
 
@@ -376,12 +414,37 @@
         first_token_ms: Option<u32>,
         stored: Option<&Stored>,
     ) {
-        let tokens =
-            self.requests.get(id).map_or(0, |running| running.tokens.load(Ordering::Relaxed));
+        let tokens = self.requests.get(id).map_or(0, Running::delivered);
         self.handle_event(Event::Ended { id, attempt, end, tokens, first_token_ms, stored });
         if matches!(end, End::Complete | End::Cancelled) {
             self.requests.remove(id);
+            self.requests.remove(&id.next_leg());
+        }
+    }
+
+    /// Tells the traffic task of a running generation where its next leg starts.
+    fn relocate(&mut self, from: &Id, start: Start) {
+        let Some(running) = self.requests.get(from) else {
+            return;
+        };
+        let next = Running {
+            verdicts: running.verdicts.clone(),
+            tokens: running.tokens.clone(),
+            made: running.tokens.load(Ordering::Relaxed),
+        };
+        self.requests.insert(start.id.clone(), next);
+        self.verdict(from, Verdict::Move(start));
+    }
+
+    fn moved(&mut self, from: &Id, to: &Id) {
+        let Some(running) = self.requests.remove(from) else {
+            return;
+        };
+        let tokens = running.delivered();
+        if let Some(next) = self.requests.get_mut(to) {
+            next.made = running.tokens.load(Ordering::Relaxed);
         }
+        self.handle_event(Event::Moved { from, to, tokens });
     }
 
     fn apply(&mut self, input: Input) {
@@ -392,9 +455,11 @@
             Input::Ended { id, attempt, end, first_token_ms, stored } => {
                 self.ended(&id, attempt, end, first_token_ms, stored.as_ref());
             }
+            Input::Moved { from, to } => self.moved(&from, &to),
             Input::Departed(id) => {
                 self.handle_event(Event::Departed { id: &id });
                 self.requests.remove(&id);
+                self.requests.remove(&id.next_leg());
             }
             Input::Report(target, report) => {
                 let report = report.as_ref().map_err(|silence| *silence);
@@ -414,6 +479,7 @@
                 self.handle_event(Event::Store { call, answer: &answer });
             }
             Input::Changes(delta) => self.handle_event(Event::Changes(&delta)),
+            Input::Discovered(delta) => self.handle_event(Event::Discovered(&delta)),
             Input::Head(revision) => self.handle_event(Event::Head(revision)),
             Input::StoreDown => self.handle_event(Event::StoreDown),
             Input::Vms(vms) => self.handle_event(Event::Vms(&vms)),
--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -102,6 +102,8 @@
     pub name: &'static str,
     /// Start order; lower first.
     pub rank: u16,
+    /// Whether the settings ask for it.
+    pub serves: fn(&Settings) -> bool,
     /// Which outcomes it takes; each outcome goes to the first adapter that takes it.
     pub takes: fn(&Outcome) -> bool,
     /// Binds its sockets and spawns its tasks on the current runtime.
@@ -110,9 +112,10 @@
 
 inventory::collect!(Plugin);
 
-/// All registered adapters in rank order.
-pub(crate) fn all() -> Vec<Plugin> {
-    let mut plugins: Vec<Plugin> = inventory::iter::<Plugin>.into_iter().copied().collect();
+/// The registered adapters that the settings ask for, in rank order.
+pub(crate) fn all(settings: &Settings) -> Vec<Plugin> {
+    let plugins = inventory::iter::<Plugin>.into_iter().copied();
+    let mut plugins: Vec<Plugin> = plugins.filter(|plugin| (plugin.serves)(settings)).collect();
     plugins.sort_by_key(|plugin| (plugin.rank, plugin.name));
     plugins
 }
--- a/crates/daemon/src/engines.rs
+++ b/crates/daemon/src/engines.rs
@@ -17,6 +17,7 @@
 use crate::control::{Input, Verdict};
 use crate::poll::Poller;
 use crate::relay::{Finish, Relay, GRACE};
+use crate::settings::Settings;
 use crate::{attempt, edge, http, orders, plain};
 
 /// Time beyond the service's queue limit after which a missing verdict is taken for a refusal.
@@ -27,6 +28,7 @@
     edge::Plugin {
         name: "engines",
         rank: 30,
+        serves: Settings::is_own,
         takes: |outcome| matches!(outcome, Outcome::Poll { .. } | Outcome::Order(_)),
         start,
     }
@@ -261,7 +263,8 @@
         _ = tokio::time::sleep(patience) => None,
     };
     match verdict {
-        Some(Verdict::Start(start)) => Ok(start),
+        // Only generations that are declared to move are, which none of this adapter is.
+        Some(Verdict::Start(start) | Verdict::Move(start)) => Ok(start),
         Some(Verdict::Refuse(refusal)) => Err(Finish::Refused(refusal)),
         Some(Verdict::Replay(stored)) => Err(Finish::Replay(stored)),
         None => {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -21,6 +21,7 @@
 
 pub mod control;
 pub mod edge;
+pub mod flow;
 pub mod link;
 pub mod peers;
 pub mod run;
@@ -43,12 +44,12 @@
 
 mod answer;
 mod attempt;
-mod auth;
-mod callers;
+pub mod auth;
+pub mod callers;
 mod check;
 mod comeback;
 mod engines;
-mod http;
+pub mod http;
 mod metrics;
 mod refusal;
 mod relay;
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -25,7 +25,7 @@
 const BODY_DEADLINE: Duration = Duration::from_secs(10);
 
 inventory::submit! {
-    Plugin { name: "operators", rank: 50, takes: |_| false, start }
+    Plugin { name: "operators", rank: 50, serves: |_| true, takes: |_| false, start }
 }
 
 fn start(context: Context, _inbox: Inbox) -> Result<(), Error> {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -20,6 +20,7 @@
     edge::Plugin {
         name: "peers",
         rank: 20,
+        serves: |_| true,
         takes: |outcome| matches!(outcome, Outcome::Send { .. }),
         start,
     }
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -13,6 +13,7 @@
 
 use crate::control::Input;
 use crate::edge::{Context, Error, Inbox, Plugin};
+use crate::settings::Settings;
 use crate::table::{self, Client, Failure, DEADLINE};
 use crate::{jitter, snapshot};
 
@@ -34,6 +35,7 @@
     Plugin {
         name: "platform",
         rank: 40,
+        serves: Settings::is_own,
         takes: |outcome| matches!(outcome, Outcome::Store(_)),
         start,
     }
--- a/crates/daemon/src/refusal.rs
+++ b/crates/daemon/src/refusal.rs
@@ -85,6 +85,7 @@
             (StatusCode::TOO_MANY_REQUESTS, "the organisation's queue is full")
         }
         Reason::PoolQueue => (StatusCode::TOO_MANY_REQUESTS, "the queue of the service is full"),
+        Reason::Busy => (StatusCode::TOO_MANY_REQUESTS, "no target can start the request now"),
         Reason::QueueDeadline => (StatusCode::TOO_MANY_REQUESTS, "the request would wait too long"),
         Reason::NoTarget => (StatusCode::SERVICE_UNAVAILABLE, "no target can take the request"),
         Reason::Quarantined => {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -85,11 +85,16 @@
     /// Starts all adapters on the current runtime; nothing runs if one cannot start.
     pub fn start(settings: Settings) -> Result<Daemon, edge::Error> {
         let identity = identify(&settings);
+        let plugins = edge::all(&settings);
+        if let Some(name) = settings.adapter.as_ref().map(|adapter| &adapter.name) {
+            if !plugins.iter().any(|plugin| plugin.name == name) {
+                return Err(edge::Error::Setting(format!("no adapter is named `{name}`")));
+            }
+        }
         let (settings_sender, settings) = watch::channel(Arc::new(settings));
         let (stopping_sender, stopping) = watch::channel(false);
         let (drained_sender, drained) = watch::channel(false);
         let exit = edge::Exit::new(drained);
-        let plugins = edge::all();
         let (ports, inboxes): (Vec<Port>, Vec<edge::Inbox>) = plugins.iter().map(port).unzip();
         let (control, ends) = control::spawn(Kernel::new(identity.clone()), ports)
             .map_err(|error| edge::Error::Setting(error.to_string()))?;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -40,9 +40,22 @@
     /// Limits on what callers may send.
     #[serde(default)]
     pub limits: Limits,
+    /// The adapter that speaks to callers, targets and the platform in place of the own ones.
+    #[serde(default)]
+    pub adapter: Option<Adapter>,
 }
 
 impl Settings {
+    /// Whether callers, targets and the platform are spoken to by the daemon's own interface.
+    pub fn is_own(&self) -> bool {
+        self.adapter.is_none()
+    }
+
+    /// Whether the adapter `name` speaks to them.
+    pub fn is_adapter(&self, name: &str) -> bool {
+        self.adapter.as_ref().is_some_and(|adapter| adapter.name == name)
+    }
+
     /// These settings with everything of `new` that can change without a restart.
     pub fn with_reloaded(&self, new: &Settings) -> Settings {
         Settings {
@@ -88,6 +101,18 @@
     pub peers: Option<Name>,
 }
 
+/// An adapter that is linked into the daemon, and its own settings.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Adapter {
+    /// Its registered name.
+    pub name: String,
+    /// What it reads and checks itself.
+    #[serde(default)]
+    pub settings: serde_yaml_ng::Value,
+}
+
 /// Base URLs of the platform's services.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Deserialize)]
--- a/crates/daemon/tests/operators.rs
+++ b/crates/daemon/tests/operators.rs
@@ -313,6 +313,7 @@
             once_methods: Vec::new(),
             queue_ms: 1_000,
             configuration: None,
+            relocatable: false,
         })),
     };
     Delta {
--- a/crates/kernel/src/accounting.rs
+++ b/crates/kernel/src/accounting.rs
@@ -51,6 +51,17 @@
     }
     join(state, from, ask, now, out);
     schedule::run(state, &ask.pool, now, out);
+    if ask.spills {
+        spill(state, from, ask, out);
+    }
+}
+
+/// Sends a request that could not start at once to another pool.
+fn spill(state: &mut State, from: &str, ask: &Ask, out: &mut Outbox) {
+    let queue = state.pools.get_mut(&ask.pool).map(|pool| &mut pool.queue);
+    if queue.and_then(|queue| queue.remove(&ask.id)).is_some() {
+        refuse(&from.into(), &ask.id, ask.attempt, Refusal::new(Reason::Busy), out);
+    }
 }
 
 /// Deals with an ask for a request that already has a grant; says whether nothing is left to do.
@@ -164,6 +175,9 @@
 
 /// Takes back the service counted for a start that was not used.
 fn take_back(pool: &mut Pool, running: &Running, now: Millis) {
+    if running.ask.made > 0 {
+        return;
+    }
     let prompt = u64::from(running.ask.prompt_tokens);
     pool.queue.refund(&running.ask.organisation, prompt, now);
 }
@@ -238,7 +252,10 @@
     };
     match release.end {
         End::Unsent | End::Rejected => take_back(pool, &running, now),
-        End::Complete => pool.lengths.record(&running.ask.organisation, release.tokens),
+        End::Complete => {
+            let tokens = running.ask.made + release.tokens;
+            pool.lengths.record(&running.ask.organisation, tokens);
+        }
         _ => {}
     }
     let slot = &mut pool.targets[running.target];
--- a/crates/kernel/src/ask.rs
+++ b/crates/kernel/src/ask.rs
@@ -1,6 +1,6 @@
 //! The dialogue of an entry VM with the owners of pools, until a grant or a refusal.
 
-use crate::entry::{self, Phase, RETRY_AFTER_MS};
+use crate::entry::{self, Phase, Request, RETRY_AFTER_MS};
 use crate::ids::{Millis, Name};
 use crate::kernel::{Outbox, State};
 use crate::map::Map;
@@ -15,6 +15,9 @@
 const SILENCE_MS: u64 = 1_000;
 /// Time for which an owner that was silent is not asked, in milliseconds.
 const AVOID_MS: u64 = 3_000;
+/// Longest wait in one queue of a request that other pools may start, in milliseconds: their
+/// targets become free while it waits.
+const SPILL_MS: u64 = 100;
 /// Time in fallback without a grant after which another zone is tried, in milliseconds.
 const FALLBACK_MS: u64 = 1_000;
 /// A repeat that is sent this long after the one before shows that this process was paused.
@@ -102,7 +105,7 @@
     let Some(request) = state.entry.requests.get(id) else {
         return;
     };
-    let view = entry::route_view(state, &silent);
+    let view = entry::route_view(state, request, &silent);
     match route::next(&view, &request.ask, &request.tried) {
         Some(hop) => go(state, id, hop, now, out),
         None => exhausted(state, id, now, out),
@@ -111,6 +114,7 @@
 
 /// Asks the VM of `hop` under a new attempt number.
 fn go(state: &mut State, id: &Id, hop: route::Hop, now: Millis, out: &mut Outbox) {
+    let spills = is_other_left(state, id, &hop, now);
     let Some(request) = state.entry.requests.get_mut(id) else {
         return;
     };
@@ -119,11 +123,26 @@
     state.log.note(now, id, text);
     request.ask.attempt += 1;
     request.ask.pool = hop.pool;
+    request.ask.spills = spills;
     request.phase =
         Phase::Asking(Asking { to: hop.to, is_fallback: hop.fallback, since: now, last: now });
     send(state, id, now, out);
 }
 
+/// Whether another pool can be asked at once if the one of `hop` cannot start the request.
+fn is_other_left(state: &State, id: &Id, hop: &route::Hop, now: Millis) -> bool {
+    let Some(request) = state.entry.requests.get(id) else {
+        return false;
+    };
+    if !request.terms.spills || request.is_patient {
+        return false;
+    }
+    let silent = state.entry.owners.silent(now);
+    let mut tried = request.tried.clone();
+    tried.push(hop.pool.zone.clone());
+    route::next(&entry::route_view(state, request, &silent), &request.ask, &tried).is_some()
+}
+
 /// Sends the ask of a request that is in phase `Asking`.
 fn send(state: &mut State, id: &Id, now: Millis, out: &mut Outbox) {
     let Some(request) = state.entry.requests.get_mut(id) else {
@@ -135,6 +154,9 @@
     asking.last = now;
     request.ask.waited_ms = now.since(request.arrived);
     request.ask.patience_ms = request.deadline.since(now);
+    if request.terms.spills {
+        request.ask.patience_ms = request.ask.patience_ms.min(SPILL_MS);
+    }
     out.send(&asking.to, Message::Ask(request.ask.clone()));
     let due = now.after(REPEAT_MS).min(request.deadline);
     state.entry.set_timer(id, due);
@@ -154,6 +176,13 @@
         state.log.note(now, id, text);
         return wait(state, id, now);
     }
+    if request.terms.spills && now < request.deadline {
+        // Every pool was asked: from now on the request waits in their queues, one after the other.
+        request.is_patient = true;
+        request.tried.clear();
+        request.refusal = None;
+        return wait(state, id, now);
+    }
     let refusal = request
         .refusal
         .take()
@@ -192,7 +221,7 @@
     if now >= request.deadline {
         return expire(state, id, now, out);
     }
-    match step(state, &request.ask, asking, now) {
+    match step(state, request, asking, now) {
         Step::Repeat => send(state, id, now, out),
         Step::Renew => renew(state, id, now, out),
         Step::Silent => give_up(state, id, now, out),
@@ -218,7 +247,8 @@
     Spill,
 }
 
-fn step(state: &State, ask: &Ask, asking: &Asking, now: Millis) -> Step {
+fn step(state: &State, request: &Request, asking: &Asking, now: Millis) -> Step {
+    let ask = &request.ask;
     if now.since(asking.last) > PAUSE_MS {
         // A grant sent before the pause could otherwise pass for a fresh one.
         return Step::Renew;
@@ -228,7 +258,7 @@
     }
     let own = state.members.own();
     let silent = state.entry.owners.silent(now);
-    let owner = route::owner(&entry::route_view(state, &silent), &ask.pool);
+    let owner = route::owner(&entry::route_view(state, request, &silent), &ask.pool);
     if owner.is_some_and(|owner| *owner != asking.to) {
         return Step::Elsewhere;
     }
@@ -277,7 +307,7 @@
     };
     let mut tried = request.tried.clone();
     tried.push(request.ask.pool.zone.clone());
-    let view = entry::route_view(state, &silent);
+    let view = entry::route_view(state, request, &silent);
     match route::next(&view, &request.ask, &tried).filter(|hop| !hop.fallback) {
         Some(hop) => {
             withdraw(state, id, out);
@@ -340,7 +370,8 @@
 /// Whether another pool may accept what one pool refused for this reason.
 fn may_spill(reason: Reason) -> bool {
     match reason {
-        Reason::OrganisationQueue
+        Reason::Busy
+        | Reason::OrganisationQueue
         | Reason::PoolQueue
         | Reason::QueueDeadline
         | Reason::NoTarget
--- a/crates/kernel/src/attempt.rs
+++ b/crates/kernel/src/attempt.rs
@@ -12,7 +12,7 @@
 use crate::pool;
 use crate::request::{End, Id};
 use crate::store::Stored;
-use crate::{claim, quarantine};
+use crate::{claim, quarantine, relocate};
 
 /// Attempts of one request that may fail after a grant.
 const RETRIES_MAX: u32 = 8;
@@ -35,6 +35,18 @@
     patience_ms: u64,
 }
 
+impl Run {
+    /// The target it runs on.
+    pub(crate) fn target(&self) -> &Name {
+        &self.target
+    }
+
+    /// Output tokens so far.
+    pub(crate) fn tokens(&self) -> u32 {
+        self.tokens
+    }
+}
+
 /// The end of an attempt as the traffic task reports it.
 #[derive(Debug)]
 pub(crate) struct Ended<'a> {
@@ -133,17 +145,22 @@
         tokens: 0,
         patience_ms: request.deadline.since(now),
     });
+    let origin = request.origin.clone();
     let text = format!("started on {} by grant of {from}", grant.target);
     state.log.note(now, &grant.id, text);
     state.entry.clear_timer(&grant.id);
-    out.push(Outcome::Start(Start {
+    let start = Start {
         id: grant.id.clone(),
         attempt: grant.attempt,
         target: grant.target.clone(),
         address: grant.address.clone(),
         priority: grant.priority,
         fence: grant.fence,
-    }));
+    };
+    out.push(match origin {
+        Some(from) => Outcome::Move { from, start },
+        None => Outcome::Start(start),
+    });
 }
 
 /// Gives a grant back and asks again.
@@ -296,16 +313,22 @@
     if request.ask.attempt != ended.attempt {
         return out.count(Counter::Ignored("end_of_old_attempt"));
     }
-    let tokens = ended.tokens.max(run.tokens);
+    // Nothing was delivered from a target whose leg has not begun to carry the generation.
+    let tokens = match request.origin {
+        Some(_) => 0,
+        None => ended.tokens.max(run.tokens),
+    };
     let verdict = judge(ended.end, tokens, request.is_once);
+    let leg = request.leg.clone();
     release(state, request, run, ended, tokens, out);
     let text = format!("{:?} on {} after {tokens} tokens", ended.end, run.target);
     state.log.note(now, ended.id, text);
+    relocate::abandon(state, leg, out);
     match verdict {
         Verdict::Finish => finish(state, ended, now, out),
         Verdict::Cancel => cancel(state, ended.id, now, out),
         Verdict::Repeat { why, is_charged } => {
-            let has_run = matches!(ended.end, End::Broken | End::Died);
+            let has_run = matches!(ended.end, End::Broken | End::Died | End::Failed);
             repeat(state, ended.id, why, is_charged, has_run, now, out);
         }
         Verdict::Fail(ran) => {
@@ -322,11 +345,13 @@
 fn judge(end: End, tokens: u32, is_once: bool) -> Verdict {
     let repeat = |why, is_charged| Verdict::Repeat { why, is_charged };
     match end {
-        End::Complete => Verdict::Finish,
+        End::Complete | End::Moved => Verdict::Finish,
         End::Cancelled => Verdict::Cancel,
         _ if tokens > 0 => Verdict::Fail(Ran::Yes),
         End::Unsent => repeat(Retry::TargetBroken, false),
         End::Rejected => repeat(Retry::TargetRejected, true),
+        End::Failed if is_once => Verdict::Fail(Ran::Yes),
+        End::Failed => repeat(Retry::TargetFailed, true),
         End::Broken | End::Died if is_once => Verdict::Fail(Ran::Unknown),
         End::Broken => repeat(Retry::TargetBroken, true),
         End::Died => repeat(Retry::TargetDied, true),
@@ -379,7 +404,13 @@
         return;
     };
     request.may_have_run |= has_run;
+    request.runs += u32::from(has_run);
     request.retries += 1;
+    let is_first = request.retries == 1;
+    if request.terms.attempts.is_some_and(|attempts| request.runs >= attempts) {
+        let refusal = Refusal::new(Reason::TargetFailed).with_ran(Ran::Yes);
+        return entry::refuse(state, id, refusal, now, out);
+    }
     if why == Retry::TargetDied {
         request.deaths += 1;
     }
@@ -388,7 +419,8 @@
         return entry::refuse(state, id, refusal, now, out);
     }
     let is_last = request.retries > RETRIES_MAX;
-    if is_last || (is_charged && !state.entry.spend_retry(now)) {
+    let service = request.ask.pool.service.clone();
+    if is_last || (is_charged && !entry::spend_retry(state, &service, now)) {
         let refusal = Refusal::new(Reason::RetryBudget).with_retry_after(entry::RETRY_AFTER_MS);
         return entry::refuse(state, id, refusal, now, out);
     }
@@ -403,7 +435,34 @@
         request.deadline = now.after(run.patience_ms.max(PATIENCE_MIN_MS));
         exclude(state, id, &target);
     }
-    ask::wait(state, id, now);
+    // The target has answered, so another one is not in the same trouble for lack of time.
+    let is_answered = matches!(why, Retry::TargetFailed | Retry::TargetRejected);
+    match is_answered && is_first {
+        true => ask::next(state, id, now, out),
+        false => ask::wait(state, id, now),
+    }
+}
+
+/// Books the end of a leg whose generation goes on elsewhere.
+pub(crate) fn leave(state: &State, id: &Id, tokens: u32, out: &mut Outbox) {
+    release_as(state, id, End::Moved, tokens, out);
+}
+
+/// Gives back the place of a leg that has carried nothing.
+pub(crate) fn leave_unused(state: &State, id: &Id, out: &mut Outbox) {
+    release_as(state, id, End::Unsent, 0, out);
+}
+
+fn release_as(state: &State, id: &Id, end: End, tokens: u32, out: &mut Outbox) {
+    let Some(request) = state.entry.requests.get(id) else {
+        return;
+    };
+    let Phase::Running(run) = &request.phase else {
+        return;
+    };
+    let attempt = request.ask.attempt;
+    let ended = Ended { id, attempt, end, tokens, first_token_ms: None, stored: None };
+    release(state, request, run, &ended, tokens, out);
 }
 
 /// The caller went away.
@@ -426,6 +485,8 @@
         Phase::Asking(_) => ask::withdraw(state, id, out),
         Phase::Claiming | Phase::Waiting => {}
     }
+    let leg = request.leg.clone();
+    relocate::abandon(state, leg, out);
     state.log.note(now, id, "the caller went away".to_owned());
     cancel(state, id, now, out);
 }
--- a/crates/kernel/src/entry.rs
+++ b/crates/kernel/src/entry.rs
@@ -12,8 +12,8 @@
 use crate::outcome::{Counter, Outcome, Ran, Reason, Refusal};
 use crate::peer::{Ask, Message};
 use crate::plugin::control;
-use crate::request::{Class, Id, Repeat, View};
-use crate::{ask, attempt, claim, pool, retry, route};
+use crate::request::{Class, Id, Repeat, Terms, View};
+use crate::{ask, attempt, claim, pool, relocate, retry, route};
 
 /// Requests that this VM carries at a time; the daemon accepts 4,096 connections by default.
 const REQUESTS_MAX: usize = 8_192;
@@ -30,7 +30,8 @@
     pub(crate) requests: Map<Id, Request>,
     pub(crate) owners: ask::Owners,
     timers: BTreeSet<(Millis, Id)>,
-    budget: retry::Budget,
+    /// Retries by service.
+    budgets: Map<Name, retry::Budget>,
     draws: u64,
     idle_since: Option<Millis>,
     is_drained: bool,
@@ -58,6 +59,18 @@
     pub(crate) is_once: bool,
     /// An attempt that ended may have run in part.
     pub(crate) may_have_run: bool,
+    /// Attempts that may have run in part.
+    pub(crate) runs: u32,
+    /// What its route says about it.
+    pub(crate) terms: Terms,
+    /// It waits in queues; before that, pools that cannot start it at once are passed.
+    pub(crate) is_patient: bool,
+    /// The zone in which the leg before it runs.
+    pub(crate) home: Name,
+    /// The leg that runs, where this is the next one of a generation that has not moved yet.
+    pub(crate) origin: Option<Id>,
+    /// The next leg of this generation.
+    pub(crate) leg: Option<Id>,
     /// Attempts that failed after a grant.
     pub(crate) retries: u32,
     /// Targets that died while they ran it.
@@ -73,6 +86,39 @@
     due: Option<Millis>,
 }
 
+impl Request {
+    /// The next leg of a generation that runs as `origin`.
+    pub(crate) fn new_leg(
+        ask: Ask,
+        running: &Request,
+        origin: Id,
+        now: Millis,
+        patience: u64,
+    ) -> Request {
+        let home = ask.pool.zone.clone();
+        Request {
+            ask,
+            home,
+            arrived: now,
+            deadline: now.after(patience),
+            is_once: true,
+            may_have_run: false,
+            runs: 0,
+            terms: running.terms,
+            is_patient: false,
+            origin: Some(origin),
+            leg: None,
+            retries: 0,
+            deaths: 0,
+            is_relaxed: true,
+            tried: Vec::new(),
+            refusal: None,
+            phase: Phase::Waiting,
+            due: None,
+        }
+    }
+}
+
 /// Where a request stands.
 #[derive(Debug)]
 pub(crate) enum Phase {
@@ -141,7 +187,6 @@
 }
 
 fn arrive(state: &mut State, view: &View<'_>, now: Millis, out: &mut Outbox) {
-    state.entry.budget.arrive(now);
     let request = match accept(state, view, now) {
         Ok(request) => request,
         Err(refusal) => {
@@ -151,9 +196,11 @@
         }
     };
     let deadline = request.deadline;
+    let budgets = &mut state.entry.budgets;
+    budgets.entry(request.ask.pool.service.clone()).or_default().arrive(now);
     state.entry.requests.insert(view.id.clone(), request);
     match view.repeat {
-        Repeat::Free => ask::next(state, view.id, now, out),
+        Repeat::Free | Repeat::Single => ask::next(state, view.id, now, out),
         Repeat::Once { key } => {
             let due = deadline.min(now.after(CLAIM_WAIT_MS));
             state.entry.set_timer(view.id, due);
@@ -194,13 +241,23 @@
         waited_ms: 0,
         patience_ms: service.queue_ms,
         exclude: Vec::new(),
+        priority: view.terms.priority,
+        spills: false,
+        made: 0,
     };
+    let patience = view.terms.patience_ms.unwrap_or(service.queue_ms);
     Ok(Request {
         ask,
         arrived: now,
-        deadline: now.after(service.queue_ms),
-        is_once: matches!(view.repeat, Repeat::Once { .. }),
+        deadline: now.after(patience),
+        is_once: !matches!(view.repeat, Repeat::Free),
         may_have_run: false,
+        runs: 0,
+        terms: view.terms,
+        is_patient: false,
+        home: state.identity.zone.clone(),
+        origin: None,
+        leg: None,
         retries: 0,
         deaths: 0,
         is_relaxed: false,
@@ -250,6 +307,9 @@
     let Some(request) = state.entry.remove(id) else {
         return;
     };
+    if let Some(origin) = &request.origin {
+        return relocate::give_up(state, id, origin, now, out);
+    }
     let ran = match refusal.ran {
         Ran::No if request.may_have_run => Ran::Unknown,
         ran => ran,
@@ -366,11 +426,6 @@
         }
     }
 
-    /// Takes one retry out of the budget; false if none is left.
-    pub(crate) fn spend_retry(&mut self, now: Millis) -> bool {
-        self.budget.spend(now)
-    }
-
     /// The jittered delay before a request asks again after `retries` failed attempts.
     pub(crate) fn backoff(&mut self, seed: u64, retries: u32) -> u64 {
         self.draws += 1;
@@ -378,12 +433,24 @@
     }
 }
 
+/// Takes one retry out of the budget of a service; false if none is left.
+pub(crate) fn spend_retry(state: &mut State, service: &Name, now: Millis) -> bool {
+    let config = state.intent.governing(service).cloned().unwrap_or_default();
+    let allowance = retry::Allowance::new(&config, state.members.iter().count());
+    state.entry.budgets.entry(service.clone()).or_default().spend(now, allowance)
+}
+
 /// The view of the state on which the choice of a pool is made.
-pub(crate) fn route_view<'a>(state: &'a State, silent: &'a [Name]) -> route::View<'a> {
-    route::View {
-        intent: &state.intent,
-        members: &state.members,
-        zone: &state.identity.zone,
-        silent,
-    }
+pub(crate) fn route_view<'a>(
+    state: &'a State,
+    request: &'a Request,
+    silent: &'a [Name],
+) -> route::View<'a> {
+    // A copy within a zone takes half the time of one between zones.
+    let zone = match request.origin {
+        Some(_) => &request.home,
+        None => &state.identity.zone,
+    };
+    let spreads = request.terms.spreads && request.origin.is_none();
+    route::View { intent: &state.intent, members: &state.members, zone, spreads, silent }
 }
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -38,6 +38,15 @@
         /// The answer to keep for a call that runs at most once.
         stored: Option<&'a store::Stored>,
     },
+    /// A generation goes on at another target, under the id of its next leg.
+    Moved {
+        /// The leg that ended.
+        from: &'a Id,
+        /// The leg that carries on.
+        to: &'a Id,
+        /// Output tokens that the first one delivered to the caller.
+        tokens: u32,
+    },
     /// The caller went away.
     Departed {
         /// The request.
@@ -82,6 +91,8 @@
     },
     /// Resources read from the table or a snapshot of it.
     Changes(&'a Delta),
+    /// Targets that the platform has found.
+    Discovered(&'a Delta),
     /// The table's head revision was read and is not newer than ours.
     Head(Revision),
     /// The table could not be read.
--- /dev/null
+++ b/crates/kernel/src/ingress.rs
@@ -0,0 +1,77 @@
+//! Finds the route of a request and the service that its route leads to.
+
+use crate::ids::Name;
+use crate::intent::Intent;
+use crate::request::Terms;
+use crate::resource::Route;
+
+/// Part of the target latency that a request may wait for its start, as one in so many: a model
+/// engine needs the other half to read the prompt.
+const PATIENCE_SHARE: u64 = 2;
+
+/// The route of a host and path: the one with the longest prefix that begins the path.
+///
+/// ```
+/// use hornbeamloom_kernel::ingress;
+/// use hornbeamloom_kernel::intent::Intent;
+///
+/// assert!(ingress::find(&Intent::default(), "notices.example", "/drafts/1").is_none());
+/// ```
+pub fn find<'a>(intent: &'a Intent, host: &str, path: &str) -> Option<(&'a Name, &'a Route)> {
+    let path = path.split('?').next().unwrap_or(path);
+    let fitting = intent.routes().filter(|(_, route)| {
+        route.host.eq_ignore_ascii_case(host) && path.starts_with(&*route.path_prefix)
+    });
+    // Two routes with one prefix are a mistake of the operator; the name decides on every VM alike.
+    fitting.max_by_key(|(name, route)| (route.path_prefix.len(), std::cmp::Reverse(*name)))
+}
+
+/// The service for one request of a route; `draw` is any number, equally distributed.
+///
+/// ```
+/// use hornbeamloom_kernel::ingress;
+/// use hornbeamloom_kernel::resource::{Rerun, Route, Share};
+///
+/// let share = |service: &str, weight| Share { service: service.into(), weight };
+/// let route = Route {
+///     host: "notices.example".to_owned(),
+///     path_prefix: "/orders/".to_owned(),
+///     shares: vec![share("old-desk", 90), share("new-desk", 10)],
+///     rerun: Rerun::Never,
+///     streaming: false,
+///     timeout_ms: 800,
+///     target_latency_ms: 300,
+///     attempts: 1,
+///     priority: 0,
+///     public: false,
+/// };
+/// assert_eq!(ingress::pick(&route, 5).map(|name| &**name), Some("old-desk"));
+/// assert_eq!(ingress::pick(&route, 95).map(|name| &**name), Some("new-desk"));
+/// ```
+pub fn pick(route: &Route, draw: u64) -> Option<&Name> {
+    let total: u64 = route.shares.iter().map(|share| u64::from(share.weight)).sum();
+    let mut left = draw.checked_rem(total)?;
+    let chosen = route.shares.iter().find(|share| {
+        let weight = u64::from(share.weight);
+        let is_chosen = left < weight;
+        left = left.saturating_sub(weight);
+        is_chosen
+    });
+    chosen.map(|share| &share.service)
+}
+
+/// What `route` says about a request of `organisation` for one of its services.
+///
+/// The rank of the organisation goes before that of the route.
+pub fn terms(intent: &Intent, route: &Route, service: &str, organisation: &str) -> Terms {
+    let rank = intent.organisation(organisation).and_then(|organisation| organisation.priority);
+    let relocates = intent.service(service).is_some_and(|service| service.relocatable);
+    Terms {
+        priority: Some(rank.unwrap_or(route.priority)),
+        patience_ms: Some(route.target_latency_ms / PATIENCE_SHARE),
+        attempts: Some(route.attempts),
+        spills: true,
+        spreads: true,
+        relocates: relocates && route.streaming,
+    }
+}
--- a/crates/kernel/src/intent.rs
+++ b/crates/kernel/src/intent.rs
@@ -44,6 +44,13 @@
     fault: Option<&'static str>,
 }
 
+impl Held {
+    /// The specification, if it is in force.
+    fn spec(&self) -> Option<&Spec> {
+        self.record.spec.as_ref().filter(|_| self.fault.is_none())
+    }
+}
+
 /// The targets of one pool.
 #[derive(Debug, Clone)]
 pub struct Group {
@@ -58,10 +65,14 @@
 pub struct Intent {
     /// The revision in force.
     pub revision: Revision,
+    /// Counts the changes on this VM, of targets that were discovered as well.
+    pub generation: u64,
     /// Where it came from.
     pub source: Source,
     /// One map for each kind, so that a lookup needs no owned key.
     books: [Map<Name, Held>; Kind::ALL.len()],
+    /// Targets that the platform has found, beside those that operators declare.
+    discovered: Map<Name, Held>,
     /// Pools by service, ordered by zone.
     pools: Map<Name, Vec<Group>>,
     /// Tombstones in the order of their arrival.
@@ -73,11 +84,7 @@
 
 impl Intent {
     fn spec(&self, kind: Kind, name: &str) -> Option<&Spec> {
-        let held = self.books[kind as usize].get(name)?;
-        match held.fault {
-            None => held.record.spec.as_ref(),
-            Some(_) => None,
-        }
+        self.books[kind as usize].get(name)?.spec()
     }
 
     /// The organisation `name`.
@@ -134,12 +141,22 @@
     /// assert!(intent.target("engine-a1").is_none());
     /// ```
     pub fn target(&self, name: &str) -> Option<&resource::Target> {
-        match self.spec(Kind::Target, name) {
+        let declared = self.spec(Kind::Target, name);
+        match declared.or_else(|| self.discovered.get(name)?.spec()) {
             Some(Spec::Target(target)) => Some(target),
             _ => None,
         }
     }
 
+    /// The routes in force, by name.
+    pub fn routes(&self) -> impl Iterator<Item = (&Name, &resource::Route)> {
+        let held = self.books[Kind::Route as usize].iter();
+        held.filter_map(|(name, held)| match held.spec() {
+            Some(Spec::Route(route)) => Some((name, route)),
+            _ => None,
+        })
+    }
+
     /// The configuration `name`.
     pub fn configuration(&self, name: &str) -> Option<&resource::Configuration> {
         match self.spec(Kind::Configuration, name) {
@@ -156,7 +173,9 @@
 
     /// All targets by name.
     pub fn targets(&self) -> Vec<(&Name, &resource::Target)> {
-        let names = self.books[Kind::Target as usize].keys();
+        let declared = &self.books[Kind::Target as usize];
+        let found = self.discovered.keys().filter(|name| !declared.contains_key(*name));
+        let names = declared.keys().chain(found);
         let mut targets: Vec<_> =
             names.filter_map(|name| Some((name, self.target(name)?))).collect();
         targets.sort_by_key(|(name, _)| *name);
@@ -283,9 +302,37 @@
             }
         }
         faults.sort();
+        let names: Vec<Name> = self.discovered.keys().cloned().collect();
+        for name in names {
+            let fault = fault(self, &self.discovered[&name].record);
+            if let Some(held) = self.discovered.get_mut(&name) {
+                held.fault = fault;
+            }
+        }
         self.pools = group(self);
+        self.generation += 1;
         faults
     }
+
+    /// Versions of the targets that were discovered.
+    pub(crate) fn discovered(&self) -> impl Iterator<Item = (&Name, Revision)> {
+        self.discovered.iter().map(|(name, held)| (name, held.record.version))
+    }
+
+    /// Takes in targets that were found, in newer versions, or are gone.
+    pub(crate) fn discover(&mut self, found: &[Record], gone: &[Name]) {
+        for record in found {
+            let known = self.discovered.get(&record.key.name).map(|held| held.record.version);
+            if known < Some(record.version) {
+                let held = Held { record: record.clone(), fault: None };
+                self.discovered.insert(record.key.name.clone(), held);
+            }
+        }
+        for name in gone {
+            self.discovered.remove(name);
+        }
+        self.settle();
+    }
 }
 
 fn group(intent: &Intent) -> Map<Name, Vec<Group>> {
@@ -349,6 +396,10 @@
             names.map(|name| name.len()).sum()
         }
         Some(Spec::AvailabilityZone(zone)) => zone.region.len(),
+        Some(Spec::Route(route)) => {
+            let services = route.shares.iter().map(|share| share.service.len());
+            route.host.len() + route.path_prefix.len() + services.sum::<usize>()
+        }
         None => 0,
     };
     record.key.name.len() + labels.sum::<usize>() + spec
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -7,7 +7,9 @@
 use crate::outcome::{Counter, Outcome};
 use crate::peer::Message;
 use crate::plugin::{control, policy};
-use crate::{claim, entry, explain, intent, lease, member, pool, quarantine, reconcile};
+use crate::{
+    claim, discovery, entry, explain, intent, lease, member, pool, quarantine, reconcile, relocate,
+};
 
 /// Who this VM is, from its settings.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -100,6 +102,10 @@
     pub identity: Identity,
     /// Resources in force.
     pub intent: intent::Intent,
+    /// Targets that the platform's list no longer has.
+    pub(crate) discovery: discovery::Watch,
+    /// Generations whose target leaves.
+    pub(crate) relocations: relocate::Watch,
     /// Other VMs.
     pub members: member::Table,
     /// Pool ownership.
@@ -125,6 +131,8 @@
     fn new(identity: Identity) -> State {
         State {
             intent: intent::Intent::default(),
+            discovery: discovery::Watch::default(),
+            relocations: relocate::Watch::default(),
             members: member::Table::new(&identity),
             leases: lease::Keeper::default(),
             entry: entry::Table::default(),
--- a/crates/kernel/src/lease.rs
+++ b/crates/kernel/src/lease.rs
@@ -11,7 +11,7 @@
 use std::collections::BTreeMap;
 
 use crate::event::Event;
-use crate::ids::{Fence, Incarnation, Millis, Name, Revision};
+use crate::ids::{Fence, Incarnation, Millis, Name};
 use crate::kernel::{Outbox, State};
 use crate::map::Map;
 use crate::member::{self, Table};
@@ -54,7 +54,8 @@
 #[derive(Debug, Default)]
 pub struct Keeper {
     watches: BTreeMap<Key, Watch>,
-    revision: Revision,
+    /// The resources that the watches follow.
+    generation: u64,
     started: Option<Millis>,
     stopped: Option<Millis>,
     read_at: Millis,
@@ -146,7 +147,7 @@
         _ => false,
     };
     let is_due = state.leases.wake.is_some_and(|at| now >= at);
-    if is_mine || is_due || state.intent.revision != state.leases.revision {
+    if is_mine || is_due || state.intent.generation != state.leases.generation {
         drive(state, now, out);
     }
 }
@@ -195,10 +196,10 @@
 /// Watches exactly the pools of the own zone that have targets.
 fn follow_intent(state: &mut State, now: Millis) {
     let State { intent, leases, identity, .. } = state;
-    if leases.revision == intent.revision {
+    if leases.generation == intent.generation {
         return;
     }
-    leases.revision = intent.revision;
+    leases.generation = intent.generation;
     let pools = intent.pools_in(&identity.zone);
     for (pool, watch) in &mut leases.watches {
         watch.is_wanted = pools.contains(&pool);
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -9,7 +9,7 @@
 //! use hornbeamloom_kernel::ids::{Incarnation, Millis};
 //! use hornbeamloom_kernel::kernel::{Identity, Kernel};
 //! use hornbeamloom_kernel::outcome::{Outcome, Reason};
-//! use hornbeamloom_kernel::request::{Id, Repeat, View};
+//! use hornbeamloom_kernel::request::{Id, Repeat, Terms, View};
 //!
 //! let mut kernel = Kernel::new(Identity::new("entry-1", "lodz-a", Incarnation(1)));
 //! let id = Id::new("entry-1", Incarnation(1), 1);
@@ -22,6 +22,7 @@
 //!     fingerprint: 7,
 //!     prefixes: &[],
 //!     repeat: Repeat::Free,
+//!     terms: Terms::default(),
 //! };
 //! let mut out = Vec::new();
 //! kernel.handle(Event::Arrive(view), Millis(1), &mut out);
@@ -42,6 +43,7 @@
 pub mod event;
 pub mod explain;
 pub mod ids;
+pub mod ingress;
 pub mod intent;
 pub mod kernel;
 pub mod lease;
@@ -71,6 +73,7 @@
 mod ask;
 mod attempt;
 mod claim_table;
+mod discovery;
 mod eligible;
 mod fair;
 mod fifo;
@@ -85,6 +88,7 @@
 mod random;
 mod rank;
 mod rate;
+mod relocate;
 mod round_robin;
 mod schedule;
 mod slots;
--- a/crates/kernel/src/outcome.rs
+++ b/crates/kernel/src/outcome.rs
@@ -25,6 +25,8 @@
 pub enum Reason {
     /// The organisation or service does not exist or may not be called.
     NotFound,
+    /// The pool cannot start it at once, and others may.
+    Busy,
     /// The organisation's queue is full.
     OrganisationQueue,
     /// The pool's queue is full.
@@ -64,6 +66,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Reason::NotFound => "not_found",
+            Reason::Busy => "busy",
             Reason::OrganisationQueue => "organisation_queue",
             Reason::PoolQueue => "pool_queue",
             Reason::QueueDeadline => "queue_deadline",
@@ -141,6 +144,8 @@
     GrantExpired,
     /// The target refused before running anything.
     TargetRejected,
+    /// The target answered that it failed.
+    TargetFailed,
     /// The connection broke before the first token.
     TargetBroken,
     /// The target died before the first token.
@@ -165,6 +170,7 @@
             Retry::AskTimeout => "ask_timeout",
             Retry::GrantExpired => "grant_expired",
             Retry::TargetRejected => "target_rejected",
+            Retry::TargetFailed => "target_failed",
             Retry::TargetBroken => "target_broken",
             Retry::TargetDied => "target_died",
             Retry::TargetLeft => "target_left",
@@ -195,6 +201,13 @@
 pub enum Outcome {
     /// Open the stream to the target now.
     Start(Start),
+    /// Copy the memory of a running generation to another target and go on there.
+    Move {
+        /// The request as it runs.
+        from: Id,
+        /// The start at the other target, under the id of the next leg.
+        start: Start,
+    },
     /// Answer the caller with a refusal.
     Refuse {
         /// The request.
--- a/crates/kernel/src/peer.rs
+++ b/crates/kernel/src/peer.rs
@@ -198,6 +198,15 @@
     pub waited_ms: u64,
     /// Milliseconds that it may still wait.
     pub patience_ms: u64,
+    /// Rank, 0 first; the class decides if absent.
+    #[serde(default)]
+    pub priority: Option<u8>,
+    /// Another pool is asked where this one cannot start it at once.
+    #[serde(default)]
+    pub spills: bool,
+    /// Output tokens that it has from earlier targets; they are part of the prompt here.
+    #[serde(default)]
+    pub made: u32,
     /// Targets that it must not be sent to.
     pub exclude: Vec<Name>,
 }
@@ -312,6 +321,9 @@
     ///     prefixes: Vec::new(),
     ///     waited_ms: 300,
     ///     patience_ms: 30_000,
+    ///     priority: None,
+    ///     spills: false,
+    ///     made: 0,
     ///     exclude: Vec::new(),
     /// };
     /// assert_eq!(ask.arrived(Millis(1_000)), Millis(700));
--- a/crates/kernel/src/pool.rs
+++ b/crates/kernel/src/pool.rs
@@ -31,7 +31,7 @@
 /// A pool that is neither held nor used is forgotten after this time.
 const UNUSED_LIMIT: u64 = 10_000;
 /// An output of at most this many tokens makes a request short.
-const SHORT_TOKENS: u32 = 128;
+pub(crate) const SHORT_TOKENS: u32 = 128;
 /// Memory is kept for short requests for this time after one came, in milliseconds.
 const SHORT_EXPECTED: u64 = 60_000;
 /// Tokens ahead at which KV use is estimated.
@@ -118,7 +118,7 @@
     pub(crate) hints: Map<Key, Hint>,
     handed: BTreeMap<Key, Millis>,
     policies: Vec<policy::Plugin>,
-    revision: crate::ids::Revision,
+    generation: u64,
     due: Millis,
 }
 
@@ -131,7 +131,7 @@
             hints: Map::default(),
             handed: BTreeMap::new(),
             policies,
-            revision: Default::default(),
+            generation: 0,
             due: Millis(0),
         }
     }
@@ -187,7 +187,7 @@
 }
 
 fn handle(state: &mut State, event: &Event<'_>, now: Millis, out: &mut Outbox) {
-    if state.pools.revision != state.intent.revision {
+    if state.pools.generation != state.intent.generation {
         refresh(state, now);
     }
     takeover::hand_over(state, now, out);
@@ -240,8 +240,8 @@
 /// Brings every pool up to date with the resources in force.
 fn refresh(state: &mut State, now: Millis) {
     let State { pools, intent, .. } = state;
-    let Set { pools, policies, hints, revision, .. } = pools;
-    *revision = intent.revision;
+    let Set { pools, policies, hints, generation, .. } = pools;
+    *generation = intent.generation;
     hints.retain(|key, _| intent.service(&key.service).is_some());
     for pool in pools.values_mut() {
         pool.refresh(intent, policies, hints.get(&pool.key), now);
@@ -365,8 +365,10 @@
     }
 
     fn projected_at(&self, ask: &Ask, tokens: u32) -> u64 {
-        let output = self.lengths.expected(&ask.organisation, tokens, ask.max_tokens);
-        u64::from(ask.prompt_tokens) + u64::from(output)
+        let made = ask.made + tokens;
+        let output = self.lengths.expected(&ask.organisation, made, ask.max_tokens);
+        // The prompt contains what earlier targets have made.
+        u64::from(ask.prompt_tokens) + u64::from(output.saturating_sub(ask.made))
     }
 
     /// The largest KV use in tokens that the work on a target is likely to reach, with `more`.
@@ -401,7 +403,7 @@
     fn growth<'a>(&'a self, ask: &'a Ask, tokens: u32) -> Growth<'a> {
         Growth {
             used: u64::from(ask.prompt_tokens) + u64::from(tokens),
-            survival: self.lengths.survival(&ask.organisation, tokens, ask.max_tokens),
+            survival: self.lengths.survival(&ask.organisation, ask.made + tokens, ask.max_tokens),
         }
     }
 
--- a/crates/kernel/src/queue.rs
+++ b/crates/kernel/src/queue.rs
@@ -150,7 +150,12 @@
             organisation.served = organisation.served.max(lowest);
         }
         let name = organisation.name.clone();
-        organisation.waiting_mut(class).push_back(Queued::new(ask, now));
+        let is_moving = ask.made > 0;
+        let waiting = organisation.waiting_mut(class);
+        match is_moving {
+            true => waiting.push_front(Queued::new(ask, now)),
+            false => waiting.push_back(Queued::new(ask, now)),
+        }
         let ix = self.names[&name];
         self.places.insert(id, (ix, class));
     }
@@ -194,7 +199,10 @@
         let queued = self.remove(id)?;
         let served = self.organisation(&queued.ask.organisation, now).served;
         self.reached = self.reached.max(served);
-        self.charge(&queued.ask.organisation, u64::from(queued.ask.prompt_tokens), now);
+        // The first target has read the prompt of a generation that moves.
+        if queued.ask.made == 0 {
+            self.charge(&queued.ask.organisation, u64::from(queued.ask.prompt_tokens), now);
+        }
         Some(queued)
     }
 
--- a/crates/kernel/src/ramp.rs
+++ b/crates/kernel/src/ramp.rs
@@ -9,5 +9,5 @@
 
 fn filter(view: &policy::View<'_>, _ask: &Ask, target: usize) -> bool {
     let slot = &view.pool.targets[target];
-    view.pool.occupied(target) < view.pool.limit(slot)
+    !slot.is_cold_rate_reached(view.now) && view.pool.occupied(target) < view.pool.limit(slot)
 }
--- /dev/null
+++ b/crates/kernel/src/relocate.rs
@@ -0,0 +1,144 @@
+//! Generations whose target leaves go on at another one: control plug-in on the entry VM's side.
+//!
+//! Each target that a generation runs on is a *leg* of its request with an id and an entry in the
+//! owner's ledger of its own. The next leg asks for a start like a new request while the generation
+//! still runs; its grant makes the traffic task copy the memory and go on there. So both targets
+//! are charged while the copy exists, and owners need to know nothing else about moves.
+
+use crate::ask;
+use crate::attempt;
+use crate::entry::{Phase, Request};
+use crate::event::Event;
+use crate::ids::Millis;
+use crate::kernel::{Outbox, State};
+use crate::outcome::Counter;
+use crate::plugin::control;
+use crate::pool::SHORT_TOKENS;
+use crate::request::Id;
+
+/// Longest wait of one leg for its start, in milliseconds: an engine that is reclaimed leaves
+/// within about two seconds of its notice.
+const PATIENCE_MS: u64 = 2_000;
+/// Time between two looks for generations that have to move, while there are any.
+const LOOK_MS: u64 = 100;
+
+/// What was last looked at.
+#[derive(Debug, Default)]
+pub struct Watch {
+    generation: u64,
+    due: Option<Millis>,
+}
+
+inventory::submit! {
+    control::Plugin { name: "relocate", rank: 55, handle, wakeup: |state| state.relocations.due }
+}
+
+fn handle(state: &mut State, event: &Event<'_>, now: Millis, out: &mut Outbox) {
+    if let Event::Moved { from, to, tokens } = event {
+        moved(state, from, to, *tokens, now, out);
+    }
+    let is_due = state.relocations.due.is_some_and(|at| at <= now);
+    if is_due || state.relocations.generation != state.intent.generation {
+        look(state, now, out);
+    }
+}
+
+/// Starts a next leg for each generation on a target that leaves.
+fn look(state: &mut State, now: Millis, out: &mut Outbox) {
+    state.relocations.generation = state.intent.generation;
+    let leaving: Vec<Id> = state
+        .entry
+        .requests
+        .iter()
+        .filter(|(_, request)| is_on_leaving(state, request))
+        .map(|(id, _)| id.clone())
+        .collect();
+    state.relocations.due = (!leaving.is_empty()).then(|| now.after(LOOK_MS));
+    let mut ready: Vec<Id> = leaving
+        .into_iter()
+        .filter(|id| state.entry.requests.get(id).is_some_and(|request| request.leg.is_none()))
+        .collect();
+    ready.sort();
+    for id in ready {
+        begin(state, &id, now, out);
+    }
+}
+
+/// Whether a request is a generation worth moving that runs on a target about to leave.
+fn is_on_leaving(state: &State, request: &Request) -> bool {
+    let is_short = request.ask.max_tokens.is_some_and(|tokens| tokens <= SHORT_TOKENS);
+    let carries = request.terms.relocates && request.origin.is_none() && !is_short;
+    let Phase::Running(run) = &request.phase else {
+        return false;
+    };
+    carries && state.intent.target(run.target()).is_none_or(|target| target.leaving)
+}
+
+/// Asks for a start of the next leg of a generation.
+fn begin(state: &mut State, id: &Id, now: Millis, out: &mut Outbox) {
+    let Some(request) = state.entry.requests.get_mut(id) else {
+        return;
+    };
+    let Phase::Running(run) = &request.phase else {
+        return;
+    };
+    let leg = id.next_leg();
+    request.leg = Some(leg.clone());
+    let tokens = run.tokens();
+    let mut ask = request.ask.clone();
+    ask.id = leg.clone();
+    ask.attempt = 0;
+    ask.prompt_tokens += tokens;
+    ask.made += tokens;
+    ask.exclude = vec![run.target().clone()];
+    let next = Request::new_leg(ask, request, id.clone(), now, PATIENCE_MS);
+    out.count(Counter::Event("relocation_asked"));
+    let text = format!("{} leaves: asked for another target", run.target());
+    state.log.note(now, &id.first_leg(), text);
+    state.entry.requests.insert(leg.clone(), next);
+    ask::next(state, &leg, now, out);
+}
+
+/// The generation goes on in its next leg.
+fn moved(state: &mut State, from: &Id, to: &Id, tokens: u32, now: Millis, out: &mut Outbox) {
+    attempt::leave(state, from, tokens, out);
+    state.entry.remove(from);
+    let Some(next) = state.entry.requests.get_mut(to) else {
+        return out.count(Counter::Ignored("moved_to_unknown_leg"));
+    };
+    next.origin = None;
+    next.may_have_run = true;
+    if let Phase::Running(run) = &next.phase {
+        let text = format!("goes on at {} after {tokens} tokens", run.target());
+        out.count(Counter::Event("relocated"));
+        state.log.note(now, &to.first_leg(), text);
+    }
+    // The new target may leave as well.
+    state.relocations.due = Some(now.after(LOOK_MS));
+}
+
+/// A leg that did not start is given up; a later one may be tried while the target still serves.
+pub(crate) fn give_up(state: &mut State, leg: &Id, origin: &Id, now: Millis, out: &mut Outbox) {
+    out.count(Counter::Event("relocation_failed"));
+    state.log.note(now, &leg.first_leg(), "no other target for the generation".to_owned());
+    if let Some(request) = state.entry.requests.get_mut(origin) {
+        request.leg = None;
+        state.relocations.due = Some(now.after(LOOK_MS));
+    }
+}
+
+/// The generation ended before its next leg carried it.
+pub(crate) fn abandon(state: &mut State, leg: Option<Id>, out: &mut Outbox) {
+    let Some(leg) = leg else {
+        return;
+    };
+    let Some(request) = state.entry.requests.get(&leg) else {
+        return;
+    };
+    match &request.phase {
+        Phase::Asking(_) => ask::withdraw(state, &leg, out),
+        Phase::Running(_) => attempt::leave_unused(state, &leg, out),
+        Phase::Claiming | Phase::Waiting => {}
+    }
+    state.entry.remove(&leg);
+}
--- a/crates/kernel/src/request.rs
+++ b/crates/kernel/src/request.rs
@@ -31,6 +31,9 @@
     pub counter: u64,
 }
 
+/// The bits of a counter below this one count requests, the others the targets of one request.
+const LEG_SHIFT: u32 = 48;
+
 impl Id {
     /// The id of request number `counter` of one incarnation of `vm`.
     ///
@@ -44,6 +47,36 @@
     pub fn new(vm: &str, incarnation: Incarnation, counter: u64) -> Id {
         Id { vm: vm.into(), incarnation, counter }
     }
+
+    /// The id under which the request goes on at its next target.
+    ///
+    /// The counts of targets and of requests share the counter, so that either can be told from
+    /// the id alone.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::ids::Incarnation;
+    /// use hornbeamloom_kernel::request::Id;
+    ///
+    /// let id = Id::new("entry-1", Incarnation(1), 0x2a);
+    /// assert_ne!(id.next_leg(), id);
+    /// assert_eq!(id.next_leg().first_leg(), id);
+    /// ```
+    pub fn next_leg(&self) -> Id {
+        Id { counter: self.counter.wrapping_add(1 << LEG_SHIFT), ..self.clone() }
+    }
+
+    /// The id that the request had at its first target.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::ids::Incarnation;
+    /// use hornbeamloom_kernel::request::Id;
+    ///
+    /// let id = Id::new("entry-1", Incarnation(1), 7);
+    /// assert_eq!(id.next_leg().next_leg().first_leg(), id);
+    /// ```
+    pub fn first_leg(&self) -> Id {
+        Id { counter: self.counter & ((1 << LEG_SHIFT) - 1), ..self.clone() }
+    }
 }
 
 impl fmt::Display for Id {
@@ -87,6 +120,8 @@
 pub enum Repeat<'a> {
     /// It may be run any number of times.
     Free,
+    /// It runs at most once, and its caller never sends it again under the same id.
+    Single,
     /// It runs at most once; the key identifies repeats by the caller.
     Once {
         /// The caller's idempotency key, or one generated for this single attempt.
@@ -113,6 +148,25 @@
     pub prefixes: &'a [u64],
     /// Whether the request may be run again.
     pub repeat: Repeat<'a>,
+    /// What the route that it came by says about it.
+    pub terms: Terms,
+}
+
+/// What a route says about its requests, beyond the service that they are for.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Terms {
+    /// Rank, 0 first; the class of the request decides if absent.
+    pub priority: Option<u8>,
+    /// Longest wait for a start in milliseconds; that of the service if absent.
+    pub patience_ms: Option<u64>,
+    /// Targets on which it may run; unlimited if absent.
+    pub attempts: Option<u32>,
+    /// It asks another pool at once where one cannot start it at once.
+    pub spills: bool,
+    /// It goes to zones in proportion to their targets, not to its VM's zone first.
+    pub spreads: bool,
+    /// It can go on at another target from the memory of its generation.
+    pub relocates: bool,
 }
 
 /// How one attempt at a target ended.
@@ -123,6 +177,10 @@
     Complete,
     /// Nothing was sent to the target.
     Unsent,
+    /// The target answered that it failed.
+    Failed,
+    /// The generation goes on at another target.
+    Moved,
     /// The target refused before running anything, for example because it was full.
     Rejected,
     /// The attempt broke and could not be resumed.
--- a/crates/kernel/src/resource.rs
+++ b/crates/kernel/src/resource.rs
@@ -19,18 +19,21 @@
     Target,
     /// Limits, policy and wanted models.
     Configuration,
+    /// A host and path prefix under which services are called.
+    Route,
 }
 
 impl Kind {
     /// Every kind, in the order in which a file of resources is applied.
     ///
     /// A kind refers only to kinds that stand before it, so references have no cycles.
-    pub const ALL: [Kind; 5] = [
+    pub const ALL: [Kind; 6] = [
         Kind::Configuration,
         Kind::AvailabilityZone,
         Kind::Service,
         Kind::Organisation,
         Kind::Target,
+        Kind::Route,
     ];
 
     /// The lower-case plural used in paths and keys.
@@ -47,6 +50,7 @@
             Kind::AvailabilityZone => "availabilityzones",
             Kind::Target => "targets",
             Kind::Configuration => "configurations",
+            Kind::Route => "routes",
         }
     }
 
@@ -105,6 +109,8 @@
     Target(Target),
     /// A configuration.
     Configuration(Configuration),
+    /// A route.
+    Route(Route),
 }
 
 impl Spec {
@@ -122,6 +128,7 @@
             Spec::AvailabilityZone(_) => Kind::AvailabilityZone,
             Spec::Target(_) => Kind::Target,
             Spec::Configuration(_) => Kind::Configuration,
+            Spec::Route(_) => Kind::Route,
         }
     }
 }
@@ -140,6 +147,9 @@
     /// Services that it may call; empty allows all.
     #[serde(default)]
     pub services: Vec<Name>,
+    /// Rank of its requests, 0 first; it goes before the rank of a route.
+    #[serde(default)]
+    pub priority: Option<u8>,
 }
 
 /// What kind of back ends a service has.
@@ -174,6 +184,9 @@
     /// The configuration that governs the service; the one named `default` if absent.
     #[serde(default)]
     pub configuration: Option<Name>,
+    /// Targets can copy the memory of a running generation to each other.
+    #[serde(default)]
+    pub relocatable: bool,
 }
 
 /// Whether a zone takes part in serving.
@@ -217,6 +230,9 @@
     /// Concurrent requests it can carry when warm.
     #[serde(default = "warm_limit")]
     pub warm_limit: u32,
+    /// Requests that it can be sent in a second during cold start; zero for no limit.
+    #[serde(default)]
+    pub cold_rate: u32,
     /// KV cache size in tokens; zero for plain services (no KV limit).
     #[serde(default)]
     pub kv_tokens: u64,
@@ -231,6 +247,64 @@
     pub role: Option<Name>,
 }
 
+/// A service that a route leads to, and its share of the route's requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "camelCase", deny_unknown_fields)]
+pub struct Share {
+    /// The service.
+    pub service: Name,
+    /// Its weight among the services of the route.
+    #[serde(default = "one")]
+    pub weight: u32,
+}
+
+/// Whether a request of a route may be run again.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub enum Rerun {
+    /// It may run any number of times.
+    Allowed,
+    /// It runs at most once.
+    #[default]
+    Never,
+}
+
+/// A host and path prefix under which services are called.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "camelCase", deny_unknown_fields)]
+pub struct Route {
+    /// Value of the `Host` header.
+    pub host: String,
+    /// Start of the path, with a slash at both ends; the longest one that fits applies.
+    pub path_prefix: String,
+    /// The services that it leads to.
+    pub shares: Vec<Share>,
+    /// Whether a request may be run again.
+    #[serde(default)]
+    pub rerun: Rerun,
+    /// The answer is a stream of events.
+    #[serde(default)]
+    pub streaming: bool,
+    /// Longest time until the answer is complete, in milliseconds.
+    #[serde(default = "timeout_ms")]
+    pub timeout_ms: u64,
+    /// Time within which an answer is on time, for a stream its first event, in milliseconds.
+    #[serde(default = "timeout_ms")]
+    pub target_latency_ms: u64,
+    /// Targets on which one request may run.
+    #[serde(default = "one")]
+    pub attempts: u32,
+    /// Rank of its requests, 0 first.
+    #[serde(default)]
+    pub priority: u8,
+    /// Requests need no caller key.
+    #[serde(default)]
+    pub public: bool,
+}
+
 /// Names of the policies in use at the stages that choose.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -268,6 +342,11 @@
     pub adapters: Vec<Name>,
     /// Engines that may load from the weight store at a time, over all VMs.
     pub load_slots: u32,
+    /// Retries of one service in 10 s, in percent of its requests.
+    pub retry_percent: u32,
+    /// Retries of one service in 10 s that all VMs together may make however few requests arrive;
+    /// three for each VM if absent.
+    pub retry_slack: Option<u32>,
     /// The policies in use.
     pub policy: Policy,
 }
@@ -281,6 +360,8 @@
             models: Vec::new(),
             adapters: Vec::new(),
             load_slots: 2,
+            retry_percent: 10,
+            retry_slack: None,
             policy: Policy::default(),
         }
     }
@@ -298,5 +379,9 @@
     30_000
 }
 
+fn timeout_ms() -> u64 {
+    30_000
+}
+
 /// The resources in force, looked up by key.
 pub type Book = Map<Key, Record>;
--- a/crates/kernel/src/retry.rs
+++ b/crates/kernel/src/retry.rs
@@ -3,32 +3,61 @@
 use crate::ids::Millis;
 use crate::kernel::Identity;
 use crate::random;
+use crate::resource::Configuration;
 
 /// Length of one step of the sliding window, in milliseconds.
 const STEP_MS: u64 = 1_000;
 /// Steps in the window: 10 s.
 const STEPS: usize = 10;
-/// Retries allowed in one window however few requests arrive.
+/// Retries of one VM allowed in one window however few requests arrive, where the configuration
+/// states none for the fleet.
 const RETRIES_MIN: u32 = 3;
-/// One retry is allowed for this many arrivals (10 %).
-const ARRIVALS_PER_RETRY: u32 = 10;
 /// Upper bound of the first delay, in milliseconds.
 const BACKOFF_MIN_MS: u64 = 50;
 /// Upper bound of any delay, in milliseconds.
 const BACKOFF_MAX_MS: u64 = 1_000;
 
-/// Limits retries to a tenth of the arrivals of the last 10 s, and to at least 3.
+/// How many retries one VM may make in 10 s.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Allowance {
+    /// In percent of the arrivals.
+    pub percent: u32,
+    /// However few requests arrive.
+    pub least: u32,
+}
+
+impl Allowance {
+    /// The part of one VM among `vms`: its own arrivals, and an equal share of the fleet's slack.
+    ///
+    /// The shares of all VMs stay within the slack whatever VMs fail or are cut off.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::resource::Configuration;
+    /// use hornbeamloom_kernel::retry::Allowance;
+    ///
+    /// let config = Configuration { retry_slack: Some(54), ..Configuration::default() };
+    /// assert_eq!(Allowance::new(&config, 7).least, 7);
+    /// ```
+    pub fn new(config: &Configuration, vms: usize) -> Allowance {
+        let vms = u32::try_from(vms.max(1)).unwrap_or(u32::MAX);
+        let least = config.retry_slack.map_or(RETRIES_MIN, |slack| slack / vms);
+        Allowance { percent: config.retry_percent, least }
+    }
+}
+
+/// Limits retries to a part of the arrivals of the last 10 s.
 ///
 /// Without the limit, a failing pool would receive each request several times and fail for longer.
 ///
 /// ```
 /// use hornbeamloom_kernel::ids::Millis;
-/// use hornbeamloom_kernel::retry::Budget;
+/// use hornbeamloom_kernel::retry::{Allowance, Budget};
 ///
+/// let allowance = Allowance { percent: 10, least: 3 };
 /// let mut budget = Budget::new();
-/// let allowed = (0..5).filter(|_| budget.spend(Millis(0))).count();
+/// let allowed = (0..5).filter(|_| budget.spend(Millis(0), allowance)).count();
 /// assert_eq!(allowed, 3);
-/// assert!(budget.spend(Millis(10_000)));
+/// assert!(budget.spend(Millis(10_000), allowance));
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct Budget {
@@ -54,13 +83,14 @@
     }
 
     /// Takes one retry out of the budget; false if none is left.
-    pub fn spend(&mut self, now: Millis) -> bool {
+    pub fn spend(&mut self, now: Millis, allowance: Allowance) -> bool {
         let oldest = (now.0 / STEP_MS).saturating_sub(STEPS as u64 - 1);
         let window = self.steps.iter().filter(|step| step.index >= oldest);
         let (arrivals, retries) = window.fold((0, 0), |(arrivals, retries), step| {
             (arrivals + step.arrivals, retries + step.retries)
         });
-        let is_allowed = retries < RETRIES_MIN.max(arrivals / ARRIVALS_PER_RETRY);
+        let part = u64::from(arrivals) * u64::from(allowance.percent) / 100;
+        let is_allowed = u64::from(retries) < part.max(u64::from(allowance.least));
         if is_allowed {
             self.step(now).retries += 1;
         }
--- a/crates/kernel/src/route.rs
+++ b/crates/kernel/src/route.rs
@@ -14,8 +14,10 @@
     pub intent: &'a Intent,
     /// Owners of pools.
     pub members: &'a member::Table,
-    /// This VM's zone.
+    /// The zone that is preferred: this VM's, or that of a generation which moves.
     pub zone: &'a str,
+    /// Zones are tried in proportion to their targets, without a preference.
+    pub spreads: bool,
     /// Owners that do not answer at present.
     pub silent: &'a [Name],
 }
@@ -69,9 +71,46 @@
     let count = zones.len().max(1);
     zones.rotate_left(shift % count);
     zones.sort_by_key(|zone| distance(view, zone));
+    if view.spreads {
+        prefer_drawn(view, ask, &mut zones);
+    }
     zones
 }
 
+/// Puts one zone of the region first, drawn in proportion to the targets of the zones.
+///
+/// Callers are not spread evenly over zones, and a target that leaves takes less with it where all
+/// carry alike.
+fn prefer_drawn(view: &View<'_>, ask: &Ask, zones: &mut [Name]) {
+    let near = zones.iter().filter(|zone| distance(view, zone) != Distance::Far).count();
+    let weights: Vec<u64> =
+        zones[..near].iter().map(|zone| usable(view, ask, zone).count() as u64).collect();
+    let total: u64 = weights.iter().sum();
+    let Some(mut left) = draw(ask.id.counter, ask.fingerprint).checked_rem(total) else {
+        return;
+    };
+    let drawn = weights.iter().position(|&weight| {
+        let is_drawn = left < weight;
+        left = left.saturating_sub(weight);
+        is_drawn
+    });
+    if let Some(drawn) = drawn {
+        zones[..=drawn].rotate_right(1);
+    }
+}
+
+/// The targets of a zone that may take the request as far as this VM knows.
+fn usable<'a>(
+    view: &View<'a>,
+    ask: &'a Ask,
+    zone: &str,
+) -> impl Iterator<Item = &'a crate::resource::Target> {
+    let targets = view.intent.pool_targets(&ask.pool.service, zone);
+    targets
+        .filter(|(name, target)| !target.leaving && !ask.exclude.contains(name))
+        .map(|(_, target)| target)
+}
+
 fn distance(view: &View<'_>, zone: &str) -> Distance {
     if zone == view.zone {
         return Distance::Own;
--- a/crates/kernel/src/schedule.rs
+++ b/crates/kernel/src/schedule.rs
@@ -114,7 +114,9 @@
             None => head.arrived.0,
         });
         let arrived = head.map(|head| head.arrived);
-        (rank, class, arrived, &organisations[ix].name)
+        // A generation whose target leaves has less time than a request that has not started.
+        let is_new = head.is_none_or(|head| head.ask.made == 0);
+        (is_new, rank, class, arrived, &organisations[ix].name)
     });
     heads
 }
@@ -166,6 +168,9 @@
         prefixes: Vec::new(),
         waited_ms: 0,
         patience_ms: 0,
+        priority: None,
+        spills: false,
+        made: 0,
         exclude: Vec::new(),
     };
     let held = view.pool.reserved.as_ref().map(|held| held.target);
@@ -244,6 +249,7 @@
     pool.turns += 1;
     let slot = &mut pool.targets[choice.target];
     slot.turn = pool.turns;
+    slot.note_start(now);
     let grant = Grant {
         pool: pool.key.clone(),
         id: ask.id.clone(),
@@ -251,7 +257,7 @@
         target: slot.name.clone(),
         address: slot.spec.address.clone(),
         fence: pool.rights.fence(),
-        priority: ask.class as i32,
+        priority: ask.priority.map_or(ask.class as i32, i32::from),
     };
     let mut running = Running::new(ask, choice.target, now);
     running.grant = Some(grant.clone());
--- a/crates/kernel/src/target.rs
+++ b/crates/kernel/src/target.rs
@@ -20,6 +20,8 @@
 const SLOW_ROW: u32 = 3;
 /// First-token times kept for the median.
 const FIRST_TOKENS: usize = 32;
+/// Time in which `Target.cold_rate` starts are allowed, in milliseconds.
+const COLD_WINDOW: u64 = 1_000;
 /// Fewer first-token times give no median.
 const FIRST_TOKENS_MIN: usize = 8;
 /// A target that refused a request gets no other for this time, in milliseconds.
@@ -125,6 +127,13 @@
         Ramp { limit: spec.warm_limit, answers: 0, warm: true }
     }
 
+    /// Ends a ramp that has reached the warm limit; its target reports warm.
+    fn finish(&mut self, spec: &resource::Target) {
+        if self.limit >= spec.warm_limit {
+            *self = Ramp::warm(spec);
+        }
+    }
+
     /// Counts a successful answer of a target that reports warm.
     fn answered(&mut self, spec: &resource::Target) {
         if self.warm {
@@ -135,9 +144,7 @@
             self.answers = 0;
             self.limit = self.limit.saturating_mul(2);
         }
-        if self.limit >= spec.warm_limit {
-            *self = Ramp::warm(spec);
-        }
+        self.finish(spec);
     }
 }
 
@@ -215,6 +222,8 @@
     gone: bool,
     prefixes: Set<u64>,
     next_event: u64,
+    /// Starts of the last second during cold start.
+    cold_starts: VecDeque<Millis>,
 }
 
 impl Slot {
@@ -248,6 +257,7 @@
             gone: false,
             prefixes: Set::default(),
             next_event: 0,
+            cold_starts: VecDeque::new(),
         }
     }
 
@@ -306,6 +316,24 @@
         self.kv.max(self.kv_shown(now))
     }
 
+    /// Notes the start of a request.
+    pub(crate) fn note_start(&mut self, now: Millis) {
+        while self.cold_starts.front().is_some_and(|&at| now.since(at) >= COLD_WINDOW) {
+            self.cold_starts.pop_front();
+        }
+        if self.phase() == Some(Phase::Cold) && self.spec.cold_rate > 0 {
+            self.cold_starts.push_back(now);
+        }
+    }
+
+    /// Whether a cold target has been sent as many requests in the last second as it can carry.
+    pub(crate) fn is_cold_rate_reached(&self, now: Millis) -> bool {
+        let recent = self.cold_starts.iter().filter(|&&at| now.since(at) < COLD_WINDOW).count();
+        self.phase() == Some(Phase::Cold)
+            && self.spec.cold_rate > 0
+            && recent >= self.spec.cold_rate as usize
+    }
+
     /// Enters granted work.
     pub(crate) fn add(&mut self, id: &Id, class: Class, kv: u64) {
         if self.work.insert(id.clone()) {
@@ -393,6 +421,9 @@
         if std::mem::take(&mut self.hinted) && report.phase == Phase::Warm && !restarted {
             self.ramp = Ramp::warm(&self.spec);
         }
+        if report.phase == Phase::Warm && !self.slow_while_warm {
+            self.ramp.finish(&self.spec);
+        }
         self.absence.down = false;
         self.foreign = self.beyond_grants(report, now);
         match known {
@@ -468,9 +499,14 @@
         let start = self.seen.as_ref().map(|seen| seen.report.start_id);
         match start {
             Some(start) if self.died != Some(start) => {
+                // The end of a target that was about to leave says nothing about its requests.
+                let is_crash = !self.is_leaving();
                 self.died = Some(start);
                 self.reset_ramp();
-                Finding::Died(start)
+                match is_crash {
+                    true => Finding::Died(start),
+                    false => Finding::None,
+                }
             }
             None => self.unseen_death(),
             _ => Finding::None,
--- a/crates/kernel/src/validate.rs
+++ b/crates/kernel/src/validate.rs
@@ -7,7 +7,8 @@
 use crate::ids::Name;
 use crate::plugin::policy::{self, Stage};
 use crate::resource::{
-    AvailabilityZone, Book, Configuration, Key, Kind, Organisation, Record, Service, Spec, Target,
+    AvailabilityZone, Book, Configuration, Key, Kind, Organisation, Record, Route, Service, Spec,
+    Target,
 };
 
 /// Largest record or document in bytes.
@@ -17,6 +18,12 @@
 const NAME_MAX: usize = 63;
 /// Longest caller key, model or adapter name in bytes.
 const TEXT_MAX: usize = 256;
+/// Longest host or path prefix of a route in bytes.
+const PATH_MAX: usize = 1_024;
+/// Greatest weight of a service within a route.
+const SHARE_MAX: u32 = 1_000_000;
+/// Greatest rank of requests, as far as engines tell ranks apart.
+const PRIORITY_MAX: u8 = 9;
 /// Most labels of one resource.
 const LABELS_MAX: usize = 64;
 /// Longest queue deadline: one hour in milliseconds.
@@ -98,6 +105,7 @@
         Spec::AvailabilityZone(spec) => zone(spec, &mut faults),
         Spec::Target(spec) => target(spec, &mut faults),
         Spec::Configuration(spec) => configuration(spec, &mut faults),
+        Spec::Route(spec) => route(spec, &mut faults),
     }
     for reference in references(spec) {
         if !exists(&reference.key, book) {
@@ -143,6 +151,14 @@
             one("spec.service", Kind::Service, &spec.service),
             one("spec.zone", Kind::AvailabilityZone, &spec.zone),
         ],
+        Spec::Route(spec) => {
+            let shares = spec.shares.iter().enumerate();
+            shares
+                .map(|(ix, share)| {
+                    one(&format!("spec.shares[{ix}]"), Kind::Service, &share.service)
+                })
+                .collect()
+        }
         Spec::AvailabilityZone(_) | Spec::Configuration(_) => Vec::new(),
     }
 }
@@ -242,6 +258,7 @@
 
 fn organisation(spec: &Organisation, faults: &mut Faults) {
     faults.range("spec.weight", spec.weight, 1..=1_000);
+    faults.range("spec.priority", spec.priority.unwrap_or(0), 0..=PRIORITY_MAX);
     for (ix, key) in spec.keys.iter().enumerate() {
         faults.text(&format!("spec.keys[{ix}]"), key);
     }
@@ -284,6 +301,8 @@
     faults.range("spec.poolQueue", spec.pool_queue, 1..=COUNT_MAX);
     faults.range("spec.kvPercent", spec.kv_percent, 1..=100);
     faults.range("spec.loadSlots", spec.load_slots, 0..=1_000);
+    faults.range("spec.retryPercent", spec.retry_percent, 0..=100);
+    faults.range("spec.retrySlack", spec.retry_slack.unwrap_or(0), 0..=COUNT_MAX);
     for (ix, model) in spec.models.iter().enumerate() {
         let field = format!("spec.models[{ix}]");
         faults.text(&field, model);
@@ -298,6 +317,32 @@
     policies(&spec.policy, faults);
 }
 
+fn route(spec: &Route, faults: &mut Faults) {
+    let is_host = !spec.host.is_empty()
+        && spec.host.len() <= PATH_MAX
+        && spec.host.bytes().all(|byte| byte.is_ascii_graphic());
+    if !is_host {
+        faults.add("spec.host", "expected a host name");
+    }
+    let path = &spec.path_prefix;
+    if !path.starts_with('/') || !path.ends_with('/') || path.len() > PATH_MAX {
+        faults.add("spec.pathPrefix", "expected a path with a slash at both ends");
+    }
+    if spec.shares.is_empty() {
+        faults.add("spec.shares", "expected at least one service");
+    }
+    for (ix, share) in spec.shares.iter().enumerate() {
+        faults.range(&format!("spec.shares[{ix}].weight"), share.weight, 0..=SHARE_MAX);
+    }
+    if !spec.shares.is_empty() && spec.shares.iter().all(|share| share.weight == 0) {
+        faults.add("spec.shares", "expected a weight above 0");
+    }
+    faults.range("spec.timeoutMs", spec.timeout_ms, 1..=QUEUE_MS_MAX);
+    faults.range("spec.targetLatencyMs", spec.target_latency_ms, 1..=QUEUE_MS_MAX);
+    faults.range("spec.attempts", spec.attempts, 1..=COUNT_MAX);
+    faults.range("spec.priority", spec.priority, 0..=PRIORITY_MAX);
+}
+
 fn policies(spec: &crate::resource::Policy, faults: &mut Faults) {
     let plugins = policy::all();
     let registered = |name: &str, is_stage: fn(&Stage) -> bool| {
--- a/crates/kernel/tests/common/mod.rs
+++ b/crates/kernel/tests/common/mod.rs
@@ -137,8 +137,14 @@
         once_methods: Vec::new(),
         queue_ms: 20_000,
         configuration: None,
+        relocatable: false,
+    };
+    let school = resource::Organisation {
+        weight: 1,
+        keys: Vec::new(),
+        services: Vec::new(),
+        priority: None,
     };
-    let school = resource::Organisation { weight: 1, keys: Vec::new(), services: Vec::new() };
     let mut records = vec![
         record(Kind::Service, "menu", Spec::Service(service)),
         record(Kind::Organisation, "school", Spec::Organisation(school)),
@@ -156,6 +162,7 @@
             address: "127.0.0.1:9".to_owned(),
             cold_limit: 1,
             warm_limit: 8,
+            cold_rate: 0,
             kv_tokens: 100_000,
             fencing: true,
             leaving: false,
@@ -283,6 +290,7 @@
             fingerprint,
             prefixes: &[],
             repeat,
+            terms: Default::default(),
         }));
     }
 
--- a/crates/kernel/tests/entry.rs
+++ b/crates/kernel/tests/entry.rs
@@ -331,6 +331,9 @@
         waited_ms: 0,
         patience_ms: 1_000,
         exclude: Vec::new(),
+        priority: None,
+        spills: false,
+        made: 0,
     };
     for _ in 0..asks {
         world.peer("e3", Message::Ask(ask.clone()));
--- a/crates/kernel/tests/fuzz/bed.rs
+++ b/crates/kernel/tests/fuzz/bed.rs
@@ -199,6 +199,7 @@
             once_methods: Vec::new(),
             queue_ms: QUEUE_MS,
             configuration: None,
+            relocatable: false,
         };
         self.declare("default", Spec::Configuration(configuration));
         self.declare(SERVICE, Spec::Service(service));
@@ -233,6 +234,7 @@
             address: format!("127.0.0.1:{}", 9_000 + ix),
             cold_limit: target.cold_limit,
             warm_limit: 6,
+            cold_rate: 0,
             kv_tokens: 100_000,
             fencing: true,
             leaving: is_leaving && self.fault != Fault::LeavingHidden,
@@ -285,6 +287,7 @@
                     weight: u32::from(weight) + 1,
                     keys: Vec::new(),
                     services: Vec::new(),
+                    priority: None,
                 };
                 self.declare("school", Spec::Organisation(organisation));
             }
@@ -360,6 +363,7 @@
                 fingerprint,
                 prefixes: &[],
                 repeat,
+                terms: Default::default(),
             }),
         );
     }
--- a/crates/kernel/tests/pool/bed.rs
+++ b/crates/kernel/tests/pool/bed.rs
@@ -32,6 +32,7 @@
         address: "127.0.0.1:9000".into(),
         cold_limit,
         warm_limit,
+        cold_rate: 0,
         kv_tokens,
         fencing: true,
         leaving: false,
@@ -220,8 +221,12 @@
     }
 
     pub fn set_weight(&mut self, name: &str, weight: u32) {
-        let organisation =
-            resource::Organisation { weight, keys: Vec::new(), services: Vec::new() };
+        let organisation = resource::Organisation {
+            weight,
+            keys: Vec::new(),
+            services: Vec::new(),
+            priority: None,
+        };
         self.declare(name, Spec::Organisation(organisation));
         self.apply();
     }
@@ -412,6 +417,9 @@
             waited_ms: 0,
             patience_ms: 30_000,
             exclude: Vec::new(),
+            priority: None,
+            spills: false,
+            made: 0,
         }
     }
 
@@ -531,5 +539,6 @@
         once_methods: Vec::new(),
         queue_ms: 30_000,
         configuration: None,
+        relocatable: false,
     }
 }
--- a/crates/kernel/tests/validate.rs
+++ b/crates/kernel/tests/validate.rs
@@ -22,6 +22,7 @@
         weight,
         keys: keys.iter().map(|key| (*key).to_owned()).collect(),
         services: services.iter().map(|name| (*name).into()).collect(),
+        priority: None,
     })
 }
 
@@ -32,6 +33,7 @@
         once_methods: Vec::new(),
         queue_ms: 30_000,
         configuration: None,
+        relocatable: false,
     };
     change(&mut spec);
     Spec::Service(spec)
@@ -50,6 +52,7 @@
         address: "127.0.0.1:9000".to_owned(),
         cold_limit: 1,
         warm_limit: 8,
+        cold_rate: 0,
         kv_tokens: 1_000,
         fencing: false,
         leaving: false,
--- a/crates/wire/src/manifest.rs
+++ b/crates/wire/src/manifest.rs
@@ -194,6 +194,7 @@
         Kind::AvailabilityZone => typed_spec(value, Spec::AvailabilityZone),
         Kind::Target => typed_spec(value, Spec::Target),
         Kind::Configuration => typed_spec(value, Spec::Configuration),
+        Kind::Route => typed_spec(value, Spec::Route),
     }
 }
 
@@ -261,6 +262,7 @@
         Spec::AvailabilityZone(spec) => serde_json::to_value(spec),
         Spec::Target(spec) => serde_json::to_value(spec),
         Spec::Configuration(spec) => serde_json::to_value(spec),
+        Spec::Route(spec) => serde_json::to_value(spec),
     };
     // Specifications hold only texts, numbers, booleans and lists of them.
     value.unwrap_or_default()
--- a/crates/wire/src/sse.rs
+++ b/crates/wire/src/sse.rs
@@ -24,6 +24,15 @@
     Comment,
 }
 
+/// One block of a stream, up to and with the blank line that ends it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Block<'a> {
+    /// The last `id` field.
+    pub id: Option<&'a str>,
+    /// The bytes as they were received.
+    pub bytes: &'a [u8],
+}
+
 /// The stream cannot be read on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(thiserror::Error)]
@@ -93,6 +102,35 @@
         Ok(Some(item(text)))
     }
 
+    /// The next complete block as it was received, with its `id` field, or `None` until more bytes
+    /// are pushed.
+    ///
+    /// # Errors
+    ///
+    /// As [`Parser::next_item`].
+    ///
+    /// ```
+    /// use hornbeamloom_wire::sse::{Block, Parser};
+    ///
+    /// let mut parser = Parser::new(1024);
+    /// parser.push(b"id: 7\ndata: a\n\nid: 8\n");
+    /// let block = parser.next_block().unwrap().unwrap();
+    /// assert_eq!(block, Block { id: Some("7"), bytes: b"id: 7\ndata: a\n\n" });
+    /// assert_eq!(parser.next_block(), Ok(None));
+    /// assert_eq!(parser.held(), 6);
+    /// ```
+    pub fn next_block(&mut self) -> Result<Option<Block<'_>>, Error> {
+        let begin = self.start;
+        if self.next_item()?.is_none() {
+            return Ok(None);
+        }
+        let bytes = &self.buf[begin..self.start];
+        let text = std::str::from_utf8(bytes).map_err(|_| Error::Encoding)?;
+        let mut ids = text.lines().filter_map(|line| line.strip_prefix("id:"));
+        let id = ids.next_back().map(|id| id.strip_prefix(' ').unwrap_or(id));
+        Ok(Some(Block { id, bytes }))
+    }
+
     /// The end of the next block and the start of the one after it.
     fn block(&mut self) -> Option<(usize, usize)> {
         let mut line = self.scanned.max(self.start);
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -75,6 +75,9 @@
         waited_ms: 10,
         patience_ms: 30_000,
         exclude: vec!["engine-1".into()],
+        priority: None,
+        spills: false,
+        made: 0,
     }
 }
 
--- a/src/bin/hornbeamloomd.rs
+++ b/src/bin/hornbeamloomd.rs
@@ -2,6 +2,9 @@
 
 use std::process::ExitCode;
 
+// Linked for the adapter that it registers.
+use hornbeamloom_platform as _;
+
 fn main() -> ExitCode {
     hornbeamloom_daemon::run::main(&argh::from_env())
 }
