Give the platform's adapter a stand-in and tests with real processes

Found by them and mended: a copy whose generation went on without waiting for the order's answer was freed when that answer came, so that a refusing next engine lost the generation; and such a generation was offered only once to the next engine and the one that had stopped.

Kernel cases cover legs of a moving generation, discovered targets, routes, spilling and the rate of cold starts.

--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -468,7 +468,7 @@
 ///
 /// They lie below the ports that the system gives to outgoing connections and to port 0, so that
 /// nothing else takes them before the daemon does. Each is given out once by this process.
-fn free_addresses(count: usize) -> Result<Vec<SocketAddr>, Error> {
+pub(crate) fn free_addresses(count: usize) -> Result<Vec<SocketAddr>, Error> {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let mut addresses = Vec::new();
     for _ in 0..PORTS.len() {
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -10,8 +10,11 @@
 //! ```
 
 pub mod cluster;
+pub mod fleet;
+pub mod model;
 pub mod process;
 pub mod role;
+pub mod rows;
 pub mod slope;
 
 mod batch;
--- a/crates/daemon/src/flow.rs
+++ b/crates/daemon/src/flow.rs
@@ -28,6 +28,12 @@
 /// before the answer that says so.
 const DRAIN: Duration = Duration::from_millis(300);
 
+/// Times that a generation is offered to its next target and to the one that stopped. Either may
+/// refuse while the rest of the memory is on its way, and a refused offer has not run.
+const RESUMES: u32 = 3;
+/// Time between two such offers, in which a copy of what was made meanwhile arrives.
+const RESUME_PAUSE: Duration = Duration::from_millis(100);
+
 /// A request as an adapter hands it over.
 #[derive(Debug)]
 pub struct Request {
@@ -377,6 +383,8 @@
     stops: bool,
     /// The copy made while the source went on.
     handle: Option<String>,
+    /// The generation goes on from the copy without the answer to this order.
+    is_used: Arc<AtomicBool>,
     result: oneshot::Receiver<Result<Copied, CopyFault>>,
 }
 
@@ -426,7 +434,7 @@
         let source = leg.start.address.clone();
         // The old connection must be gone before another target carries the generation.
         drop(leg.events);
-        let point = Point { source, handle, last: run.last };
+        let point = Point { source, handle: handle.clone(), last: run.last };
         let gone_on = tokio::select! {
             gone_on = go_on(&link.open, &leg.start, next.clone(), point) => gone_on,
             _ = run.caller.left() => return,
@@ -443,6 +451,7 @@
                 leg = Leg { start: leg.start, events: opened.events };
             }
             None => {
+                run.free(&leg.start, Some(handle));
                 run.session.ended(&next, End::Unsent, None);
                 return run.fail(&leg.start).await;
             }
@@ -469,16 +478,26 @@
     OF: Future<Output = Open<A, S>>,
 {
     let is_elsewhere = next.id != stopped.id;
-    match open(next.clone(), Some(point.clone())).await {
-        Open::Stream(opened) => return Some(Resumed { events: opened.events, is_back: false }),
-        Open::Other(Reply::Rejected | Reply::Unsent) if is_elsewhere => {}
-        Open::Other(_) => return None,
-    }
-    log::warn!("request={} target={} did not go on with the copy", next.id, next.target);
-    match open(stopped.clone(), Some(point)).await {
-        Open::Stream(opened) => Some(Resumed { events: opened.events, is_back: true }),
-        Open::Other(_) => None,
+    for round in 0..RESUMES {
+        if round > 0 {
+            tokio::time::sleep(RESUME_PAUSE).await;
+        }
+        match open(next.clone(), Some(point.clone())).await {
+            Open::Stream(opened) => return Some(Resumed { events: opened.events, is_back: false }),
+            Open::Other(Reply::Rejected | Reply::Unsent) => {}
+            Open::Other(_) => return None,
+        }
+        log::warn!("request={} target={} did not go on with the copy", next.id, next.target);
+        if !is_elsewhere {
+            continue;
+        }
+        match open(stopped.clone(), Some(point.clone())).await {
+            Open::Stream(opened) => return Some(Resumed { events: opened.events, is_back: true }),
+            Open::Other(Reply::Rejected | Reply::Unsent) => {}
+            Open::Other(_) => return None,
+        }
     }
+    None
 }
 
 /// Opens the stream at its first target; `None` if the caller has its answer or went away.
@@ -629,13 +648,16 @@
         let destination = start.address.clone();
         let order = Copy { source: source.clone(), destination, stops };
         let (copy, release) = (self.copy.clone(), self.release.clone());
+        let is_used = Arc::new(AtomicBool::new(false));
+        let is_needed = is_used.clone();
         tokio::spawn(async move {
             let result = copy(order).await;
-            if let Err(Ok(unused)) = done.send(result) {
+            let unused = done.send(result).err().and_then(Result::ok);
+            if let Some(unused) = unused.filter(|_| !is_needed.load(Ordering::Relaxed)) {
                 release(source, unused.handle).await;
             }
         });
-        Transfer { start, stops, handle, result }
+        Transfer { start, stops, handle, is_used, result }
     }
 
     /// Goes on after a copy was made or refused.
@@ -668,7 +690,7 @@
             }
             _ => {
                 self.session.ended(&done.start, End::Unsent, None);
-                self.free(leg, done.handle);
+                self.free(&leg.start, done.handle);
                 Step::Wait(None)
             }
         }
@@ -702,19 +724,22 @@
         // A target that has stopped by order breaks its stream off at once, while the rest of its
         // memory may wait long for the link. The next target reads what the copy lacks by itself.
         match transfer.handle {
-            Some(handle) => Next::Go(transfer.start, handle),
+            Some(handle) => {
+                transfer.is_used.store(true, Ordering::Relaxed);
+                Next::Go(transfer.start, handle)
+            }
             None => Next::Cut,
         }
     }
 
     /// Frees the copy of a generation that ended.
     fn drop_copy<S>(&self, leg: &Leg<S>, transfer: Option<Transfer>) {
-        self.free(leg, transfer.and_then(|transfer| transfer.handle));
+        self.free(&leg.start, transfer.and_then(|transfer| transfer.handle));
     }
 
-    fn free<S>(&self, leg: &Leg<S>, handle: Option<String>) {
+    fn free(&self, source: &Start, handle: Option<String>) {
         if let Some(handle) = handle {
-            let release = (self.release)(leg.start.address.clone(), handle);
+            let release = (self.release)(source.address.clone(), handle);
             tokio::spawn(release);
         }
     }
--- a/crates/kernel/src/accounting.rs
+++ b/crates/kernel/src/accounting.rs
@@ -52,15 +52,17 @@
     join(state, from, ask, now, out);
     schedule::run(state, &ask.pool, now, out);
     if ask.spills {
-        spill(state, from, ask, out);
+        spill(state, from, ask, now, out);
     }
 }
 
 /// Sends a request that could not start at once to another pool.
-fn spill(state: &mut State, from: &str, ask: &Ask, out: &mut Outbox) {
+fn spill(state: &mut State, from: &str, ask: &Ask, now: Millis, out: &mut Outbox) {
     let queue = state.pools.get_mut(&ask.pool).map(|pool| &mut pool.queue);
     if queue.and_then(|queue| queue.remove(&ask.id)).is_some() {
-        refuse(&from.into(), &ask.id, ask.attempt, Refusal::new(Reason::Busy), out);
+        let refusal = Refusal::new(Reason::Busy);
+        state.log.note(now, &ask.id, format!("refused: {}", refusal.reason.as_str()));
+        refuse(&from.into(), &ask.id, ask.attempt, refusal, out);
     }
 }
 
--- a/crates/kernel/tests/common/mod.rs
+++ b/crates/kernel/tests/common/mod.rs
@@ -15,7 +15,7 @@
 use hornbeamloom_kernel::outcome::{Counter, Outcome, Reason, Refusal};
 use hornbeamloom_kernel::peer::{Delta, Entry, Gossip, Grant, Message, Standing, Suspect};
 use hornbeamloom_kernel::pool;
-use hornbeamloom_kernel::request::{End, Id, Repeat, View};
+use hornbeamloom_kernel::request::{End, Id, Repeat, Terms, View};
 use hornbeamloom_kernel::resource::{self, Kind, Record, Spec};
 use hornbeamloom_kernel::store::{Call, Key, Stored, Value, Write};
 
@@ -40,6 +40,16 @@
 pub enum Do {
     /// Request `n` arrives.
     Arrive(u64),
+    /// Request `n` of a route, whose generation can move.
+    Routed(u64),
+    /// `from` grants a target for the next leg of request `n`.
+    GrantLeg(u64, &'static str, &'static str),
+    /// `from` refuses the next leg of request `n`.
+    RefuseLeg(u64, &'static str, Reason),
+    /// The next leg of request `n` ends.
+    EndLeg(u64, End),
+    /// The generation goes on in its next leg.
+    Moved(u64, u32),
     /// Request `n` with an idempotency key and a body.
     Once(u64, &'static str, u64),
     /// Request `n` with a body.
@@ -91,6 +101,8 @@
     pub trace: Vec<String>,
     pub table: HashMap<Key, (u64, Value)>,
     pub outcomes: Vec<Outcome>,
+    /// Bound on the output of requests that arrive.
+    pub max_tokens: u32,
     store: Store,
     held: Vec<Call>,
     lost: Vec<Write>,
@@ -107,6 +119,21 @@
     Id::new("e1", Incarnation(1), n)
 }
 
+/// The number of a request, and of its leg beyond the first.
+fn label(id: &Id) -> String {
+    let first = id.first_leg().counter;
+    let mut leg = id.first_leg();
+    let mut number = 0;
+    while leg != *id {
+        leg = leg.next_leg();
+        number += 1;
+    }
+    match number {
+        0 => first.to_string(),
+        number => format!("{first}/{number}"),
+    }
+}
+
 pub fn stored() -> Stored {
     Stored { status: 200, content_type: "text/plain".to_owned(), body: Some(b"done".to_vec()) }
 }
@@ -190,6 +217,7 @@
             trace: Vec::new(),
             table: HashMap::new(),
             outcomes: Vec::new(),
+            max_tokens: 100,
             store: Store::Up,
             held: Vec::new(),
             lost: Vec::new(),
@@ -281,27 +309,35 @@
     }
 
     fn arrive(&mut self, n: u64, fingerprint: u64, repeat: Repeat<'_>) {
+        self.arrive_by(n, fingerprint, repeat, Terms::default());
+    }
+
+    fn arrive_by(&mut self, n: u64, fingerprint: u64, repeat: Repeat<'_>, terms: Terms) {
         self.handle(Event::Arrive(View {
             id: &id(n),
             organisation: "school",
             service: "menu",
             prompt_tokens: 10,
-            max_tokens: Some(100),
+            max_tokens: Some(self.max_tokens),
             fingerprint,
             prefixes: &[],
             repeat,
-            terms: Default::default(),
+            terms,
         }));
     }
 
     fn grant(&mut self, n: u64, attempt: u32, from: &str, target: &str) {
+        self.grant_id(id(n), attempt, from, target);
+    }
+
+    fn grant_id(&mut self, id: Id, attempt: u32, from: &str, target: &str) {
         let zone = self.records.iter().find_map(|record| match &record.spec {
             Some(Spec::Target(spec)) if *record.key.name == *target => Some(spec.zone.clone()),
             _ => None,
         });
         let grant = Grant {
             pool: pool::Key::new("menu", &zone.expect("a declared target")),
-            id: id(n),
+            id,
             attempt,
             target: target.into(),
             address: "127.0.0.1:9".to_owned(),
@@ -342,6 +378,30 @@
     fn step(&mut self, step: Do) {
         match step {
             Do::Arrive(n) => self.arrive(n, n, Repeat::Free),
+            Do::Routed(n) => {
+                let terms = Terms { spills: true, relocates: true, ..Terms::default() };
+                self.arrive_by(n, n, Repeat::Single, terms);
+            }
+            Do::GrantLeg(n, from, target) => {
+                let leg = id(n).next_leg();
+                let attempt = self.attempt(leg.counter);
+                self.grant_id(leg, attempt, from, target);
+            }
+            Do::RefuseLeg(n, from, reason) => {
+                let id = id(n).next_leg();
+                let (attempt, refusal) = (self.attempt(id.counter), Refusal::new(reason));
+                self.peer(from, Message::Refuse { id, attempt, refusal });
+            }
+            Do::EndLeg(n, end) => {
+                let id = &id(n).next_leg();
+                let attempt = self.attempt(id.counter);
+                let (tokens, first_token_ms, stored) = (0, None, None);
+                self.handle(Event::Ended { id, attempt, end, tokens, first_token_ms, stored });
+            }
+            Do::Moved(n, tokens) => {
+                let (from, to) = (&id(n), &id(n).next_leg());
+                self.handle(Event::Moved { from, to, tokens });
+            }
             Do::Body(n, body) => self.arrive(n, body, Repeat::Free),
             Do::Once(n, key, body) => self.arrive(n, body, Repeat::Once { key }),
             Do::Grant(n, from, target) => self.grant(n, self.attempt(n), from, target),
@@ -423,10 +483,13 @@
     fn note(&mut self, outcome: &Outcome) {
         let line = match outcome {
             Outcome::Start(start) => {
-                Some(format!("start {} on {}", start.id.counter, start.target))
+                Some(format!("start {} on {}", label(&start.id), start.target))
+            }
+            Outcome::Move { from, start } => {
+                Some(format!("move {} to {} on {}", label(from), label(&start.id), start.target))
             }
             Outcome::Refuse { id, refusal } => {
-                Some(format!("refuse {} {:?} ran {:?}", id.counter, refusal.reason, refusal.ran))
+                Some(format!("refuse {} {:?} ran {:?}", label(id), refusal.reason, refusal.ran))
             }
             Outcome::Replay { id, .. } => Some(format!("replay {}", id.counter)),
             Outcome::Count(Counter::Retry(retry)) => Some(format!("retry {retry:?}")),
@@ -451,12 +514,14 @@
                     true => String::new(),
                     false => format!(" but {}", but.join(" ")),
                 };
-                Some(format!("ask {to} for {}{but}", ask.id.counter))
+                Some(format!("ask {to} for {}{but}", label(&ask.id)))
             }
-            Message::Withdraw { id, .. } => Some(format!("withdraw {} from {to}", id.counter)),
+            Message::Withdraw { id, .. } => Some(format!("withdraw {} from {to}", label(id))),
             Message::Release(release) => Some(format!(
                 "release {} on {} {:?} to {to}",
-                release.id.counter, release.target, release.end
+                label(&release.id),
+                release.target,
+                release.end
             )),
             Message::Inventory { running, .. } => {
                 Some(format!("inventory of {} to {to}", running.len()))
--- a/crates/kernel/tests/pool/bed.rs
+++ b/crates/kernel/tests/pool/bed.rs
@@ -507,6 +507,7 @@
     /// The refusals noted for a request, by reason.
     pub fn refusal(&self, id: &Id) -> Option<Reason> {
         let reasons = [
+            Reason::Busy,
             Reason::OrganisationQueue,
             Reason::PoolQueue,
             Reason::QueueDeadline,
--- a/crates/kernel/tests/pool/main.rs
+++ b/crates/kernel/tests/pool/main.rs
@@ -7,4 +7,5 @@
 mod memory;
 mod policy;
 mod queue;
+mod spill;
 mod takeover;
--- /dev/null
+++ b/crates/kernel/tests/relocate.rs
@@ -0,0 +1,122 @@
+//! The entry VM's side of a generation whose target leaves.
+
+mod common;
+
+use common::{Do, World};
+use hornbeamloom_kernel::outcome::{Outcome, Reason};
+use hornbeamloom_kernel::peer::{Ask, Message};
+use hornbeamloom_kernel::request::End;
+
+/// Runs a script with long outputs and compares everything that the VM did after the start.
+fn does(steps: &[Do], expected: &[&str]) {
+    let mut world = World::new();
+    world.max_tokens = 2_000;
+    world.run(&[Do::Routed(1), Do::Grant(1, "e2", "t1"), Do::Began(1)]);
+    let before = world.trace.len();
+    world.run(steps);
+    let progress = |line: &&String| !line.starts_with("progress");
+    let trace: Vec<&String> = world.trace[before..].iter().filter(progress).collect();
+    assert_eq!(trace, expected);
+}
+
+hornbeamloom_kernel::cases! {
+    does;
+
+    // The generation would end with its engine.
+    a_target_that_leaves_makes_the_next_leg_ask: (
+        &[Do::Progress(1, 40), Do::Leaving("t1")],
+        &["ask e2 for 1/1 but t1"],
+    );
+    // The traffic task would not hear where the generation goes on.
+    a_grant_for_the_leg_moves_the_generation: (
+        &[Do::Leaving("t1"), Do::GrantLeg(1, "e2", "t2")],
+        &["ask e2 for 1/1 but t1", "move 1 to 1/1 on t2"],
+    );
+    // The left target would be charged for ever, or the caller would get a second answer.
+    a_moved_generation_frees_its_old_target_and_ends_once: (
+        &[
+            Do::Leaving("t1"), Do::GrantLeg(1, "e2", "t2"), Do::Moved(1, 40),
+            Do::EndLeg(1, End::Complete),
+        ],
+        &[
+            "ask e2 for 1/1 but t1", "move 1 to 1/1 on t2", "release 1 on t1 Moved to e2",
+            "release 1/1 on t2 Complete to e2",
+        ],
+    );
+    // A full zone would cost the generation its life although another zone has room.
+    a_leg_that_finds_no_room_asks_the_other_zones: (
+        &[Do::Leaving("t1"), Do::RefuseLeg(1, "e2", Reason::Busy), Do::RefuseLeg(1, "e3", Reason::Busy)],
+        &["ask e2 for 1/1 but t1", "ask e3 for 1/1 but t1", "ask e4 for 1/1 but t1"],
+    );
+    // The caller would be refused although its generation still runs.
+    a_refused_leg_is_no_refusal_of_the_request: (
+        &[Do::Leaving("t1"), Do::RefuseLeg(1, "e2", Reason::Quarantined), Do::End(1, End::Complete, 90)],
+        &["ask e2 for 1/1 but t1", "release 1 on t1 Complete to e2"],
+    );
+    // A destination that refuses the copy would end the attempt to move.
+    a_copy_that_fails_is_tried_at_another_target: (
+        &[
+            Do::Leaving("t1"), Do::GrantLeg(1, "e2", "t2"), Do::EndLeg(1, End::Unsent),
+            Do::Wait(200),
+        ],
+        &[
+            "ask e2 for 1/1 but t1", "move 1 to 1/1 on t2", "release 1/1 on t2 Unsent to e2",
+            "retry TargetBroken", "ask e3 for 1/1 but t1 t2",
+        ],
+    );
+    // The granted place would stay charged after the end of the generation.
+    a_generation_that_ends_gives_back_the_place_of_its_leg: (
+        &[Do::Leaving("t1"), Do::GrantLeg(1, "e2", "t2"), Do::End(1, End::Complete, 90)],
+        &[
+            "ask e2 for 1/1 but t1", "move 1 to 1/1 on t2", "release 1 on t1 Complete to e2",
+            "release 1/1 on t2 Unsent to e2",
+        ],
+    );
+    // The owner would keep asks of a caller that is gone.
+    a_caller_that_leaves_withdraws_the_leg: (
+        &[Do::Leaving("t1"), Do::Depart(1)],
+        &["ask e2 for 1/1 but t1", "release 1 on t1 Cancelled to e2", "withdraw 1/1 from e2"],
+    );
+    // One generation would be copied to two targets at a time.
+    a_second_change_does_not_start_a_second_leg: (
+        &[Do::Leaving("t1"), Do::Leaving("t3"), Do::Wait(300)],
+        &["ask e2 for 1/1 but t1"],
+    );
+}
+
+/// A request that is not worth a copy, or cannot have one, stays where it is.
+fn stays(max_tokens: u32, arrive: Do) {
+    let mut world = World::new();
+    world.max_tokens = max_tokens;
+    world.run(&[arrive, Do::Grant(1, "e2", "t1"), Do::Began(1)]);
+    let before = world.trace.len();
+    world.run(&[Do::Leaving("t1"), Do::Wait(300)]);
+    assert_eq!(&world.trace[before..], &[] as &[String]);
+}
+
+hornbeamloom_kernel::cases! {
+    stays;
+
+    // Links would carry copies of answers that end before the copy does.
+    a_short_answer: (100, Do::Routed(1));
+    // Engines that cannot copy would be asked to.
+    a_generation_that_cannot_move: (2_000, Do::Arrive(1));
+}
+
+/// The owner must charge the next target for what it will hold.
+#[test]
+fn a_leg_counts_what_was_made_as_part_of_its_prompt() {
+    let mut world = World::new();
+    world.max_tokens = 2_000;
+    world.run(&[Do::Routed(1), Do::Grant(1, "e2", "t1"), Do::Progress(1, 40), Do::Leaving("t1")]);
+    let asks: Vec<&Ask> = world
+        .outcomes
+        .iter()
+        .filter_map(|outcome| match outcome {
+            Outcome::Send { message: Message::Ask(ask), .. } => Some(ask),
+            _ => None,
+        })
+        .collect();
+    let leg = asks.last().expect("the leg asked");
+    assert_eq!((leg.prompt_tokens, leg.made, leg.max_tokens), (50, 40, Some(2_000)));
+}
--- /dev/null
+++ b/tests/fleet/path.rs
@@ -0,0 +1,155 @@
+//! The path of a request through the adapter.
+
+use hornbeamloom_kernel::cases;
+use reqwest::Method;
+
+use crate::bed::{
+    attempt, bare, call, desks, eventually, fleet, models, read, request, run, serves, KEY,
+};
+use hornbeamloom_bench::fleet::config;
+
+/// Guards against streams that lose, repeat or hold back events.
+#[test]
+fn a_stream_comes_whole_and_runs_once() {
+    run(async {
+        let fleet = fleet().await;
+        models(&fleet, 2).await;
+        let answer = call(&fleet, "/draft/1", b"events=20").await;
+        answer.assert_stream(20);
+        assert_eq!(fleet.journal.runs(&answer.attempt).len(), 1);
+        assert_eq!(answer.headers["x-response-signature"], "s");
+    });
+}
+
+/// Guards against requests that reach an engine changed, or with a caller's word for the system's.
+#[test]
+fn an_engine_gets_the_request_as_it_was_and_only_the_system_s_own_headers() {
+    run(async {
+        let fleet = fleet().await;
+        models(&fleet, 1).await;
+        let id = attempt();
+        let path = "/draft/a%2Fb?page=2&x=%20";
+        let request = request(&fleet, 0, path, &id)
+            .header("x-tenant", "another")
+            .header("x-retention", "r1")
+            .header("x-pin-ms", "9000")
+            .header("x-kv-backup", "10.0.0.1:1")
+            .header("kv-from", "10.0.0.1:1/h1")
+            .header("x-model", "m")
+            .header("x-prompt-prefix", "5c:800")
+            .body("events=3");
+        read(request, id.clone()).await;
+        let seen = fleet.journal.seen();
+        let seen = seen.iter().find(|seen| seen.header("x-attempt-id") == Some(&*id));
+        let seen = seen.expect("the request reached the engine");
+        assert!(seen.head.starts_with(&format!("POST {path} HTTP/1.1")), "{}", seen.head);
+        assert_eq!(seen.body, b"events=3");
+        let headers = [
+            ("host", Some("host.example")),
+            ("x-tenant", Some("parlour")),
+            ("x-expected-instance", Some("m1")),
+            ("x-model", Some("m")),
+            ("x-token-usage", Some("100,2000")),
+            ("x-prompt-prefix", Some("5c:800")),
+            ("x-request-priority", Some("1")),
+            ("authorization", None),
+            ("x-retention", None),
+            ("x-pin-ms", None),
+            ("x-kv-backup", None),
+            ("kv-from", None),
+        ];
+        for (name, expected) in headers {
+            assert_eq!(seen.header(name), expected, "{name}");
+        }
+        let left: u64 = seen.header("x-deadline-ms").unwrap().parse().unwrap();
+        assert!(left <= 20_000, "an engine gets no more time than the caller has");
+    });
+}
+
+/// The answer to a request that no configuration allows.
+fn refuses(path: &str, key: Option<&str>, expected: u16) {
+    run(async {
+        let fleet = fleet().await;
+        desks(&fleet, 1).await;
+        let id = attempt();
+        let mut request = request(&fleet, 0, path, &id).body("x");
+        let mut built = request.try_clone().unwrap().build().unwrap();
+        built.headers_mut().remove("authorization");
+        if let Some(key) = key {
+            let value = format!("Token {key}").parse().unwrap();
+            built.headers_mut().insert("authorization", value);
+        }
+        let client = reqwest::Client::builder().no_proxy().build().unwrap();
+        request = reqwest::RequestBuilder::from_parts(client, built);
+        assert_eq!(read(request, id.clone()).await.status, expected);
+        assert_eq!(fleet.journal.runs(&id).len(), usize::from(expected == 200));
+    });
+}
+
+cases! {
+    refuses;
+
+    // Guards against a request that runs without a route.
+    an_unknown_path_is_404: ("/nowhere/1", Some(KEY), 404);
+    // Guards against a request that runs without a key.
+    no_key_is_401: ("/look/1", None, 401);
+    an_unknown_key_is_401: ("/look/1", Some("k9"), 401);
+    the_second_key_is_as_good: ("/look/1", Some("k2"), 200);
+}
+
+/// Guards against a VM that claims to be ready, or denies requests, before it knows anything.
+#[test]
+fn a_vm_without_a_configuration_is_not_ready_and_answers_503() {
+    run(async {
+        let fleet = bare().await;
+        let url = format!("http://{}/hornbeamloom/readyz", fleet.daemons[0].readiness);
+        let ready = || async {
+            let answer = reqwest::get(&url).await;
+            answer.map_or(0, |answer| answer.status().as_u16())
+        };
+        eventually("a first answer", || async { ready().await == 503 }).await;
+        let answer = call(&fleet, "/look/1", b"x").await;
+        assert_eq!(answer.status, 503);
+        assert!(answer.headers.contains_key("retry-after"));
+        fleet.configure(&config(1, &[KEY]));
+        eventually("readiness", || async { ready().await == 200 }).await;
+    });
+}
+
+/// Guards against bodies that are lost or cut on the way.
+#[test]
+fn methods_and_bodies_pass_unchanged() {
+    run(async {
+        let fleet = fleet().await;
+        desks(&fleet, 1).await;
+        let body: Vec<u8> = (0..20_000u32).map(|n| (n % 251) as u8).collect();
+        let id = attempt();
+        let answer = read(request(&fleet, 0, "/look/1", &id).body(body.clone()), id.clone()).await;
+        assert_eq!((answer.status, answer.text()), (200, format!("d1:{id}")));
+        let get = attempt();
+        let mut request = request(&fleet, 0, "/look/2?a=1", &get).build().unwrap();
+        *request.method_mut() = Method::GET;
+        let client = reqwest::Client::builder().no_proxy().build().unwrap();
+        let request = reqwest::RequestBuilder::from_parts(client, request);
+        assert_eq!(read(request, get.clone()).await.status, 200);
+        let seen = fleet.journal.seen();
+        let own = |attempt: &str| {
+            let mut seen = seen.iter();
+            seen.find(|seen| seen.header("x-attempt-id") == Some(attempt)).cloned().unwrap()
+        };
+        assert_eq!(own(&id).body, body);
+        assert!(own(&get).head.starts_with("GET /look/2?a=1 "));
+    });
+}
+
+/// Guards against a body that fills the VM's memory.
+#[test]
+fn a_body_over_the_limit_is_413() {
+    run(async {
+        let fleet = fleet().await;
+        desks(&fleet, 1).await;
+        let answer = call(&fleet, "/look/1", &vec![0; 200_000]).await;
+        assert!([0, 413].contains(&answer.status), "status {}", answer.status);
+        serves(&fleet, "/look/2").await;
+    });
+}
--- /dev/null
+++ b/tests/fleet/store.rs
@@ -0,0 +1,165 @@
+//! What the operator and the store do.
+
+use std::time::Duration;
+
+use hornbeamloom_bench::fleet::{config, entry, Fleet};
+use hornbeamloom_bench::rows::Fault;
+use hornbeamloom_kernel::cases;
+use serde_json::json;
+
+use crate::bed::{call, desks, eventually, fleet, models, run, serves, KEY};
+
+/// Time in which nothing may happen any more.
+const CALM: Duration = Duration::from_millis(500);
+
+async fn status(fleet: &Fleet, path: &str) -> u16 {
+    call(fleet, path, b"events=1").await.status
+}
+
+/// What the store does to its readers before a change is made.
+#[derive(Debug, Clone, Copy)]
+enum Before {
+    Nothing,
+    /// It drops its history.
+    Forgets,
+    /// It is away for a moment.
+    Refuses,
+}
+
+async fn trouble(fleet: &Fleet, before: Before) {
+    match before {
+        Before::Nothing => {}
+        Before::Forgets => fleet.store.forget_history(),
+        Before::Refuses => {
+            fleet.store.set_fault(Fault::Refuses);
+            tokio::time::sleep(CALM).await;
+            fleet.store.set_fault(Fault::None);
+        }
+    }
+}
+
+/// A route that is removed and a key that is taken away are in force soon, and stay so (I9).
+fn changes(before: Before) {
+    run(async {
+        let fleet = fleet().await;
+        desks(&fleet, 1).await;
+        trouble(&fleet, before).await;
+        let mut changed = config(3, &["k2"]);
+        changed["routes"].as_array_mut().unwrap().remove(1);
+        fleet.configure(&changed);
+        eventually("the new keys", || async { status(&fleet, "/look/1").await == 401 }).await;
+        changed["tenants"] = config(4, &[KEY])["tenants"].clone();
+        fleet.configure(&changed);
+        eventually("the old key", || async { status(&fleet, "/look/1").await == 200 }).await;
+        assert_eq!(status(&fleet, "/order/1").await, 404);
+    });
+}
+
+cases! {
+    changes;
+
+    a_configuration_is_in_force: (Before::Nothing);
+    // Guards against a VM that waits for changes that it will never be told.
+    a_configuration_after_a_dropped_history_is_in_force: (Before::Forgets);
+    a_configuration_after_an_outage_is_in_force: (Before::Refuses);
+}
+
+/// Guards against work for a zone that was taken out (I3).
+#[test]
+fn a_zone_that_is_out_gets_nothing_and_comes_back() {
+    run(async {
+        let fleet = fleet().await;
+        desks(&fleet, 1).await;
+        fleet.store.put("op", "evacuate/a", b"{}");
+        eventually("the refusal", || async { status(&fleet, "/look/1").await == 503 }).await;
+        let before = fleet.journal.seen().len();
+        assert_eq!(status(&fleet, "/look/1").await, 503);
+        assert_eq!(fleet.journal.seen().len(), before);
+        fleet.store.drop_row("op", "evacuate/a");
+        serves(&fleet, "/look/1").await;
+    });
+}
+
+/// Guards against new work for a target that leaves (I7).
+#[test]
+fn a_target_that_leaves_gets_no_new_request() {
+    run(async {
+        let fleet = fleet().await;
+        let desks = desks(&fleet, 2).await;
+        fleet.list(&desks[0], "desk", "a", "draining");
+        tokio::time::sleep(CALM).await;
+        let before = fleet.journal.seen().len();
+        for _ in 0..20 {
+            assert_eq!(status(&fleet, "/look/1").await, 200);
+        }
+        let seen = fleet.journal.seen();
+        assert!(seen[before..].iter().all(|seen| seen.engine == "d2"));
+    });
+}
+
+/// Rows that others have written wrongly name no target; the sound ones go on serving.
+fn ignores(table: &str, key: &str, value: &[u8]) {
+    run(async {
+        let fleet = fleet().await;
+        desks(&fleet, 1).await;
+        fleet.store.put(table, key, value);
+        tokio::time::sleep(CALM).await;
+        for _ in 0..5 {
+            assert_eq!(status(&fleet, "/look/1").await, 200);
+        }
+    });
+}
+
+cases! {
+    ignores;
+
+    an_entry_that_is_no_json: ("servers", "x1", b"\xff\x00");
+    an_entry_without_an_address: ("servers", "x1", br#"{"service": "desk", "zone": "a", "slots": 1, "state": "ready"}"#);
+    an_entry_with_another_state: ("servers", "x1", br#"{"service": "desk", "zone": "a", "slots": 1, "state": "odd", "address": "127.0.0.1:1"}"#);
+    an_entry_of_an_unknown_service: ("servers", "x1", br#"{"service": "odd", "zone": "a", "slots": 1, "state": "ready", "address": "127.0.0.1:1"}"#);
+    a_configuration_that_is_no_json: ("op", "config", b"{");
+    an_unknown_row_of_the_operator: ("op", "odd", b"1");
+}
+
+/// Guards against a system that serves only while the store does.
+fn serves_without(fault: Fault) {
+    run(async {
+        let fleet = fleet().await;
+        desks(&fleet, 2).await;
+        models(&fleet, 2).await;
+        fleet.store.set_fault(fault);
+        // Longer than a lease is valid.
+        let until = std::time::Instant::now() + Duration::from_secs(7);
+        while std::time::Instant::now() < until {
+            assert_eq!(status(&fleet, "/look/1").await, 200);
+            assert_eq!(status(&fleet, "/draft/1").await, 200);
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        fleet.store.set_fault(Fault::None);
+        assert_eq!(status(&fleet, "/order/1").await, 200);
+    });
+}
+
+cases! {
+    serves_without;
+
+    a_store_that_refuses: (Fault::Refuses);
+    a_store_that_is_silent: (Fault::Silent);
+    a_store_that_loses_answers: (Fault::LosesAnswers);
+    a_store_that_writes_late: (Fault::Late);
+}
+
+/// Guards against a restart of a target under its own name that keeps what was known of it.
+#[test]
+fn a_target_that_comes_back_under_its_name_at_another_address_is_used() {
+    run(async {
+        let fleet = fleet().await;
+        let desks = desks(&fleet, 1).await;
+        desks[0].kill();
+        let again = fleet.engine("d1", "desk", "a", crate::bed::WORK).await.unwrap();
+        let mut row = entry(&again, "desk", "a", "ready");
+        row["born"] = json!(2);
+        fleet.store.put("servers", "d1", row.to_string().as_bytes());
+        serves(&fleet, "/look/1").await;
+    });
+}
