Copy generations ahead where memory is free; keep starts from targets that read prompts

Ruled out: pauses at moves (2 of 351 streams above 180 ms) and refused copies as the main loss.

Change: the Score and Filter policy prefill counts unread prompts, so that a target that has just started no longer gets every request; a generation may have a standby that its engine copies to (off by default, by fill of the pool) and goes on there when its target leaves or is lost; the last part of a copy is ordered again where there is no room; a move is placed by present memory.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -112,6 +112,8 @@
         /// The answer to keep.
         stored: Option<Stored>,
     },
+    /// A generation broke off and has a standby.
+    Lost(Id),
     /// A generation goes on at another target.
     Moved {
         /// The leg that ended.
@@ -455,6 +457,7 @@
             Input::Ended { id, attempt, end, first_token_ms, stored } => {
                 self.ended(&id, attempt, end, first_token_ms, stored.as_ref());
             }
+            Input::Lost(id) => self.handle_event(Event::Lost { id: &id }),
             Input::Moved { from, to } => self.moved(&from, &to),
             Input::Departed(id) => {
                 self.handle_event(Event::Departed { id: &id });
--- a/crates/daemon/src/flow.rs
+++ b/crates/daemon/src/flow.rs
@@ -28,6 +28,16 @@
 /// before the answer that says so.
 const DRAIN: Duration = Duration::from_millis(300);
 
+/// Longest time for which the old target runs on while the standby takes over: the platform allows
+/// 400 ms, and the answer of the standby is on its way within one of its steps.
+const OVERLAP: Duration = Duration::from_millis(250);
+/// Longest wait for a place at the standby of a generation whose target is lost.
+const RECOVERY: Duration = Duration::from_secs(2);
+/// Times that the last part of a copy is ordered again where its target has no room for it: memory
+/// becomes free whenever a generation ends there, and the greater part has been copied.
+const LAST_TRIES: u32 = 5;
+/// Time between two such orders.
+const LAST_PAUSE: Duration = Duration::from_millis(100);
 /// Times that a generation is offered to its next target and to the one that stopped. Either may
 /// refuse while the rest of the memory is on its way, and a refused offer has not run.
 const RESUMES: u32 = 3;
@@ -262,13 +272,22 @@
     Other(Reply<A>),
 }
 
+/// The memory that a generation goes on from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Memory {
+    /// A copy that was ordered, by its handle.
+    Copy(String),
+    /// The copy of the run that its standby holds.
+    Standby,
+}
+
 /// Where a generation goes on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Point {
     /// `IP:port` of the target that the memory comes from.
     pub source: String,
-    /// Names the copy.
-    pub handle: String,
+    /// Which memory.
+    pub memory: Memory,
     /// The last event that the caller has.
     pub last: u64,
 }
@@ -376,11 +395,20 @@
     events: S,
 }
 
+impl<S> Leg<S> {
+    /// Whether a target holds the copy that was made ahead.
+    fn has_standby(&self, target: &str) -> bool {
+        self.start.standby.as_ref().is_some_and(|standby| *standby.target == *target)
+    }
+}
+
 /// What has been reached of a move.
 #[derive(Debug)]
 struct Transfer {
     start: Start,
     stops: bool,
+    /// Orders of this kind before this one.
+    tries: u32,
     /// The copy made while the source went on.
     handle: Option<String>,
     /// The generation goes on from the copy without the answer to this order.
@@ -394,10 +422,20 @@
     Complete,
     /// The caller went away.
     Left,
-    /// The leg broke off and there is no copy.
+    /// The leg broke off and no copy was ordered.
     Cut,
-    /// The generation goes on in another leg, or at a source that had stopped.
+    /// The generation goes on in another leg, or at a source that had stopped, from a copy.
     Go(Start, String),
+    /// It goes on at the standby, while the leg still runs.
+    Standby(Start),
+}
+
+/// What came of going on elsewhere.
+enum Followed<S> {
+    /// The generation goes on.
+    On(Leg<S>),
+    /// It is lost with the leg of this start; a copy that was not used may be left.
+    Lost(Start, Option<String>),
 }
 
 /// Carries a request whose answer is a stream.
@@ -418,61 +456,73 @@
         return;
     };
     caller.begin(opened.head);
-    let mut run =
-        Run { session, caller, copy: link.copy, release: link.release, last: 0, first: None };
+    let mut run = Run {
+        session,
+        caller,
+        copy: link.copy,
+        release: link.release,
+        last: 0,
+        first: None,
+        event_at: None,
+        longest_gap: Duration::ZERO,
+    };
     let mut leg = Leg { start, events: opened.events };
     loop {
-        let (next, handle) = match run.read(&mut leg).await {
-            Next::Complete => {
-                run.session.ended(&leg.start, End::Complete, run.first);
-                return run.session.close();
-            }
+        let next = match run.read(&mut leg).await {
+            Next::Complete => return run.complete(&leg.start),
             Next::Left => return,
-            Next::Cut => return run.fail(&leg.start).await,
-            Next::Go(next, handle) => (next, handle),
+            next => next,
         };
-        let source = leg.start.address.clone();
-        // The old connection must be gone before another target carries the generation.
-        drop(leg.events);
-        let point = Point { source, handle: handle.clone(), last: run.last };
-        let gone_on = tokio::select! {
-            gone_on = go_on(&link.open, &leg.start, next.clone(), point) => gone_on,
+        let followed = tokio::select! {
+            followed = follow(&mut run.session, &link.open, leg, next, run.last) => followed,
             _ = run.caller.left() => return,
         };
-        match gone_on {
-            Some(opened) if next.id == leg.start.id || !opened.is_back => {
-                if next.id != leg.start.id {
-                    run.session.moved(&next);
-                }
-                leg = Leg { start: next, events: opened.events };
-            }
-            Some(opened) => {
-                run.session.ended(&next, End::Unsent, None);
-                leg = Leg { start: leg.start, events: opened.events };
+        leg = match followed {
+            Followed::On(leg) => leg,
+            Followed::Lost(start, handle) => {
+                run.free(&start, handle);
+                return run.fail(&start).await;
             }
-            None => {
-                run.free(&leg.start, Some(handle));
-                run.session.ended(&next, End::Unsent, None);
-                return run.fail(&leg.start).await;
-            }
-        }
+        };
     }
 }
 
-/// A stream that goes on.
-struct Resumed<S> {
-    events: S,
-    /// It goes on at the target that had stopped.
-    is_back: bool,
+/// Goes on with a generation whose leg is over or about to be.
+async fn follow<A, S, O, OF>(
+    session: &mut Session,
+    open: &O,
+    leg: Leg<S>,
+    next: Next,
+    last: u64,
+) -> Followed<S>
+where
+    O: Fn(Start, Option<Point>) -> OF,
+    OF: Future<Output = Open<A, S>>,
+{
+    match next {
+        Next::Go(next, handle) => {
+            let Leg { start, events } = leg;
+            let source = start.address.clone();
+            // The old connection must be gone before another target carries the generation.
+            drop(events);
+            let point = Point { source, memory: Memory::Copy(handle.clone()), last };
+            go_on(session, open, start, next, point, handle).await
+        }
+        Next::Standby(next) => overlap(session, open, leg, next, last).await,
+        _ if leg.start.standby.is_some() => recover(session, open, leg, last).await,
+        _ => Followed::Lost(leg.start, None),
+    }
 }
 
 /// Goes on from a copy at the target of `next`, or where that refuses at the one that had stopped.
 async fn go_on<A, S, O, OF>(
+    session: &mut Session,
     open: &O,
-    stopped: &Start,
+    stopped: Start,
     next: Start,
     point: Point,
-) -> Option<Resumed<S>>
+    handle: String,
+) -> Followed<S>
 where
     O: Fn(Start, Option<Point>) -> OF,
     OF: Future<Output = Open<A, S>>,
@@ -483,21 +533,111 @@
             tokio::time::sleep(RESUME_PAUSE).await;
         }
         match open(next.clone(), Some(point.clone())).await {
-            Open::Stream(opened) => return Some(Resumed { events: opened.events, is_back: false }),
+            Open::Stream(opened) => {
+                if is_elsewhere {
+                    session.moved(&next);
+                }
+                return Followed::On(Leg { start: next, events: opened.events });
+            }
             Open::Other(Reply::Rejected | Reply::Unsent) => {}
-            Open::Other(_) => return None,
+            Open::Other(_) => break,
         }
         log::warn!("request={} target={} did not go on with the copy", next.id, next.target);
         if !is_elsewhere {
             continue;
         }
         match open(stopped.clone(), Some(point.clone())).await {
-            Open::Stream(opened) => return Some(Resumed { events: opened.events, is_back: true }),
+            Open::Stream(opened) => {
+                session.ended(&next, End::Unsent, None);
+                return Followed::On(Leg { start: stopped, events: opened.events });
+            }
             Open::Other(Reply::Rejected | Reply::Unsent) => {}
-            Open::Other(_) => return None,
+            Open::Other(_) => break,
         }
     }
-    None
+    if is_elsewhere {
+        session.ended(&next, End::Unsent, None);
+    }
+    Followed::Lost(stopped, Some(handle))
+}
+
+/// Goes on at the standby and leaves the old target as soon as that has taken over.
+///
+/// The standby may hold nothing and refuse; the generation then stays where it is.
+async fn overlap<A, S, O, OF>(
+    session: &mut Session,
+    open: &O,
+    leg: Leg<S>,
+    next: Start,
+    last: u64,
+) -> Followed<S>
+where
+    O: Fn(Start, Option<Point>) -> OF,
+    OF: Future<Output = Open<A, S>>,
+{
+    let point = Point { source: next.address.clone(), memory: Memory::Standby, last };
+    let opening = open(next.clone(), Some(point));
+    tokio::pin!(opening);
+    let mut old = Some(leg.events);
+    let opened = tokio::select! {
+        opened = &mut opening => opened,
+        () = tokio::time::sleep(OVERLAP) => {
+            // It has been taken over, or it would have been refused by now.
+            old = None;
+            opening.await
+        }
+    };
+    match (opened, old) {
+        (Open::Stream(opened), _) => {
+            session.moved(&next);
+            Followed::On(Leg { start: next, events: opened.events })
+        }
+        (Open::Other(_), Some(events)) => {
+            log::info!("request={} standby={} holds no copy", next.id, next.target);
+            session.ended(&next, End::Unsent, None);
+            let start = Start { standby: None, ..leg.start };
+            Followed::On(Leg { start, events })
+        }
+        (Open::Other(_), None) => {
+            session.ended(&next, End::Unsent, None);
+            Followed::Lost(leg.start, None)
+        }
+    }
+}
+
+/// Goes on at the standby of a leg that broke off, once its owner has granted the place.
+async fn recover<A, S, O, OF>(
+    session: &mut Session,
+    open: &O,
+    leg: Leg<S>,
+    last: u64,
+) -> Followed<S>
+where
+    O: Fn(Start, Option<Point>) -> OF,
+    OF: Future<Output = Open<A, S>>,
+{
+    let Leg { start, events } = leg;
+    drop(events);
+    log::info!("request={} target={} lost: asks for its standby", start.id, start.target);
+    session.control.tell(Input::Lost(start.id.clone()));
+    let end = Instant::now() + RECOVERY;
+    while let Ok(Some(verdict)) = tokio::time::timeout_at(end, session.verdicts.recv()).await {
+        let Verdict::Move(next) = verdict else {
+            continue;
+        };
+        let is_standby =
+            start.standby.as_ref().is_some_and(|standby| standby.target == next.target);
+        if is_standby {
+            let point = Point { source: next.address.clone(), memory: Memory::Standby, last };
+            if let Open::Stream(opened) = open(next.clone(), Some(point)).await {
+                session.moved(&next);
+                return Followed::On(Leg { start: next, events: opened.events });
+            }
+        }
+        session.ended(&next, End::Unsent, None);
+        break;
+    }
+    Followed::Lost(start, None)
 }
 
 /// Opens the stream at its first target; `None` if the caller has its answer or went away.
@@ -558,6 +698,10 @@
     last: u64,
     /// Time to the first event in milliseconds.
     first: Option<u32>,
+    /// When the last event came.
+    event_at: Option<Instant>,
+    /// Longest time between two events.
+    longest_gap: Duration,
 }
 
 impl<A, C, R, CF, RF> Run<A, C, R>
@@ -604,8 +748,11 @@
                     }
                 }
                 verdict = self.session.verdicts.recv(), if is_still => match verdict {
+                    Some(Verdict::Move(start)) if leg.has_standby(&start.target) => {
+                        return Next::Standby(start);
+                    }
                     Some(Verdict::Move(start)) => {
-                        transfer = Some(self.transfer(leg, start, false, None));
+                        transfer = Some(self.transfer(leg, start, false, 0, None));
                     }
                     // A leg that is given up leaves the generation where it is.
                     Some(_) => {}
@@ -630,6 +777,12 @@
             metrics::first_token(since);
             self.first = Some(u32::try_from(since.as_millis()).unwrap_or(u32::MAX));
         }
+        let now = Instant::now();
+        if let Some(before) = self.event_at.replace(now) {
+            let gap = now - before;
+            metrics::token_gap(gap);
+            self.longest_gap = self.longest_gap.max(gap);
+        }
         self.last = event.seq;
         self.session.tokens.fetch_add(event.tokens, Ordering::Relaxed);
         self.caller.body.send(Ok(event.bytes)).await.is_ok()
@@ -641,23 +794,34 @@
         leg: &Leg<S>,
         start: Start,
         stops: bool,
+        tries: u32,
         handle: Option<String>,
     ) -> Transfer {
         let (done, result) = oneshot::channel();
         let source = leg.start.address.clone();
         let destination = start.address.clone();
+        log::info!(
+            "request={} copy from={} to={} stops={stops} last={}",
+            start.id,
+            leg.start.target,
+            start.target,
+            self.last
+        );
         let order = Copy { source: source.clone(), destination, stops };
         let (copy, release) = (self.copy.clone(), self.release.clone());
         let is_used = Arc::new(AtomicBool::new(false));
         let is_needed = is_used.clone();
         tokio::spawn(async move {
+            if tries > 0 {
+                tokio::time::sleep(LAST_PAUSE).await;
+            }
             let result = copy(order).await;
             let unused = done.send(result).err().and_then(Result::ok);
             if let Some(unused) = unused.filter(|_| !is_needed.load(Ordering::Relaxed)) {
                 release(source, unused.handle).await;
             }
         });
-        Transfer { start, stops, handle, is_used, result }
+        Transfer { start, stops, tries, handle, is_used, result }
     }
 
     /// Goes on after a copy was made or refused.
@@ -672,7 +836,7 @@
     {
         match copied {
             Some(Ok(copied)) if !done.stops => {
-                let next = self.transfer(leg, done.start, true, Some(copied.handle));
+                let next = self.transfer(leg, done.start, true, 0, Some(copied.handle));
                 Step::Wait(Some(next))
             }
             Some(Ok(copied)) => Step::Go(match self.drain(leg, copied.made).await {
@@ -688,6 +852,10 @@
                     false => Next::Left,
                 })
             }
+            Some(Err(CopyFault::Refused(None))) if done.stops && done.tries < LAST_TRIES => {
+                let tries = done.tries + 1;
+                Step::Wait(Some(self.transfer(leg, done.start, true, tries, done.handle)))
+            }
             _ => {
                 self.session.ended(&done.start, End::Unsent, None);
                 self.free(&leg.start, done.handle);
@@ -744,7 +912,25 @@
         }
     }
 
+    fn complete(&mut self, start: &Start) {
+        self.note(start, "complete");
+        self.session.ended(start, End::Complete, self.first);
+        self.session.close();
+    }
+
+    fn note(&self, start: &Start, end: &'static str) {
+        log::info!(
+            "request={} stream={end} target={} events={} first_ms={} longest_gap_ms={}",
+            start.id,
+            start.target,
+            self.last,
+            self.first.unwrap_or(0),
+            self.longest_gap.as_millis()
+        );
+    }
+
     async fn fail(&mut self, start: &Start) {
+        self.note(start, "lost");
         self.session.ended(start, End::Broken, self.first);
         self.session.close();
         self.caller.cut().await;
--- a/crates/kernel/src/attempt.rs
+++ b/crates/kernel/src/attempt.rs
@@ -7,12 +7,12 @@
 use crate::event::Count;
 use crate::ids::{Fence, Millis, Name};
 use crate::kernel::{Outbox, State};
-use crate::outcome::{Counter, Outcome, Ran, Reason, Refusal, Retry, Start};
+use crate::outcome::{Counter, Outcome, Ran, Reason, Refusal, Retry, Standby, Start};
 use crate::peer::{Grant, Message, Progress, Release, Running};
 use crate::pool;
 use crate::request::{End, Id};
 use crate::store::Stored;
-use crate::{claim, quarantine, relocate};
+use crate::{claim, quarantine, relocate, standby};
 
 /// Attempts of one request that may fail after a grant.
 const RETRIES_MAX: u32 = 8;
@@ -31,6 +31,8 @@
     granter: Name,
     has_begun: bool,
     tokens: u32,
+    /// Where its memory is copied as it grows.
+    standby: Option<Standby>,
     /// Waiting time that was left at the start, in milliseconds.
     patience_ms: u64,
 }
@@ -45,6 +47,11 @@
     pub(crate) fn tokens(&self) -> u32 {
         self.tokens
     }
+
+    /// Where its memory is copied as it grows.
+    pub(crate) fn standby(&self) -> Option<&Standby> {
+        self.standby.as_ref()
+    }
 }
 
 /// The end of an attempt as the traffic task reports it.
@@ -135,6 +142,8 @@
 }
 
 fn start(state: &mut State, from: &str, grant: &Grant, now: Millis, out: &mut Outbox) {
+    state.entry.fills.note(&grant.pool, grant.fill, now);
+    let standby = standby::choose(state, grant, now);
     let Some(request) = state.entry.requests.get_mut(&grant.id) else {
         return;
     };
@@ -143,6 +152,7 @@
         granter: from.into(),
         has_begun: false,
         tokens: 0,
+        standby: standby.clone(),
         patience_ms: request.deadline.since(now),
     });
     let origin = request.origin.clone();
@@ -156,6 +166,7 @@
         address: grant.address.clone(),
         priority: grant.priority,
         fence: grant.fence,
+        standby,
     };
     out.push(match origin {
         Some(from) => Outcome::Move { from, start },
--- a/crates/kernel/src/entry.rs
+++ b/crates/kernel/src/entry.rs
@@ -13,7 +13,7 @@
 use crate::peer::{Ask, Message};
 use crate::plugin::control;
 use crate::request::{Class, Id, Repeat, Terms, View};
-use crate::{ask, attempt, claim, pool, relocate, retry, route};
+use crate::{ask, attempt, claim, pool, relocate, retry, route, standby};
 
 /// Requests that this VM carries at a time; the daemon accepts 4,096 connections by default.
 const REQUESTS_MAX: usize = 8_192;
@@ -33,6 +33,7 @@
     /// Retries by service.
     budgets: Map<Name, retry::Budget>,
     draws: u64,
+    pub(crate) fills: standby::Fills,
     idle_since: Option<Millis>,
     is_drained: bool,
     /// When the last event was handled.
@@ -92,10 +93,10 @@
         ask: Ask,
         running: &Request,
         origin: Id,
+        home: Name,
         now: Millis,
         patience: u64,
     ) -> Request {
-        let home = ask.pool.zone.clone();
         Request {
             ask,
             home,
@@ -243,6 +244,7 @@
         exclude: Vec::new(),
         priority: view.terms.priority,
         spills: false,
+        held_at: None,
         made: 0,
     };
     let patience = view.terms.patience_ms.unwrap_or(service.queue_ms);
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -38,6 +38,11 @@
         /// The answer to keep for a call that runs at most once.
         stored: Option<&'a store::Stored>,
     },
+    /// A generation broke off and may go on from the copy of its standby.
+    Lost {
+        /// The leg that broke off.
+        id: &'a Id,
+    },
     /// A generation goes on at another target, under the id of its next leg.
     Moved {
         /// The leg that ended.
--- a/crates/kernel/src/headroom.rs
+++ b/crates/kernel/src/headroom.rs
@@ -49,6 +49,10 @@
     if slot.kv_capacity() == 0 {
         return true;
     }
+    // The copy occupies its memory already.
+    if ask.held_at.as_ref() == Some(&slot.name) {
+        return true;
+    }
     if is_held_for_other(view, ask, target) {
         return false;
     }
@@ -57,6 +61,11 @@
         return u64::from(ask.prompt_tokens) < usable(view, slot, ask.class);
     }
     let unknown = view.pool.unknown_kv(target, view.now);
+    if ask.made > 0 {
+        // A generation that moves is lost where it finds no place; one that is preempted is late.
+        return view.pool.used(target) + u64::from(ask.prompt_tokens) + unknown
+            < slot.kv_capacity();
+    }
     // A part that no short request asks for would only hold long ones up.
     let usable = match view.pool.expects_short(view.now) {
         true => usable(view, slot, ask.class),
--- a/crates/kernel/src/outcome.rs
+++ b/crates/kernel/src/outcome.rs
@@ -179,6 +179,15 @@
     }
 }
 
+/// A target that holds a copy of the memory of a generation that runs elsewhere.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Standby {
+    /// Its name.
+    pub target: Name,
+    /// Its `IP:port`.
+    pub address: String,
+}
+
 /// The start of one attempt, carried out by a traffic task.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Start {
@@ -194,6 +203,8 @@
     pub priority: i32,
     /// Fencing token of the granting owner.
     pub fence: Fence,
+    /// Where the memory of the generation is copied as it grows, if anywhere.
+    pub standby: Option<Standby>,
 }
 
 /// One thing that an adapter has to do.
--- a/crates/kernel/src/peer.rs
+++ b/crates/kernel/src/peer.rs
@@ -204,6 +204,9 @@
     /// Another pool is asked where this one cannot start it at once.
     #[serde(default)]
     pub spills: bool,
+    /// The target that holds a copy of the memory of its generation.
+    #[serde(default)]
+    pub held_at: Option<Name>,
     /// Output tokens that it has from earlier targets; they are part of the prompt here.
     #[serde(default)]
     pub made: u32,
@@ -229,6 +232,9 @@
     pub fence: Fence,
     /// Engine priority: lower runs first.
     pub priority: i32,
+    /// Part of the KV memory of the pool's targets that is in use, in thousandths.
+    #[serde(default)]
+    pub fill: u32,
 }
 
 /// The account of one running request.
@@ -323,6 +329,7 @@
     ///     patience_ms: 30_000,
     ///     priority: None,
     ///     spills: false,
+    ///     held_at: None,
     ///     made: 0,
     ///     exclude: Vec::new(),
     /// };
--- a/crates/kernel/src/pool.rs
+++ b/crates/kernel/src/pool.rs
@@ -387,12 +387,25 @@
         ahead.map(|ahead| likely_use(&growths, ahead)).max().unwrap_or(0)
     }
 
+    /// KV use in tokens of the granted work as it is now.
+    pub fn used(&self, target: usize) -> u64 {
+        let running = self.targets[target].work.iter().filter_map(|id| self.ledger.get(id));
+        running.map(|running| self.growth(&running.ask, running.tokens).used).sum()
+    }
+
     /// KV use in tokens that a fresh report of a target shows beyond the granted work.
     pub fn unknown_kv(&self, target: usize, now: Millis) -> u64 {
-        let slot = &self.targets[target];
-        let running = slot.work.iter().filter_map(|id| self.ledger.get(id));
-        let used = running.map(|running| self.growth(&running.ask, running.tokens).used);
-        slot.kv_shown(now).saturating_sub(used.sum())
+        self.targets[target].kv_shown(now).saturating_sub(self.used(target))
+    }
+
+    /// Part of the KV memory of the targets in use, in thousandths; zero without a memory limit.
+    pub fn fill(&self, now: Millis) -> u32 {
+        let usable = self.targets.iter().filter(|slot| !slot.is_leaving());
+        let sums = usable.map(|slot| (slot.kv_use(now), slot.kv_capacity()));
+        let (used, capacity) =
+            sums.fold((0, 0), |(used, all), (more, size)| (used + more, all + size));
+        let fill = (used * 1_000).checked_div(capacity).unwrap_or(0);
+        u32::try_from(fill).unwrap_or(u32::MAX)
     }
 
     /// Whether a short request came lately.
--- /dev/null
+++ b/crates/kernel/src/prefill.rs
@@ -0,0 +1,46 @@
+//! Keeps requests from targets that still read the prompts of others.
+//!
+//! An engine reads one prompt after the other, so a first token waits for all prompts before it. A
+//! target that has just started has the freest memory and would otherwise get every request.
+
+use crate::peer::Ask;
+use crate::plugin::policy;
+
+/// Requests without a first token on a target from which on others are asked to take the next one.
+const PENDING_MAX: usize = 2;
+/// Weight of unread prompts against memory in use, both in parts of the target's memory. Prompts are
+/// a small part of it, and reading them takes most of the time to the first token.
+const WEIGHT: u64 = 4;
+/// Scores are in thousandths of a full target.
+const FULL: u64 = 1_000;
+
+inventory::submit! {
+    policy::Plugin { name: "prefill", rank: 40, stage: policy::Stage::Filter(filter) }
+}
+
+inventory::submit! {
+    policy::Plugin { name: "prefill", rank: 30, stage: policy::Stage::Score(score) }
+}
+
+/// Prompt lengths in tokens of the requests on a target that have no token yet.
+fn pending<'a>(view: &'a policy::View<'_>, target: usize) -> impl Iterator<Item = u32> + 'a {
+    let work = view.pool.targets[target].work.iter();
+    let running = work.filter_map(|id| view.pool.ledger.get(id));
+    // A generation that moves brings its memory along.
+    let unread = running.filter(|running| running.tokens == 0 && running.ask.made == 0);
+    unread.map(|running| running.ask.prompt_tokens)
+}
+
+/// Only a request that another pool may take is kept away; a late token is better than none.
+fn filter(view: &policy::View<'_>, ask: &Ask, target: usize) -> bool {
+    let is_engine = view.pool.targets[target].kv_capacity() > 0;
+    let may_wait = ask.spills && ask.made == 0 && is_engine;
+    !may_wait || pending(view, target).count() < PENDING_MAX
+}
+
+fn score(view: &policy::View<'_>, _ask: &Ask, target: usize) -> i64 {
+    let unread: u64 = pending(view, target).map(u64::from).sum();
+    let capacity = view.pool.targets[target].kv_capacity();
+    let share = (unread * WEIGHT * FULL).checked_div(capacity).unwrap_or(0);
+    -i64::try_from(share).unwrap_or(i64::MAX)
+}
--- a/crates/kernel/src/relocate.rs
+++ b/crates/kernel/src/relocate.rs
@@ -37,6 +37,9 @@
     if let Event::Moved { from, to, tokens } = event {
         moved(state, from, to, *tokens, now, out);
     }
+    if let Event::Lost { id } = event {
+        lost(state, id, now, out);
+    }
     let is_due = state.relocations.due.is_some_and(|at| at <= now);
     if is_due || state.relocations.generation != state.intent.generation {
         look(state, now, out);
@@ -83,22 +86,50 @@
         return;
     };
     let leg = id.next_leg();
-    request.leg = Some(leg.clone());
     let tokens = run.tokens();
+    let target = run.target().clone();
     let mut ask = request.ask.clone();
     ask.id = leg.clone();
     ask.attempt = 0;
     ask.prompt_tokens += tokens;
     ask.made += tokens;
-    ask.exclude = vec![run.target().clone()];
-    let next = Request::new_leg(ask, request, id.clone(), now, PATIENCE_MS);
+    ask.exclude = vec![target.clone()];
+    ask.held_at = run.standby().map(|standby| standby.target.clone());
+    request.leg = Some(leg.clone());
+    let held = ask.held_at.clone();
+    let held_in = held.as_ref().and_then(|target| state.intent.target(target));
+    let home = held_in.map_or(&ask.pool.zone, |target| &target.zone).clone();
+    let Some(request) = state.entry.requests.get(id) else {
+        return;
+    };
+    let next = Request::new_leg(ask, request, id.clone(), home, now, PATIENCE_MS);
     out.count(Counter::Event("relocation_asked"));
-    let text = format!("{} leaves: asked for another target", run.target());
+    let text = format!("{target} leaves or is lost: asked for another target");
     state.log.note(now, &id.first_leg(), text);
     state.entry.requests.insert(leg.clone(), next);
     ask::next(state, &leg, now, out);
 }
 
+/// A generation broke off: it goes on from the copy of its standby, if it has one.
+fn lost(state: &mut State, id: &Id, now: Millis, out: &mut Outbox) {
+    let Some(request) = state.entry.requests.get(id) else {
+        return;
+    };
+    let has_standby = match &request.phase {
+        Phase::Running(run) => run.standby().is_some(),
+        _ => false,
+    };
+    let leg = request.leg.clone();
+    abandon(state, leg, out);
+    if let Some(request) = state.entry.requests.get_mut(id) {
+        request.leg = None;
+    }
+    if has_standby {
+        out.count(Counter::Event("generation_lost"));
+        begin(state, id, now, out);
+    }
+}
+
 /// The generation goes on in its next leg.
 fn moved(state: &mut State, from: &Id, to: &Id, tokens: u32, now: Millis, out: &mut Outbox) {
     attempt::leave(state, from, tokens, out);
--- a/crates/kernel/src/resource.rs
+++ b/crates/kernel/src/resource.rs
@@ -342,6 +342,9 @@
     pub adapters: Vec<Name>,
     /// Engines that may load from the weight store at a time, over all VMs.
     pub load_slots: u32,
+    /// Part of KV memory in use, in percent, below which running generations are copied ahead to a
+    /// standby; zero for never.
+    pub standby_percent: u32,
     /// Retries of one service in 10 s, in percent of its requests.
     pub retry_percent: u32,
     /// Retries of one service in 10 s that all VMs together may make however few requests arrive;
@@ -360,6 +363,7 @@
             models: Vec::new(),
             adapters: Vec::new(),
             load_slots: 2,
+            standby_percent: 0,
             retry_percent: 10,
             retry_slack: None,
             policy: Policy::default(),
--- a/crates/kernel/src/schedule.rs
+++ b/crates/kernel/src/schedule.rs
@@ -170,6 +170,7 @@
         patience_ms: 0,
         priority: None,
         spills: false,
+        held_at: None,
         made: 0,
         exclude: Vec::new(),
     };
@@ -184,6 +185,11 @@
 }
 
 fn place(view: &policy::View<'_>, ask: &Ask, targets: &[usize]) -> Option<usize> {
+    // The copy of its memory is nowhere else.
+    let held = ask.held_at.as_deref().and_then(|name| view.pool.position(name));
+    if let Some(held) = held.filter(|&held| is_open(view, ask, held)) {
+        return Some(held);
+    }
     let targets = targets.iter().copied();
     targets
         .filter(|&target| is_open(view, ask, target))
@@ -247,6 +253,7 @@
     let queued = pool.queue.take(&choice.id, now)?;
     let ask = queued.ask;
     pool.turns += 1;
+    let fill = pool.fill(now);
     let slot = &mut pool.targets[choice.target];
     slot.turn = pool.turns;
     slot.note_start(now);
@@ -258,6 +265,7 @@
         address: slot.spec.address.clone(),
         fence: pool.rights.fence(),
         priority: ask.priority.map_or(ask.class as i32, i32::from),
+        fill,
     };
     let mut running = Running::new(ask, choice.target, now);
     running.grant = Some(grant.clone());
--- a/crates/kernel/src/validate.rs
+++ b/crates/kernel/src/validate.rs
@@ -36,9 +36,10 @@
 /// `Order` policies of the design page.
 const ORDER: &[&str] = &["fair", "fifo"];
 /// `Score` policies of the design page.
-const SCORE: &[&str] = &["kvload", "affinity", "round-robin", "least-outstanding"];
+const SCORE: &[&str] = &["kvload", "affinity", "prefill", "round-robin", "least-outstanding"];
 /// `Admit` and `Filter` policies of the design page.
-const SWITCHED: &[&str] = &["overload", "quarantine", "ramp", "headroom", "eligible", "isolate"];
+const SWITCHED: &[&str] =
+    &["overload", "quarantine", "ramp", "headroom", "eligible", "isolate", "prefill"];
 
 /// One field with an unusable value. The text never holds the value of a secret.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -301,6 +302,7 @@
     faults.range("spec.poolQueue", spec.pool_queue, 1..=COUNT_MAX);
     faults.range("spec.kvPercent", spec.kv_percent, 1..=100);
     faults.range("spec.loadSlots", spec.load_slots, 0..=1_000);
+    faults.range("spec.standbyPercent", spec.standby_percent, 0..=100);
     faults.range("spec.retryPercent", spec.retry_percent, 0..=100);
     faults.range("spec.retrySlack", spec.retry_slack.unwrap_or(0), 0..=COUNT_MAX);
     for (ix, model) in spec.models.iter().enumerate() {
--- a/crates/kernel/tests/common/mod.rs
+++ b/crates/kernel/tests/common/mod.rs
@@ -103,6 +103,8 @@
     pub outcomes: Vec<Outcome>,
     /// Bound on the output of requests that arrive.
     pub max_tokens: u32,
+    /// Fill of every pool that grants.
+    pub fill: u32,
     store: Store,
     held: Vec<Call>,
     lost: Vec<Write>,
@@ -218,6 +220,7 @@
             table: HashMap::new(),
             outcomes: Vec::new(),
             max_tokens: 100,
+            fill: 1_000,
             store: Store::Up,
             held: Vec::new(),
             lost: Vec::new(),
@@ -343,6 +346,7 @@
             address: "127.0.0.1:9".to_owned(),
             fence: Fence(5),
             priority: 0,
+            fill: self.fill,
         };
         self.peer(from, Message::Grant(grant));
     }
--- a/crates/kernel/tests/entry.rs
+++ b/crates/kernel/tests/entry.rs
@@ -333,6 +333,7 @@
         exclude: Vec::new(),
         priority: None,
         spills: false,
+        held_at: None,
         made: 0,
     };
     for _ in 0..asks {
--- a/crates/kernel/tests/pool/bed.rs
+++ b/crates/kernel/tests/pool/bed.rs
@@ -419,6 +419,7 @@
             exclude: Vec::new(),
             priority: None,
             spills: false,
+            held_at: None,
             made: 0,
         }
     }
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -77,6 +77,7 @@
         exclude: vec!["engine-1".into()],
         priority: None,
         spills: false,
+        held_at: None,
         made: 0,
     }
 }
