--- a/crates/kernel/tests/common/mod.rs
+++ b/crates/kernel/tests/common/mod.rs
@@ -50,6 +50,8 @@
     EndLeg(u64, End),
     /// The generation goes on in its next leg.
     Moved(u64, u32),
+    /// The generation broke off.
+    Lost(u64),
     /// Request `n` with an idempotency key and a body.
     Once(u64, &'static str, u64),
     /// Request `n` with a body.
@@ -402,6 +404,7 @@
                 let (tokens, first_token_ms, stored) = (0, None, None);
                 self.handle(Event::Ended { id, attempt, end, tokens, first_token_ms, stored });
             }
+            Do::Lost(n) => self.handle(Event::Lost { id: &id(n) }),
             Do::Moved(n, tokens) => {
                 let (from, to) = (&id(n), &id(n).next_leg());
                 self.handle(Event::Moved { from, to, tokens });
@@ -518,7 +521,9 @@
                     true => String::new(),
                     false => format!(" but {}", but.join(" ")),
                 };
-                Some(format!("ask {to} for {}{but}", label(&ask.id)))
+                let at = ask.held_at.iter().map(|target| format!(" at {target}"));
+                let at: String = at.collect();
+                Some(format!("ask {to} for {}{at}{but}", label(&ask.id)))
             }
             Message::Withdraw { id, .. } => Some(format!("withdraw {} from {to}", label(id))),
             Message::Release(release) => Some(format!(
--- a/crates/kernel/tests/pool/spill.rs
+++ b/crates/kernel/tests/pool/spill.rs
@@ -66,3 +66,43 @@
     assert!(bed.granted(&moving).is_some(), "it has less time than a request that has not started");
     assert!(bed.is_waiting(&waiting));
 }
+
+/// Requests that start at once on one engine while none of them has a first token.
+fn reads_prompts(spills: bool, made: u32, expected: usize) {
+    let mut bed = bed(target(40, 40, 100_000));
+    for _ in 0..5 {
+        let mut ask = bed.draft("parlour-1");
+        ask.spills = spills;
+        ask.made = made;
+        bed.send(&ask);
+    }
+    assert_eq!(bed.running().len(), expected);
+}
+
+cases! {
+    reads_prompts;
+    two_prompts_send_the_next_request_on: (true, 0, 2);
+    a_request_without_another_pool_starts_all_the_same: (false, 0, 5);
+    a_generation_that_moves_has_no_prompt_to_read: (true, 100, 5);
+}
+
+/// A target that reads prompts is passed for one that has more in memory.
+#[test]
+fn unread_prompts_weigh_more_than_memory_in_use() {
+    let targets = [("engine-1", target(40, 40, 100_000)), ("engine-2", target(40, 40, 100_000))];
+    let mut bed = Bed::warm(&targets, config("fair", &["kvload", "prefill"], &[]));
+    let mut first = bed.draft("parlour-1");
+    first.prompt_tokens = 5_000;
+    let read = bed.send(&first);
+    let place = bed.granted(&read).expect("it started");
+    bed.tokens.insert(read, 10);
+    bed.pass(600);
+    let mut unread = bed.draft("parlour-1");
+    unread.prompt_tokens = 2_000;
+    let second = bed.send(&unread);
+    assert_ne!(bed.granted(&second), Some(place.clone()), "the other one is empty");
+    let mut third = bed.draft("parlour-1");
+    third.prompt_tokens = 100;
+    let third = bed.send(&third);
+    assert_eq!(bed.granted(&third), Some(place));
+}
--- a/crates/kernel/tests/relocate.rs
+++ b/crates/kernel/tests/relocate.rs
@@ -6,6 +6,7 @@
 use hornbeamloom_kernel::outcome::{Outcome, Reason};
 use hornbeamloom_kernel::peer::{Ask, Message};
 use hornbeamloom_kernel::request::End;
+use hornbeamloom_kernel::resource::{Configuration, Key, Kind, Spec};
 
 /// Runs a script with long outputs and compares everything that the VM did after the start.
 fn does(steps: &[Do], expected: &[&str]) {
@@ -60,8 +61,8 @@
             Do::Wait(200),
         ],
         &[
-            "ask e2 for 1/1 but t1", "move 1 to 1/1 on t2", "release 1/1 on t2 Unsent to e2",
-            "retry TargetBroken", "ask e3 for 1/1 but t1 t2",
+            "ask e2 for 1/1 but t1", "move 1 to 1/1 on t2", "retry TargetBroken",
+            "release 1/1 on t2 Unsent to e2", "ask e3 for 1/1 but t1 t2",
         ],
     );
     // The granted place would stay charged after the end of the generation.
@@ -120,3 +121,60 @@
     let leg = asks.last().expect("the leg asked");
     assert_eq!((leg.prompt_tokens, leg.made, leg.max_tokens), (50, 40, Some(2_000)));
 }
+
+/// Runs a script with free memory everywhere, so that each start has a standby.
+fn stands_by(steps: &[Do], expected: &[&str]) {
+    let mut world = World::with_resources(|records| {
+        let config = Configuration { standby_percent: 50, ..Configuration::default() };
+        let mut record = records[0].clone();
+        record.key = Key { kind: Kind::Configuration, name: "default".into() };
+        record.spec = Some(Spec::Configuration(config));
+        records.push(record);
+        // Only `t2` is left as a standby for what runs on `t1`.
+        records.retain(|record| !matches!(&*record.key.name, "t3" | "t4"));
+    });
+    world.max_tokens = 2_000;
+    world.fill = 100;
+    world.run(&[Do::Routed(1), Do::Grant(1, "e2", "t1"), Do::Began(1)]);
+    let before = world.trace.len();
+    world.run(steps);
+    let trace: Vec<&String> = world.trace[before..].iter().collect();
+    assert_eq!(trace, expected);
+}
+
+hornbeamloom_kernel::cases! {
+    stands_by;
+
+    // The generation would be lost although another target has its memory.
+    a_lost_generation_asks_for_its_standby: (
+        &[Do::Lost(1)],
+        &["ask e2 for 1/1 at t2 but t1"],
+    );
+    // The owner would choose by free memory and pass the only target with the copy.
+    a_leaving_target_s_generation_asks_for_its_standby: (
+        &[Do::Leaving("t1")],
+        &["ask e2 for 1/1 at t2 but t1"],
+    );
+}
+
+/// A pool without much free memory takes no copies.
+#[test]
+fn a_full_pool_gets_no_standby() {
+    for (fill, expected) in [(100, true), (499, true), (500, false), (900, false)] {
+        let mut world = World::with_resources(|records| {
+            let config = Configuration { standby_percent: 50, ..Configuration::default() };
+            let mut record = records[0].clone();
+            record.key = Key { kind: Kind::Configuration, name: "default".into() };
+            record.spec = Some(Spec::Configuration(config));
+            records.push(record);
+        });
+        world.max_tokens = 2_000;
+        world.fill = fill;
+        world.run(&[Do::Routed(1), Do::Grant(1, "e2", "t1")]);
+        let starts = world.outcomes.iter().filter_map(|outcome| match outcome {
+            Outcome::Start(start) => Some(start.standby.is_some()),
+            _ => None,
+        });
+        assert_eq!(starts.collect::<Vec<_>>(), [expected], "fill {fill}");
+    }
+}
