--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -35,6 +35,8 @@
     pub journal: Journal,
     /// The daemons.
     pub daemons: Vec<Daemon>,
+    /// Part of memory in use below which generations have a standby; for daemons started later.
+    pub standby_percent: u32,
     program: PathBuf,
     folder: PathBuf,
     peers: Vec<SocketAddr>,
@@ -94,6 +96,7 @@
             store: Store::start().await?,
             journal: Journal::new(),
             daemons: Vec::new(),
+            standby_percent: 0,
             program: program.to_owned(),
             folder: folder.to_owned(),
             peers: Vec::new(),
@@ -156,6 +159,7 @@
                     "readiness": addresses[3].to_string(),
                     "zones": {"a": "region", "b": "region"},
                     "retries": {"ratio": 0.2, "slack": 50},
+                    "standby_percent": self.standby_percent,
                 },
             },
         });
--- a/crates/bench/src/model.rs
+++ b/crates/bench/src/model.rs
@@ -89,7 +89,7 @@
 
 /// Memory of a run that can go on.
 #[derive(Debug, Clone)]
-struct Copy {
+struct Kept {
     attempt: String,
     /// Engines at which the copy can be used.
     places: Vec<SocketAddr>,
@@ -106,7 +106,7 @@
 #[derive(Debug, Default)]
 struct World {
     seen: Vec<Seen>,
-    copies: BTreeMap<String, Copy>,
+    copies: BTreeMap<String, Kept>,
     handles: u64,
 }
 
@@ -136,6 +136,12 @@
         own.filter(|seen| seen.ran).map(|seen| seen.engine.clone()).collect()
     }
 
+    /// Keeps the memory of a run at the engine that it is sent to as it grows.
+    fn stand_by(&self, attempt: &str, to: SocketAddr) {
+        let copy = Kept { attempt: attempt.to_owned(), places: vec![to] };
+        self.lock().copies.insert(attempt.to_owned(), copy);
+    }
+
     fn free(&self, handle: &str) {
         self.lock().copies.remove(handle);
     }
@@ -154,6 +160,19 @@
     runs: BTreeMap<String, Run>,
 }
 
+/// A stream that an engine runs.
+#[derive(Debug, Clone, Copy)]
+struct Order<'a> {
+    attempt: &'a str,
+    /// The last event that the caller has.
+    last: u64,
+    events: u64,
+    /// Its place in the journal.
+    ix: usize,
+    /// Where its memory is sent as it grows.
+    standby: Option<SocketAddr>,
+}
+
 /// One engine or back end.
 #[derive(Debug, Clone)]
 pub struct Engine {
@@ -320,7 +339,7 @@
             let mut places = first.unwrap_or_default();
             places.extend(to);
             places.extend(is_last.then_some(self.address));
-            world.copies.insert(handle.clone(), Copy { attempt, places });
+            world.copies.insert(handle.clone(), Kept { attempt, places });
         }
         drop(world);
         if fault == CopyFault::Dies {
@@ -440,7 +459,9 @@
         let (stop, mut stopped) = watch::channel(false);
         let run = Run { made: last, stop, handle: None };
         self.lock().runs.insert(attempt.to_owned(), run);
-        let result = self.events(stream, attempt, last, events, ix, &mut stopped).await;
+        let standby = self.journal.seen()[ix].header("x-kv-backup").and_then(|to| to.parse().ok());
+        let order = Order { attempt, last, events, ix, standby };
+        let result = self.events(stream, &order, &mut stopped).await;
         // A run that was stopped keeps its memory; whoever asks for it finds the copy.
         self.lock().runs.remove(attempt);
         result
@@ -449,12 +470,10 @@
     async fn events(
         &self,
         stream: &mut TcpStream,
-        attempt: &str,
-        last: u64,
-        events: u64,
-        ix: usize,
+        order: &Order<'_>,
         stopped: &mut watch::Receiver<bool>,
     ) -> std::io::Result<bool> {
+        let Order { attempt, last, events, ix, standby } = *order;
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: {attempt}\r\n\
              X-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -485,7 +504,11 @@
             if let Some(run) = self.lock().runs.get_mut(attempt) {
                 run.made = seq;
             }
+            if let Some(to) = standby {
+                self.journal.stand_by(attempt, to);
+            }
         }
+        self.journal.free(attempt);
         stream.write_all(b"0\r\n\r\n").await?;
         Ok(true)
     }
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -103,6 +103,7 @@
         address: "127.0.0.1:9000".into(),
         fence: Fence(4),
         priority: -1,
+        fill: 600,
     })
 }
 
--- a/tests/fleet/bed.rs
+++ b/tests/fleet/bed.rs
@@ -44,14 +44,26 @@
     fleet
 }
 
+/// A fleet of one daemon in zone `a` whose generations have standbys.
+pub async fn fleet_with_standbys() -> Fleet {
+    let fleet = start_fleet(90).await;
+    fleet.configure(&config(1, &[KEY]));
+    fleet
+}
+
 /// A fleet of one daemon in zone `a` without a configuration.
 pub async fn bare() -> Fleet {
+    start_fleet(0).await
+}
+
+async fn start_fleet(standby_percent: u32) -> Fleet {
     static NUMBER: AtomicU64 = AtomicU64::new(0);
     let number = NUMBER.fetch_add(1, Ordering::Relaxed);
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR"))
         .join(format!("fleet-{}-{number}", std::process::id()));
     let program = Path::new(env!("CARGO_BIN_EXE_hornbeamloomd"));
     let mut fleet = Fleet::new(program, &folder).await.expect("the store starts");
+    fleet.standby_percent = standby_percent;
     fleet.start_daemon("vm-1", "a").expect("the daemon starts");
     fleet
 }
--- a/tests/fleet/moves.rs
+++ b/tests/fleet/moves.rs
@@ -5,7 +5,7 @@
 use hornbeamloom_bench::fleet::Fleet;
 use hornbeamloom_bench::model::{CopyFault, Engine, Fault};
 
-use crate::bed::{call, eventually, fleet, models, run, Answer, DEADLINE};
+use crate::bed::{call, eventually, fleet, fleet_with_standbys, models, run, Answer, DEADLINE};
 
 /// Events of a stream that lasts long enough to move twice.
 const EVENTS: u64 = 150;
@@ -111,6 +111,50 @@
     });
 }
 
+/// Guards against a generation that dies with its engine though another has its memory.
+#[test]
+fn a_stream_with_a_standby_survives_its_engine() {
+    run(async {
+        let fleet = fleet_with_standbys().await;
+        let engines = models(&fleet, 2).await;
+        let answer = begin(&fleet).await;
+        busy(&engines, &[]).await.kill();
+        let answer = answer.await;
+        answer.assert_stream(EVENTS);
+        assert_eq!(fleet.journal.runs(&answer.attempt).len(), 2);
+    });
+}
+
+/// Guards against a copy of memory that another target holds already.
+#[test]
+fn a_stream_with_a_standby_moves_without_a_copy() {
+    run(async {
+        let fleet = fleet_with_standbys().await;
+        let engines = models(&fleet, 2).await;
+        let answer = begin(&fleet).await;
+        let first = busy(&engines, &[]).await;
+        // A copy would be refused.
+        first.set_copy_fault(CopyFault::NoRoom);
+        fleet.list(first, "model", "a", "draining");
+        answer.await.assert_stream(EVENTS);
+    });
+}
+
+/// Guards against a generation that is lost with a standby that does not have it.
+#[test]
+fn a_standby_that_refuses_leaves_the_stream_where_it_is() {
+    run(async {
+        let fleet = fleet_with_standbys().await;
+        let engines = models(&fleet, 2).await;
+        let answer = begin(&fleet).await;
+        let first = busy(&engines, &[]).await;
+        let next = engines.iter().find(|engine| engine.name() != first.name()).unwrap();
+        next.set_fault(Fault::Sheds);
+        fleet.list(first, "model", "a", "draining");
+        answer.await.assert_stream(EVENTS);
+    });
+}
+
 /// Guards against one refusal that keeps a generation from moving.
 #[test]
 fn a_copy_that_is_refused_is_tried_again() {
