Leave a zone only for a much emptier one, and an owner sooner that does not answer

Change: the first pool is the own zone's unless another one is emptier by a tenth; fills come with grants, and one request in four asks a pool whose fill is not known.

--- a/crates/kernel/src/ask.rs
+++ b/crates/kernel/src/ask.rs
@@ -13,6 +13,11 @@
 const REPEAT_MS: u64 = 500;
 /// Silence after which an owner is taken to be unreachable, in milliseconds.
 const SILENCE_MS: u64 = 1_000;
+/// The same for a request that another pool may start: a message and its answer take some
+/// milliseconds, on a VM with a quarter of a core some tens.
+const SPILL_SILENCE_MS: u64 = 250;
+/// However short the patience of a request is, an owner gets this long to answer, in milliseconds.
+const SPILL_SILENCE_MIN_MS: u64 = 75;
 /// Time for which an owner that was silent is not asked, in milliseconds.
 const AVOID_MS: u64 = 3_000;
 /// Longest wait in one queue of a request that other pools may start, in milliseconds: their
@@ -143,6 +148,25 @@
     route::next(&entry::route_view(state, request, &silent), &request.ask, &tried).is_some()
 }
 
+/// Time after which an unanswered ask is looked at again, in milliseconds.
+fn wait_ms(request: &Request) -> u64 {
+    match (request.terms.spills, request.ask.spills) {
+        (true, true) => repeat_ms(request),
+        (true, false) => SPILL_MS,
+        (false, _) => REPEAT_MS,
+    }
+}
+
+/// Silence after which the owner asked is taken to be unreachable, in milliseconds.
+///
+/// A request that spills is answered at once, so its owner is not waited for as long.
+fn repeat_ms(request: &Request) -> u64 {
+    match (request.terms.spills, request.terms.patience_ms) {
+        (true, Some(patience)) => (patience / 2).clamp(SPILL_SILENCE_MIN_MS, SPILL_SILENCE_MS),
+        _ => SILENCE_MS,
+    }
+}
+
 /// Sends the ask of a request that is in phase `Asking`.
 fn send(state: &mut State, id: &Id, now: Millis, out: &mut Outbox) {
     let Some(request) = state.entry.requests.get_mut(id) else {
@@ -158,7 +182,7 @@
         request.ask.patience_ms = request.ask.patience_ms.min(SPILL_MS);
     }
     out.send(&asking.to, Message::Ask(request.ask.clone()));
-    let due = now.after(REPEAT_MS).min(request.deadline);
+    let due = now.after(wait_ms(request)).min(request.deadline);
     state.entry.set_timer(id, due);
 }
 
@@ -229,6 +253,13 @@
             withdraw(state, id, out);
             next(state, id, now, out);
         }
+        Step::MoveOn => {
+            withdraw(state, id, out);
+            if let Some(request) = state.entry.requests.get_mut(id) {
+                request.tried.push(request.ask.pool.zone.clone());
+            }
+            next(state, id, now, out);
+        }
         Step::Spill => spill(state, id, now, out),
     }
 }
@@ -243,6 +274,8 @@
     Silent,
     /// Another VM has become the one to ask.
     Elsewhere,
+    /// It has waited in this queue for its time; the next pool may have a place.
+    MoveOn,
     /// Try another zone, if there is one.
     Spill,
 }
@@ -256,6 +289,9 @@
     if state.intent.is_out(&ask.pool.zone) {
         return Step::Elsewhere;
     }
+    if request.terms.spills && !ask.spills && now.since(asking.since) >= SPILL_MS {
+        return Step::MoveOn;
+    }
     let own = state.members.own();
     let silent = state.entry.owners.silent(now);
     let owner = route::owner(&entry::route_view(state, request, &silent), &ask.pool);
@@ -264,7 +300,7 @@
     }
     if asking.to != *own {
         let answered = state.entry.owners.last_heard(&asking.to).max(asking.since);
-        return match (now.since(answered) >= SILENCE_MS, owner) {
+        return match (now.since(answered) >= repeat_ms(request), owner) {
             (true, _) => Step::Silent,
             (false, None) => Step::Elsewhere,
             (false, Some(_)) => Step::Repeat,
--- a/crates/kernel/src/entry.rs
+++ b/crates/kernel/src/entry.rs
@@ -13,7 +13,7 @@
 use crate::peer::{Ask, Message};
 use crate::plugin::control;
 use crate::request::{Class, Id, Repeat, Terms, View};
-use crate::{ask, attempt, claim, pool, relocate, retry, route, standby};
+use crate::{ask, attempt, claim, fill, pool, relocate, retry, route};
 
 /// Requests that this VM carries at a time; the daemon accepts 4,096 connections by default.
 const REQUESTS_MAX: usize = 8_192;
@@ -33,7 +33,7 @@
     /// Retries by service.
     budgets: Map<Name, retry::Budget>,
     draws: u64,
-    pub(crate) fills: standby::Fills,
+    pub(crate) fills: fill::Fills,
     idle_since: Option<Millis>,
     is_drained: bool,
     /// When the last event was handled.
@@ -453,6 +453,8 @@
         Some(_) => &request.home,
         None => &state.identity.zone,
     };
-    let spreads = request.terms.spreads && request.origin.is_none();
-    route::View { intent: &state.intent, members: &state.members, zone, spreads, silent }
+    let is_new = request.origin.is_none();
+    let fills = Some(&state.entry.fills).filter(|_| request.terms.spreads && is_new);
+    let now = state.entry.awake.unwrap_or_default();
+    route::View { intent: &state.intent, members: &state.members, zone, fills, silent, now }
 }
--- /dev/null
+++ b/crates/kernel/src/fill.rs
@@ -0,0 +1,37 @@
+//! How full pools were when they last granted a start to this VM.
+
+use crate::ids::Millis;
+use crate::map::Map;
+use crate::pool;
+
+/// A fill heard longer ago than this says nothing, in milliseconds: a long answer takes ten seconds,
+/// and a sixth of the engines may leave within three.
+const AGE: u64 = 5_000;
+/// Pools of which the fill is remembered.
+const POOLS_MAX: usize = 1_024;
+
+/// Fills by pool, in thousandths.
+#[derive(Debug, Default)]
+pub struct Fills {
+    heard: Map<pool::Key, (u32, Millis)>,
+}
+
+impl Fills {
+    /// Remembers the fill of a pool.
+    pub(crate) fn note(&mut self, pool: &pool::Key, fill: u32, now: Millis) {
+        if let Some(heard) = self.heard.get_mut(pool) {
+            *heard = (fill, now);
+            return;
+        }
+        if self.heard.len() >= POOLS_MAX {
+            self.heard.clear();
+        }
+        self.heard.insert(pool.clone(), (fill, now));
+    }
+
+    /// The fill of a pool, if it was heard lately.
+    pub(crate) fn get(&self, pool: &pool::Key, now: Millis) -> Option<u32> {
+        let heard = self.heard.get(pool).filter(|(_, at)| now.since(*at) <= AGE);
+        heard.map(|(fill, _)| *fill)
+    }
+}
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -77,6 +77,7 @@
 mod eligible;
 mod fair;
 mod fifo;
+mod fill;
 mod gossip;
 mod headroom;
 mod isolate;
--- a/crates/kernel/src/request.rs
+++ b/crates/kernel/src/request.rs
@@ -163,7 +163,7 @@
     pub attempts: Option<u32>,
     /// It asks another pool at once where one cannot start it at once.
     pub spills: bool,
-    /// It goes to zones in proportion to their targets, not to its VM's zone first.
+    /// It goes to another zone where its VM's is much fuller.
     pub spreads: bool,
     /// It can go on at another target from the memory of its generation.
     pub relocates: bool,
--- a/crates/kernel/src/route.rs
+++ b/crates/kernel/src/route.rs
@@ -1,12 +1,19 @@
 //! Which pool a request is sent to next.
 
-use crate::ids::Name;
+use crate::fill::Fills;
+use crate::ids::{Millis, Name};
 use crate::intent::Intent;
 use crate::member;
 use crate::peer::Ask;
 use crate::pool;
 use crate::retry::draw;
 
+/// Difference in fill, in thousandths, for which a request leaves its zone: more than two long
+/// prompts make on the engines of one zone.
+const MARGIN: u32 = 100;
+/// One request in so many asks a pool whose fill is not known.
+const PROBE_SHARE: u64 = 4;
+
 /// What the choice may look at.
 #[derive(Debug, Clone, Copy)]
 pub struct View<'a> {
@@ -16,10 +23,12 @@
     pub members: &'a member::Table,
     /// The zone that is preferred: this VM's, or that of a generation which moves.
     pub zone: &'a str,
-    /// Zones are tried in proportion to their targets, without a preference.
-    pub spreads: bool,
+    /// Fills of pools; without them the preferred zone goes first however full it is.
+    pub fills: Option<&'a Fills>,
     /// Owners that do not answer at present.
     pub silent: &'a [Name],
+    /// The time.
+    pub now: Millis,
 }
 
 /// A pool and the VM to ask.
@@ -71,46 +80,35 @@
     let count = zones.len().max(1);
     zones.rotate_left(shift % count);
     zones.sort_by_key(|zone| distance(view, zone));
-    if view.spreads {
-        prefer_drawn(view, ask, &mut zones);
+    if let Some(fills) = view.fills {
+        prefer_emptier(view, fills, ask, &mut zones);
     }
     zones
 }
 
-/// Puts one zone of the region first, drawn in proportion to the targets of the zones.
+/// Puts a zone of the region first that is much less full than the one at the front.
 ///
-/// Callers are not spread evenly over zones, and a target that leaves takes less with it where all
-/// carry alike.
-fn prefer_drawn(view: &View<'_>, ask: &Ask, zones: &mut [Name]) {
+/// A zone that is cut off goes on with what runs within it, so requests leave their zone only for a
+/// reason. Callers are not spread evenly over zones, though, and neither are targets that leave.
+fn prefer_emptier(view: &View<'_>, fills: &Fills, ask: &Ask, zones: &mut [Name]) {
     let near = zones.iter().filter(|zone| distance(view, zone) != Distance::Far).count();
-    let weights: Vec<u64> =
-        zones[..near].iter().map(|zone| usable(view, ask, zone).count() as u64).collect();
-    let total: u64 = weights.iter().sum();
-    let Some(mut left) = draw(ask.id.counter, ask.fingerprint).checked_rem(total) else {
-        return;
+    let fill = |zone: &Name| fills.get(&pool::Key::new(&ask.pool.service, zone), view.now);
+    let is_probe = draw(ask.id.counter, ask.fingerprint) % PROBE_SHARE == 0;
+    let chosen = match is_probe {
+        true => zones[..near].iter().position(|zone| fill(zone).is_none()),
+        false => {
+            let own = zones.first().and_then(fill).unwrap_or(0);
+            let known = zones[..near].iter().enumerate();
+            let known = known.filter_map(|(ix, zone)| Some((fill(zone)?, ix)));
+            let least = known.min();
+            least.filter(|(fill, _)| fill + MARGIN <= own).map(|(_, ix)| ix)
+        }
     };
-    let drawn = weights.iter().position(|&weight| {
-        let is_drawn = left < weight;
-        left = left.saturating_sub(weight);
-        is_drawn
-    });
-    if let Some(drawn) = drawn {
-        zones[..=drawn].rotate_right(1);
+    if let Some(chosen) = chosen {
+        zones[..=chosen].rotate_right(1);
     }
 }
 
-/// The targets of a zone that may take the request as far as this VM knows.
-fn usable<'a>(
-    view: &View<'a>,
-    ask: &'a Ask,
-    zone: &str,
-) -> impl Iterator<Item = &'a crate::resource::Target> {
-    let targets = view.intent.pool_targets(&ask.pool.service, zone);
-    targets
-        .filter(|(name, target)| !target.leaving && !ask.exclude.contains(name))
-        .map(|(_, target)| target)
-}
-
 fn distance(view: &View<'_>, zone: &str) -> Distance {
     if zone == view.zone {
         return Distance::Own;
--- a/crates/kernel/src/standby.rs
+++ b/crates/kernel/src/standby.rs
@@ -6,45 +6,14 @@
 
 use crate::ids::{Millis, Name};
 use crate::kernel::State;
-use crate::map::Map;
 use crate::outcome::Standby;
 use crate::peer::Grant;
-use crate::pool::{self, SHORT_TOKENS};
+use crate::pool::SHORT_TOKENS;
 use crate::resource::Target;
 use crate::retry::draw;
 
 /// Fills are in thousandths, the limit in percent.
 const FILL_PER_PERCENT: u32 = 10;
-/// A fill heard longer ago than this says nothing, in milliseconds.
-const FILL_AGE: u64 = 5_000;
-/// Pools of which the fill is remembered.
-const FILLS_MAX: usize = 1_024;
-
-/// How full pools were when they last granted a start to this VM.
-#[derive(Debug, Default)]
-pub(crate) struct Fills {
-    heard: Map<pool::Key, (u32, Millis)>,
-}
-
-impl Fills {
-    /// Remembers the fill of a pool.
-    pub(crate) fn note(&mut self, pool: &pool::Key, fill: u32, now: Millis) {
-        if let Some(heard) = self.heard.get_mut(pool) {
-            *heard = (fill, now);
-            return;
-        }
-        if self.heard.len() >= FILLS_MAX {
-            self.heard.clear();
-        }
-        self.heard.insert(pool.clone(), (fill, now));
-    }
-
-    /// Whether a pool is filled less than `limit`, in thousandths, as far as this VM knows.
-    fn is_roomy(&self, pool: &pool::Key, limit: u32, now: Millis) -> bool {
-        let heard = self.heard.get(pool).filter(|(_, at)| now.since(*at) <= FILL_AGE);
-        heard.is_none_or(|(fill, _)| *fill < limit)
-    }
-}
 
 /// The standby of a start that was granted, if it is to have one.
 pub(crate) fn choose(state: &State, grant: &Grant, now: Millis) -> Option<Standby> {
@@ -61,7 +30,9 @@
         .pools_of(&grant.pool.service)
         .iter()
         .filter(|group| !state.intent.is_out(&group.key.zone))
-        .filter(|group| state.entry.fills.is_roomy(&group.key, limit, now))
+        .filter(|group| {
+            state.entry.fills.get(&group.key, now).is_none_or(|fill| fill < limit)
+        })
         .flat_map(|group| state.intent.pool_targets(&group.key.service, &group.key.zone))
         .filter(|(name, target)| !target.leaving && **name != grant.target)
         .collect();
