--- a/crates/bench/src/model.rs
+++ b/crates/bench/src/model.rs
@@ -34,6 +34,8 @@
     Fails,
     /// It closes the connection after so many events, in the middle of the next one.
     CutsAfter(u64),
+    /// It falls silent after so many events and keeps the connection.
+    SilentAfter(u64),
     /// It promises a longer answer than it sends.
     Truncates,
     /// It sends a second answer behind the first.
@@ -500,6 +502,12 @@
                 stream.write_all(&chunk.as_bytes()[..chunk.len() / 2]).await?;
                 return Ok(false);
             }
+            if matches!(fault, Fault::SilentAfter(count) if seq > count) {
+                // Until the caller closes the connection.
+                let _ = stream.read(&mut byte).await;
+                self.journal.lock().seen[ix].left = true;
+                return Ok(false);
+            }
             stream.write_all(chunk.as_bytes()).await?;
             if let Some(run) = self.lock().runs.get_mut(attempt) {
                 run.made = seq;
--- a/crates/daemon/src/flow.rs
+++ b/crates/daemon/src/flow.rs
@@ -28,6 +28,9 @@
 /// before the answer that says so.
 const DRAIN: Duration = Duration::from_millis(300);
 
+/// Silence of a stream after which its standby is asked to go on: engines give an event every few
+/// hundredths of a second, and callers leave after two seconds at the least.
+const SILENCE: Duration = Duration::from_secs(1);
 /// Longest time for which the old target runs on while the standby takes over: the platform allows
 /// 400 ms, and the answer of the standby is on its way within one of its steps.
 const OVERLAP: Duration = Duration::from_millis(250);
@@ -717,7 +720,9 @@
         S: Stream<Item = Result<Event, Cut>> + Unpin,
     {
         let mut transfer: Option<Transfer> = None;
+        let mut may_ask = leg.start.standby.is_some();
         loop {
+            let silent_at = self.event_at.unwrap_or_else(Instant::now) + SILENCE;
             let is_still = transfer.is_none();
             let copied = async {
                 match &mut transfer {
@@ -758,6 +763,13 @@
                     Some(_) => {}
                     None => return Next::Cut,
                 },
+                () = tokio::time::sleep_until(silent_at), if may_ask && is_still => {
+                    // The link or the target may be dead without a reset; the standby can tell.
+                    may_ask = false;
+                    let start = &leg.start;
+                    log::info!("request={} target={} silent: asks for its standby", start.id, start.target);
+                    self.session.control.tell(Input::Lost(start.id.clone()));
+                }
                 _ = self.caller.left() => {
                     self.drop_copy(leg, transfer);
                     return Next::Left;
--- a/crates/kernel/src/standby.rs
+++ b/crates/kernel/src/standby.rs
@@ -30,9 +30,7 @@
         .pools_of(&grant.pool.service)
         .iter()
         .filter(|group| !state.intent.is_out(&group.key.zone))
-        .filter(|group| {
-            state.entry.fills.get(&group.key, now).is_none_or(|fill| fill < limit)
-        })
+        .filter(|group| state.entry.fills.get(&group.key, now).is_none_or(|fill| fill < limit))
         .flat_map(|group| state.intent.pool_targets(&group.key.service, &group.key.zone))
         .filter(|(name, target)| !target.leaving && **name != grant.target)
         .collect();
--- a/tests/fleet/moves.rs
+++ b/tests/fleet/moves.rs
@@ -125,6 +125,22 @@
     });
 }
 
+/// Guards against a stream that stays silent with an engine though another has its memory.
+#[test]
+fn a_stream_with_a_standby_leaves_a_silent_engine() {
+    run(async {
+        let fleet = fleet_with_standbys().await;
+        let engines = models(&fleet, 2).await;
+        let answer = begin(&fleet).await;
+        busy(&engines, &[]).await.set_fault(Fault::SilentAfter(0));
+        let answer = answer.await;
+        answer.assert_stream(EVENTS);
+        let seen = fleet.journal.seen();
+        let own = seen.iter().filter(|seen| seen.header("x-attempt-id") == Some(&*answer.attempt));
+        assert!(own.clone().next().is_some_and(|seen| seen.left), "the silent engine is left");
+    });
+}
+
 /// Guards against a copy of memory that another target holds already.
 #[test]
 fn a_stream_with_a_standby_moves_without_a_copy() {
