--- a/crates/bench/src/rows.rs
+++ b/crates/bench/src/rows.rs
@@ -193,7 +193,8 @@
         rows.map(|((_, _, key), (_, value))| (key.clone(), value.clone())).collect()
     }
 
-    /// Calls of a kind so far, refused ones included: `rows-get`, `rows-feed` or `rows-tx`.
+    /// Calls of a kind so far, refused ones included: `rows-get`, `rows-feed`, `rows-tx`, or
+    /// `rows-feed TABLE`.
     pub fn calls(&self, kind: &str) -> usize {
         self.lock().calls.get(kind).copied().unwrap_or(0)
     }
@@ -267,6 +268,16 @@
         if let Some(refused) = self.enter("rows-feed").await {
             return refused;
         }
+        *self.lock().calls.entry(format!("rows-feed {}", query.table)).or_default() += 1;
+        let answer = self.wait(query).await;
+        // An answer on a connection that has fallen silent is lost.
+        if self.lock().fault == Fault::Silent {
+            return std::future::pending().await;
+        }
+        answer
+    }
+
+    async fn wait(&self, query: &Query) -> Response {
         let mut changed = self.changed.subscribe();
         let end = tokio::time::Instant::now() + Duration::from_millis(query.wait_ms);
         loop {
--- a/tests/fleet/store.rs
+++ b/tests/fleet/store.rs
@@ -9,6 +9,10 @@
 
 use crate::bed::{call, desks, eventually, fleet, models, run, serves, KEY};
 
+/// Time for which the store is silent: longer than one call may wait for its answer.
+const SILENT: Duration = Duration::from_millis(5_000);
+/// Time after the end of a disturbance from which the platform's bounds hold.
+const STABILITY: Duration = Duration::from_secs(3);
 /// Time in which nothing may happen any more.
 const CALM: Duration = Duration::from_millis(500);
 
@@ -64,6 +68,26 @@
     a_configuration_after_an_outage_is_in_force: (Before::Refuses);
 }
 
+/// Guards against a VM that still waits for an answer of a store that has long come back: a change
+/// must be in force once the store has been back for the platform's stability window of 3 s.
+#[test]
+fn a_configuration_after_a_silent_store_is_in_force() {
+    run(async {
+        let fleet = fleet().await;
+        desks(&fleet, 1).await;
+        // A call that was just sent is the one that waits longest.
+        let calls = || fleet.store.calls("rows-feed op");
+        let before = calls();
+        eventually("the next call", || async { calls() > before }).await;
+        fleet.store.set_fault(Fault::Silent);
+        tokio::time::sleep(SILENT).await;
+        fleet.store.set_fault(Fault::None);
+        fleet.configure(&config(3, &["k2"]));
+        tokio::time::sleep(STABILITY).await;
+        assert_eq!(status(&fleet, "/look/1").await, 401);
+    });
+}
+
 /// Guards against work for a zone that was taken out (I3).
 #[test]
 fn a_zone_that_is_out_gets_nothing_and_comes_back() {
