Refuse keys where the configuration may be out of date

Cause: a VM that is cut off from the store and its peers went on accepting keys that were taken away meanwhile.

Ruled out: a late feed (the links were cut), a VM that goes back to an older version (none did), the check of keys (the same requests get 401 on VMs that read the store).

Change: each read of the table says when the resources in force were the newest (Event::Current). Where Configuration.keyAgeMs is set, keys are refused with key_unconfirmed once that is longer ago.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -15,6 +15,10 @@
 /// Header of the caller's attempt.
 pub const ATTEMPT: &str = "x-attempt-id";
 
+/// Time within which a key that was taken away is refused, in milliseconds, as on the platform's
+/// sites.
+const REVOCATION_MS: u64 = 5_000;
+
 /// One running daemon.
 #[derive(Debug)]
 pub struct Daemon {
@@ -160,6 +164,7 @@
                     "zones": {"a": "region", "b": "region"},
                     "retries": {"ratio": 0.2, "slack": 50},
                     "standby_percent": self.standby_percent,
+                    "revocation_ms": REVOCATION_MS,
                 },
             },
         });
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -139,6 +139,8 @@
     Discovered(Delta),
     /// The head revision, not newer than ours.
     Head(Revision),
+    /// No newer resources were in the table at this time.
+    Current(Instant),
     /// The table could not be read.
     StoreDown,
     /// The platform's list.
@@ -310,7 +312,11 @@
 
 impl Actor {
     fn now(&self) -> Millis {
-        let ms = self.started.elapsed().as_millis();
+        self.millis(Instant::now())
+    }
+
+    fn millis(&self, at: Instant) -> Millis {
+        let ms = at.saturating_duration_since(self.started).as_millis();
         Millis(u64::try_from(ms).unwrap_or(u64::MAX))
     }
 
@@ -484,6 +490,10 @@
             Input::Changes(delta) => self.handle_event(Event::Changes(&delta)),
             Input::Discovered(delta) => self.handle_event(Event::Discovered(&delta)),
             Input::Head(revision) => self.handle_event(Event::Head(revision)),
+            Input::Current(at) => {
+                let at = self.millis(at);
+                self.handle_event(Event::Current { at });
+            }
             Input::StoreDown => self.handle_event(Event::StoreDown),
             Input::Vms(vms) => self.handle_event(Event::Vms(&vms)),
             Input::Lift(fingerprint) => self.handle_event(Event::Lift { fingerprint }),
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -2,7 +2,7 @@
 //! of VMs and keeps a snapshot of the resources in the object store.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hornbeamloom_kernel::event::Vm;
 use hornbeamloom_kernel::ids::Revision;
@@ -57,10 +57,12 @@
 async fn follow(context: Context, table: Client, objects: snapshot::Store) {
     let mut failures = 0;
     loop {
+        let started = Instant::now();
         match read(&context, &table).await {
             Ok(input) => {
                 failures = 0;
                 context.control.tell(input);
+                context.control.tell(Input::Current(started));
             }
             Err(_) => {
                 failures += 1;
--- a/crates/daemon/src/refusal.rs
+++ b/crates/daemon/src/refusal.rs
@@ -110,6 +110,9 @@
         Reason::TooLarge => {
             (StatusCode::PAYLOAD_TOO_LARGE, "the prompt fits no target of the service")
         }
+        Reason::KeyUnconfirmed => {
+            (StatusCode::SERVICE_UNAVAILABLE, "this VM cannot tell whether the key still holds")
+        }
         Reason::ShuttingDown => (StatusCode::SERVICE_UNAVAILABLE, "this VM is shutting down"),
     }
 }
--- a/crates/kernel/src/ask.rs
+++ b/crates/kernel/src/ask.rs
@@ -416,6 +416,7 @@
         Reason::NotFound
         | Reason::Quarantined
         | Reason::StoreUnavailable
+        | Reason::KeyUnconfirmed
         | Reason::InProgress
         | Reason::KeyReused
         | Reason::OutcomeUnknown
--- a/crates/kernel/src/entry.rs
+++ b/crates/kernel/src/entry.rs
@@ -216,6 +216,12 @@
     if !may_call(state, view) {
         return Err(Refusal::new(Reason::NotFound));
     }
+    let config = state.intent.governing(view.service);
+    let key_age_ms = config.map_or(0, |config| config.key_age_ms);
+    // Only callers of public routes have no organisation.
+    if !view.organisation.is_empty() && !state.currency.accepts_keys(key_age_ms, now) {
+        return Err(Refusal::new(Reason::KeyUnconfirmed).with_retry_after(RETRY_AFTER_MS));
+    }
     if state.quarantine.is_quarantined(view.fingerprint, now) {
         return Err(Refusal::new(Reason::Quarantined));
     }
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -1,6 +1,6 @@
 //! Everything that can happen to the kernel, as borrowed views.
 
-use crate::ids::{Name, Revision};
+use crate::ids::{Millis, Name, Revision};
 use crate::peer::{Delta, Message};
 use crate::request::{End, Id, View};
 use crate::store::{Answer, CallId};
@@ -100,6 +100,11 @@
     Discovered(&'a Delta),
     /// The table's head revision was read and is not newer than ours.
     Head(Revision),
+    /// The table was read: the resources in force were the newest ones then.
+    Current {
+        /// A time at which no newer ones were in the table.
+        at: Millis,
+    },
     /// The table could not be read.
     StoreDown,
     /// The platform's list of VMs.
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -8,7 +8,8 @@
 use crate::peer::Message;
 use crate::plugin::{control, policy};
 use crate::{
-    claim, discovery, entry, explain, intent, lease, member, pool, quarantine, reconcile, relocate,
+    claim, currency, discovery, entry, explain, intent, lease, member, pool, quarantine, reconcile,
+    relocate,
 };
 
 /// Who this VM is, from its settings.
@@ -102,6 +103,8 @@
     pub identity: Identity,
     /// Resources in force.
     pub intent: intent::Intent,
+    /// How current the resources in force are.
+    pub(crate) currency: currency::Watch,
     /// Targets that the platform's list no longer has.
     pub(crate) discovery: discovery::Watch,
     /// Generations whose target leaves.
@@ -131,6 +134,7 @@
     fn new(identity: Identity) -> State {
         State {
             intent: intent::Intent::default(),
+            currency: currency::Watch::default(),
             discovery: discovery::Watch::default(),
             relocations: relocate::Watch::default(),
             members: member::Table::new(&identity),
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -73,6 +73,7 @@
 mod ask;
 mod attempt;
 mod claim_table;
+mod currency;
 mod discovery;
 mod eligible;
 mod fair;
--- a/crates/kernel/src/outcome.rs
+++ b/crates/kernel/src/outcome.rs
@@ -39,6 +39,8 @@
     Quarantined,
     /// The store is unavailable and the call needs a claim.
     StoreUnavailable,
+    /// The caller's key may have been taken away meanwhile.
+    KeyUnconfirmed,
     /// The same key is being worked on.
     InProgress,
     /// The same key was used with another body.
@@ -73,6 +75,7 @@
             Reason::NoTarget => "no_target",
             Reason::Quarantined => "quarantined",
             Reason::StoreUnavailable => "store_unavailable",
+            Reason::KeyUnconfirmed => "key_unconfirmed",
             Reason::InProgress => "in_progress",
             Reason::KeyReused => "key_reused",
             Reason::OutcomeUnknown => "outcome_unknown",
--- a/crates/kernel/src/resource.rs
+++ b/crates/kernel/src/resource.rs
@@ -345,6 +345,9 @@
     /// Part of KV memory in use, in percent, below which running generations are copied ahead to a
     /// standby; zero for never.
     pub standby_percent: u32,
+    /// Age of the resources in force, in milliseconds, beyond which a VM accepts no keys, since
+    /// they may have been taken away; zero for any age.
+    pub key_age_ms: u32,
     /// Retries of one service in 10 s, in percent of its requests.
     pub retry_percent: u32,
     /// Retries of one service in 10 s that all VMs together may make however few requests arrive;
@@ -364,6 +367,7 @@
             adapters: Vec::new(),
             load_slots: 2,
             standby_percent: 0,
+            key_age_ms: 0,
             retry_percent: 10,
             retry_slack: None,
             policy: Policy::default(),
--- /dev/null
+++ b/crates/kernel/tests/route.rs
@@ -0,0 +1,57 @@
+//! Guards against requests that stay with a full zone or a silent owner while another could start
+//! them, and against requests that leave their zone for nothing.
+
+mod common;
+
+use common::{Do, World};
+use hornbeamloom_kernel::outcome::Reason;
+
+/// Asks of the last request, after others have told how full two zones are.
+fn asks(own: u32, other: u32, age_ms: u64, requests: &[u64], expected: &[&str]) {
+    let mut world = World::new();
+    world.run(&[
+        Do::Spread(100),
+        Do::Refuse(100, "e2", Reason::Busy),
+        Do::Fill(other),
+        Do::Grant(100, "e3", "t3"),
+        Do::Spread(101),
+        Do::Fill(own),
+        Do::Grant(101, "e2", "t1"),
+        Do::Wait(age_ms),
+    ]);
+    let before = world.trace.len();
+    let steps: Vec<Do> = requests.iter().map(|n| Do::Spread(*n)).collect();
+    world.run(&steps);
+    assert_eq!(world.trace[before..], *expected);
+}
+
+hornbeamloom_kernel::cases! {
+    asks;
+
+    // A busy zone's requests would wait for each other's prompts beside an empty zone.
+    a_much_emptier_zone_goes_first: (900, 100, 50, &[1], &["ask e3 for 1"]);
+    // A zone that is cut off would take the generations of other zones' callers with it.
+    a_zone_that_is_a_little_emptier_does_not: (900, 801, 50, &[1], &["ask e2 for 1"]);
+    a_fuller_zone_does_not: (300, 900, 50, &[1], &["ask e2 for 1"]);
+    // What a zone was like before its engines left says nothing of it now.
+    an_old_fill_does_not_count: (900, 100, 5_100, &[1], &["ask e2 for 1"]);
+}
+
+/// Where a request is asked for after its own zone's owner has fallen silent.
+fn leaves(request: Do, wait_ms: u64, expected: &[&str]) {
+    let mut world = World::new();
+    let trace = world.run(&[Do::Silence("e2"), request, Do::Wait(wait_ms)]);
+    assert_eq!(trace, expected);
+}
+
+hornbeamloom_kernel::cases! {
+    leaves;
+
+    // A zone was cut off, and 46 requests spent their time on owners in it.
+    a_silent_owner_is_left_after_half_the_patience: (
+        Do::Spread(1), 300,
+        &["ask e2 for 1", "retry AskTimeout", "withdraw 1 from e2", "ask e3 for 1"],
+    );
+    an_owner_has_a_quarter_of_a_second: (Do::Spread(1), 200, &["ask e2 for 1"]);
+    a_request_without_another_pool_waits_longer: (Do::Arrive(1), 300, &["ask e2 for 1"]);
+}
