Record a stopping VM that takes requests late

It took requests on new connections from 27.4 s on and was killed at 28.3 s with one of them half answered.

Ruled out: a request on a kept connection (those are closed after their request), an engine that broke off (its run ends when the VM is killed).

--- a/tests/fleet/ends.rs
+++ b/tests/fleet/ends.rs
@@ -8,6 +8,10 @@
     attempt, call, desks, eventually, fleet, models, read, request, run, serves, KEY, WORK,
 };
 
+/// Time after the order to stop in which callers have noticed it: the stand-in's settling time of
+/// 1 s and one more.
+const LATE: Duration = Duration::from_secs(2);
+
 /// Guards against a planned stop that cuts a request off (I8).
 #[test]
 fn a_planned_stop_finishes_its_streams() {
@@ -30,6 +34,25 @@
     });
 }
 
+/// Guards against a request that a VM takes long after it was told to stop: it is killed at the end
+/// of its grace, with the request half answered.
+#[test]
+fn a_stopping_vm_refuses_what_comes_late() {
+    run(async {
+        let mut fleet = fleet().await;
+        models(&fleet, 1).await;
+        let attempt = attempt();
+        let sent = request(&fleet, 0, "/draft/1", &attempt).body("events=400");
+        let stream = tokio::spawn(read(sent, attempt));
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        fleet.daemons[0].process.terminate();
+        tokio::time::sleep(LATE).await;
+        assert!(!stream.is_finished(), "the VM has something left to finish");
+        assert_eq!(call(&fleet, "/draft/2", b"events=1").await.status, 503);
+        stream.await.unwrap().assert_stream(400);
+    });
+}
+
 /// Guards against engines that work for callers who are gone.
 fn stops_work(path: &'static str, body: &'static str, at: Duration) {
     run(async {
