--- a/crates/kernel/tests/relocate.rs
+++ b/crates/kernel/tests/relocate.rs
@@ -6,7 +6,7 @@
 use hornbeamloom_kernel::outcome::{Outcome, Reason};
 use hornbeamloom_kernel::peer::{Ask, Message};
 use hornbeamloom_kernel::request::End;
-use hornbeamloom_kernel::resource::Configuration;
+use hornbeamloom_kernel::resource::{Configuration, Key, Kind, Spec};
 
 /// Runs a script with long outputs and compares everything that the VM did after the start.
 fn does(steps: &[Do], expected: &[&str]) {
