Refuse what a stopping VM can no longer finish; wait for outcomes of other VMs

Cause: a VM that was told to stop closed new connections without an answer or took their requests until it was killed at the end of its grace, with answers half sent. The case once::a_repeated_call_gets_the_kept_answer: a caller has its answer before the VM that answered has written the outcome, so a second call at another VM read a claim without one and got 409.

Ruled out: late readiness (it ends at once). For the 409: an order of inputs on one VM, since the second call goes to another VM.

Change: Event::Leaving at the order to stop, Event::Stop after the settle time. Long generations of routes are refused from the first, all requests of routes from the second, as not run and with the advice to come back after 50 ms. A claim of another VM without an outcome is read again three times within 700 ms. The case of a live VM's claim now waits that long before it expects the same refusal.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -147,7 +147,9 @@
     Vms(Vec<Vm>),
     /// Lift a quarantine.
     Lift(u64),
-    /// Shut down gracefully.
+    /// A graceful shutdown has begun.
+    Leaving,
+    /// Callers have noticed it: hand everything over and finish what runs.
     Stop,
     /// Read something from the control state.
     Read(Read),
@@ -497,6 +499,7 @@
             Input::StoreDown => self.handle_event(Event::StoreDown),
             Input::Vms(vms) => self.handle_event(Event::Vms(&vms)),
             Input::Lift(fingerprint) => self.handle_event(Event::Lift { fingerprint }),
+            Input::Leaving => self.handle_event(Event::Leaving),
             Input::Stop => self.handle_event(Event::Stop),
             Input::Read(read) => (read.0)(self.kernel.state(), self.now()),
         }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -146,6 +146,7 @@
     pub async fn stop(self) {
         let settings = self.settings.borrow().clone();
         self.stopping.send_replace(true);
+        self.control.tell(Input::Leaving);
         let work = async {
             tokio::time::sleep(Duration::from_secs(settings.settle_s)).await;
             self.control.tell(Input::Stop);
--- a/crates/kernel/src/claim_table.rs
+++ b/crates/kernel/src/claim_table.rs
@@ -19,6 +19,9 @@
 /// First delay before a claim is created again, in milliseconds; it doubles. With three tries a call
 /// waits 700 ms, long enough for a connection to be opened again.
 const CREATE_RETRY_MS: u64 = 100;
+/// Times that a claim of another VM without an outcome is read again before its key counts as in use:
+/// a caller has its answer before the VM that answered has written the outcome.
+const HELD_LOOKS: u32 = 3;
 /// Times that a record to be deleted is looked for again after it was not found.
 const DELETE_LOOKS: u32 = 2;
 /// First delay of a repeated write, in milliseconds; it doubles.
@@ -238,6 +241,9 @@
             entry.version = Some(record.version);
             created(state, id, now, out);
         }
+        (Want::Create, Verdict::Refuse(Reason::InProgress)) if entry.tries < HELD_LOOKS => {
+            delay(state, id, now, out);
+        }
         (Want::Create, verdict) => {
             state.claims.remove(id);
             conclude(state, id, verdict, now, out);
--- a/crates/kernel/src/entry.rs
+++ b/crates/kernel/src/entry.rs
@@ -24,6 +24,9 @@
 /// Advice for callers that no target can serve at present, in milliseconds.
 pub(crate) const RETRY_AFTER_MS: u64 = 1_000;
 
+/// Advice for callers of a VM that leaves, in milliseconds: another VM serves them at once.
+const ELSEWHERE_MS: u64 = 50;
+
 /// Requests accepted by this VM.
 #[derive(Debug, Default)]
 pub struct Table {
@@ -225,8 +228,8 @@
     if state.quarantine.is_quarantined(view.fingerprint, now) {
         return Err(Refusal::new(Reason::Quarantined));
     }
-    if state.entry.is_drained {
-        return Err(Refusal::new(Reason::ShuttingDown).with_retry_after(RETRY_AFTER_MS));
+    if is_left_to_others(state, view) {
+        return Err(Refusal::new(Reason::ShuttingDown).with_retry_after(ELSEWHERE_MS));
     }
     if state.entry.requests.len() >= REQUESTS_MAX {
         return Err(Refusal::new(Reason::PoolQueue).with_retry_after(RETRY_AFTER_MS));
@@ -276,6 +279,17 @@
     })
 }
 
+/// Whether this VM leaves and the request is better served by another one.
+///
+/// The platform gives a VM some seconds to stop. A long generation that comes by a route may outlast
+/// them; so may any other request that comes after callers had the time to notice.
+fn is_left_to_others(state: &State, view: &View<'_>) -> bool {
+    let is_long = view.max_tokens.is_none_or(|tokens| tokens > pool::SHORT_TOKENS);
+    let is_long = view.terms.relocates && is_long;
+    let is_late = view.terms.spills && state.stopping;
+    state.entry.is_drained || is_late || (state.leaving && is_long)
+}
+
 /// Whether the organisation may call the service.
 ///
 /// The caller adapter has found the organisation by its key, so an organisation that is not
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -114,7 +114,9 @@
         /// The body.
         fingerprint: u64,
     },
-    /// Shut down gracefully.
+    /// A graceful shutdown has begun: callers are sent to other VMs from now on.
+    Leaving,
+    /// Callers have noticed that this VM leaves: hand everything over and finish what runs.
     Stop,
 }
 
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -126,6 +126,8 @@
     /// Explanations.
     pub log: explain::Log,
     /// A graceful shutdown has begun.
+    pub leaving: bool,
+    /// Callers have had the time to notice it.
     pub stopping: bool,
     next_call: u64,
 }
@@ -145,6 +147,7 @@
             claims: claim::Book::default(),
             planner: reconcile::Planner::default(),
             log: explain::Log::default(),
+            leaving: false,
             stopping: false,
             next_call: 0,
             identity,
@@ -246,9 +249,8 @@
     }
 
     fn dispatch(&mut self, event: &Event<'_>, now: Millis, out: &mut Outbox) {
-        if matches!(event, Event::Stop) {
-            self.state.stopping = true;
-        }
+        self.state.leaving |= matches!(event, Event::Leaving | Event::Stop);
+        self.state.stopping |= matches!(event, Event::Stop);
         for plugin in &self.plugins {
             (plugin.handle)(&mut self.state, event, now, out);
         }
--- a/crates/kernel/tests/claim.rs
+++ b/crates/kernel/tests/claim.rs
@@ -142,9 +142,17 @@
     );
     // A call that another VM runs would run twice (I6).
     a_claim_of_a_live_vm_is_in_progress: (
-        &[Do::Seed("k", "e3", 2, 7), Do::Once(1, "k", 7)],
+        &[Do::Seed("k", "e3", 2, 7), Do::Once(1, "k", 7), Do::Wait(1_000)],
         &["refuse 1 InProgress ran Unknown"],
     );
+    // A caller that has its answer from another VM would be told that its call is in progress.
+    an_outcome_that_another_vm_still_writes_is_waited_for: (
+        &[
+            Do::Seed("k", "e3", 2, 7), Do::Once(1, "k", 7), Do::Wait(200), Do::Settle("k"),
+            Do::Wait(300),
+        ],
+        &["replay 1"],
+    );
     // The claim of a process that is gone would be taken for running work for ever.
     a_claim_of_an_earlier_incarnation_is_unknown: (
         &[Do::Seed("k", "e3", 1, 7), Do::Seed("l", "e1", 0, 7), Do::Once(1, "k", 7), Do::Once(2, "l", 7)],
--- a/crates/kernel/tests/common/mod.rs
+++ b/crates/kernel/tests/common/mod.rs
@@ -92,12 +92,17 @@
     Land,
     /// Another process has a claim with a body in the table.
     Seed(&'static str, &'static str, u64, u64),
+    /// That process has written the outcome of its call.
+    Settle(&'static str),
     /// The platform lists these VMs.
     Listed(&'static [&'static str]),
     /// Renders the claim with this key.
     Look(&'static str),
     /// Renders whether a body is quarantined or suspect.
     State(u64),
+    /// A graceful shutdown of the VM has begun.
+    Leave,
+    /// Callers have had the time to notice it.
     Stop,
 }
 
@@ -483,6 +488,7 @@
             Do::Lift(fingerprint) => self.handle(Event::Lift { fingerprint }),
             Do::Store(store) => self.store = store,
             Do::Seed(key, vm, incarnation, body) => self.seed(key, vm, incarnation, body),
+            Do::Settle(key) => self.settle(key),
             Do::Listed(names) => {
                 let vm = |name: &&str| Vm { name: (*name).into(), leaving: false };
                 let vms: Vec<Vm> = names.iter().map(vm).collect();
@@ -500,6 +506,7 @@
                     };
                 self.trace.push(format!("body {body} {text}"));
             }
+            Do::Leave => self.handle(Event::Leaving),
             Do::Stop => self.handle(Event::Stop),
         }
     }
--- a/crates/kernel/tests/common/table.rs
+++ b/crates/kernel/tests/common/table.rs
@@ -6,7 +6,7 @@
     Answer, Call, Claim, Condition, Family, Key, Op, Record as Row, Value, Write, Written,
 };
 
-use super::{Store, World};
+use super::{stored, Store, World};
 
 impl World {
     fn claim_key(key: &str) -> Key {
@@ -25,6 +25,12 @@
         self.table.insert(World::claim_key(key), row);
     }
 
+    pub fn settle(&mut self, key: &str) {
+        if let Some((_, Value::Claim(claim))) = self.table.get_mut(&World::claim_key(key)) {
+            claim.outcome = Some(stored());
+        }
+    }
+
     pub fn look(&mut self, key: &str) {
         let text = match self.table.get(&World::claim_key(key)) {
             Some((_, Value::Claim(claim))) if claim.outcome.is_some() => "has an outcome",
--- a/crates/kernel/tests/entry.rs
+++ b/crates/kernel/tests/entry.rs
@@ -208,6 +208,16 @@
             "start 2 on t1", "drained", "release 2 on t1 Complete to e2",
         ],
     );
+    // A request would be cut off when the platform kills a VM that has not stopped in time (I8).
+    a_stopping_vm_leaves_late_requests_of_routes_to_others: (
+        &[Do::Arrive(1), Do::Grant(1, "e2", "t1"), Do::Leave, Do::Stop, Do::Spread(2)],
+        &["ask e2 for 1", "start 1 on t1", "refuse 2 ShuttingDown ran No"],
+    );
+    // A long generation would be cut off even if it arrives right after the order to stop (I8).
+    a_leaving_vm_leaves_long_generations_to_others: (
+        &[Do::Leave, Do::Routed(1), Do::Spread(2)],
+        &["refuse 1 ShuttingDown ran No", "ask e2 for 2"],
+    );
     // A request that arrives after the end of the drain would be lost with the process.
     a_drained_vm_refuses: (
         &[Do::Stop, Do::Arrive(1)],
