Tell entry VMs of leaving engines; list leases seldom; log each decision

The log did not name the targets that a failed request ran on.

Change: Message::Departing from the scheduler of a pool to the VMs whose generations run on a leaving engine. The first ask of a scheduler reads the reports. Steps recorded for explanations are log lines, written to standard output through a bounded queue that never blocks.

--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -337,7 +337,7 @@
         let mut arguments: Vec<&str> = self.daemon[1..].iter().map(String::as_str).collect();
         arguments.extend(["--config", &settings]);
         let log = self.folder.join(format!("{vm}.log"));
-        Process::start(Path::new(&self.daemon[0]), vm, &arguments, &log)
+        Process::start_logged(Path::new(&self.daemon[0]), vm, &arguments, &log)
     }
 
     /// Starts a fault proxy in front of `to`.
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -174,7 +174,7 @@
         std::fs::write(&path, text)?;
         let log = self.folder.join(format!("{vm}.log"));
         let settings = path.display().to_string();
-        let process = Process::start(&self.program, vm, &["--config", &settings], &log)?;
+        let process = Process::start_logged(&self.program, vm, &["--config", &settings], &log)?;
         self.peers.push(addresses[2]);
         self.daemons.push(Daemon { process, callers: addresses[0], readiness: addresses[3] });
         Ok(())
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -1,5 +1,6 @@
 //! A child process of a test bench, ended when dropped.
 
+use std::fs::File;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -35,14 +36,36 @@
         arguments: &[&str],
         log: &Path,
     ) -> Result<Process, Error> {
-        let log = std::fs::File::options().create(true).append(true).open(log)?;
-        let child = Command::new(program)
-            .args(arguments)
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .stderr(log)
-            .spawn()?;
-        Ok(Process { child, name: name.to_owned() })
+        let log = append(log)?;
+        Process::spawn(program, name, arguments, Stdio::piped(), log.into())
+    }
+
+    /// Starts `program` with `arguments`; all that it writes goes to `log`.
+    ///
+    /// # Errors
+    ///
+    /// The program or the log file cannot be opened.
+    pub fn start_logged(
+        program: &Path,
+        name: &str,
+        arguments: &[&str],
+        log: &Path,
+    ) -> Result<Process, Error> {
+        let log = append(log)?;
+        let errors = log.try_clone()?;
+        Process::spawn(program, name, arguments, log.into(), errors.into())
+    }
+
+    fn spawn(
+        program: &Path,
+        name: &str,
+        arguments: &[&str],
+        output: Stdio,
+        errors: Stdio,
+    ) -> Result<Process, Error> {
+        let mut command = Command::new(program);
+        command.args(arguments).stdin(Stdio::null()).stdout(output).stderr(errors);
+        Ok(Process { child: command.spawn()?, name: name.to_owned() })
     }
 
     /// Reads standard output up to the line `LABEL ADDRESS` and returns the address.
@@ -115,6 +138,10 @@
     }
 }
 
+fn append(log: &Path) -> std::io::Result<File> {
+    File::options().create(true).append(true).open(log)
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         self.kill();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod flow;
 pub mod generation;
 pub mod link;
+pub mod output;
 pub mod peers;
 pub mod run;
 pub mod session;
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -12,8 +12,9 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::control::{self, Control, Input, Port};
+use crate::output::Queue;
 use crate::settings::Settings;
-use crate::{edge, settings};
+use crate::{edge, output, settings};
 
 /// Time for the last messages to peers to leave.
 const FLUSH: Duration = Duration::from_millis(250);
@@ -47,7 +48,9 @@
         Ok(runtime) => runtime,
         Err(error) => return refuse(&error),
     };
-    match runtime.block_on(serve(settings, &args.config)) {
+    let result = runtime.block_on(serve(settings, &args.config));
+    log::logger().flush();
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => refuse(&error),
     }
@@ -62,7 +65,8 @@
     let config = simplelog::ConfigBuilder::new().set_time_format_rfc3339().build();
     // The logger lets everything pass; the level in force is the global one, which can change.
     // A second logger in one process (tests) is not a reason to stop.
-    let _ = simplelog::WriteLogger::init(log::LevelFilter::Trace, config, std::io::stderr());
+    let lines = Queue::new(std::io::stdout(), output::LINES_MAX);
+    let _ = simplelog::WriteLogger::init(log::LevelFilter::Trace, config, lines);
     set_log_level(level);
 }
 
--- /dev/null
+++ b/crates/daemon/tests/output.rs
@@ -0,0 +1,71 @@
+//! The log reaches its sink whole and in order, and never holds up whoever logs.
+
+use std::io::{self, Write};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+
+use hornbeamloom_daemon::output::Queue;
+
+/// A sink that keeps what it gets, and waits for a permit before it takes the first bytes.
+struct Sink {
+    written: Arc<Mutex<Vec<u8>>>,
+    permit: Option<Receiver<()>>,
+}
+
+impl Write for Sink {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        if let Some(permit) = self.permit.take() {
+            // A test that has ended lets the sink go on.
+            let _ = permit.recv();
+        }
+        self.written.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn sink() -> (Sink, Arc<Mutex<Vec<u8>>>, Sender<()>) {
+    let written = Arc::new(Mutex::new(Vec::new()));
+    let (permit, permitted) = channel();
+    let sink = Sink { written: written.clone(), permit: Some(permitted) };
+    (sink, written, permit)
+}
+
+/// Writes the parts and gives the text that reached the sink.
+fn reaches(parts: &[&str], expected: &str) {
+    let (sink, written, permit) = sink();
+    permit.send(()).unwrap();
+    let mut queue = Queue::new(sink, 16);
+    for part in parts {
+        queue.write_all(part.as_bytes()).unwrap();
+    }
+    queue.flush().unwrap();
+    assert_eq!(String::from_utf8_lossy(&written.lock().unwrap()), expected);
+}
+
+hornbeamloom_kernel::cases! {
+    reaches;
+
+    // Lines of two threads would be mixed.
+    a_line_in_parts_is_written_as_one: (&["a=", "1", "\n"], "a=1\n");
+    lines_keep_their_order: (&["a=1\nb=2\n", "c=3\n"], "a=1\nb=2\nc=3\n");
+    a_line_without_its_end_waits: (&["a=1\nb="], "a=1\n");
+}
+
+/// Guards against a reader of the log that stops a VM by reading no more.
+#[test]
+fn a_sink_that_takes_nothing_holds_nobody_up() {
+    let (sink, written, permit) = sink();
+    let mut queue = Queue::new(sink, 4);
+    for number in 0..1_000 {
+        writeln!(queue, "line={number}").unwrap();
+    }
+    assert!(queue.dropped() >= 900, "{} dropped", queue.dropped());
+    permit.send(()).unwrap();
+    while queue.flush().is_ok() && queue.dropped() > 0 {}
+    let text = String::from_utf8_lossy(&written.lock().unwrap()).into_owned();
+    assert!(text.contains("log lines dropped="), "{text}");
+}
--- a/crates/kernel/src/accounting.rs
+++ b/crates/kernel/src/accounting.rs
@@ -32,6 +32,8 @@
     }
     pools.ensure(&ask.pool, intent, now).used = now;
     takeover::check(state, &ask.pool, now, out);
+    // A scheduler that has just begun knows nothing of its targets before their first reports.
+    poll(state, &ask.pool, now, out);
     let own = &state.identity.vm;
     let Some(pool) = state.pools.get_mut(&ask.pool) else {
         return;
--- a/crates/kernel/src/explain.rs
+++ b/crates/kernel/src/explain.rs
@@ -36,6 +36,8 @@
 #[derive(Debug, Default)]
 pub struct Log {
     steps: VecDeque<Step>,
+    /// Steps at the end that were not given out yet.
+    fresh: usize,
 }
 
 impl Log {
@@ -58,6 +60,13 @@
         let end = (0..=TEXT_MAX.min(text.len())).rfind(|&ix| text.is_char_boundary(ix));
         text.truncate(end.unwrap_or(0));
         self.steps.push_back(Step { at, id: id.clone(), text });
+        self.fresh = (self.fresh + 1).min(STEPS_MAX);
+    }
+
+    /// The steps recorded since this was last asked, oldest first.
+    pub(crate) fn take_fresh(&mut self) -> impl Iterator<Item = &Step> {
+        let known = self.steps.len() - std::mem::take(&mut self.fresh);
+        self.steps.range(known..)
     }
 
     /// The steps of one request, oldest first.
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -8,8 +8,8 @@
 use crate::peer::Message;
 use crate::plugin::{control, policy};
 use crate::{
-    claim, currency, discovery, entry, explain, intent, lease, member, pool, quarantine, reconcile,
-    relocate,
+    claim, currency, departure, discovery, entry, explain, intent, lease, member, pool, quarantine,
+    reconcile, relocate,
 };
 
 /// Who this VM is, from its settings.
@@ -109,6 +109,8 @@
     pub(crate) discovery: discovery::Watch,
     /// Generations whose target leaves.
     pub(crate) relocations: relocate::Watch,
+    /// Targets that leave by the account of the schedulers of their pools.
+    pub(crate) departures: departure::Notices,
     /// Other VMs.
     pub members: member::Table,
     /// Pool ownership.
@@ -139,6 +141,7 @@
             currency: currency::Watch::default(),
             discovery: discovery::Watch::default(),
             relocations: relocate::Watch::default(),
+            departures: departure::Notices::default(),
             members: member::Table::new(&identity),
             leases: lease::Keeper::default(),
             entry: entry::Table::default(),
@@ -245,6 +248,11 @@
                 None => outbox.count(Counter::Ignored("send_without_address")),
             }
         }
+        let fresh = self.state.log.take_fresh();
+        out.extend(fresh.map(|step| Outcome::Log {
+            warn: false,
+            text: format!("request={} {}", step.id, step.text),
+        }));
         out.append(&mut outbox.outcomes);
     }
 
--- a/crates/kernel/src/lease.rs
+++ b/crates/kernel/src/lease.rs
@@ -16,7 +16,7 @@
 use crate::map::Map;
 use crate::member::{self, Table};
 use crate::outcome::Outcome;
-use crate::peer::Message;
+use crate::peer::{Message, Standing};
 use crate::plugin::control;
 use crate::pool::Key;
 use crate::random::hash;
@@ -30,6 +30,12 @@
 const READ_MS: u64 = 1_000;
 /// The same in a fleet of more than [`LARGE_FLEET`] VMs, to spare the table.
 const READ_LARGE_MS: u64 = 2_000;
+/// The same while every pool is held here or by a VM whose heartbeats come: a list would only show
+/// renewals.
+const READ_QUIET_MS: u64 = 4_000;
+/// Age of the newest heartbeat of a holder, in milliseconds, up to which it counts as alive here: four
+/// rounds of gossip.
+const ALIVE_MS: u64 = 4 * member::ROUND_MS;
 /// VMs above which reads are rarer.
 const LARGE_FLEET: usize = 32;
 /// A call without an answer for this long counts as lost.
@@ -59,6 +65,8 @@
     started: Option<Millis>,
     stopped: Option<Millis>,
     read_at: Millis,
+    /// When the last list was sent.
+    listed_at: Option<Millis>,
     /// The list in flight and when it was sent.
     reading: Option<(CallId, Millis)>,
     writing: Map<CallId, Vec<Key>>,
@@ -275,20 +283,40 @@
     if keeper.watches.is_empty() || keeper.reading.is_some() || now < keeper.read_at {
         return;
     }
-    let id = state.call_id();
-    let zone = state.identity.zone.clone();
     let interval = match state.members.members.len() > LARGE_FLEET {
         true => READ_LARGE_MS,
         false => READ_MS,
     };
+    let is_recent = keeper.listed_at.is_some_and(|at| now.since(at) < READ_QUIET_MS);
+    if is_recent && is_quiet(state, now) {
+        state.leases.read_at = now.after(interval);
+        return;
+    }
+    let id = state.call_id();
+    let zone = state.identity.zone.clone();
     // The table is not asked by all VMs in step.
     let jitter = hash(&[&state.identity.vm]).wrapping_add(id.0) % (interval / 4);
     state.leases.reading = Some((id, now));
+    state.leases.listed_at = Some(now);
     state.leases.read_at = now.after(interval - jitter);
     let op = Op::List(Family::Leases { zone });
     out.push(Outcome::Store(Call { id, op }));
 }
 
+/// Whether no lease of the zone is likely to change hands.
+fn is_quiet(state: &State, now: Millis) -> bool {
+    let is_alive = |pool: &Key| {
+        let owner = state.members.owner(pool).and_then(|(vm, _)| state.members.get(vm));
+        owner.is_some_and(|owner| {
+            now.since(owner.moved) <= ALIVE_MS && owner.entry.standing == Standing::Serving
+        })
+    };
+    state.leases.watches.iter().all(|(pool, watch)| {
+        let is_held = watch.mine.as_ref().is_some_and(|mine| mine.is_valid(now));
+        watch.attempt.is_none() && !watch.is_successor && (is_held || is_alive(pool))
+    })
+}
+
 /// Sends every write that is due, in one call.
 fn write(state: &mut State, now: Millis, out: &mut Outbox) {
     let id = state.call_id();
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -74,6 +74,7 @@
 mod attempt;
 mod claim_table;
 mod currency;
+mod departure;
 mod discovery;
 mod eligible;
 mod fair;
--- a/crates/kernel/src/peer.rs
+++ b/crates/kernel/src/peer.rs
@@ -96,6 +96,11 @@
         /// Names of cold targets.
         cold: Vec<Name>,
     },
+    /// A target on which requests of the receiver run is about to leave.
+    Departing {
+        /// The target.
+        target: Name,
+    },
 }
 
 /// Membership and revisions.
--- a/crates/kernel/src/relocate.rs
+++ b/crates/kernel/src/relocate.rs
@@ -12,6 +12,7 @@
 use crate::ids::Millis;
 use crate::kernel::{Outbox, State};
 use crate::outcome::Counter;
+use crate::peer::Message;
 use crate::plugin::control;
 use crate::pool::SHORT_TOKENS;
 use crate::request::Id;
@@ -41,7 +42,8 @@
         lost(state, id, now, out);
     }
     let is_due = state.relocations.due.is_some_and(|at| at <= now);
-    if is_due || state.relocations.generation != state.intent.generation {
+    let is_told = matches!(event, Event::Peer { message: Message::Departing { .. }, .. });
+    if is_due || is_told || state.relocations.generation != state.intent.generation {
         look(state, now, out);
     }
 }
@@ -53,7 +55,7 @@
         .entry
         .requests
         .iter()
-        .filter(|(_, request)| is_on_leaving(state, request))
+        .filter(|(_, request)| is_on_leaving(state, request, now))
         .map(|(id, _)| id.clone())
         .collect();
     state.relocations.due = (!leaving.is_empty()).then(|| now.after(LOOK_MS));
@@ -68,13 +70,14 @@
 }
 
 /// Whether a request is a generation worth moving that runs on a target about to leave.
-fn is_on_leaving(state: &State, request: &Request) -> bool {
+fn is_on_leaving(state: &State, request: &Request, now: Millis) -> bool {
     let is_short = request.ask.max_tokens.is_some_and(|tokens| tokens <= SHORT_TOKENS);
     let carries = request.terms.relocates && request.origin.is_none() && !is_short;
     let Phase::Running(run) = &request.phase else {
         return false;
     };
-    carries && state.intent.target(run.target()).is_none_or(|target| target.leaving)
+    let is_leaving = state.intent.target(run.target()).is_none_or(|target| target.leaving);
+    carries && (is_leaving || state.departures.has(run.target(), now))
 }
 
 /// Asks for a start of the next leg of a generation.
--- a/crates/kernel/tests/common/mod.rs
+++ b/crates/kernel/tests/common/mod.rs
@@ -84,6 +84,8 @@
     Hello(&'static str, &'static str),
     Out(&'static str),
     Leaving(&'static str),
+    /// A peer tells that a target leaves.
+    Departing(&'static str, &'static str),
     /// A peer tells of a death with the bodies that ran there.
     Death(&'static str, u64, &'static [u64]),
     Lift(u64),
@@ -476,6 +478,9 @@
                     target.leaving = true;
                 }
             }),
+            Do::Departing(vm, target) => {
+                self.peer(vm, Message::Departing { target: target.into() });
+            }
             Do::Death(target, start_id, bodies) => {
                 let death = hornbeamloom_kernel::peer::Death {
                     target: target.into(),
--- a/crates/kernel/tests/lease.rs
+++ b/crates/kernel/tests/lease.rs
@@ -332,6 +332,19 @@
     assert!(calls <= 50, "{calls} calls");
 }
 
+/// Guards against lists that only show renewals of holders who are known to be alive.
+#[test]
+fn leases_of_live_holders_are_seldom_listed() {
+    let mut fleet = Fleet::of_zone(3);
+    declare_many(&mut fleet, 1);
+    fleet.run(SETTLE_MS);
+    let before = fleet.calls;
+    fleet.run(10 * RENEW_MS);
+    // A renewal every 2 s, and a list of each VM every 4 s, with half as many again to spare.
+    let calls = fleet.calls - before;
+    assert!(calls <= 37, "{calls} calls");
+}
+
 /// Guards against leases on pools that no target or another zone belongs to.
 #[test]
 fn only_own_zone_pools_with_targets_are_taken() {
--- /dev/null
+++ b/crates/kernel/tests/pool/departure.rs
@@ -0,0 +1,41 @@
+//! Guards against generations that are lost with an engine whose leaving only its pool's scheduler
+//! knows of, and against a scheduler that starts without an account of its targets.
+
+use hornbeamloom_kernel::cases;
+use hornbeamloom_kernel::peer::Message;
+use hornbeamloom_kernel::resource::Configuration;
+use hornbeamloom_kernel::target::Phase;
+
+use crate::bed::{config, target, Bed, ENTRY};
+
+/// Notices that the entry VM of a running request gets after a report of its target.
+fn notices(kv_tokens: u64, phase: Phase, expected: usize) {
+    let spec = target(4, 4, kv_tokens);
+    let mut bed = Bed::warm(&[("engine-1", spec)], config("fair", &["kvload"], &[]));
+    bed.join(ENTRY, 1);
+    bed.asks("parlour-1", 1);
+    assert_eq!(bed.running().len(), 1);
+    bed.engines.get_mut("engine-1").unwrap().phase = phase;
+    bed.report("engine-1");
+    let sent = bed.sent_to(ENTRY, |message| matches!(message, Message::Departing { .. }));
+    assert_eq!(sent.len(), expected);
+}
+
+cases! {
+    notices;
+    a_leaving_engine_is_told_to_whom_it_serves: (10_000, Phase::Leaving, 1);
+    a_warm_engine_is_not: (10_000, Phase::Warm, 0);
+    // Calls of plain services end within the notice.
+    a_leaving_plain_target_is_not: (0, Phase::Leaving, 0);
+}
+
+/// Guards against callers that are refused because the first reports are not asked for at once.
+#[test]
+fn the_first_ask_reads_the_reports() {
+    let targets = [("engine-1", target(4, 4, 0))];
+    let mut bed = Bed::idle(&targets, Phase::Warm, Configuration::default());
+    bed.polled.clear();
+    let ask = bed.draft("parlour-1");
+    bed.send(&ask);
+    assert!(!bed.polled.is_empty());
+}
--- a/crates/kernel/tests/pool/main.rs
+++ b/crates/kernel/tests/pool/main.rs
@@ -3,6 +3,7 @@
 mod bed;
 mod cold;
 mod consistency;
+mod departure;
 mod fair;
 mod memory;
 mod policy;
--- a/crates/kernel/tests/relocate.rs
+++ b/crates/kernel/tests/relocate.rs
@@ -44,6 +44,13 @@
             "release 1/1 on t2 Complete to e2",
         ],
     );
+    // A VM that does not reach the table would lose the generation with its engine.
+    a_notice_of_the_owner_makes_the_next_leg_ask: (
+        &[Do::Progress(1, 40), Do::Departing("e2", "t1")],
+        &["ask e2 for 1/1 but t1"],
+    );
+    // The generation would move for what happened to an earlier start of its target.
+    a_notice_about_another_target_moves_nothing: (&[Do::Departing("e2", "t2"), Do::Wait(300)], &[]);
     // A full zone would cost the generation its life although another zone has room.
     a_leg_that_finds_no_room_asks_the_other_zones: (
         &[Do::Leaving("t1"), Do::RefuseLeg(1, "e2", Reason::Busy), Do::RefuseLeg(1, "e3", Reason::Busy)],
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -111,6 +111,7 @@
         Message::Death(_) => "death",
         Message::Quarantine { .. } => "quarantine",
         Message::Targets { .. } => "targets",
+        Message::Departing { .. } => "departing",
     }
 }
 
