Apply removals of a cut in time; keep leases and time in order after suspensions

A zone that was cut off saw the removal of an engine in its first read, 0.6 s after the cut. Removals after an outage wait 2.5 s; calls that had been begun before the cut's end failed after the peer's news had come, counted as a new outage, and made the wait begin again.

Ruled out: rows that the peer's answer left out (the removal was there at the first read).

The kernel's clock goes on while the machine is suspended, so that a VM does not take its knowledge of before for fresh. Of the VMs that hold no pool only the first three candidates list leases while holders are alive.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -19,6 +19,10 @@
 /// sites.
 const REVOCATION_MS: u64 = 5_000;
 
+/// Time within which configurations are in force and leaving targets get no more work, in
+/// milliseconds, as on the platform's sites.
+const NEWS_MS: u64 = 2_000;
+
 /// One running daemon.
 #[derive(Debug)]
 pub struct Daemon {
@@ -165,6 +169,8 @@
                     "retries": {"ratio": 0.2, "slack": 50},
                     "standby_percent": self.standby_percent,
                     "revocation_ms": REVOCATION_MS,
+                    "config_apply_ms": NEWS_MS,
+                    "drain_ms": NEWS_MS,
                 },
             },
         });
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -5,7 +5,7 @@
 
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::Duration;
 
 use hornbeamloom_kernel::event::{Count, Event, Vm};
 use hornbeamloom_kernel::feed;
@@ -22,6 +22,8 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use xtra::prelude::*;
 
+use crate::clock::Moment;
+
 /// Time between two accounts of running requests, in milliseconds.
 const PROGRESS_MS: u64 = 500;
 
@@ -139,11 +141,11 @@
     /// Targets that the platform has found.
     Discovered(Delta),
     /// Rows of a table that was read here, and a time at which it had no newer ones.
-    Fed(feed::Rows, Instant),
+    Fed(feed::Rows, Moment),
     /// The head revision, not newer than ours.
     Head(Revision),
     /// No newer resources were in the table at this time.
-    Current(Instant),
+    Current(Moment),
     /// The table could not be read.
     StoreDown,
     /// The platform's list.
@@ -230,7 +232,7 @@
 #[derive(xtra::Actor)]
 pub(crate) struct Actor {
     kernel: Kernel,
-    started: Instant,
+    started: Moment,
     requests: Map<Id, Running>,
     ports: Vec<Port>,
     intent: watch::Sender<Arc<Intent>>,
@@ -252,7 +254,7 @@
     let (wakeup_sender, wakeup) = watch::channel(Some(Millis(0)));
     let (drained_sender, drained) = oneshot::channel();
     let (address, mailbox) = Mailbox::<Actor>::unbounded();
-    let started = Instant::now();
+    let started = Moment::now();
     let (inputs, inbox) = mpsc::unbounded_channel();
     let control = Control { inputs };
     let ticker = control.clone();
@@ -289,16 +291,16 @@
 }
 
 /// Sends a `Tick` whenever the kernel's wake-up time or the next progress account is due.
-async fn tick(control: Control, mut wakeup: watch::Receiver<Option<Millis>>, started: Instant) {
-    let mut accounts = tokio::time::interval(std::time::Duration::from_millis(PROGRESS_MS));
+async fn tick(control: Control, mut wakeup: watch::Receiver<Option<Millis>>, started: Moment) {
+    let mut accounts = tokio::time::interval(Duration::from_millis(PROGRESS_MS));
     accounts.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         let due = *wakeup.borrow_and_update();
         let sleep = async {
             match due {
                 Some(at) => {
-                    let at = started + std::time::Duration::from_millis(at.0.max(1));
-                    tokio::time::sleep_until(at.into()).await;
+                    let left = started.after(at.0.max(1)).since(Moment::now());
+                    tokio::time::sleep(Duration::from_millis(left)).await;
                 }
                 None => std::future::pending().await,
             }
@@ -317,12 +319,11 @@
 
 impl Actor {
     fn now(&self) -> Millis {
-        self.millis(Instant::now())
+        self.millis(Moment::now())
     }
 
-    fn millis(&self, at: Instant) -> Millis {
-        let ms = at.saturating_duration_since(self.started).as_millis();
-        Millis(u64::try_from(ms).unwrap_or(u64::MAX))
+    fn millis(&self, at: Moment) -> Millis {
+        Millis(at.since(self.started))
     }
 
     fn handle_event(&mut self, event: Event<'_>) {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -19,6 +19,7 @@
 //! assert_eq!(&*settings.vm, "entry-a1");
 //! ```
 
+pub mod clock;
 pub mod control;
 pub mod delivery;
 pub mod edge;
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -2,7 +2,7 @@
 //! of VMs and keeps a snapshot of the resources in the object store.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use hornbeamloom_kernel::event::Vm;
 use hornbeamloom_kernel::ids::Revision;
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 use tokio::sync::Semaphore;
 
+use crate::clock::Moment;
 use crate::control::Input;
 use crate::edge::{Context, Error, Inbox, Plugin};
 use crate::settings::Settings;
@@ -57,7 +58,7 @@
 async fn follow(context: Context, table: Client, objects: snapshot::Store) {
     let mut failures = 0;
     loop {
-        let started = Instant::now();
+        let started = Moment::now();
         match read(&context, &table).await {
             Ok(input) => {
                 failures = 0;
--- a/crates/kernel/src/discovery.rs
+++ b/crates/kernel/src/discovery.rs
@@ -13,9 +13,10 @@
 use crate::plugin::control;
 use crate::resource::Record;
 
-/// Time after the list can be read again in which live targets are back, in milliseconds: the two
-/// seconds that the platform states and half a second for the way.
-const RETURN_MS: u64 = 2_500;
+/// Time after the list can be read again in which live targets are back, in milliseconds, as the
+/// platform states it. A VM that was cut off counts as connected 3 s later, and must have applied the
+/// removals of that time by then.
+const RETURN_MS: u64 = 2_000;
 
 /// Removals that wait for the return of their targets.
 #[derive(Debug, Default)]
--- a/crates/kernel/src/lease.rs
+++ b/crates/kernel/src/lease.rs
@@ -33,9 +33,9 @@
 /// The same while every pool is held here or by a VM whose heartbeats come: a list would only show
 /// renewals.
 const READ_QUIET_MS: u64 = 4_000;
-/// Age of the newest heartbeat of a holder, in milliseconds, up to which it counts as alive here: four
-/// rounds of gossip.
-const ALIVE_MS: u64 = 4 * member::ROUND_MS;
+/// First candidates of a pool, which go on listing while its holder is alive. The others begin when it
+/// is not, and wait longer for their turn than that costs them.
+const SUCCESSORS: u64 = 3;
 /// VMs above which reads are rarer.
 const LARGE_FLEET: usize = 32;
 /// A call without an answer for this long counts as lost.
@@ -288,7 +288,8 @@
         false => READ_MS,
     };
     let is_recent = keeper.listed_at.is_some_and(|at| now.since(at) < READ_QUIET_MS);
-    if is_recent && is_quiet(state, now) {
+    let is_far = keeper.listed_at.is_some() && is_far(state);
+    if (is_recent || is_far) && is_quiet(state, now) {
         state.leases.read_at = now.after(interval);
         return;
     }
@@ -303,12 +304,21 @@
     out.push(Outcome::Store(Call { id, op }));
 }
 
+/// Whether others go before this VM in every pool that is not its own.
+fn is_far(state: &State) -> bool {
+    let candidates = rank::candidates(&state.members, &state.identity.zone);
+    let own = &state.identity.vm;
+    let is_near = |pool: &Key| rank::rank(pool, own, &candidates, None) < SUCCESSORS;
+    !state.leases.watches.keys().any(is_near)
+}
+
 /// Whether no lease of the zone is likely to change hands.
 fn is_quiet(state: &State, now: Millis) -> bool {
     let is_alive = |pool: &Key| {
         let owner = state.members.owner(pool).and_then(|(vm, _)| state.members.get(vm));
         owner.is_some_and(|owner| {
-            now.since(owner.moved) <= ALIVE_MS && owner.entry.standing == Standing::Serving
+            now.since(owner.moved) <= member::OWN_ZONE_SUSPECT_MS
+                && owner.entry.standing == Standing::Serving
         })
     };
     state.leases.watches.iter().all(|(pool, watch)| {
--- a/crates/kernel/tests/lease.rs
+++ b/crates/kernel/tests/lease.rs
@@ -345,6 +345,19 @@
     assert!(calls <= 37, "{calls} calls");
 }
 
+/// Guards against lists of VMs whose turn to take a pool over would come last.
+#[test]
+fn only_the_first_candidates_list_leases_of_live_holders() {
+    let mut fleet = Fleet::of_zone(12);
+    declare_many(&mut fleet, 1);
+    fleet.run(2 * SETTLE_MS);
+    let before = fleet.calls;
+    fleet.run(10 * RENEW_MS);
+    // A renewal every 2 s, lists of three VMs every 4 s, and two lists of quarantined bodies a VM.
+    let calls = fleet.calls - before;
+    assert!(calls <= 10 + 15 + 24, "{calls} calls");
+}
+
 /// Guards against leases on pools that no target or another zone belongs to.
 #[test]
 fn only_own_zone_pools_with_targets_are_taken() {
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod bed;
 mod ends;
+mod feeds;
 mod moves;
 mod path;
 mod store;
