--- a/crates/kernel/src/feed.rs
+++ b/crates/kernel/src/feed.rs
@@ -2,9 +2,8 @@
 //!
 //! The reader of a zone, the first of its VMs by rendezvous hash, follows the tables itself. The
 //! others ask it, and hear after each of its reads how current it is and which rows they lack. A VM
-//! whose copy grows older than `Configuration.feedAgeMs` reads
-//! the tables itself, whatever the reason is: so a reader that dies, hangs or is cut off delays
-//! nothing by more than that.
+//! whose copy grows older than `Configuration.feedAgeMs` reads the tables itself, whatever the reason
+//! is, so a reader that dies, hangs or is cut off delays nothing by more than that.
 //!
 //! Ages are safe against late messages: they count from the arrival of a question, and on the clock
 //! of the VM that asked from the time at which it sent that question, which is earlier.
@@ -349,17 +348,12 @@
         return;
     }
     feeds.way = way;
-    out.count(Counter::Event(match way {
-        Way::Tables => "feed_read",
-        Way::Peer => "feed_heard",
-    }));
-    out.log(format!(
-        "tables followed by={}",
-        match way {
-            Way::Tables => "reading",
-            Way::Peer => "peer",
-        }
-    ));
+    let (event, text) = match way {
+        Way::Tables => ("feed_read", "tables followed by=reading"),
+        Way::Peer => ("feed_heard", "tables followed by=peer"),
+    };
+    out.count(Counter::Event(event));
+    out.log(text.to_owned());
     out.push(Outcome::Follow(way));
 }
 
