--- a/crates/bench/src/mock_store.rs
+++ b/crates/bench/src/mock_store.rs
@@ -36,6 +36,8 @@
     None,
     /// Calls get a 503 response and have no effect.
     Unavailable,
+    /// Reads and feeds get a 410 response, as if the history were gone.
+    Gone,
     /// Calls have no effect and get no response.
     Unresponsive,
     /// Transactions take effect but get no response.
@@ -241,6 +243,7 @@
         };
         match fault {
             Fault::Unavailable => Some(StatusCode::SERVICE_UNAVAILABLE.into_response()),
+            Fault::Gone if kind != "rows-tx" => Some(StatusCode::GONE.into_response()),
             Fault::Unresponsive => std::future::pending().await,
             _ => None,
         }
--- a/crates/daemon/src/adapter.rs
+++ b/crates/daemon/src/adapter.rs
@@ -106,6 +106,8 @@
     pub rank: u16,
     /// Returns whether the settings enable it.
     pub is_enabled: fn(&Settings) -> bool,
+    /// Validates its part of the settings, without side effects.
+    pub check: fn(&Settings) -> Result<(), Error>,
     /// Returns whether it handles an outcome; each outcome goes to the first adapter, by rank,
     /// that accepts it.
     pub accepts: fn(&Outcome) -> bool,
@@ -115,10 +117,23 @@
 
 inventory::collect!(Plugin);
 
-/// Returns the registered adapters that the settings enable, in rank order.
-pub(crate) fn enabled_plugins(settings: &Settings) -> Vec<Plugin> {
+/// Returns the registered adapters that the settings enable, in rank order, once each of them has
+/// accepted its part of the settings.
+///
+/// # Errors
+///
+/// Returns an error if the settings name an unknown adapter or contain an invalid value for one.
+pub(crate) fn checked_plugins(settings: &Settings) -> Result<Vec<Plugin>, Error> {
     let plugins = inventory::iter::<Plugin>.into_iter().copied();
     let mut plugins: Vec<Plugin> = plugins.filter(|plugin| (plugin.is_enabled)(settings)).collect();
     plugins.sort_by_key(|plugin| (plugin.rank, plugin.name));
-    plugins
+    if let Some(name) = settings.adapter.as_ref().map(|adapter| &adapter.name) {
+        if !plugins.iter().any(|plugin| plugin.name == name) {
+            return Err(Error::Startup(format!("no adapter is named `{name}`")));
+        }
+    }
+    for plugin in &plugins {
+        (plugin.check)(settings)?;
+    }
+    Ok(plugins)
 }
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -35,6 +35,7 @@
         name: "callers",
         rank: 40,
         is_enabled: Settings::uses_native_interface,
+        check: |_| Ok(()),
         accepts: |_| false,
         start,
     }
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -140,6 +140,11 @@
     Changes(Delta),
     /// Targets discovered by the platform.
     TargetsDiscovered(Delta),
+    /// The platform has tables; a copy of one is outdated beyond this age in milliseconds.
+    TablesAvailable {
+        /// Zero if every VM reads the tables itself.
+        age_limit_ms: u64,
+    },
     /// Rows of a platform table read by this VM, and a time at which it contained no newer rows.
     RowsRead(feed::Rows, BootInstant),
     /// The table's head revision was read and is not newer than the revision in force.
@@ -509,6 +514,9 @@
             }
             Input::Changes(delta) => self.handle_event(Event::Changes(&delta)),
             Input::TargetsDiscovered(delta) => self.handle_event(Event::TargetsDiscovered(&delta)),
+            Input::TablesAvailable { age_limit_ms } => {
+                self.handle_event(Event::TablesAvailable { age_limit_ms });
+            }
             Input::RowsRead(rows, at) => {
                 let at = self.to_kernel_time(at);
                 self.handle_event(Event::RowsRead { rows: &rows, at });
--- a/crates/daemon/src/engines.rs
+++ b/crates/daemon/src/engines.rs
@@ -29,6 +29,7 @@
         name: "engines",
         rank: 30,
         is_enabled: Settings::uses_native_interface,
+        check: |_| Ok(()),
         accepts: |outcome| matches!(outcome, Outcome::Poll { .. } | Outcome::Order(_)),
         start,
     }
--- a/crates/daemon/src/jitter.rs
+++ b/crates/daemon/src/jitter.rs
@@ -7,6 +7,20 @@
     base.mul_f64(0.8 + 0.4 * random_fraction())
 }
 
+/// A random duration between half of `limit` and `limit`.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use hornbeamloom_daemon::jitter;
+///
+/// let delay = jitter::shortened(Duration::from_millis(200));
+/// assert!((100..=200).contains(&delay.as_millis()));
+/// ```
+pub fn shortened(limit: Duration) -> Duration {
+    limit.mul_f64(0.5 + 0.5 * random_fraction())
+}
+
 /// A random number from 0 to 1. A failure of the random source only removes the jitter.
 fn random_fraction() -> f64 {
     match getrandom::u32() {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -42,7 +42,7 @@
 mod attempt;
 mod continuation;
 mod engines;
-mod jitter;
+pub mod jitter;
 mod metrics;
 mod operators;
 mod orders;
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -21,12 +21,17 @@
 use tokio_tungstenite::tungstenite::{self, Message};
 use tokio_tungstenite::WebSocketStream;
 
+use crate::jitter;
+
 /// Minimum interval between heartbeats on a link that carries frames.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which a link with an unanswered heartbeat is closed and reopened.
 pub const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time without outgoing frames after which a link is closed.
 pub const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time without a connection after which a link is given up together with its queued frames. A VM
+/// that was replaced never comes back to its address.
+pub const UNREACHABLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Initial reconnect delay; doubles with each failure up to `MAX_BACKOFF`.
 const MIN_BACKOFF: Duration = Duration::from_millis(50);
 /// Maximum reconnect delay; kept short because the peer may be back at any time.
@@ -109,6 +114,27 @@
         Some(frame)
     }
 
+    /// Whether the link of the queue has ended.
+    ///
+    /// ```
+    /// use hornbeamloom_daemon::link::Queue;
+    ///
+    /// assert!(!Queue::new().is_closed());
+    /// ```
+    pub fn is_closed(&self) -> bool {
+        self.lock().is_closed
+    }
+
+    /// Closes the queue and drops its frames; returns their number.
+    fn close(&self) -> usize {
+        let mut pending = self.lock();
+        pending.is_closed = true;
+        pending.bytes = 0;
+        let dropped = pending.frames.len();
+        pending.frames = VecDeque::new();
+        dropped
+    }
+
     /// Closes the queue if it is empty; returns whether it is now closed.
     fn close_if_empty(&self) -> bool {
         let mut pending = self.lock();
@@ -173,27 +199,39 @@
     }
 }
 
-/// Maintains a link to `endpoint` until it is unused, reconnecting whenever it fails.
+/// Maintains a link to `endpoint` until it is unused or unreachable, reconnecting whenever it fails.
 ///
 /// `endpoint` is evaluated at each attempt, so that a replaced key is used immediately.
 pub async fn run(endpoint: impl Fn() -> Endpoint, queue: Arc<Queue>) {
     let mut backoff = MIN_BACKOFF;
+    let mut unreachable_since: Option<Instant> = None;
     loop {
         let opened_at = Instant::now();
         let error = match open(&endpoint()).await {
-            Ok(socket) => run_connection(socket, &queue).await,
-            Err(error) => error,
+            Ok(socket) => {
+                unreachable_since = None;
+                run_connection(socket, &queue).await
+            }
+            Err(error) => {
+                unreachable_since.get_or_insert(opened_at);
+                error
+            }
         };
         count_event(error.label());
         let is_unused = matches!(error, Error::Idle) || opened_at.elapsed() > IDLE_TIMEOUT;
         if is_unused && queue.close_if_empty() {
             return;
         }
+        if unreachable_since.is_some_and(|at| at.elapsed() >= UNREACHABLE_TIMEOUT) {
+            let frames = queue.close();
+            log::info!("peer={} link given up frames={frames}: {error}", endpoint().address);
+            return count_event("link_unreachable");
+        }
         if opened_at.elapsed() > HEARTBEAT_TIMEOUT {
             backoff = MIN_BACKOFF;
         }
         log::debug!("peer={} link ended: {error}", endpoint().address);
-        tokio::time::sleep(jittered(backoff)).await;
+        tokio::time::sleep(jitter::shortened(backoff)).await;
         backoff = (backoff * 2).min(MAX_BACKOFF);
     }
 }
@@ -326,14 +364,6 @@
     sink.flush().await
 }
 
-/// Returns a random duration between half of `wait` and `wait`, so that VMs do not all reconnect at
-/// the same time.
-fn jittered(wait: Duration) -> Duration {
-    // Falls back to the full wait if no random bytes are available.
-    let random = getrandom::u32().unwrap_or(u32::MAX);
-    wait.mul_f64(0.5 + 0.5 * f64::from(random) / f64::from(u32::MAX))
-}
-
 /// Counts the payload bytes of one message.
 pub(crate) fn count_bytes(direction: &'static str, kind: &'static str, bytes: usize) {
     metrics::counter!("hornbeamloom_peer_bytes_total", "direction" => direction, "kind" => kind)
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -25,7 +25,14 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 inventory::submit! {
-    Plugin { name: "operators", rank: 50, is_enabled: |_| true, accepts: |_| false, start }
+    Plugin {
+        name: "operators",
+        rank: 50,
+        is_enabled: |_| true,
+        check: |_| Ok(()),
+        accepts: |_| false,
+        start,
+    }
 }
 
 fn start(context: Context, _inbox: Inbox) -> Result<(), Error> {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -21,6 +21,7 @@
         name: "peers",
         rank: 20,
         is_enabled: |_| true,
+        check: |_| Ok(()),
         accepts: |outcome| matches!(outcome, Outcome::Send { .. }),
         start,
     }
@@ -72,7 +73,9 @@
         None => Err(frame),
     };
     let dropped = queued.unwrap_or_else(|frame| {
-        // The link has not been opened yet, or was closed as unused.
+        // The link has not been opened yet, or has ended. VMs come and go, so the map must not keep
+        // the queues of all that there have been.
+        links.retain(|_, queue| !queue.is_closed());
         let queue = Arc::new(Queue::new());
         // A new queue is open and has capacity for one frame.
         let dropped = queue.push(frame).unwrap_or_default();
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -37,6 +37,7 @@
         name: "platform",
         rank: 40,
         is_enabled: Settings::uses_native_interface,
+        check: |_| Ok(()),
         accepts: |outcome| matches!(outcome, Outcome::Store(_)),
         start,
     }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -41,7 +41,10 @@
         Err(error) => return exit_with_error(&error),
     };
     if args.check {
-        return ExitCode::SUCCESS;
+        return match adapter::checked_plugins(&settings) {
+            Ok(_) => ExitCode::SUCCESS,
+            Err(error) => exit_with_error(&error),
+        };
     }
     init_logging(&settings.log.level);
     let runtime = match tokio::runtime::Runtime::new() {
@@ -94,12 +97,7 @@
     /// Returns an error if the configured adapter is unknown or any adapter fails to start.
     pub fn start(settings: Settings) -> Result<Daemon, adapter::Error> {
         let identity = build_identity(&settings);
-        let plugins = adapter::enabled_plugins(&settings);
-        if let Some(name) = settings.adapter.as_ref().map(|adapter| &adapter.name) {
-            if !plugins.iter().any(|plugin| plugin.name == name) {
-                return Err(adapter::Error::Startup(format!("no adapter is named `{name}`")));
-            }
-        }
+        let plugins = adapter::checked_plugins(&settings)?;
         let (settings_sender, settings) = watch::channel(Arc::new(settings));
         let (stopping_sender, stopping) = watch::channel(false);
         let (drained_sender, drained) = watch::channel(false);
--- a/crates/daemon/tests/link.rs
+++ b/crates/daemon/tests/link.rs
@@ -201,6 +201,23 @@
     });
 }
 
+/// Guards against links to VMs that were replaced: each would reconnect forever and keep its queue.
+#[test]
+fn link_to_a_vm_that_is_gone_is_given_up() {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    runtime.unwrap().block_on(async {
+        let (listener, address) = listen().await;
+        drop(listener);
+        let queue = connect(&address, "new-key");
+        queue.push(pull("entry-b1", 1)).unwrap();
+        // Time is paused and advances only while the link waits.
+        tokio::time::sleep(2 * link::UNREACHABLE_TIMEOUT).await;
+        assert!(queue.is_closed());
+        assert!(queue.push(pull("entry-b1", 2)).is_err());
+    });
+}
+
 fn outgoing(kind: &'static str, bytes: usize) -> OutgoingFrame {
     OutgoingFrame { kind, bytes: vec![0; bytes].into() }
 }
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -98,6 +98,12 @@
     Changes(&'a Delta),
     /// Targets that the platform reports.
     TargetsDiscovered(&'a Delta),
+    /// The platform has tables whose rows VMs pass on to each other.
+    TablesAvailable {
+        /// Age in milliseconds beyond which a copy of a table is outdated; zero if every VM reads
+        /// the tables itself.
+        age_limit_ms: u64,
+    },
     /// Rows of a table that this VM reads itself.
     RowsRead {
         /// The rows.
--- a/crates/kernel/src/feed.rs
+++ b/crates/kernel/src/feed.rs
@@ -1,12 +1,16 @@
 //! Replication of the platform's tables within a zone.
 //!
-//! One VM of each zone, the reader, is selected by rendezvous hashing and reads the tables itself.
-//! The others query the reader; after each read it sends them how current its copy is and the rows
-//! that they lack. A VM whose copy becomes older than `Configuration.feedAgeMs` reads the tables
-//! itself. A reader that crashes, hangs or is partitioned therefore delays changes by no more than
-//! that.
+//! The VMs of a zone form a tree in the order of a rendezvous hash. The root reads the tables
+//! itself; every other VM subscribes at its parent, which sends it the rows that it lacks and how
+//! current its own copy is, at once and whenever that changes.
 //!
-//! Delayed messages cannot make a copy appear newer than it is: the reader measures ages from the
+//! A VM whose copy becomes older than the age limit searches for another provider: its parent
+//! again, then the VMs of the zone in hash order, with growing pauses. All VMs of a zone ask in the
+//! same order, so a root that crashes, hangs or is partitioned is replaced by one substitute at a
+//! time. Only a VM that no peer answers reads the tables for itself alone. The number of store
+//! calls thus grows with the number of zones and not with that of VMs.
+//!
+//! Delayed messages cannot make a copy appear newer than it is: the provider measures ages from the
 //! arrival of a query, and the querying VM applies them to the time at which it sent the query,
 //! which is earlier.
 
@@ -21,23 +25,38 @@
 use crate::outcome::{Counter, Outcome};
 use crate::peer::Message;
 use crate::plugin::control;
-use crate::{pool, rank};
-
-/// Number of queries within the age limit. More than one is needed because a restarted reader has
-/// no subscribers.
-const QUERIES_PER_AGE_LIMIT: u64 = 2;
-/// Minimum time in milliseconds for which a VM reads the tables itself after falling back, so that
-/// it does not flap when the path to the reader is unreliable.
-const FALLBACK_MS: u64 = 5_000;
-/// Time in milliseconds after a query for which the sender is sent new rows.
+use crate::random::hash;
+use crate::rank;
+
+/// Maximum number of children of a VM in the tree. It bounds the memory and the bandwidth that a
+/// change takes on one VM: each row is sent once to each child.
+const FANOUT: usize = 8;
+/// Interval in milliseconds at which a VM repeats its query while its copies are current. A
+/// restarted provider has no subscribers.
+const QUERY_INTERVAL_MS: u64 = 2_000;
+/// Time in milliseconds after a query for which the sender is sent updates.
 const SUBSCRIPTION_MS: u64 = 5_000;
-/// Interval in milliseconds at which a VM without a reader to query checks for one.
-const RECHECK_INTERVAL_MS: u64 = 1_000;
+/// Time in milliseconds after a query with `needs_read` for which the receiver reads the tables.
+const SUBSTITUTE_MS: u64 = 5_000;
+/// Pause in milliseconds after the first attempts of a search for a provider.
+const MIN_SEARCH_PAUSE_MS: u64 = 400;
+/// Maximum pause in milliseconds between two attempts of a search.
+const MAX_SEARCH_PAUSE_MS: u64 = 5_000;
+/// Number of attempts of a search before the pause starts to double.
+const SHORT_SEARCH_PAUSES: u32 = 2;
+/// Time in milliseconds after its start in which a VM with seeds neither reads the tables nor asks
+/// others to, so that it first learns of the VMs of its zone.
+const JOIN_DELAY_MS: u64 = 1_500;
+/// Interval in milliseconds at which a VM that knows no other VM of its zone checks for one.
+const JOIN_RECHECK_MS: u64 = 100;
+/// Time in milliseconds after a query without an answer from any peer after which a VM with outdated
+/// copies reads the tables for itself. Half as much again is added as jitter.
+const SILENCE_MS: u64 = 3_000;
 /// Maximum number of removed rows that are remembered. VMs that lag further behind get whole
 /// tables.
 const MAX_REMOVED_ROWS: usize = 256;
-/// Takes the place of the service name in the rendezvous hash that selects the reader.
-const READER_RANK_KEY: &str = "feeds";
+/// Takes the place of the service name in the rendezvous hash that orders the VMs of a zone.
+const TREE_RANK_KEY: &str = "feeds";
 
 /// A table that is replicated to all VMs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -177,12 +196,39 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum FeedSource {
     /// It reads them from the store.
-    #[default]
     Direct,
-    /// It receives them from the zone's reader.
+    /// It receives them from a VM of its zone.
+    #[default]
     Peer,
 }
 
+/// How the adapter obtains the tables from now on.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Assignment {
+    /// Whether this VM reads the tables.
+    pub source: FeedSource,
+    /// Versions of the local copies, from which a VM that starts to read continues.
+    pub versions: Vec<(Table, Revision)>,
+}
+
+impl Assignment {
+    /// The version of the local copy of a table; `None` if there is no copy.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::feed::{Assignment, FeedSource, Table};
+    /// use hornbeamloom_kernel::ids::Revision;
+    ///
+    /// let versions = vec![(Table::Targets, Revision(7))];
+    /// let assignment = Assignment { source: FeedSource::Direct, versions };
+    /// assert_eq!(assignment.version(Table::Targets), Some(Revision(7)));
+    /// assert_eq!(assignment.version(Table::Resources), None);
+    /// ```
+    pub fn version(&self, table: Table) -> Option<Revision> {
+        let known = self.versions.iter().find(|(known, _)| *known == table);
+        known.map(|(_, version)| *version).filter(|version| *version > Revision(0))
+    }
+}
+
 /// The latest query of a VM that receives the tables from this one.
 #[derive(Debug)]
 struct Subscription {
@@ -194,19 +240,39 @@
     versions: Vec<(Table, Revision)>,
 }
 
+/// Replication as announced by the platform adapter.
+#[derive(Debug, Clone, Copy)]
+struct Replication {
+    started_at: Millis,
+    /// Age in milliseconds beyond which a copy is outdated; zero if every VM reads the tables.
+    age_limit_ms: u64,
+}
+
+/// A search for a provider while the copies are outdated.
+#[derive(Debug, Clone, Copy)]
+struct Search {
+    attempt: u32,
+    next_at: Millis,
+}
+
 /// Local copies of the tables, and how they are kept up to date.
 #[derive(Debug, Default)]
 pub struct Feeds {
     copies: [TableCopy; TABLES.len()],
     source: FeedSource,
-    /// Whether the platform adapter provides tables.
-    is_active: bool,
+    /// `None` until the platform adapter announces tables.
+    replication: Option<Replication>,
     /// VMs that query this one, with their latest queries.
     subscribers: Map<Name, Subscription>,
-    /// When this VM last fell back to reading the tables itself.
-    fell_back_at: Option<Millis>,
-    /// When this VM last sent a query.
+    parent: Option<Name>,
+    /// The VM found by a search, until the parent's copies are current again.
+    provider: Option<Name>,
+    search: Option<Search>,
     last_query_at: Option<Millis>,
+    /// When the first query was sent that no peer has answered since.
+    unanswered_since: Option<Millis>,
+    /// Until when this VM reads the tables because others asked it to.
+    substitute_until: Option<Millis>,
     wake_at: Option<Millis>,
 }
 
@@ -216,11 +282,22 @@
         self.source
     }
 
+    /// Whether VMs receive the tables from each other.
+    pub(crate) fn is_replicated(&self) -> bool {
+        self.replication.is_some_and(|replication| replication.age_limit_ms > 0)
+    }
+
     /// Whether the copy of a table was known to be the newest at most `limit` milliseconds ago.
     pub(crate) fn is_current(&self, table: Table, limit: u64, now: Millis) -> bool {
         self.copies[table as usize].current_at.is_some_and(|at| now.since(at) <= limit)
     }
 
+    /// Whether the replicated copy of a table is within the age limit.
+    pub(crate) fn is_within_age_limit(&self, table: Table, now: Millis) -> bool {
+        let limit = self.replication.map_or(0, |replication| replication.age_limit_ms);
+        limit > 0 && self.is_current(table, limit, now)
+    }
+
     /// The version of the local copy of a table.
     pub fn version(&self, table: Table) -> Revision {
         self.copies[table as usize].version
@@ -237,7 +314,7 @@
     }
 
     /// The message that brings a subscriber up to date.
-    fn update_for(&self, subscription: &Subscription) -> Message {
+    fn updates_for(&self, subscription: &Subscription) -> Message {
         let update = |&(table, known): &(Table, Revision)| {
             let copy = &self.copies[table as usize];
             TableUpdate {
@@ -246,7 +323,28 @@
             }
         };
         let updates = subscription.versions.iter().map(update).collect();
-        Message::Followed { sent: subscription.sent_at, updates }
+        Message::TableUpdates { sent: subscription.sent_at, updates }
+    }
+
+    /// Sends all subscribers but `origin` what they lack.
+    fn send_updates(&mut self, origin: Option<&str>, now: Millis, out: &mut Outbox) {
+        self.subscribers
+            .retain(|_, subscription| now.since(subscription.received_at) < SUBSCRIPTION_MS);
+        let mut subscribers = std::mem::take(&mut self.subscribers);
+        for (vm, subscription) in &mut subscribers {
+            if Some(&**vm) != origin {
+                out.send(vm, self.updates_for(subscription));
+                self.mark_sent(subscription);
+            }
+        }
+        self.subscribers = subscribers;
+    }
+
+    /// Records that a subscriber was sent all rows. It queries again if it misses any of them.
+    fn mark_sent(&self, subscription: &mut Subscription) {
+        for (table, known) in &mut subscription.versions {
+            *known = (*known).max(self.copies[*table as usize].version);
+        }
     }
 
     /// The versions of all copies.
@@ -254,7 +352,13 @@
         TABLES.iter().map(|&table| (table, self.copies[table as usize].version)).collect()
     }
 
-    /// Until when the reader's latest updates of all tables are at most `limit` old.
+    /// Until when all copies are at most `limit` milliseconds old.
+    fn current_until(&self, limit: u64) -> Option<Millis> {
+        let oldest = self.copies.iter().map(|copy| copy.current_at).min()?;
+        Some(oldest?.after(limit))
+    }
+
+    /// The same, according to updates from peers only.
     fn peer_current_until(&self, limit: u64) -> Option<Millis> {
         let oldest = self.copies.iter().map(|copy| copy.peer_current_at).min()?;
         Some(oldest?.after(limit))
@@ -266,49 +370,111 @@
 }
 
 fn handle(state: &mut State, event: &Event<'_>, now: Millis, out: &mut Outbox) {
-    match event {
-        Event::RowsRead { rows, at } => merge_read_rows(state, rows, *at, now, out),
-        Event::Peer { from, message: Message::Follow { sent, known } } => {
+    let is_own_event = match event {
+        Event::TablesAvailable { age_limit_ms } => {
+            let age_limit_ms = *age_limit_ms;
+            state.feeds.replication = Some(Replication { started_at: now, age_limit_ms });
+            true
+        }
+        Event::RowsRead { rows, at } => {
+            merge_read_rows(state, rows, *at, now, out);
+            true
+        }
+        Event::Peer { from, message: Message::Subscribe { sent, known, needs_read } } => {
             let subscription =
                 Subscription { received_at: now, sent_at: *sent, versions: known.clone() };
-            out.send(&(*from).into(), state.feeds.update_for(&subscription));
-            state.feeds.subscribers.insert((*from).into(), subscription);
+            accept_query(state, from, subscription, *needs_read, now, out)
         }
-        Event::Peer { message: Message::Followed { sent, updates }, .. } => {
-            for update in updates {
-                merge_peer_update(state, *sent, update, out);
-            }
+        Event::Peer { from, message: Message::TableUpdates { sent, updates } } => {
+            merge_peer_updates(state, from, *sent, updates, now, out);
+            true
         }
-        _ => {}
-    }
-    let is_due = state.feeds.wake_at.is_none_or(|at| at <= now);
-    if state.feeds.is_active && is_due {
-        update_source(state, now, out);
+        _ => false,
+    };
+    let is_due = state.feeds.wake_at.is_some_and(|at| at <= now);
+    if is_own_event || is_due {
+        update(state, now, out);
     }
 }
 
 /// Merges rows that this VM read itself. They were known to be the newest at time `at`.
 fn merge_read_rows(state: &mut State, rows: &Rows, at: Millis, now: Millis, out: &mut Outbox) {
-    state.feeds.is_active = true;
     if rows.table == Table::Resources {
         state.freshness.record_current(at);
     }
     let copy = state.feeds.copy_mut(rows.table);
     copy.merge(rows);
     copy.current_at = copy.current_at.max(Some(at));
-    state
-        .feeds
-        .subscribers
-        .retain(|_, subscription| now.since(subscription.received_at) < SUBSCRIPTION_MS);
-    for (vm, subscription) in &state.feeds.subscribers {
-        out.send(vm, state.feeds.update_for(subscription));
+    state.feeds.provider = None;
+    state.feeds.send_updates(None, now, out);
+}
+
+/// Answers a query and remembers its sender. Returns whether this VM may have to read the tables.
+fn accept_query(
+    state: &mut State,
+    from: &str,
+    mut subscription: Subscription,
+    needs_read: bool,
+    now: Millis,
+    out: &mut Outbox,
+) -> bool {
+    let feeds = &mut state.feeds;
+    out.send(&from.into(), feeds.updates_for(&subscription));
+    feeds.mark_sent(&mut subscription);
+    feeds.subscribers.insert(from.into(), subscription);
+    let limit = feeds.replication.map_or(0, |replication| replication.age_limit_ms);
+    let is_current = feeds.current_until(limit).is_some_and(|until| now <= until);
+    let reads = needs_read && (feeds.source == FeedSource::Direct || !is_current);
+    if reads {
+        feeds.substitute_until = Some(now.after(SUBSTITUTE_MS));
     }
+    reads
 }
 
-/// Merges an update from a peer. `sent` is the time at which this VM sent the query it answers.
-fn merge_peer_update(state: &mut State, sent: Millis, update: &TableUpdate, out: &mut Outbox) {
+/// Merges the updates of a peer. `sent` is the time at which this VM sent the query they answer.
+fn merge_peer_updates(
+    state: &mut State,
+    from: &str,
+    sent: Millis,
+    updates: &[TableUpdate],
+    now: Millis,
+    out: &mut Outbox,
+) {
+    let limit = state.feeds.replication.map_or(0, |replication| replication.age_limit_ms);
+    let is_current = |feeds: &Feeds| feeds.current_until(limit).is_some_and(|until| now <= until);
+    let was_current = is_current(&state.feeds);
+    state.feeds.unanswered_since = None;
+    let mut is_news = false;
+    for update in updates {
+        is_news |= merge_peer_update(state, sent, update, out);
+    }
+    let feeds = &mut state.feeds;
+    let is_gap = |update: &TableUpdate| feeds.version(update.rows.table) < update.rows.from;
+    if updates.iter().any(is_gap) {
+        // An earlier update was lost; a query with the present versions brings its rows.
+        feeds.last_query_at = None;
+    }
+    let is_parent = feeds.parent.as_deref() == Some(from);
+    if is_parent && feeds.peer_current_until(limit).is_some_and(|until| now <= until) {
+        feeds.provider = None;
+    } else if !was_current && is_current(feeds) {
+        feeds.provider = Some(from.into());
+    }
+    if is_news {
+        feeds.send_updates(Some(from), now, out);
+    }
+}
+
+/// Merges an update of one table. Returns whether it contains rows or a time that are new.
+fn merge_peer_update(
+    state: &mut State,
+    sent: Millis,
+    update: &TableUpdate,
+    out: &mut Outbox,
+) -> bool {
     let TableUpdate { rows, age_ms } = update;
     let copy = state.feeds.copy_mut(rows.table);
+    let before = copy.current_at;
     let new_rows = copy.merge(rows);
     // With the rows merged, this copy contains everything that the peer's does.
     let is_complete = copy.version >= rows.from;
@@ -320,41 +486,155 @@
             state.freshness.record_current(at);
         }
     }
+    let is_newer = before < state.feeds.copies[rows.table as usize].current_at;
+    let has_rows = new_rows.is_some();
     if let Some(new_rows) = new_rows {
         out.push(Outcome::ApplyRows(new_rows));
     }
+    has_rows || is_newer
 }
 
-/// Queries the reader when due, and switches between reading the tables and receiving them.
-fn update_source(state: &mut State, now: Millis, out: &mut Outbox) {
-    let config = state.intent.configuration("default");
-    let limit = config.map_or(0, |config| u64::from(config.feed_age_ms));
-    let zone_reader = zone_reader(state).filter(|_| limit > 0);
-    let feeds = &mut state.feeds;
-    let Some(zone_reader) = zone_reader else {
-        feeds.wake_at = Some(now.after(RECHECK_INTERVAL_MS));
-        return set_source(feeds, FeedSource::Direct, out);
+/// Sends the queries that are due, and decides whether this VM reads the tables.
+fn update(state: &mut State, now: Millis, out: &mut Outbox) {
+    let Some(replication) = state.feeds.replication else {
+        return;
     };
-    let interval = (limit / QUERIES_PER_AGE_LIMIT).max(1);
-    if feeds.last_query_at.is_none_or(|at| now.since(at) >= interval) {
-        feeds.last_query_at = Some(now);
-        let known = feeds.versions();
-        out.send(&zone_reader, Message::Follow { sent: now, known });
-    }
-    let until = feeds.peer_current_until(limit).filter(|until| now <= *until);
-    let is_in_fallback = feeds.fell_back_at.is_some_and(|at| now.since(at) < FALLBACK_MS);
-    let next_query_at = feeds.last_query_at.map_or(now, |at| at.after(interval));
-    feeds.wake_at = Some(until.map_or(next_query_at, |until| next_query_at.min(until.after(1))));
-    match (feeds.source, until) {
-        (FeedSource::Direct, Some(_)) if !is_in_fallback => {
-            set_source(feeds, FeedSource::Peer, out)
+    if replication.age_limit_ms == 0 {
+        state.feeds.wake_at = None;
+        return set_source(&mut state.feeds, FeedSource::Direct, out);
+    }
+    let order = rank::ordered(&state.members, &state.identity.zone, TREE_RANK_KEY);
+    let own = &state.identity.vm;
+    let parent = parent(&order, own).cloned();
+    let is_joining =
+        !state.identity.seeds.is_empty() && now.since(replication.started_at) < JOIN_DELAY_MS;
+    let feeds = &mut state.feeds;
+    let until = feeds.current_until(replication.age_limit_ms).filter(|until| now <= *until);
+    let is_new_parent = parent.is_some() && parent != feeds.parent;
+    feeds.parent = parent;
+    match until {
+        Some(_) => {
+            feeds.search = None;
+            repeat_queries(feeds, is_new_parent, now, out);
         }
-        (FeedSource::Peer, None) => {
-            feeds.fell_back_at = Some(now);
-            set_source(feeds, FeedSource::Direct, out);
+        None => {
+            let search = *feeds.search.get_or_insert(Search { attempt: 0, next_at: now });
+            if is_new_parent && search.attempt == 0 || now >= search.next_at {
+                let search = advance_search(feeds, search, &order, own, is_joining, now, out);
+                feeds.search = Some(search);
+            }
         }
+    }
+    let needs_direct = needs_direct(feeds, until, own, is_joining, now);
+    let is_peer_current =
+        feeds.peer_current_until(replication.age_limit_ms).is_some_and(|until| now <= until);
+    match (feeds.source, needs_direct) {
+        (FeedSource::Peer, true) => set_source(feeds, FeedSource::Direct, out),
+        (FeedSource::Direct, false) if is_peer_current => set_source(feeds, FeedSource::Peer, out),
         _ => {}
     }
+    feeds.wake_at = Some(next_wake(feeds, &replication, until, now));
+}
+
+/// The VM that passes the tables on to `own`; `None` for the root of the tree.
+fn parent<'a>(order: &[&'a Name], own: &Name) -> Option<&'a Name> {
+    match order.iter().position(|vm| *vm == own) {
+        Some(0) => None,
+        Some(ix) => Some(order[(ix - 1) / FANOUT]),
+        // A VM that is leaving is not part of the tree.
+        None => order.first().copied(),
+    }
+}
+
+/// Queries the provider and the parent while the copies are current.
+fn repeat_queries(feeds: &mut Feeds, is_new_parent: bool, now: Millis, out: &mut Outbox) {
+    let is_due = feeds.last_query_at.is_none_or(|at| now.since(at) >= QUERY_INTERVAL_MS);
+    if !is_due && !is_new_parent {
+        return;
+    }
+    feeds.last_query_at = Some(now);
+    let known = feeds.versions();
+    let has_recipient = feeds.provider.is_some() || feeds.parent.is_some();
+    feeds.unanswered_since = feeds.unanswered_since.or(Some(now)).filter(|_| has_recipient);
+    if let Some(provider) = feeds.provider.as_ref().filter(|vm| Some(*vm) != feeds.parent.as_ref())
+    {
+        let known = known.clone();
+        out.send(provider, Message::Subscribe { sent: now, known, needs_read: true });
+    }
+    if let Some(parent) = &feeds.parent {
+        out.send(parent, Message::Subscribe { sent: now, known, needs_read: false });
+    }
+}
+
+/// Makes the next attempt to find a provider: the parent first, then all VMs in order.
+fn advance_search(
+    feeds: &mut Feeds,
+    search: Search,
+    order: &[&Name],
+    own: &Name,
+    is_joining: bool,
+    now: Millis,
+    out: &mut Outbox,
+) -> Search {
+    feeds.last_query_at = Some(now);
+    let known = feeds.versions();
+    let Search { attempt, .. } = search;
+    let Some(ix) = attempt.checked_sub(1).filter(|_| !is_joining) else {
+        let pause = match &feeds.parent {
+            Some(parent) => {
+                feeds.unanswered_since.get_or_insert(now);
+                out.send(parent, Message::Subscribe { sent: now, known, needs_read: false });
+                MIN_SEARCH_PAUSE_MS
+            }
+            None if is_joining => JOIN_RECHECK_MS,
+            None => MIN_SEARCH_PAUSE_MS,
+        };
+        let attempt = if is_joining { 0 } else { 1 };
+        return Search { attempt, next_at: now.after(pause) };
+    };
+    match order.get(ix as usize % order.len().max(1)) {
+        Some(vm) if *vm != own => {
+            feeds.unanswered_since.get_or_insert(now);
+            out.send(vm, Message::Subscribe { sent: now, known, needs_read: true });
+        }
+        _ => feeds.substitute_until = Some(now.after(SUBSTITUTE_MS)),
+    }
+    let doublings = attempt.saturating_sub(SHORT_SEARCH_PAUSES).min(4);
+    let pause = (MIN_SEARCH_PAUSE_MS << doublings).min(MAX_SEARCH_PAUSE_MS);
+    Search { attempt: attempt.saturating_add(1), next_at: now.after(pause) }
+}
+
+/// Whether this VM has to read the tables: as the root, as a substitute, or because no peer answers.
+fn needs_direct(
+    feeds: &Feeds,
+    until: Option<Millis>,
+    own: &str,
+    is_joining: bool,
+    now: Millis,
+) -> bool {
+    let is_root = feeds.parent.is_none() && !is_joining;
+    let is_substitute = feeds.substitute_until.is_some_and(|until| now < until);
+    let silence_ms = feeds.unanswered_since.map_or(0, |since| now.since(since));
+    let jitter_ms = hash(&[own]) % (SILENCE_MS / 2);
+    let is_isolated = until.is_none() && silence_ms >= SILENCE_MS + jitter_ms;
+    is_root || is_substitute || is_isolated
+}
+
+fn next_wake(
+    feeds: &Feeds,
+    replication: &Replication,
+    until: Option<Millis>,
+    now: Millis,
+) -> Millis {
+    let next_query_at = feeds.last_query_at.unwrap_or(now).after(QUERY_INTERVAL_MS);
+    let due = match (until, &feeds.search) {
+        (Some(until), _) => until.after(1).min(next_query_at),
+        (None, Some(search)) => search.next_at,
+        (None, None) => next_query_at,
+    };
+    let join_end = replication.started_at.after(JOIN_DELAY_MS);
+    let later = [Some(join_end), feeds.substitute_until].into_iter().flatten();
+    later.filter(|at| *at > now).fold(due, Millis::min).max(now.after(1))
 }
 
 fn set_source(feeds: &mut Feeds, source: FeedSource, out: &mut Outbox) {
@@ -363,18 +643,10 @@
     }
     feeds.source = source;
     let (event, text) = match source {
-        FeedSource::Direct => ("feed_read", "tables followed by=reading"),
-        FeedSource::Peer => ("feed_heard", "tables followed by=peer"),
+        FeedSource::Direct => ("feed_read", "tables read from=store"),
+        FeedSource::Peer => ("feed_heard", "tables read from=peer"),
     };
     out.count(Counter::Event(event));
-    out.log(text.to_owned());
-    out.push(Outcome::Follow(source));
-}
-
-/// The VM that reads the tables for this zone; `None` if it is this one.
-fn zone_reader(state: &State) -> Option<Name> {
-    let zone = &state.identity.zone;
-    let candidates = rank::candidates(&state.members, zone);
-    let best = rank::successor(&pool::Key::new(READER_RANK_KEY, zone), "", &candidates)?;
-    (best != state.identity.vm).then_some(best)
+    out.log(format!("{text} provider={}", feeds.provider.as_deref().unwrap_or("-")));
+    out.push(Outcome::Follow(Assignment { source, versions: feeds.versions() }));
 }
--- a/crates/kernel/src/ingress.rs
+++ b/crates/kernel/src/ingress.rs
@@ -1,7 +1,10 @@
 //! Matches requests to routes and selects a service of the route.
 
+use std::cmp::Reverse;
+
 use crate::ids::Name;
 use crate::intent::Intent;
+use crate::map::Map;
 use crate::request::RouteOptions;
 use crate::resource::Route;
 
@@ -9,6 +12,49 @@
 /// half to process the prompt.
 const QUEUE_TIMEOUT_DIVISOR: u64 = 2;
 
+/// Routes by host and path prefix. A lookup takes one step for each length that the prefixes of the
+/// host have, and none for each route.
+#[derive(Debug, Default)]
+pub(crate) struct RouteIndex {
+    hosts: Map<String, HostRoutes>,
+}
+
+#[derive(Debug, Default)]
+struct HostRoutes {
+    by_prefix: Map<String, Name>,
+    /// Lengths of the prefixes, longest first.
+    lengths: Vec<usize>,
+}
+
+impl RouteIndex {
+    /// An index of `routes`. Two routes with the same prefix are a configuration error; choosing by
+    /// name gives the same result on every VM.
+    pub(crate) fn new<'a>(routes: impl Iterator<Item = (&'a Name, &'a Route)>) -> RouteIndex {
+        let mut index = RouteIndex::default();
+        for (name, route) in routes {
+            let host = index.hosts.entry(route.host.to_ascii_lowercase()).or_default();
+            let chosen =
+                host.by_prefix.entry(route.path_prefix.clone()).or_insert_with(|| name.clone());
+            if name < chosen {
+                *chosen = name.clone();
+            }
+        }
+        for host in index.hosts.values_mut() {
+            host.lengths = host.by_prefix.keys().map(String::len).collect();
+            host.lengths.sort_unstable_by_key(|length| Reverse(*length));
+            host.lengths.dedup();
+        }
+        index
+    }
+
+    /// The name of the route with the longest prefix of `path`.
+    fn find(&self, host: &str, path: &str) -> Option<&Name> {
+        let routes = self.hosts.get(&host.to_ascii_lowercase())?;
+        let mut prefixes = routes.lengths.iter().filter_map(|length| path.get(..*length));
+        prefixes.find_map(|prefix| routes.by_prefix.get(prefix))
+    }
+}
+
 /// The route for a host and path: the one with the longest matching path prefix.
 ///
 /// ```
@@ -19,12 +65,8 @@
 /// ```
 pub fn find_route<'a>(intent: &'a Intent, host: &str, path: &str) -> Option<(&'a Name, &'a Route)> {
     let path = path.split('?').next().unwrap_or(path);
-    let matching = intent.routes().filter(|(_, route)| {
-        route.host.eq_ignore_ascii_case(host) && path.starts_with(&*route.path_prefix)
-    });
-    // Two routes with the same prefix are a configuration error; choosing by name gives the same
-    // result on every VM.
-    matching.max_by_key(|(name, route)| (route.path_prefix.len(), std::cmp::Reverse(*name)))
+    let name = intent.route_index().find(host, path)?;
+    Some((name, intent.route(name)?))
 }
 
 /// Selects the service for one request of a route; `draw` is a uniformly distributed number.
--- a/crates/kernel/src/intent.rs
+++ b/crates/kernel/src/intent.rs
@@ -4,8 +4,12 @@
 //! without dangling references are active. A referenced record may arrive after the record that
 //! refers to it, so all records are re-validated on every change.
 
+use std::sync::Arc;
+
 use crate::event::Event;
+use crate::feed::Table;
 use crate::ids::{Millis, Name, Revision};
+use crate::ingress::RouteIndex;
 use crate::kernel::{Outbox, State};
 use crate::map::{Map, Set};
 use crate::outcome::{Counter, Outcome};
@@ -42,7 +46,8 @@
 /// A record, and the reason why it is inactive, if it is.
 #[derive(Debug, Clone)]
 struct StoredRecord {
-    record: Record,
+    /// Shared, because the traffic threads get a snapshot of all records after each change.
+    record: Arc<Record>,
     rejection: Option<&'static str>,
 }
 
@@ -75,6 +80,7 @@
     by_kind: [Map<Name, StoredRecord>; Kind::ALL.len()],
     /// Targets discovered by the platform, in addition to those declared by operators.
     discovered: Map<Name, StoredRecord>,
+    route_index: Arc<RouteIndex>,
     /// Pools by service, ordered by zone.
     pools: Map<Name, Vec<PoolTargets>>,
     /// Tombstones in order of arrival.
@@ -159,6 +165,18 @@
         })
     }
 
+    /// The active route called `name`.
+    pub(crate) fn route(&self, name: &str) -> Option<&resource::Route> {
+        match self.spec(Kind::Route, name) {
+            Some(Spec::Route(route)) => Some(route),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn route_index(&self) -> &RouteIndex {
+        &self.route_index
+    }
+
     /// The active configuration called `name`.
     pub fn configuration(&self, name: &str) -> Option<&resource::Configuration> {
         match self.spec(Kind::Configuration, name) {
@@ -223,7 +241,7 @@
 
     /// All stored records, including tombstones and inactive records.
     pub fn records(&self) -> impl Iterator<Item = &Record> {
-        self.by_kind.iter().flat_map(|records| records.values().map(|stored| &stored.record))
+        self.by_kind.iter().flat_map(|records| records.values().map(|stored| &*stored.record))
     }
 
     /// Whether operators have taken the zone out of service.
@@ -258,7 +276,7 @@
         if record.spec.is_none() {
             self.tombstones.push((now, record.key.clone(), record.version));
         }
-        let stored = StoredRecord { record: record.clone(), rejection: None };
+        let stored = StoredRecord { record: Arc::new(record.clone()), rejection: None };
         self.by_kind[record.key.kind as usize].insert(record.key.name.clone(), stored);
     }
 
@@ -307,6 +325,13 @@
             }
         }
         rejected.sort();
+        self.route_index = Arc::new(RouteIndex::new(self.routes()));
+        self.revalidate_discovered();
+        rejected
+    }
+
+    /// Re-validates the discovered targets. Declared records do not depend on them.
+    fn revalidate_discovered(&mut self) {
         let names: Vec<Name> = self.discovered.keys().cloned().collect();
         for name in names {
             let rejection = rejection_reason(self, &self.discovered[&name].record);
@@ -316,7 +341,6 @@
         }
         self.pools = group_by_pool(self);
         self.generation += 1;
-        rejected
     }
 
     /// Names and versions of the discovered targets.
@@ -330,14 +354,14 @@
         for record in found {
             let known = self.discovered.get(&record.key.name).map(|stored| stored.record.version);
             if known < Some(record.version) {
-                let stored = StoredRecord { record: record.clone(), rejection: None };
+                let stored = StoredRecord { record: Arc::new(record.clone()), rejection: None };
                 self.discovered.insert(record.key.name.clone(), stored);
             }
         }
         for name in removed {
             self.discovered.remove(name);
         }
-        self.revalidate();
+        self.revalidate_discovered();
     }
 }
 
@@ -451,12 +475,16 @@
 }
 
 /// Requests the changes from a peer whose gossip carries a newer revision.
+///
+/// A VM whose copy of the platform's table is current gets the change with the next update of that
+/// copy, which is smaller than a complete set of resources.
 fn handle_gossip(state: &mut State, peer: &str, gossip: &Gossip, now: Millis, out: &mut Outbox) {
     let own = gossip.entries.first().filter(|entry| *entry.vm == *peer);
     let Some(own) = own else {
         return;
     };
-    if own.revision > state.intent.revision {
+    let is_replicated = state.feeds.is_within_age_limit(Table::Resources, now);
+    if own.revision > state.intent.revision && !is_replicated {
         pull(state, peer, now, out);
     }
 }
--- a/crates/kernel/src/lease.rs
+++ b/crates/kernel/src/lease.rs
@@ -35,9 +35,14 @@
 /// The same interval while every pool is held by this VM or by a VM that sends heartbeats, since a
 /// list would only show renewals.
 const LIST_INTERVAL_STABLE_MS: u64 = 4_000;
-/// Number of highest-ranked candidates that keep listing leases while a pool's holder is alive. The
-/// others start once it is not; this costs them less time than their rank makes them wait anyway.
-const LISTING_CANDIDATES: u64 = 3;
+/// Number of highest-ranked candidates, not counting the holder, that keep listing leases while a
+/// pool's holder is alive.
+const LISTING_CANDIDATES: u64 = 2;
+/// Number of highest-ranked candidates that list leases as soon as a pool has no live holder.
+const TAKEOVER_CANDIDATES: u64 = 3;
+/// Additional time without a live holder after which each further candidate starts to list leases.
+/// All candidates of a large zone together would overload the store.
+const LIST_RANK_DELAY_MS: u64 = 1_000;
 /// Fleet size above which leases are listed less often.
 const LARGE_FLEET_VMS: usize = 32;
 /// Time after which the answer to a call counts as lost.
@@ -49,6 +54,9 @@
 /// Delay after its start before a VM with seeds takes free pools, so that it first learns which
 /// other VMs may own them.
 const JOIN_DELAY_MS: u64 = 2_000;
+/// Delay after its start before such a VM lists leases. Before it knows the others, each VM would
+/// take itself for the first candidate.
+const FIRST_LIST_DELAY_MS: u64 = 1_000;
 /// Number of pools that a VM may hold above the zone's average.
 const MAX_EXCESS_POOLS: usize = 2;
 /// Time for which an excess must last before a pool is handed over, and interval between handovers.
@@ -72,6 +80,8 @@
     /// The list in flight and when it was sent.
     list_call: Option<(CallId, Millis)>,
     write_calls: Map<CallId, Vec<Key>>,
+    /// Since when a lease of the zone may change hands.
+    unstable_since: Option<Millis>,
     excess_since: Option<Millis>,
     wake_at: Option<Millis>,
 }
@@ -145,7 +155,12 @@
 }
 
 fn handle(state: &mut State, event: &Event<'_>, now: Millis, out: &mut Outbox) {
-    state.leases.started_at.get_or_insert(now);
+    if state.leases.started_at.is_none() {
+        state.leases.started_at = Some(now);
+        if !state.identity.seeds.is_empty() {
+            state.leases.next_list_at = now.after(FIRST_LIST_DELAY_MS);
+        }
+    }
     let is_own_event = match event {
         Event::StoreAnswered { call, answer } => handle_answer(state, *call, answer, now, out),
         Event::Drain => {
@@ -284,17 +299,16 @@
 
 /// Lists the zone's leases if due.
 fn list_leases(state: &mut State, now: Millis, out: &mut Outbox) {
+    state.leases.unstable_since = match is_stable(state, now) {
+        true => None,
+        false => state.leases.unstable_since.or(Some(now)),
+    };
     let manager = &state.leases;
     if manager.pool_leases.is_empty() || manager.list_call.is_some() || now < manager.next_list_at {
         return;
     }
-    let interval = match state.members.members.len() > LARGE_FLEET_VMS {
-        true => LIST_INTERVAL_LARGE_FLEET_MS,
-        false => LIST_INTERVAL_MS,
-    };
-    let is_recent = manager.last_list_at.is_some_and(|at| now.since(at) < LIST_INTERVAL_STABLE_MS);
-    let is_low_ranked = manager.last_list_at.is_some() && is_low_ranked(state);
-    if (is_recent || is_low_ranked) && is_stable(state, now) {
+    let interval = list_interval(state);
+    if !needs_list(state, now) {
         state.leases.next_list_at = now.after(interval);
         return;
     }
@@ -309,12 +323,45 @@
     out.push(Outcome::Store(Call { id, op }));
 }
 
-/// Whether at least [`LISTING_CANDIDATES`] VMs rank before this one for every pool.
-fn is_low_ranked(state: &State) -> bool {
+fn list_interval(state: &State) -> u64 {
+    match state.members.members.len() > LARGE_FLEET_VMS {
+        true => LIST_INTERVAL_LARGE_FLEET_MS,
+        false => LIST_INTERVAL_MS,
+    }
+}
+
+/// Whether the leases of the zone concern this VM: it may have to take one over, or it needs the
+/// result of a write.
+fn needs_list(state: &State, now: Millis) -> bool {
+    let manager = &state.leases;
+    let concerns_own_lease = |pool_lease: &PoolLease| {
+        pool_lease.pending.is_some() || pool_lease.is_successor || pool_lease.held.is_some()
+    };
+    let Some(unstable_since) = manager.unstable_since else {
+        let is_recent =
+            manager.last_list_at.is_some_and(|at| now.since(at) < LIST_INTERVAL_STABLE_MS);
+        return !is_recent && best_rank(state, now, true) < LISTING_CANDIDATES;
+    };
+    if manager.pool_leases.values().any(concerns_own_lease) {
+        return true;
+    }
+    let further = best_rank(state, now, false).saturating_sub(TAKEOVER_CANDIDATES - 1);
+    now.since(unstable_since) >= further * LIST_RANK_DELAY_MS
+}
+
+/// The best rank of this VM for any pool of the zone that it doesn't hold.
+fn best_rank(state: &State, now: Millis, excludes_holder: bool) -> u64 {
     let candidates = rank::candidates(&state.members, &state.identity.zone);
     let own = &state.identity.vm;
-    let is_high_ranked = |pool: &Key| rank::rank(pool, own, &candidates, None) < LISTING_CANDIDATES;
-    !state.leases.pool_leases.keys().any(is_high_ranked)
+    let other_pools =
+        state.leases.pool_leases.iter().filter(|(_, pool_lease)| {
+            !pool_lease.held.as_ref().is_some_and(|held| held.is_valid(now))
+        });
+    let ranks = other_pools.map(|(pool, _)| {
+        let holder = state.members.owner(pool).map(|(vm, _)| &**vm);
+        rank::rank(pool, own, &candidates, holder.filter(|_| excludes_holder))
+    });
+    ranks.min().unwrap_or(u64::MAX)
 }
 
 /// Whether no lease of the zone is likely to change hands.
@@ -383,7 +430,10 @@
         state.leases.list_call = None;
         match answer {
             Answer::Listed(records) => handle_listed(state, records, sent_at, now, out),
-            _ => state.leases.next_list_at = now.after(RETRY_DELAY_MS),
+            _ => {
+                let delay = RETRY_DELAY_MS.max(list_interval(state) / 2);
+                state.leases.next_list_at = now.after(delay);
+            }
         }
         return true;
     }
--- a/crates/kernel/src/outcome.rs
+++ b/crates/kernel/src/outcome.rs
@@ -265,8 +265,8 @@
         /// The text; it contains no secrets.
         text: String,
     },
-    /// Switch to this way of following the platform's tables.
-    Follow(feed::FeedSource),
+    /// Switch to this way of obtaining the platform's tables.
+    Follow(feed::Assignment),
     /// Apply rows of a table that a peer has read.
     ApplyRows(feed::Rows),
     /// Publish a new snapshot of the resources in force to the traffic threads.
--- a/crates/kernel/src/peer.rs
+++ b/crates/kernel/src/peer.rs
@@ -96,20 +96,21 @@
         /// Names of cold targets.
         cold: Vec<Name>,
     },
-    /// Asks the zone's reader of the platform's tables how current they are, and for the rows that
-    /// the sender lacks.
-    Follow {
+    /// Asks a VM of the zone how current its copies of the platform's tables are, for the rows that
+    /// the sender lacks, and for updates from now on.
+    Subscribe {
         /// Send time on the sender's clock.
         sent: Millis,
         /// Versions of the sender's copies.
         known: Vec<(feed::Table, Revision)>,
+        /// Whether the receiver must read the tables if its own copies are outdated.
+        needs_read: bool,
     },
-    /// Answers `Follow`. It is sent again after each read of the tables.
-    Followed {
-        /// The `sent` time of the latest `Follow`.
+    /// Answers `Subscribe`. It is sent again whenever the sender's copies are updated.
+    TableUpdates {
+        /// The `sent` time of the latest `Subscribe`.
         sent: Millis,
         /// One update per table.
-        #[serde(rename = "accounts")]
         updates: Vec<feed::TableUpdate>,
     },
     /// Announces that a target running requests of the receiver is about to leave.
--- a/crates/kernel/src/quarantine.rs
+++ b/crates/kernel/src/quarantine.rs
@@ -40,6 +40,8 @@
     pub(crate) lifted: Map<u64, LiftedQuarantine>,
     pub(crate) pending_calls: Map<CallId, PendingCall>,
     pub(crate) next_list_at: Millis,
+    /// Whether the first list was delayed until the VM knows the others of its zone.
+    pub(crate) has_delayed_list: bool,
     pub(crate) last_sweep: Millis,
 }
 
@@ -246,6 +248,14 @@
 
 fn on_message(state: &mut State, from: &str, message: &Message, now: Millis, out: &mut Outbox) {
     match message {
+        // A VM without any rows has just started and knows no quarantined bodies either.
+        Message::Subscribe { known, .. }
+            if known.iter().all(|(_, version)| *version == Revision(0)) =>
+        {
+            for entry in active_messages(&state.quarantine, now) {
+                out.send(&from.into(), entry);
+            }
+        }
         Message::Death(death) => {
             let is_own = *from == *state.identity.vm;
             on_death(state, death, is_own, now, out);
@@ -332,6 +342,18 @@
     }
 }
 
+/// Messages that make the quarantined bodies known to another VM, ordered by fingerprint.
+pub(crate) fn active_messages(registry: &Registry, now: Millis) -> Vec<Message> {
+    let active = registry.bodies.iter().filter(|(_, body)| body.is_quarantined(now));
+    let mut active: Vec<(u64, &Body)> =
+        active.map(|(fingerprint, body)| (*fingerprint, body)).collect();
+    active.sort_by_key(|(fingerprint, _)| *fingerprint);
+    active
+        .into_iter()
+        .map(|(fingerprint, body)| quarantine_message(fingerprint, body, now))
+        .collect()
+}
+
 fn quarantine_message(fingerprint: u64, body: &Body, now: Millis) -> Message {
     Message::Quarantine {
         fingerprint,
--- a/crates/kernel/src/quarantine_table.rs
+++ b/crates/kernel/src/quarantine_table.rs
@@ -12,6 +12,7 @@
 use crate::store::{
     self, Answer, Call, CallId, Condition, Family, Key, Op, Value, Write, WriteResult,
 };
+use crate::{quarantine, rank};
 
 /// Time after which a failed store call is retried, in milliseconds.
 const RETRY_DELAY_MS: u64 = 5_000;
@@ -22,10 +23,30 @@
     out.push(Outcome::Store(Call { id, op }));
 }
 
+/// Number of VMs of a zone that list the records while the zone replicates the platform's tables.
+const LISTING_VMS: usize = 2;
+/// Takes the place of the service name in the rendezvous hash that selects these VMs.
+const LISTING_RANK_KEY: &str = "quarantine";
+/// Delay of the first list in such a zone, in milliseconds, so that the VM first learns of the
+/// others.
+const FIRST_LIST_DELAY_MS: u64 = 5_000;
+
 pub(crate) fn list_entries(state: &mut State, now: Millis, out: &mut Outbox) {
     if now < state.quarantine.next_list_at {
         return;
     }
+    if state.feeds.is_replicated() {
+        let is_first = std::mem::replace(&mut state.quarantine.has_delayed_list, true);
+        if !is_first {
+            state.quarantine.next_list_at = now.after(FIRST_LIST_DELAY_MS);
+            return;
+        }
+        if !is_lister(state) {
+            state.quarantine.next_list_at = now.after(LIST_INTERVAL_MS);
+            return;
+        }
+        send_entries(state, now, out);
+    }
     // Drops earlier list calls that were never answered, which would otherwise accumulate.
     state
         .quarantine
@@ -37,6 +58,21 @@
     send_call(state, list, PendingCall::List { sent_at: now }, out);
 }
 
+fn is_lister(state: &State) -> bool {
+    let order = rank::ordered(&state.members, &state.identity.zone, LISTING_RANK_KEY);
+    order.iter().take(LISTING_VMS).any(|vm| **vm == state.identity.vm)
+}
+
+/// Sends the quarantined bodies to the VMs of the zone, which do not list them.
+fn send_entries(state: &State, now: Millis, out: &mut Outbox) {
+    let messages = quarantine::active_messages(&state.quarantine, now);
+    for member in state.members.in_zone(&state.identity.zone) {
+        if member.entry.vm != state.identity.vm {
+            messages.iter().for_each(|message| out.send(&member.entry.vm, message.clone()));
+        }
+    }
+}
+
 /// Writes and deletes the records that are due and forgets expired entries.
 pub(crate) fn sweep(state: &mut State, now: Millis, out: &mut Outbox) {
     state.quarantine.last_sweep = now;
--- a/crates/kernel/src/rank.rs
+++ b/crates/kernel/src/rank.rs
@@ -1,5 +1,7 @@
 //! Selects the VM that should own a pool, by rendezvous hashing over the VMs of the pool's zone.
 
+use std::cmp::Reverse;
+
 use crate::ids::Name;
 use crate::member::Membership;
 use crate::pool::Key;
@@ -36,6 +38,14 @@
     best.map(|best| (*best).clone())
 }
 
+/// The VMs that may act for `zone`, the highest-ranked first. `key` distinguishes independent orders.
+pub(crate) fn ordered<'a>(members: &'a Membership, zone: &'a str, key: &str) -> Vec<&'a Name> {
+    let pool = Key::new(key, zone);
+    let mut vms = candidates(members, zone);
+    vms.sort_by_cached_key(|vm| Reverse((weight(&pool, vm), (*vm).clone())));
+    vms
+}
+
 fn weight(pool: &Key, vm: &str) -> u64 {
     hash(&[&pool.service, &pool.zone, vm])
 }
--- a/crates/kernel/src/resource.rs
+++ b/crates/kernel/src/resource.rs
@@ -350,9 +350,6 @@
     /// Maximum age of the active resources, in milliseconds, at which a VM still accepts caller
     /// keys. Older resources may contain revoked keys. Zero disables the check.
     pub key_age_ms: u32,
-    /// Maximum age, in milliseconds, of the table rows that a VM gets from a peer; beyond it the VM
-    /// reads the platform's tables itself. Zero makes every VM read them.
-    pub feed_age_ms: u32,
     /// Retry budget of a service over 10 s, in percent of its requests.
     pub retry_percent: u32,
     /// Retries of a service over 10 s that are allowed on all VMs together regardless of its
@@ -373,7 +370,6 @@
             load_slots: 2,
             standby_percent: 0,
             key_age_ms: 0,
-            feed_age_ms: 0,
             retry_percent: 10,
             retry_slack: None,
             policy: Policy::default(),
--- a/crates/kernel/src/validate.rs
+++ b/crates/kernel/src/validate.rs
@@ -316,7 +316,6 @@
     errors.range("spec.loadSlots", spec.load_slots, 0..=1_000);
     errors.range("spec.standbyPercent", spec.standby_percent, 0..=100);
     errors.range("spec.keyAgeMs", spec.key_age_ms, 0..=MAX_COUNT);
-    errors.range("spec.feedAgeMs", spec.feed_age_ms, 0..=MAX_COUNT);
     errors.range("spec.retryPercent", spec.retry_percent, 0..=100);
     errors.range("spec.retrySlack", spec.retry_slack.unwrap_or(0), 0..=MAX_COUNT);
     for (ix, model) in spec.models.iter().enumerate() {
--- a/crates/kernel/tests/feed.rs
+++ b/crates/kernel/tests/feed.rs
@@ -3,14 +3,15 @@
 
 mod fleet;
 
-use fleet::{configuration, name, zone, Fleet};
+use fleet::{name, zone, Fleet};
 use hornbeamloom_kernel::event::Event;
 use hornbeamloom_kernel::feed::{FeedSource, Row, Rows, Table};
 use hornbeamloom_kernel::ids::Revision;
+use hornbeamloom_kernel::peer::Message;
 
 /// Interval between the reads of a VM that reads the tables itself.
 const READ_INTERVAL_MS: u64 = 1_000;
-/// The `feedAgeMs` of the test's configuration.
+/// Age at which the copies of the tests are outdated.
 const FEED_AGE_LIMIT_MS: u64 = 1_400;
 const STEP_MS: u64 = 100;
 /// Enough for gossip to converge and for the first queries.
@@ -24,14 +25,26 @@
     /// VMs that cannot reach the store.
     vms_without_store: Vec<String>,
     read_count: u64,
+    /// Reads including those that failed.
+    attempt_count: u64,
+    /// Most VMs that tried to read within one interval.
+    peak_attempts: usize,
     elapsed_ms: u64,
+    /// Source of each VM in the previous step.
+    sources: Vec<FeedSource>,
 }
 
 impl Harness {
     fn new(vms: usize) -> Harness {
+        let mut harness = Harness::starting(vms);
+        harness.run(SETTLE_MS);
+        harness
+    }
+
+    /// A zone whose VMs have all just started.
+    fn starting(vms: usize) -> Harness {
         let mut fleet = Fleet::of_zone(vms);
-        let fields = format!("\"feedAgeMs\": {FEED_AGE_LIMIT_MS}");
-        fleet.declare(&[("riga-a", zone()), ("default", configuration(&fields))]);
+        fleet.declare(&[("riga-a", zone())]);
         let rows = vec![(10, "engine-1")];
         let mut harness = Harness {
             fleet,
@@ -39,12 +52,23 @@
             version: 10,
             vms_without_store: Vec::new(),
             read_count: 0,
+            attempt_count: 0,
+            peak_attempts: 0,
             elapsed_ms: 0,
+            sources: vec![FeedSource::Peer; vms],
         };
-        harness.run(SETTLE_MS);
+        for vm in harness.vms() {
+            harness.announce(&vm);
+        }
         harness
     }
 
+    /// Announces the tables to a VM, as its adapter does at its start.
+    fn announce(&mut self, vm: &str) {
+        let age_limit_ms = FEED_AGE_LIMIT_MS;
+        self.fleet.event_at(vm, Event::TablesAvailable { age_limit_ms });
+    }
+
     fn vms(&self) -> Vec<String> {
         self.fleet.nodes.iter().map(|node| node.name.to_string()).collect()
     }
@@ -57,12 +81,16 @@
     fn run(&mut self, ms: u64) {
         for _ in 0..ms / STEP_MS {
             self.elapsed_ms += STEP_MS;
+            self.peak_attempts = self.peak_attempts.max(self.readers().len());
             for (ix, vm) in self.vms().into_iter().enumerate() {
+                let source = self.source(&vm);
+                let is_new = std::mem::replace(&mut self.sources[ix], source) != source;
                 let is_due = (self.elapsed_ms + ix as u64 * STEP_MS) % READ_INTERVAL_MS == 0;
-                if is_due
-                    && self.source(&vm) == FeedSource::Direct
-                    && !self.vms_without_store.contains(&vm)
-                {
+                if source != FeedSource::Direct || !(is_due || is_new) {
+                    continue;
+                }
+                self.attempt_count += 1;
+                if !self.vms_without_store.contains(&vm) {
                     self.read(&vm);
                 }
             }
@@ -137,6 +165,89 @@
     assert_eq!(harness.up_to_date(), 3);
 }
 
+/// Number of VMs of a zone of the largest deployment.
+const LARGE_ZONE_VMS: usize = 60;
+
+/// Guards against all VMs of a large zone reading the tables when they start together.
+#[test]
+fn vms_that_start_together_do_not_all_read() {
+    let mut harness = Harness::starting(LARGE_ZONE_VMS);
+    harness.run(10_000);
+    assert_eq!(harness.up_to_date(), LARGE_ZONE_VMS);
+    // The hash order settles while gossip spreads, so another VM may read for a short time.
+    assert!(harness.peak_attempts <= 3, "{} VMs read at a time", harness.peak_attempts);
+}
+
+/// Checks that few VMs of a large zone try to read while the store turns the given share of them
+/// away, and that all are up to date with the last change where any VM can read.
+fn store_turns_vms_away(turns_away: fn(usize) -> bool, max_readers: usize, is_served: bool) {
+    let mut harness = Harness::new(LARGE_ZONE_VMS);
+    let reader = harness.readers().remove(0);
+    let others = harness.vms().into_iter().enumerate();
+    let turned_away = others.filter(|(ix, vm)| turns_away(*ix) || *vm == reader);
+    harness.vms_without_store = turned_away.map(|(_, vm)| vm).collect();
+    harness.peak_attempts = 0;
+    harness.run(10_000);
+    harness.write("engine-2");
+    harness.run(10_000);
+    assert!(harness.peak_attempts <= max_readers, "{} VMs read", harness.peak_attempts);
+    let expected = if is_served { LARGE_ZONE_VMS } else { 0 };
+    assert_eq!(harness.up_to_date(), expected);
+    harness.vms_without_store.clear();
+    harness.run(10_000);
+    assert_eq!(harness.up_to_date(), LARGE_ZONE_VMS, "after the outage");
+    harness.attempt_count = 0;
+    harness.run(20_000);
+    assert!(harness.attempt_count <= 40, "{} reads after the outage", harness.attempt_count);
+}
+
+hornbeamloom_kernel::cases! {
+    store_turns_vms_away;
+
+    // Without a common order, every VM would look for a substitute of its own.
+    only_the_reader_is_turned_away: (|_| false, 3, true);
+    a_third_of_the_vms_is_turned_away: (|ix| ix % 3 == 0, 6, true);
+    all_vms_are_turned_away: (|_| true, 8, false);
+}
+
+/// Guards against a VM that waits for its zone forever although no other VM answers it.
+#[test]
+fn isolated_vm_reads_for_itself() {
+    let mut harness = Harness::new(5);
+    let reader = harness.readers().remove(0);
+    let alone = harness.vms().into_iter().find(|vm| *vm != reader).unwrap();
+    let others: Vec<String> = harness.vms().into_iter().filter(|vm| *vm != alone).collect();
+    let others: Vec<&str> = others.iter().map(String::as_str).collect();
+    harness.fleet.partition(&[&alone], &others);
+    harness.run(8_000);
+    assert_eq!(harness.source(&alone), FeedSource::Direct);
+    harness.fleet.cut_links.clear();
+    harness.run(20_000);
+    assert_eq!(harness.readers(), vec![reader]);
+}
+
+/// Guards against a reader that sends each row to all VMs of its zone: on a slow link, a large
+/// configuration then takes longer than the time within which it must be in force.
+#[test]
+fn rows_are_passed_on_through_a_tree() {
+    let mut harness = Harness::new(LARGE_ZONE_VMS);
+    harness.run(10_000);
+    let reader = harness.readers().remove(0);
+    harness.fleet.traced_vm = Some(reader.as_str().into());
+    harness.write("engine-2");
+    harness.read(&reader);
+    harness.fleet.run(5 * STEP_MS);
+    assert_eq!(harness.up_to_date(), LARGE_ZONE_VMS);
+    let has_rows = |message: &&Message| match message {
+        Message::TableUpdates { updates, .. } => {
+            updates.iter().any(|update| !update.rows.rows.is_empty())
+        }
+        _ => false,
+    };
+    let copies = harness.fleet.trace.iter().filter(has_rows).count();
+    assert!(copies <= 10, "{copies} copies of the row sent by the reader");
+}
+
 /// Makes the reader of the zone fail.
 type ReaderFault = fn(&mut Harness, &str);
 
--- a/crates/kernel/tests/fleet/mod.rs
+++ b/crates/kernel/tests/fleet/mod.rs
@@ -146,6 +146,11 @@
         }
     }
 
+    /// Makes the next declaration start from an empty store, as for VMs that were all restarted.
+    pub fn forget_declared(&mut self) {
+        self.declared_revision = 0;
+    }
+
     /// Cuts all links between two groups in both directions.
     pub fn partition(&mut self, left: &[&str], right: &[&str]) {
         for one in left {
--- a/crates/kernel/tests/lease.rs
+++ b/crates/kernel/tests/lease.rs
@@ -284,8 +284,7 @@
 }
 
 fn pools_per_vm(fleet: &Fleet, count: usize) -> Vec<usize> {
-    let keys: Vec<Key> = (0..count).map(|ix| Key::new(&format!("model-{ix}"), "riga-a")).collect();
-    let holders: Vec<Name> = keys.iter().filter_map(|key| fleet.holder(key)).collect();
+    let holders: Vec<Name> = pool_names(count).iter().filter_map(|key| fleet.holder(key)).collect();
     assert_eq!(holders.len(), count, "not every pool has a holder");
     let load = |vm: &Name| holders.iter().filter(|holder| *holder == vm).count();
     fleet.nodes.iter().map(|node| load(&node.name)).collect()
@@ -356,6 +355,76 @@
     twelve_vms_list_rarely: (12, 10 + 15 + 24);
 }
 
+/// Number of VMs of a zone of the largest deployment.
+const LARGE_ZONE_VMS: usize = 60;
+/// The store's limit for a fleet of five such zones is 100 calls in any second.
+const MAX_CALLS_PER_S: u64 = 20;
+
+/// Guards against a zone whose VMs all call the store when they start, when the store fails, when a
+/// holder dies or when all VMs are killed: no second may have more calls than the zone's share.
+fn large_zone_does_not_flood_the_store(disturb: fn(&mut Fleet)) {
+    let mut fleet = Fleet::of_zone(LARGE_ZONE_VMS);
+    announce_tables(&mut fleet);
+    declare_pools(&mut fleet, 2);
+    check_calls(&mut fleet, 16);
+    disturb(&mut fleet);
+    check_calls(&mut fleet, 20);
+    for node in &mut fleet.nodes {
+        node.store_mode = StoreMode::Up;
+    }
+    check_calls(&mut fleet, 20);
+    assert!(fleet.holder(&pool_names(1)[0]).is_some());
+}
+
+fn announce_tables(fleet: &mut Fleet) {
+    for ix in 0..fleet.nodes.len() {
+        fleet.event(ix, Event::TablesAvailable { age_limit_ms: 2_100 });
+    }
+}
+
+fn check_calls(fleet: &mut Fleet, seconds: u64) {
+    for _ in 0..seconds {
+        let before = fleet.store_calls;
+        fleet.run(1_000);
+        let calls = fleet.store_calls - before;
+        assert!(calls <= MAX_CALLS_PER_S, "{calls} calls in the second before {}", fleet.now);
+    }
+}
+
+fn restart_all(fleet: &mut Fleet) {
+    let names: Vec<Name> = fleet.nodes.iter().map(|node| node.name.clone()).collect();
+    names.iter().for_each(|name| fleet.start_vm(name, "riga-a", 2));
+    announce_tables(fleet);
+    fleet.forget_declared();
+    declare_pools(fleet, 2);
+}
+
+fn pool_names(count: usize) -> Vec<Key> {
+    (0..count).map(|ix| Key::new(&format!("model-{ix}"), "riga-a")).collect()
+}
+
+cases! {
+    large_zone_does_not_flood_the_store;
+
+    calm_large_zone_calls_rarely: (|_| ());
+    store_refuses_a_large_zone: (|fleet| {
+        fleet.nodes.iter_mut().for_each(|node| node.store_mode = StoreMode::Down);
+    });
+    store_refuses_a_third_of_a_large_zone: (|fleet| {
+        fleet.nodes.iter_mut().step_by(3).for_each(|node| node.store_mode = StoreMode::Down);
+    });
+    store_is_silent_for_a_large_zone: (|fleet| {
+        fleet.nodes.iter_mut().for_each(|node| node.store_mode = StoreMode::Silent);
+    });
+    holders_of_a_large_zone_die: (|fleet| {
+        for pool in pool_names(2) {
+            let holder = fleet.holder(&pool).unwrap();
+            fleet.node(&holder).is_stopped = true;
+        }
+    });
+    all_vms_of_a_large_zone_restart: (restart_all);
+}
+
 /// Guards against leases for pools that have no targets or belong to another zone.
 #[test]
 fn only_own_zone_pools_with_targets_are_taken() {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -39,8 +39,8 @@
     "quarantine",
     "targets",
     "departing",
-    "follow",
-    "followed",
+    "subscribe",
+    "table_updates",
 ];
 
 /// A decoded frame.
@@ -115,8 +115,8 @@
         Message::Death(_) => "death",
         Message::Quarantine { .. } => "quarantine",
         Message::Targets { .. } => "targets",
-        Message::Follow { .. } => "follow",
-        Message::Followed { .. } => "followed",
+        Message::Subscribe { .. } => "subscribe",
+        Message::TableUpdates { .. } => "table_updates",
         Message::Departing { .. } => "departing",
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod manifest;
 pub mod openai;
 pub mod report;
+pub mod row_value;
 pub mod sse;
 pub mod table;
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -152,12 +152,12 @@
     Message::Departing { target: "engine-1".into() }
 }
 
-fn follow() -> Message {
+fn subscribe() -> Message {
     let known = vec![(Table::Resources, Revision(3)), (Table::Targets, Revision(0))];
-    Message::Follow { sent: Millis(5), known }
+    Message::Subscribe { sent: Millis(5), known, needs_read: true }
 }
 
-fn followed() -> Message {
+fn table_updates() -> Message {
     let row = |key: &str, value: Option<&[u8]>| Row {
         key: key.into(),
         version: Revision(9),
@@ -172,7 +172,7 @@
         rows: vec![row("engine-1", Some(b"\xff{")), row("engine-2", None)],
     };
     let updates = vec![TableUpdate { rows, age_ms: Some(-40) }];
-    Message::Followed { sent: Millis(5), updates }
+    Message::TableUpdates { sent: Millis(5), updates }
 }
 
 fn sample_messages() -> Vec<Message> {
@@ -188,8 +188,8 @@
         death(),
         targets(),
         departing(),
-        follow(),
-        followed(),
+        subscribe(),
+        table_updates(),
         Message::Pull { from: Revision(3) },
         Message::Withdraw { pool: pool(), id: id() },
         Message::Hello { pool: pool(), fence: Fence(5) },
@@ -220,8 +220,8 @@
     targets_are_read_back: (targets());
     departure_is_read_back: (departing());
     acknowledgement_is_read_back: (Message::Ack { pool: pool() });
-    table_subscription_is_read_back: (follow());
-    table_update_is_read_back: (followed());
+    table_subscription_is_read_back: (subscribe());
+    table_update_is_read_back: (table_updates());
 }
 
 /// Guards against input that terminates the reader, or that is accepted as a frame of this version.
--- a/tests/fleet/store.rs
+++ b/tests/fleet/store.rs
@@ -82,6 +82,43 @@
     configuration_is_applied_after_an_outage: (StoreEvent::Unavailable);
 }
 
+/// Guards against a new configuration that is lost when the same read of the whole table shows that
+/// a zone is back in service (I9).
+#[test]
+fn configuration_is_applied_together_with_the_return_of_a_zone() {
+    block_on(async {
+        let fleet = start_fleet().await;
+        start_plain_targets(&fleet, 1).await;
+        fleet.store.put("op", "evacuate/b", b"{}");
+        tokio::time::sleep(PROPAGATION_TIME).await;
+        fleet.store.set_fault(Fault::Unavailable);
+        fleet.put_config(&config(3, &["k2"]));
+        fleet.store.delete_row("op", "evacuate/b");
+        fleet.store.compact_history();
+        fleet.store.set_fault(Fault::None);
+        wait_until("the new keys are in force", || async {
+            call_status(&fleet, "/look/1").await == 401
+        })
+        .await;
+    });
+}
+
+/// Guards against a VM that takes an empty error response to a read for an empty table and drops
+/// all its targets.
+#[test]
+fn error_response_to_a_read_does_not_remove_targets() {
+    block_on(async {
+        let fleet = start_fleet().await;
+        start_plain_targets(&fleet, 1).await;
+        fleet.store.set_fault(Fault::Gone);
+        let end = Instant::now() + MIN_KEY_VALIDITY;
+        while Instant::now() < end {
+            assert_eq!(call_status(&fleet, "/look/1").await, 200);
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    });
+}
+
 /// Guards against a VM that still waits for the response to a call from the time of an outage: a
 /// change must be in force once the store has been back for the platform's stability window of 3 s.
 #[test]
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -47,6 +47,9 @@
     assert_eq!(stderr_lines(&output).len(), expected, "{output:?}");
 }
 
+/// Settings of the platform adapter with fractions, very short and very long times.
+const FRACTIONS: &str = "zone: z\nadapter: {name: fleet, settings: {readiness: '127.0.0.1:9', zones: {z: r}, retries: {ratio: 0.2, slack: 12.6}, revocation_ms: 5000.5, config_apply_ms: 430, drain_ms: 86400000.0}}";
+
 hornbeamloom_kernel::cases! {
     check_exits_with;
     valid_settings_pass_the_check: (1, "good", ("", ""), 0);
@@ -55,6 +58,10 @@
     // Guards against an advertised address that peers or callers cannot connect to.
     advertised_address_without_port_fails_the_check: (7, "no-port", ("zone: z", "zone: z\nadvertise: {callers: '127.0.0.1'}"), 2);
     address_advertised_twice_fails_the_check: (8, "twice", ("zone: z", "zone: z\nadvertise: {callers: '127.0.0.1:9', peers: '127.0.0.1:9'}"), 2);
+    // Guards against a daemon that ends at its start because the platform gives a fraction.
+    fractions_in_amounts_and_times_pass_the_check: (9, "fractions", ("zone: z", FRACTIONS), 0);
+    negative_amount_fails_the_check: (10, "negative", ("zone: z", "zone: z\nadapter: {name: fleet, settings: {readiness: '127.0.0.1:9', zones: {z: r}, retries: {ratio: 0.2, slack: -1}}}"), 2);
+    time_that_is_no_number_fails_the_check: (11, "nan", ("zone: z", "zone: z\nadapter: {name: fleet, settings: {readiness: '127.0.0.1:9', zones: {z: r}, retries: {ratio: 0.2, slack: 1}, drain_ms: .nan}}"), 2);
     missing_vm_fails_the_check: (3, "no-vm", ("vm: entry-1\n", ""), 2);
 }
 
