Let a holder renew after an outage of the store, and find peers sooner after a restart

Change: a takeover needs lists at most 6 s apart; after a longer gap, the time without a change counts anew. A link waits 400 ms for a connection. A VM that knows no other of its zone waits 0.7 to 1.4 s before it reads.

--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -27,6 +27,9 @@
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which a link with an unanswered heartbeat is closed and reopened.
 pub const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time limit for a connection to be established, shorter than the 1 s after which TCP retransmits a
+/// lost SYN: after a power loss, the peers of a VM start within some tenths of a second of it.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time without outgoing frames after which a link is closed.
 pub const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time without a connection after which a link is given up together with its queued frames. A VM
@@ -252,7 +255,9 @@
 
 async fn open(endpoint: &Endpoint) -> Result<WebSocketStream<TcpStream>, Error> {
     let connect = async {
-        let stream = TcpStream::connect(&*endpoint.address).await?;
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(&*endpoint.address))
+            .await
+            .unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))?;
         stream.set_nodelay(true)?;
         let mut request = format!("ws://{}/peers", endpoint.address).into_client_request()?;
         let key = HeaderValue::from_str(&format!("Bearer {}", endpoint.key))
--- a/crates/kernel/src/feed.rs
+++ b/crates/kernel/src/feed.rs
@@ -47,7 +47,10 @@
 /// Time in milliseconds after its start in which a VM with seeds neither reads the tables nor asks
 /// others to, so that it first learns of the VMs of its zone.
 const JOIN_DELAY_MS: u64 = 600;
-/// Interval in milliseconds at which a VM that knows no other VM of its zone checks for one.
+/// The same for a VM that knows no other VM of its zone; as much again is added as jitter. After a
+/// restart of all VMs, each of them would otherwise take itself for the root of the tree.
+const ALONE_JOIN_DELAY_MS: u64 = 700;
+/// Interval in milliseconds at which a VM checks whether it has learned of others.
 const JOIN_RECHECK_MS: u64 = 100;
 /// Time in milliseconds after a query without an answer from any peer after which a VM with outdated
 /// copies reads the tables for itself. Half as much again is added as jitter.
@@ -506,9 +509,13 @@
     let order = rank::ordered(&state.members, &state.identity.zone, TREE_RANK_KEY);
     let own = &state.identity.vm;
     let parent = parent(&order, own).cloned();
-    let is_joining =
-        !state.identity.seeds.is_empty() && now.since(replication.started_at) < JOIN_DELAY_MS;
     let feeds = &mut state.feeds;
+    let join_delay_ms = match order.len() {
+        0 | 1 => ALONE_JOIN_DELAY_MS + hash(&[own]) % ALONE_JOIN_DELAY_MS,
+        _ => JOIN_DELAY_MS,
+    };
+    let is_joining =
+        !state.identity.seeds.is_empty() && now.since(replication.started_at) < join_delay_ms;
     let until = feeds.current_until(replication.age_limit_ms).filter(|until| now <= *until);
     let is_new_parent = parent.is_some() && parent != feeds.parent;
     feeds.parent = parent;
@@ -533,7 +540,9 @@
         (FeedSource::Direct, false) if is_peer_current => set_source(feeds, FeedSource::Peer, out),
         _ => {}
     }
-    feeds.wake_at = Some(next_wake(feeds, &replication, until, now));
+    let recheck = is_joining.then(|| now.after(JOIN_RECHECK_MS));
+    let next_wake = next_wake(feeds, until, now);
+    feeds.wake_at = Some(recheck.map_or(next_wake, |at| at.min(next_wake)));
 }
 
 /// The VM that passes the tables on to `own`; `None` for the root of the tree.
@@ -620,21 +629,15 @@
     is_root || is_substitute || is_isolated
 }
 
-fn next_wake(
-    feeds: &Feeds,
-    replication: &Replication,
-    until: Option<Millis>,
-    now: Millis,
-) -> Millis {
+fn next_wake(feeds: &Feeds, until: Option<Millis>, now: Millis) -> Millis {
     let next_query_at = feeds.last_query_at.unwrap_or(now).after(QUERY_INTERVAL_MS);
     let due = match (until, &feeds.search) {
         (Some(until), _) => until.after(1).min(next_query_at),
         (None, Some(search)) => search.next_at,
         (None, None) => next_query_at,
     };
-    let join_end = replication.started_at.after(JOIN_DELAY_MS);
-    let later = [Some(join_end), feeds.substitute_until].into_iter().flatten();
-    later.filter(|at| *at > now).fold(due, Millis::min).max(now.after(1))
+    let substitute_end = feeds.substitute_until.filter(|at| *at > now);
+    due.min(substitute_end.unwrap_or(due)).max(now.after(1))
 }
 
 fn set_source(feeds: &mut Feeds, source: FeedSource, out: &mut Outbox) {
--- a/crates/kernel/src/lease.rs
+++ b/crates/kernel/src/lease.rs
@@ -45,6 +45,10 @@
 const LIST_RANK_DELAY_MS: u64 = 1_000;
 /// Fleet size above which leases are listed less often.
 const LARGE_FLEET_VMS: usize = 32;
+/// Maximum time between two lists from which a VM concludes that a record has not changed in
+/// between. While the store is unavailable, the holder cannot renew its lease either and must get
+/// the time to do so afterwards.
+const MAX_LIST_GAP_MS: u64 = 6_000;
 /// Time after which the answer to a call counts as lost.
 const CALL_TIMEOUT_MS: u64 = 3_000;
 /// Delay after a call that had no effect.
@@ -77,6 +81,8 @@
     next_list_at: Millis,
     /// When the last list was sent.
     last_list_at: Option<Millis>,
+    /// When the last list that was answered was sent.
+    last_answered_list_at: Option<Millis>,
     /// The list in flight and when it was sent.
     list_call: Option<(CallId, Millis)>,
     write_calls: Map<CallId, Vec<Key>>,
@@ -389,6 +395,9 @@
         own: &identity.vm,
         incarnation: identity.incarnation,
         is_stopping: leases.stopping_since.is_some(),
+        is_observing: leases
+            .last_answered_list_at
+            .is_some_and(|at| now.since(at) <= MAX_LIST_GAP_MS),
         claim_free_after: match identity.seeds.is_empty() {
             true => Millis(0),
             false => leases.started_at.unwrap_or(now).after(JOIN_DELAY_MS),
@@ -494,6 +503,13 @@
     out: &mut Outbox,
 ) {
     let own = state.identity.vm.clone();
+    let previous = state.leases.last_answered_list_at.replace(sent_at);
+    let is_continuous = previous.is_some_and(|at| sent_at.since(at) <= MAX_LIST_GAP_MS);
+    if !is_continuous {
+        for pool_lease in state.leases.pool_leases.values_mut() {
+            pool_lease.restart_observation(now);
+        }
+    }
     let mut found: Map<&Key, VersionedLease> = Map::default();
     for record in records {
         if let store::Key::Lease(pool) = &record.key {
--- a/crates/kernel/src/pool_lease.rs
+++ b/crates/kernel/src/pool_lease.rs
@@ -102,6 +102,8 @@
     pub(crate) own: &'a Name,
     pub(crate) incarnation: Incarnation,
     pub(crate) is_stopping: bool,
+    /// Whether the records have been listed recently.
+    pub(crate) is_observing: bool,
     /// Time from which free pools may be taken.
     pub(crate) claim_free_after: Millis,
 }
@@ -139,7 +141,7 @@
     /// When this VM may take over the pool.
     pub(crate) fn takeover_at(&self, pool: &Key, context: &WriteContext<'_>) -> Option<Millis> {
         let observed = self.observed.as_ref()?;
-        if context.is_stopping || !self.has_targets {
+        if context.is_stopping || !context.is_observing || !self.has_targets {
             return None;
         }
         let rank =
@@ -238,6 +240,13 @@
         self.observed = Some(Observation { version, lease, first_seen_at: now });
     }
 
+    /// Counts the time without a change of the record from now on.
+    pub(crate) fn restart_observation(&mut self, now: Millis) {
+        if let Some(observed) = &mut self.observed {
+            observed.first_seen_at = now;
+        }
+    }
+
     /// Handles a pending write that was not applied, given the current record.
     pub(crate) fn on_not_applied(
         &mut self,
