Keep the first copy of a generation while its engine gives no response

Its log: the request for the final copy failed at 46.383 s, the end of the stream was noticed at 46.385 s. In this order the failed request released the copy made before, and the generation was lost; in the other order it goes on from that copy.

Change: a final copy without a response is requested again, like one that found no room, and the first copy is kept until the stream ends or the retries are used up.

Test that failed first: stream_continues_when_its_engine_dies_at_the_final_copy, with an engine that answers the final request with bytes that are no response and crashes 40 ms later.

--- a/crates/bench/src/mock_engine.rs
+++ b/crates/bench/src/mock_engine.rs
@@ -22,6 +22,9 @@
 
 /// Time between the response to a copy request and the crash that follows it.
 const CRASH_DELAY: Duration = Duration::from_millis(2);
+/// Time between the failure of a copy request and a crash, for a caller that notices the former
+/// first.
+const LATE_CRASH_DELAY: Duration = Duration::from_millis(40);
 
 /// The fault that an engine injects into requests.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -61,6 +64,9 @@
     NoCapacityForFinalCopy,
     /// It crashes right after its response to a copy request.
     CrashesAfterCopy,
+    /// It answers the request for the final copy with bytes that are no response, and crashes a
+    /// little later while its streams still run.
+    CrashesAtFinalCopy,
 }
 
 /// A request that reached an engine.
@@ -252,6 +258,14 @@
         self.killed.send_replace(true);
     }
 
+    fn kill_after(&self, delay: Duration) {
+        let engine = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            engine.kill();
+        });
+    }
+
     /// Number of streams in progress.
     pub fn running(&self) -> usize {
         self.lock().runs.len()
@@ -323,6 +337,10 @@
         if fault == CopyFault::NoCapacity {
             return encode_response(503, "", b"{}");
         }
+        if is_final && fault == CopyFault::CrashesAtFinalCopy {
+            self.kill_after(LATE_CRASH_DELAY);
+            return b"?\r\n\r\n".to_vec();
+        }
         let (handle, events_sent) = {
             let mut state = self.lock();
             let Some(run) = state.runs.get_mut(&attempt) else {
@@ -353,11 +371,7 @@
         }
         drop(shared);
         if fault == CopyFault::CrashesAfterCopy {
-            let engine = self.clone();
-            tokio::spawn(async move {
-                tokio::time::sleep(CRASH_DELAY).await;
-                engine.kill();
-            });
+            self.kill_after(CRASH_DELAY);
         }
         let text = json!({"handle": handle, "created": events_sent}).to_string();
         encode_response(if is_refused { 503 } else { 200 }, "", text.as_bytes())
--- a/crates/daemon/src/stream_proxy.rs
+++ b/crates/daemon/src/stream_proxy.rs
@@ -345,7 +345,9 @@
                     false => PlacementEnd::CallerGone,
                 })
             }
-            Some(Err(CopyError::Refused(None)))
+            // An engine that gave no response may be gone. The first copy is kept until its stream
+            // shows that: the end of the stream can be noticed later than that of the request.
+            Some(Err(CopyError::Refused(None) | CopyError::Unknown))
                 if done.stops_source && done.retries < MAX_FINAL_COPY_RETRIES =>
             {
                 let retries = done.retries + 1;
--- a/tests/fleet/relocation.rs
+++ b/tests/fleet/relocation.rs
@@ -97,6 +97,16 @@
         },
         2..=2,
     );
+    // Guards against a generation that is lost because the failure of the request for its final copy
+    // is noticed before the end of its stream.
+    stream_continues_when_its_engine_dies_at_the_final_copy: (
+        Standbys::Off, 2,
+        |fleet, first, _| {
+            first.set_copy_fault(CopyFault::CrashesAtFinalCopy);
+            drain(fleet, first);
+        },
+        2..=2,
+    );
     // Guards against a generation that was stopped for its final copy and is not resumed.
     stream_continues_when_the_final_copy_finds_no_room: (
         Standbys::Off, 2,
