Test that a starting VM learns of quarantined bodies, and correct a comment

Cause: the hand-on of quarantined bodies with the first Subscribe had no test; a comment on the limit of row values named a source that does not exist.

Change: a kernel test with five VMs, of which one restarts between two lists; the comment gives the reason for the limit.

No behaviour is changed.

--- a/crates/kernel/tests/feed.rs
+++ b/crates/kernel/tests/feed.rs
@@ -7,7 +7,7 @@
 use hornbeamloom_kernel::event::Event;
 use hornbeamloom_kernel::feed::{FeedSource, Row, Rows, Table};
 use hornbeamloom_kernel::ids::Revision;
-use hornbeamloom_kernel::peer::Message;
+use hornbeamloom_kernel::peer::{Death, Message, Suspect};
 
 /// Interval between the reads of a VM that reads the tables itself.
 const READ_INTERVAL_MS: u64 = 1_000;
@@ -226,6 +226,33 @@
     assert_eq!(harness.readers(), vec![reader]);
 }
 
+/// Guards against a VM that starts and sends a quarantined body to targets because it does not list
+/// the records itself.
+#[test]
+fn starting_vm_learns_of_quarantined_bodies() {
+    const FINGERPRINT: u64 = 7;
+    let mut harness = Harness::new(5);
+    // The VMs that list the records send them to the others only every 30 s.
+    harness.run(10_000);
+    for start_id in 1..=2 {
+        let running = vec![Suspect {
+            fingerprint: FINGERPRINT,
+            organisation: name("school-1"),
+            service: name("menu-model"),
+        }];
+        let death = Message::Death(Death { target: name("t1"), start_id, running, age_ms: 0 });
+        for vm in harness.vms() {
+            harness.fleet.event_at(&vm, Event::Peer { from: "a1", message: &death });
+        }
+    }
+    harness.fleet.start_vm("a3", "riga-a", 2);
+    harness.announce("a3");
+    harness.run(2_000);
+    let now = harness.fleet.clock("a3");
+    let registry = &harness.fleet.node("a3").kernel.state().quarantine;
+    assert!(registry.is_quarantined(FINGERPRINT, now));
+}
+
 /// Guards against a reader that sends each row to all VMs of its zone: on a slow link, a large
 /// configuration then takes longer than the time within which it must be in force.
 #[test]
--- a/crates/wire/src/row_value.rs
+++ b/crates/wire/src/row_value.rs
@@ -15,8 +15,8 @@
 const COMPRESSED_TAG: u8 = 0x01;
 /// Length in bytes from which values are compressed.
 const MIN_COMPRESSED_BYTES: usize = 1 << 10;
-/// Limit on the length of a decompressed value in bytes (16 MiB), four times that of the largest
-/// configuration that the platform's pages mention.
+/// Limit on the length of a decompressed value in bytes (16 MiB), so that a damaged value cannot
+/// exhaust the memory of a VM.
 const MAX_VALUE_BYTES: u64 = 16 << 20;
 
 /// Why a value cannot be decoded.
