Answer every request before the process reaches the limit of its shutdown

Callers saw a connection that closed without any response: their request had been read by a VM that was stopping.

Cause: a VM that stops accepts requests of routes for settle_s (3 s) whatever their time-out, and nothing ends those that have no response when the platform kills the process 8 s after SIGTERM. A short generation may take 6 s; an engine that is late then costs its response.

Change: the grace period is the limit of the shutdown (shutdown_limit_s). From SIGTERM on a request of a route whose time-out is later than half a second before the limit is refused as not run, on arrival or while it waits; at that time each request whose response has not begun gets 503 (not run) or 504.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -45,6 +45,8 @@
     /// KV memory in use, in percent, below which generations are copied to a standby; applies to
     /// daemons that are started later.
     pub standby_percent: u32,
+    /// Limit of the daemons' shutdown in seconds; applies to daemons that are started later.
+    pub shutdown_limit_s: Option<u64>,
     daemon_binary: PathBuf,
     dir: PathBuf,
     peer_addresses: Vec<SocketAddr>,
@@ -105,6 +107,7 @@
             request_log: RequestLog::new(),
             daemons: Vec::new(),
             standby_percent: 0,
+            shutdown_limit_s: None,
             daemon_binary: daemon_binary.to_owned(),
             dir: dir.to_owned(),
             peer_addresses: Vec::new(),
@@ -162,6 +165,7 @@
             "peers": seeds,
             "keys": {"operator": ["operator"], "peer": ["peer"]},
             "settle_s": 1,
+            "shutdown_limit_s": self.shutdown_limit_s,
             "adapter": {
                 "name": "fleet",
                 "settings": {
--- a/crates/daemon/src/adapter.rs
+++ b/crates/daemon/src/adapter.rs
@@ -9,6 +9,7 @@
 use hornbeamloom_kernel::kernel::Identity;
 use hornbeamloom_kernel::outcome::Outcome;
 use tokio::sync::{mpsc, watch, OwnedSemaphorePermit, Semaphore};
+use tokio::time::Instant;
 
 use crate::control::Control;
 use crate::settings::Settings;
@@ -26,10 +27,31 @@
     pub intent: watch::Receiver<Arc<Intent>>,
     /// Becomes true when a graceful shutdown begins.
     pub stopping: watch::Receiver<bool>,
+    /// When every request needs its response; `None` unless a shutdown with a limit has begun.
+    pub answer_by: watch::Receiver<Option<Instant>>,
     /// Lets servers finish open responses before the process exits.
     pub server_shutdown: ServerShutdown,
 }
 
+impl Context {
+    /// Resolves when a response is due: at `deadline`, or earlier if the process is about to end.
+    pub async fn response_due(&self, deadline: Instant) {
+        let mut answer_by = self.answer_by.clone();
+        let process_end = async {
+            let found = answer_by.wait_for(Option::is_some).await.map(|by| *by);
+            match found.ok().flatten() {
+                Some(by) => tokio::time::sleep_until(by).await,
+                // The sender is dropped when the process exits.
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = tokio::time::sleep_until(deadline) => {}
+            () = process_end => {}
+        }
+    }
+}
+
 /// Coordinates the shutdown of servers, so that open responses finish before the process exits.
 #[derive(Debug, Clone)]
 pub struct ServerShutdown {
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -157,8 +157,9 @@
     Vms(Vec<Vm>),
     /// An operator lifted the quarantine of the body with this fingerprint.
     LiftQuarantine(u64),
-    /// A graceful shutdown has begun; callers are directed to other VMs.
-    ShutdownStarted,
+    /// A graceful shutdown has begun; callers are directed to other VMs. If it has a limit, every
+    /// request needs its response within this time.
+    ShutdownStarted(Option<Duration>),
     /// The settle time has passed: hand over everything this VM holds and finish running requests.
     Drain,
     /// Evaluate a query on the control state.
@@ -531,7 +532,11 @@
             Input::LiftQuarantine(fingerprint) => {
                 self.handle_event(Event::LiftQuarantine { fingerprint })
             }
-            Input::ShutdownStarted => self.handle_event(Event::ShutdownStarted),
+            Input::ShutdownStarted(answer_within) => {
+                let answer_within_ms = answer_within
+                    .map(|within| u64::try_from(within.as_millis()).unwrap_or(u64::MAX));
+                self.handle_event(Event::ShutdownStarted { answer_within_ms });
+            }
             Input::Drain => self.handle_event(Event::Drain),
             Input::Query(query) => (query.0)(self.kernel.state(), self.now()),
         }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -10,6 +10,7 @@
 use hornbeamloom_kernel::kernel::{Identity, Kernel};
 use tokio::signal::unix::{self, SignalKind};
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::Instant;
 
 use crate::control::{self, Control, Input, OutcomeRoute};
 use crate::log_writer::LogWriter;
@@ -19,6 +20,10 @@
 /// Delay before exit in which the last messages to peers are written to their sockets.
 const PEER_FLUSH_TIME: Duration = Duration::from_millis(250);
 
+/// Time before the shutdown limit at which requests without a response get a final one, so that it
+/// reaches the callers before the process ends.
+const FINAL_RESPONSE_MARGIN: Duration = Duration::from_millis(500);
+
 /// Exit status for invalid settings and other start-up failures.
 const STARTUP_FAILURE_STATUS: u8 = 2;
 
@@ -84,6 +89,7 @@
     control: Control,
     settings: watch::Sender<Arc<Settings>>,
     stopping: watch::Sender<bool>,
+    answer_by: watch::Sender<Option<Instant>>,
     drained: watch::Sender<bool>,
     server_shutdown: adapter::ServerShutdown,
     kernel_drained: oneshot::Receiver<()>,
@@ -100,6 +106,7 @@
         let plugins = adapter::checked_plugins(&settings)?;
         let (settings_sender, settings) = watch::channel(Arc::new(settings));
         let (stopping_sender, stopping) = watch::channel(false);
+        let (answer_by_sender, answer_by) = watch::channel(None);
         let (drained_sender, drained) = watch::channel(false);
         let server_shutdown = adapter::ServerShutdown::new(drained);
         let (routes, inboxes): (Vec<OutcomeRoute>, Vec<adapter::Inbox>) =
@@ -112,6 +119,7 @@
             control: control.clone(),
             intent: receivers.intent,
             stopping,
+            answer_by,
             server_shutdown: server_shutdown.clone(),
         };
         for (plugin, inbox) in plugins.iter().zip(inboxes) {
@@ -121,6 +129,7 @@
             control,
             settings: settings_sender,
             stopping: stopping_sender,
+            answer_by: answer_by_sender,
             drained: drained_sender,
             server_shutdown,
             kernel_drained: receivers.drained,
@@ -153,8 +162,11 @@
     /// balancer stops sending requests, finishes all work and stops.
     pub async fn stop(self) {
         let settings = self.settings.borrow().clone();
+        let limit = settings.shutdown_limit_s.map(Duration::from_secs);
+        let answer_within = limit.map(|limit| limit.saturating_sub(FINAL_RESPONSE_MARGIN));
+        self.answer_by.send_replace(answer_within.map(|within| Instant::now() + within));
         self.stopping.send_replace(true);
-        self.control.tell(Input::ShutdownStarted);
+        self.control.tell(Input::ShutdownStarted(answer_within));
         let work = async {
             tokio::time::sleep(Duration::from_secs(settings.settle_s)).await;
             self.control.tell(Input::Drain);
@@ -165,12 +177,11 @@
             // The last messages to peers may not have been written to their sockets yet.
             tokio::time::sleep(PEER_FLUSH_TIME).await;
         };
-        match settings.shutdown_limit_s {
+        match limit {
             None => work.await,
-            Some(limit_s) => {
-                let limit = Duration::from_secs(limit_s);
+            Some(limit) => {
                 if tokio::time::timeout(limit, work).await.is_err() {
-                    log::warn!("shutdown limit reached limit_s={limit_s}");
+                    log::warn!("shutdown limit reached limit_s={}", limit.as_secs());
                 }
             }
         }
--- a/crates/kernel/src/entry.rs
+++ b/crates/kernel/src/entry.rs
@@ -175,6 +175,7 @@
             attempt::on_attempt_ended(state, &ended, now, out);
         }
         Event::Peer { from, message } => on_message(state, from, message, now, out),
+        Event::ShutdownStarted { .. } => refuse_waiting(state, now, out),
         _ => {}
     }
     check_drained(state, now, out);
@@ -237,7 +238,7 @@
     if state.quarantine.is_quarantined(view.fingerprint, now) {
         return Err(Refusal::new(Reason::Quarantined));
     }
-    if is_refused_for_shutdown(state, view) {
+    if is_refused_for_shutdown(state, view, now) {
         return Err(Refusal::new(Reason::ShuttingDown).with_retry_after(SHUTDOWN_RETRY_AFTER_MS));
     }
     if state.entry.requests.len() >= MAX_REQUESTS {
@@ -292,13 +293,39 @@
 ///
 /// The platform gives a VM a few seconds to stop. A long generation of a route may outlast them,
 /// and so may any request of a route that arrives after callers had time to notice the shutdown.
-fn is_refused_for_shutdown(state: &State, view: &View<'_>) -> bool {
+fn is_refused_for_shutdown(state: &State, view: &View<'_>, now: Millis) -> bool {
     let is_long = view.max_tokens.is_none_or(|tokens| tokens > pool::SHORT_TOKENS);
     let is_long = view.options.relocatable && is_long;
     let is_late = view.options.spills && state.draining;
+    let is_late = is_late || may_outlast_shutdown(state, &view.options, now);
     state.entry.is_drained || is_late || (state.leaving && is_long)
 }
 
+/// Whether the process may end before the response to a request of a route is due.
+fn may_outlast_shutdown(state: &State, options: &RouteOptions, arrived: Millis) -> bool {
+    let is_after = |by| options.timeout_ms.is_none_or(|timeout_ms| arrived.after(timeout_ms) > by);
+    options.spills && state.answer_by.is_some_and(is_after)
+}
+
+/// Refuses the requests that have not started and may outlast the shutdown that has begun. Another
+/// VM can serve them immediately.
+fn refuse_waiting(state: &mut State, now: Millis, out: &mut Outbox) {
+    let is_waiting = |request: &Request| {
+        matches!(request.phase, Phase::Asking(_) | Phase::Waiting)
+            && request.relocation_source.is_none()
+            && may_outlast_shutdown(state, &request.options, request.arrived)
+    };
+    let requests = state.entry.requests.iter();
+    let waiting = requests.filter(|(_, request)| is_waiting(request));
+    let mut waiting: Vec<Id> = waiting.map(|(id, _)| id.clone()).collect();
+    waiting.sort();
+    for id in waiting {
+        ask::withdraw(state, &id, out);
+        let refusal = Refusal::new(Reason::ShuttingDown);
+        refuse(state, &id, refusal.with_retry_after(SHUTDOWN_RETRY_AFTER_MS), now, out);
+    }
+}
+
 /// Whether the organisation may call the service.
 ///
 /// The caller adapter has already authenticated the organisation by its key. An organisation that
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -128,7 +128,11 @@
         fingerprint: u64,
     },
     /// Graceful shutdown has started: new callers are directed to other VMs.
-    ShutdownStarted,
+    ShutdownStarted {
+        /// Time within which every request needs its response, in milliseconds; `None` if the
+        /// shutdown has no limit.
+        answer_within_ms: Option<u64>,
+    },
     /// Callers have had time to notice the shutdown: hand over all pools and finish running
     /// requests.
     Drain,
--- a/crates/kernel/src/ingress.rs
+++ b/crates/kernel/src/ingress.rs
@@ -117,6 +117,7 @@
     RouteOptions {
         priority: Some(priority.unwrap_or(route.priority)),
         queue_timeout_ms: Some(route.target_latency_ms / QUEUE_TIMEOUT_DIVISOR),
+        timeout_ms: Some(route.timeout_ms),
         max_attempts: Some(route.attempts),
         spills: true,
         balances_zones: true,
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -131,6 +131,8 @@
     pub decisions: explain::DecisionLog,
     /// Graceful shutdown has started.
     pub leaving: bool,
+    /// When every request needs its response, because the process ends soon after.
+    pub answer_by: Option<Millis>,
     /// Callers have had time to switch to other VMs, and this VM finishes its remaining work.
     pub draining: bool,
     last_call_id: u64,
@@ -154,6 +156,7 @@
             planner: reconcile::Planner::default(),
             decisions: explain::DecisionLog::default(),
             leaving: false,
+            answer_by: None,
             draining: false,
             last_call_id: 0,
             identity,
@@ -260,7 +263,10 @@
     }
 
     fn dispatch(&mut self, event: &Event<'_>, now: Millis, out: &mut Outbox) {
-        self.state.leaving |= matches!(event, Event::ShutdownStarted | Event::Drain);
+        if let Event::ShutdownStarted { answer_within_ms } = event {
+            self.state.answer_by = answer_within_ms.map(|within| now.after(within));
+        }
+        self.state.leaving |= matches!(event, Event::ShutdownStarted { .. } | Event::Drain);
         self.state.draining |= matches!(event, Event::Drain);
         for plugin in &self.plugins {
             (plugin.handle)(&mut self.state, event, now, out);
--- a/crates/kernel/src/request.rs
+++ b/crates/kernel/src/request.rs
@@ -160,6 +160,8 @@
     pub priority: Option<u8>,
     /// Longest wait for a start, in milliseconds; if absent, the limit of the service applies.
     pub queue_timeout_ms: Option<u64>,
+    /// Longest time to the complete response, in milliseconds; unlimited if absent.
+    pub timeout_ms: Option<u64>,
     /// Number of attempts that may be executed at least in part; unlimited if absent.
     pub max_attempts: Option<u32>,
     /// A pool that cannot start the request immediately refuses it, and another pool is asked.
--- a/crates/kernel/tests/common/mod.rs
+++ b/crates/kernel/tests/common/mod.rs
@@ -49,6 +49,9 @@
     Arrive(u64),
     /// Request `n` of a route arrives; its generation can be relocated.
     ArriveRouted(u64),
+    /// A request arrives by a route, with its longest time to the complete response in
+    /// milliseconds.
+    ArriveTimed(u64, u64),
     /// Request `n` of a route arrives; it may leave its zone for one with a lower usage.
     ArriveBalanced(u64),
     /// Sets the usage reported in grants, in thousandths.
@@ -111,6 +114,8 @@
     ShowBody(u64),
     /// Graceful shutdown starts.
     Leave,
+    /// Graceful shutdown starts; every request needs its response within this time.
+    LeaveWithin(u64),
     /// Callers have had time to notice the shutdown.
     Drain,
 }
@@ -429,6 +434,14 @@
                     RouteOptions { spills: true, relocatable: true, ..RouteOptions::default() };
                 self.arrive_with_options(n, n, Idempotency::AtMostOnce, options);
             }
+            Step::ArriveTimed(n, timeout_ms) => {
+                let options = RouteOptions {
+                    spills: true,
+                    timeout_ms: Some(timeout_ms),
+                    ..RouteOptions::default()
+                };
+                self.arrive_with_options(n, n, Idempotency::AtMostOnce, options);
+            }
             Step::ArriveBalanced(n) => {
                 let (queue_timeout_ms, spills) = (Some(500), true);
                 let options = RouteOptions {
@@ -545,7 +558,10 @@
                     };
                 self.trace.push(format!("body {body} {text}"));
             }
-            Step::Leave => self.handle(Event::ShutdownStarted),
+            Step::Leave => self.handle(Event::ShutdownStarted { answer_within_ms: None }),
+            Step::LeaveWithin(ms) => {
+                self.handle(Event::ShutdownStarted { answer_within_ms: Some(ms) })
+            }
             Step::Drain => self.handle(Event::Drain),
         }
     }
--- a/crates/kernel/tests/entry.rs
+++ b/crates/kernel/tests/entry.rs
@@ -265,6 +265,30 @@
         ],
         &["ask e2 for 1", "start 1 on t1", "refuse 2 ShuttingDown ran No"],
     );
+    // Guards against accepting a request that has no response yet when the process is killed (I8).
+    a_request_that_may_outlast_the_shutdown_is_refused: (
+        &[
+            Step::LeaveWithin(7_500), Step::Wait(1_500), Step::ArriveTimed(1, 6_000),
+            Step::Wait(1), Step::ArriveTimed(2, 6_000), Step::ArriveTimed(3, 1_500),
+        ],
+        &["ask e2 for 1", "refuse 2 ShuttingDown ran No", "ask e2 for 3"],
+    );
+    // Guards against a request that waits for a start until the process is killed (I8).
+    a_waiting_request_that_may_outlast_the_shutdown_is_refused: (
+        &[
+            Step::ArriveTimed(1, 39_000), Step::ArriveTimed(2, 6_000), Step::ArriveTimed(3, 39_000),
+            Step::Grant(3, "e2", "t1"), Step::LeaveWithin(7_500),
+        ],
+        &[
+            "ask e2 for 1", "ask e2 for 2", "ask e2 for 3", "start 3 on t1",
+            "refuse 1 ShuttingDown ran No", "withdraw 1 from e2",
+        ],
+    );
+    // Guards against turning callers away from a VM whose shutdown waits for all requests.
+    a_shutdown_without_limit_accepts_requests_of_any_length: (
+        &[Step::Leave, Step::ArriveTimed(1, 39_000)],
+        &["ask e2 for 1"],
+    );
     // Guards against losing a request that arrives after the drain has ended.
     a_drained_vm_refuses: (
         &[Step::Drain, Step::Arrive(1)],
--- a/tests/fleet/harness.rs
+++ b/tests/fleet/harness.rs
@@ -50,17 +50,24 @@
 
 /// Starts a fleet of one daemon in zone `a` whose generations have standbys.
 pub async fn start_fleet_with_standbys() -> Fleet {
-    let fleet = launch_fleet(90).await;
+    let fleet = launch_fleet(90, None).await;
     fleet.put_config(&config(1, &[CALLER_KEY]));
     fleet
 }
 
 /// Starts a fleet of one daemon in zone `a` without a configuration.
 pub async fn start_unconfigured_fleet() -> Fleet {
-    launch_fleet(0).await
+    launch_fleet(0, None).await
 }
 
-async fn launch_fleet(standby_percent: u32) -> Fleet {
+/// Starts a fleet of one daemon in zone `a` whose shutdown ends after `limit_s` seconds.
+pub async fn start_fleet_with_shutdown_limit(limit_s: u64) -> Fleet {
+    let fleet = launch_fleet(0, Some(limit_s)).await;
+    fleet.put_config(&config(1, &[CALLER_KEY]));
+    fleet
+}
+
+async fn launch_fleet(standby_percent: u32, shutdown_limit_s: Option<u64>) -> Fleet {
     static NUMBER: AtomicU64 = AtomicU64::new(0);
     let number = NUMBER.fetch_add(1, Ordering::Relaxed);
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR"))
@@ -68,6 +75,7 @@
     let program = Path::new(env!("CARGO_BIN_EXE_hornbeamloomd"));
     let mut fleet = Fleet::new(program, &folder).await.expect("the store starts");
     fleet.standby_percent = standby_percent;
+    fleet.shutdown_limit_s = shutdown_limit_s;
     fleet.start_daemon("vm-1", "a").expect("the daemon starts");
     fleet
 }
--- a/tests/fleet/lifecycle.rs
+++ b/tests/fleet/lifecycle.rs
@@ -6,7 +6,8 @@
 
 use crate::harness::{
     block_on, call, new_attempt_id, new_request, send, start_engines, start_fleet,
-    start_plain_targets, wait_until, wait_until_served, CALLER_KEY, CALL_DURATION,
+    start_fleet_with_shutdown_limit, start_plain_targets, wait_until, wait_until_served,
+    CALLER_KEY, CALL_DURATION, TEST_TIMEOUT,
 };
 
 /// Time after SIGTERM within which callers notice the shutdown, and from which their requests are
@@ -55,6 +56,55 @@
     });
 }
 
+/// Guards against requests that end without any response when the process reaches the limit of its
+/// shutdown, because their target has not begun to answer by then.
+fn request_is_answered_before_the_shutdown_ends(path: &'static str, service: &'static str) {
+    block_on(async {
+        let mut fleet = start_fleet_with_shutdown_limit(3).await;
+        let _target = fleet.start_engine("t1", service, "a", TEST_TIMEOUT).await.unwrap();
+        let send_until_executed = || async {
+            let attempt_id = new_attempt_id();
+            let request = new_request(&fleet, 0, path, &attempt_id).body("x");
+            let response = tokio::spawn(send(request, attempt_id.clone()));
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            let is_executed = !fleet.request_log.executed_by(&attempt_id).is_empty();
+            is_executed.then_some(response)
+        };
+        let mut response = None;
+        while response.is_none() {
+            response = send_until_executed().await;
+        }
+        fleet.daemons[0].process.terminate();
+        // The request may have run, so no status that promises the contrary is allowed.
+        assert_eq!(response.unwrap().await.unwrap().status, 504);
+    });
+}
+
+hornbeamloom_kernel::cases! {
+    request_is_answered_before_the_shutdown_ends;
+
+    call_is_answered_before_the_shutdown_ends: ("/look/1", "desk");
+    stream_without_head_is_answered_before_the_shutdown_ends: ("/draft/1", "model");
+}
+
+/// Guards against a VM that accepts a request although it may be killed before the response is due.
+#[test]
+fn request_that_may_outlast_the_shutdown_is_refused() {
+    block_on(async {
+        let mut fleet = start_fleet_with_shutdown_limit(5).await;
+        start_plain_targets(&fleet, 1).await;
+        let readiness =
+            format!("http://{}/hornbeamloom/readyz", fleet.daemons[0].readiness_address);
+        fleet.daemons[0].process.terminate();
+        wait_until("the VM is no longer ready", || async {
+            reqwest::get(&readiness).await.map_or(true, |response| response.status() == 503)
+        })
+        .await;
+        // The settle time of 1 s is not over; the request may take 20 s.
+        assert_eq!(call(&fleet, "/look/1", b"x").await.status, 503);
+    });
+}
+
 /// Guards against targets that keep working for callers that have disconnected.
 fn work_is_cancelled(path: &'static str, body: &'static str, disconnect_after: Duration) {
     block_on(async {
