Move the faults of mock engines into a module of their own

Change: `Fault` and `CopyFault` move to mock_engine/fault.rs unchanged, and are exported from the same path as before.

--- a/crates/bench/src/mock_engine.rs
+++ b/crates/bench/src/mock_engine.rs
@@ -17,6 +17,10 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+mod fault;
+
+pub use fault::{CopyFault, Fault};
+
 /// Header that tells the caller that a request was not executed.
 const NOT_EXECUTED: &str = "X-Not-Executed: 1\r\n";
 
@@ -26,49 +30,6 @@
 /// first.
 const LATE_CRASH_DELAY: Duration = Duration::from_millis(40);
 
-/// The fault that an engine injects into requests.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum Fault {
-    /// No fault.
-    #[default]
-    None,
-    /// It rejects every request with 503 without executing it.
-    ShedsLoad,
-    /// It executes requests and responds with 500.
-    ReturnsError,
-    /// It closes the connection after this number of events, in the middle of the next one.
-    DisconnectsAfter(u64),
-    /// It stops sending after this number of events and keeps the connection open.
-    HangsAfter(u64),
-    /// It sends less than the content length of the response and closes the connection.
-    TruncatesResponse,
-    /// It sends the response twice.
-    DuplicatesResponse,
-    /// The response has the id of another attempt.
-    EchoesOtherAttempt,
-    /// It responds with 421, as if another engine had taken over its address.
-    Misdirected,
-    /// The response has a `Content-Encoding` header.
-    SetsContentEncoding,
-}
-
-/// The fault that an engine injects into requests to copy KV memory.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum CopyFault {
-    /// No fault.
-    #[default]
-    None,
-    /// It refuses every copy for lack of capacity.
-    NoCapacity,
-    /// It accepts the first copy of a run, and stops the run and refuses the final copy.
-    NoCapacityForFinalCopy,
-    /// It crashes right after its response to a copy request.
-    CrashesAfterCopy,
-    /// It answers the request for the final copy with bytes that are no response, and crashes a
-    /// little later while its streams still run.
-    CrashesAtFinalCopy,
-}
-
 /// A request that reached an engine.
 #[derive(Debug, Clone)]
 pub struct ReceivedRequest {
