Go on with a stopped generation when one connection breaks

Callers saw a stream that ended in the middle when an engine that drained had stopped their generation for its move, and the connection to the next engine, or back to the first one, was closed without a response. An engine resets connections beyond the number that it accepts from all callers.

Cause: resume_from_copy gave up at the first reply that was neither a refusal nor an unsent request, although the other of the two engines could go on.

Change: an engine whose connection broke is not asked again, the other one still is, until both have broken or the rounds are used up. This never leads to two engines at one generation: a handle works once, so if the engine with the broken connection has taken the generation, the other one answers 503 and does not run it; the closed connection stops the first one.

--- a/crates/bench/src/mock_engine.rs
+++ b/crates/bench/src/mock_engine.rs
@@ -352,6 +352,7 @@
         let refusal_status = match fault {
             _ if is_other_instance || fault == Fault::Misdirected => Some(421),
             Fault::ShedsLoad => Some(503),
+            Fault::ClosesConnections => None,
             _ => {
                 let has_copy =
                     header(&head, "kv-from").map(|from| self.consume_copy(from, &attempt));
@@ -362,7 +363,7 @@
             header(&head, "last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
         let ix = {
             let mut shared = self.request_log.lock();
-            let executed = refusal_status.is_none();
+            let executed = refusal_status.is_none() && fault != Fault::ClosesConnections;
             let engine = self.name.clone();
             shared.requests.push(ReceivedRequest {
                 engine,
@@ -373,6 +374,9 @@
             });
             shared.requests.len() - 1
         };
+        if fault == Fault::ClosesConnections {
+            return Ok(false);
+        }
         if let Some(status) = refusal_status {
             let headers = format!("{NOT_EXECUTED}X-Attempt-Id: {attempt}\r\n");
             stream.write_all(&encode_response(status, &headers, b"")).await?;
--- a/crates/bench/src/mock_engine/fault.rs
+++ b/crates/bench/src/mock_engine/fault.rs
@@ -8,6 +8,9 @@
     None,
     /// It rejects every request with 503 without executing it.
     ShedsLoad,
+    /// It closes the connection of every request without a response and without executing it, like
+    /// an engine that has as many connections as it accepts.
+    ClosesConnections,
     /// It executes requests and responds with 500.
     ReturnsError,
     /// It closes the connection after this number of events, in the middle of the next one.
--- a/crates/daemon/src/continuation.rs
+++ b/crates/daemon/src/continuation.rs
@@ -90,7 +90,8 @@
     }
 }
 
-/// Resumes from a copy at the target of `next`, or at the stopped target if that one refuses.
+/// Resumes from a copy at the target of `next`, or at the stopped target if that one does not
+/// resume it.
 async fn resume_from_copy<A, S, O, OF>(
     session: &mut Session,
     open: &O,
@@ -104,31 +105,43 @@
     OF: Future<Output = OpenResult<A, S>>,
 {
     let is_other_placement = next.id != stopped.id;
+    let mut candidates = match is_other_placement {
+        true => vec![next.clone(), stopped.clone()],
+        false => vec![stopped.clone()],
+    };
     for round in 0..MAX_RESUME_ROUNDS {
         if round > 0 {
             tokio::time::sleep(RESUME_RETRY_DELAY).await;
         }
-        match open(next.clone(), Some(point.clone())).await {
-            OpenResult::Stream(opened) => {
-                if is_other_placement {
-                    session.switch_placement(&next);
+        let mut refusing = Vec::new();
+        for candidate in candidates {
+            match open(candidate.clone(), Some(point.clone())).await {
+                OpenResult::Stream(opened) => {
+                    match candidate.id == stopped.id {
+                        true if is_other_placement => {
+                            session.end_attempt(&next, End::Unsent, None);
+                        }
+                        true => {}
+                        false => session.switch_placement(&next),
+                    }
+                    let events = opened.events;
+                    return Continuation::Resumed(Placement { start: candidate, events });
                 }
-                return Continuation::Resumed(Placement { start: next, events: opened.events });
+                OpenResult::NoStream(TargetReply::Rejected | TargetReply::Unsent) => {
+                    refusing.push(candidate.clone());
+                }
+                // The target may have taken the generation, or closed the connection because it has
+                // too many. It is not asked again, but the other one is: a handle can be used once,
+                // so if this target has taken the generation, the other one refuses without running
+                // it. The broken connection is closed, which stops this target.
+                OpenResult::NoStream(_) => {}
             }
-            OpenResult::NoStream(TargetReply::Rejected | TargetReply::Unsent) => {}
-            OpenResult::NoStream(_) => break,
+            let (id, target) = (&candidate.id, &candidate.target);
+            log::warn!("request={id} target={target} did not resume from the copy");
         }
-        log::warn!("request={} target={} did not resume from the copy", next.id, next.target);
-        if !is_other_placement {
-            continue;
-        }
-        match open(stopped.clone(), Some(point.clone())).await {
-            OpenResult::Stream(opened) => {
-                session.end_attempt(&next, End::Unsent, None);
-                return Continuation::Resumed(Placement { start: stopped, events: opened.events });
-            }
-            OpenResult::NoStream(TargetReply::Rejected | TargetReply::Unsent) => {}
-            OpenResult::NoStream(_) => break,
+        candidates = refusing;
+        if candidates.is_empty() {
+            break;
         }
     }
     if is_other_placement {
--- a/tests/fleet/relocation.rs
+++ b/tests/fleet/relocation.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hornbeamloom_bench::fleet::Fleet;
-use hornbeamloom_bench::mock_engine::{CopyFault, Engine, Fault};
+use hornbeamloom_bench::mock_engine::{CopyFault, Engine, Fault, ReceivedRequest};
 use hornbeamloom_kernel::cases;
 
 use crate::harness::{
@@ -73,6 +73,26 @@
     });
 }
 
+/// Lets the engines refuse requests until this time after one of them was asked to resume a
+/// generation.
+fn refuse_for(duration: Duration, fleet: &Fleet, engines: Vec<Engine>) {
+    for engine in &engines {
+        engine.set_fault(Fault::ShedsLoad);
+    }
+    let request_log = fleet.request_log.clone();
+    tokio::spawn(async move {
+        let is_resume = |request: &ReceivedRequest| request.header("kv-from").is_some();
+        wait_until("an engine is asked to resume", || async {
+            request_log.requests().iter().any(is_resume)
+        })
+        .await;
+        tokio::time::sleep(duration).await;
+        for engine in &engines {
+            engine.set_fault(Fault::None);
+        }
+    });
+}
+
 /// Sets the state of an engine to draining in the platform's list.
 fn drain(fleet: &Fleet, engine: &Engine) {
     fleet.put_target(engine, "model", "a", "draining");
@@ -125,6 +145,27 @@
         },
         1..=1,
     );
+    // Guards against a generation that was stopped and is then lost because the next engine closes
+    // the connection, although its own engine would take it back.
+    stream_returns_to_its_engine_when_the_next_one_closes_the_connection: (
+        Standbys::Off, 2,
+        |fleet, first, others| {
+            others[0].set_fault(Fault::ClosesConnections);
+            drain(fleet, first);
+        },
+        1..=1,
+    );
+    // Guards against a generation that was stopped and is then lost because its own engine closes
+    // the connection, although the next one would take it a little later.
+    stream_moves_on_when_its_engine_closes_the_connection: (
+        Standbys::Off, 2,
+        |fleet, first, others| {
+            first.set_fault(Fault::ClosesConnections);
+            refuse_for(Duration::from_millis(10), fleet, vec![others[0].clone()]);
+            drain(fleet, first);
+        },
+        2..=2,
+    );
     // Guards against a generation that is lost with its engine although its standby has a copy.
     stream_continues_at_its_standby_when_its_engine_dies: (Standbys::On, 2, |_, first, _| first.kill(), 2..=2);
     // Guards against a stream that stalls with its engine although its standby has a copy.
