Offer a stopped generation for 1.5 s after its last event

Callers saw a stream that ended in the middle when its engine drained while the links of both engines were busy: the generation had been stopped for its move, and both engines refused it while the rest of its KV cache waited for the network.

Cause: the patience was a number of rounds, three, which refusals used up after about 210 ms. Callers disconnect after a gap of two seconds at the earliest. An engine that could not be reached took 1 s of that, the connect limit of all requests, and half of the notice of the engine that has stopped.

Change: both engines are asked until 1.5 s after the last event, and once at least. The pause between two rounds stays 100 ms at first and doubles up to 400 ms: refused requests count as repeats at the service, and with a fixed pause a generation could cause about 30 of them, with this one 10 (computed from the delays, not measured).

--- a/crates/daemon/src/continuation.rs
+++ b/crates/daemon/src/continuation.rs
@@ -16,11 +16,15 @@
 const STANDBY_OVERLAP: Duration = Duration::from_millis(250);
 /// Time limit for the grant of a slot at the standby after the target of a generation was lost.
 const STANDBY_GRANT_TIMEOUT: Duration = Duration::from_secs(2);
-/// Rounds in which a generation is offered to its next target and then to the one that stopped.
-/// Either may refuse while the rest of the KV cache is in transit, and a refused offer has not run.
-const MAX_RESUME_ROUNDS: u32 = 3;
-/// Delay between two rounds, in which the copy of what was generated meanwhile can arrive.
+/// Time after the last event within which a generation is offered to its next target and to the one
+/// that stopped. Either may refuse while the rest of the KV cache waits for the network, and a refused
+/// offer has not run. Callers disconnect after a gap of two seconds at the earliest.
+const RESUME_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Delay before the second of these offers, in which the copy of what was generated meanwhile can
+/// arrive. It doubles with each further offer up to the maximum, because refused requests count
+/// against the retry budget of the service.
 const RESUME_RETRY_DELAY: Duration = Duration::from_millis(100);
+const MAX_RESUME_RETRY_DELAY: Duration = Duration::from_millis(400);
 
 /// The part of a generation that runs at one target.
 pub(crate) struct Placement<S> {
@@ -66,6 +70,7 @@
     placement: Placement<S>,
     placement_end: PlacementEnd,
     last_event: u64,
+    last_event_at: Option<Instant>,
 ) -> Continuation<S>
 where
     O: Fn(Start, Option<ResumePoint>) -> OF,
@@ -78,7 +83,8 @@
             // The old connection must be closed before another target continues the generation.
             drop(events);
             let point = ResumePoint { source, kv: KvSource::Copy(handle.clone()), last_event };
-            resume_from_copy(session, open, start, next, point, handle).await
+            let deadline = last_event_at.unwrap_or_else(Instant::now) + RESUME_TIMEOUT;
+            resume_from_copy(session, open, start, next, point, handle, deadline).await
         }
         PlacementEnd::SwitchToStandby(next) => {
             switch_to_standby(session, open, placement, next, last_event).await
@@ -91,7 +97,7 @@
 }
 
 /// Resumes from a copy at the target of `next`, or at the stopped target if that one does not
-/// resume it.
+/// resume it. Both are asked once at least, and again until `deadline`.
 async fn resume_from_copy<A, S, O, OF>(
     session: &mut Session,
     open: &O,
@@ -99,6 +105,7 @@
     next: Start,
     point: ResumePoint,
     handle: String,
+    deadline: Instant,
 ) -> Continuation<S>
 where
     O: Fn(Start, Option<ResumePoint>) -> OF,
@@ -109,10 +116,8 @@
         true => vec![next.clone(), stopped.clone()],
         false => vec![stopped.clone()],
     };
-    for round in 0..MAX_RESUME_ROUNDS {
-        if round > 0 {
-            tokio::time::sleep(RESUME_RETRY_DELAY).await;
-        }
+    let mut delay = RESUME_RETRY_DELAY;
+    loop {
         let mut refusing = Vec::new();
         for candidate in candidates {
             match open(candidate.clone(), Some(point.clone())).await {
@@ -140,9 +145,11 @@
             log::warn!("request={id} target={target} did not resume from the copy");
         }
         candidates = refusing;
-        if candidates.is_empty() {
+        if candidates.is_empty() || Instant::now() + delay > deadline {
             break;
         }
+        tokio::time::sleep(delay).await;
+        delay = (delay * 2).min(MAX_RESUME_RETRY_DELAY);
     }
     if is_other_placement {
         session.end_attempt(&next, End::Unsent, None);
--- a/crates/daemon/src/stream_proxy.rs
+++ b/crates/daemon/src/stream_proxy.rs
@@ -97,6 +97,7 @@
                 placement,
                 placement_end,
                 proxy.last_event,
+                proxy.last_event_at,
             ) => continuation,
             _ = proxy.response.closed() => return,
         };
--- a/tests/fleet/relocation.rs
+++ b/tests/fleet/relocation.rs
@@ -145,6 +145,17 @@
         },
         1..=1,
     );
+    // Guards against a generation that was stopped and is then lost because both engines refuse it
+    // for a few hundred milliseconds, as they may while the rest of the KV cache is in transit.
+    // Callers disconnect after a gap of 2 s at the earliest.
+    stream_waits_for_engines_that_refuse_for_a_short_time: (
+        Standbys::Off, 2,
+        |fleet, first, others| {
+            refuse_for(Duration::from_millis(400), fleet, vec![first.clone(), others[0].clone()]);
+            drain(fleet, first);
+        },
+        1..=2,
+    );
     // Guards against a generation that was stopped and is then lost because the next engine closes
     // the connection, although its own engine would take it back.
     stream_returns_to_its_engine_when_the_next_one_closes_the_connection: (
