Offer a generation to the holder of its first copy when the final one is refused

Callers saw a stream that ended in the middle when its engine drained, had stopped the generation for the final part of the copy, and then found no room or no way for it at the next engine: if the stopped engine did not take the generation back, it was lost.

Cause: after such a refusal only the engine that had stopped was asked, and the grant at the next engine was given back, although that engine holds the first copy, and an engine reads by itself what a copy lacks.

Change: both engines are asked, as after a final copy that was made. The grant at the next engine is kept until then. It is given back when the generation goes on at its own engine or is lost; in the latter case the copy is freed at its source too, which frees both ends.

--- a/crates/bench/src/mock_engine.rs
+++ b/crates/bench/src/mock_engine.rs
@@ -29,6 +29,9 @@
 /// Time between the failure of a copy request and a crash, for a caller that notices the former
 /// first.
 const LATE_CRASH_DELAY: Duration = Duration::from_millis(40);
+/// Time between the refusal of a final copy and the end of the stream, for a caller that notices the
+/// former first.
+const LATE_STOP_DELAY: Duration = Duration::from_millis(15);
 
 /// A request that reached an engine.
 #[derive(Debug, Clone)]
@@ -308,7 +311,10 @@
                 return encode_response(404, "", b"{}");
             };
             if is_final {
-                run.stop.send_replace(true);
+                match fault {
+                    CopyFault::NoCapacityBeforeStop => stop_late(run.stop.clone()),
+                    _ => drop(run.stop.send_replace(true)),
+                }
             }
             let handle = run.handle.get_or_insert_with(|| {
                 let mut shared = self.request_log.lock();
@@ -317,7 +323,9 @@
             });
             (handle.clone(), run.events_sent)
         };
-        let is_refused = is_final && fault == CopyFault::NoCapacityForFinalCopy;
+        let has_no_capacity =
+            matches!(fault, CopyFault::NoCapacityForFinalCopy | CopyFault::NoCapacityBeforeStop);
+        let is_refused = is_final && has_no_capacity;
         if !is_refused {
             tokio::time::sleep(self.copy_duration).await;
         }
@@ -523,6 +531,14 @@
     }
 }
 
+/// Ends the stream of a run after [`LATE_STOP_DELAY`].
+fn stop_late(stop: watch::Sender<bool>) {
+    tokio::spawn(async move {
+        tokio::time::sleep(LATE_STOP_DELAY).await;
+        stop.send_replace(true);
+    });
+}
+
 /// Reads one request; `None` if the connection was closed before it was complete.
 async fn read_request(stream: &mut TcpStream) -> std::io::Result<Option<(String, Vec<u8>)>> {
     let mut bytes = Vec::new();
--- a/crates/bench/src/mock_engine/fault.rs
+++ b/crates/bench/src/mock_engine/fault.rs
@@ -39,6 +39,8 @@
     NoCapacity,
     /// It accepts the first copy of a run, and stops the run and refuses the final copy.
     NoCapacityForFinalCopy,
+    /// As `NoCapacityForFinalCopy`, but the refusal arrives before the end of the stream.
+    NoCapacityBeforeStop,
     /// It crashes right after its response to a copy request.
     CrashesAfterCopy,
     /// It answers the request for the final copy with bytes that are no response, and crashes a
--- a/crates/daemon/src/continuation.rs
+++ b/crates/daemon/src/continuation.rs
@@ -47,8 +47,8 @@
     CallerGone,
     /// The stream was truncated and there is no copy to resume from.
     Truncated,
-    /// The generation resumes from the copy with this handle, in another placement or at the source
-    /// that stopped.
+    /// The generation resumes from the copy with this handle, in the placement of this start or at
+    /// the source that stopped.
     ResumeFromCopy(Start, String),
     /// The generation moves to its standby while the placement is still running.
     SwitchToStandby(Start),
@@ -111,11 +111,7 @@
     O: Fn(Start, Option<ResumePoint>) -> OF,
     OF: Future<Output = OpenResult<A, S>>,
 {
-    let is_other_placement = next.id != stopped.id;
-    let mut candidates = match is_other_placement {
-        true => vec![next.clone(), stopped.clone()],
-        false => vec![stopped.clone()],
-    };
+    let mut candidates = vec![next.clone(), stopped.clone()];
     let mut delay = RESUME_RETRY_DELAY;
     loop {
         let mut refusing = Vec::new();
@@ -123,10 +119,7 @@
             match open(candidate.clone(), Some(point.clone())).await {
                 OpenResult::Stream(opened) => {
                     match candidate.id == stopped.id {
-                        true if is_other_placement => {
-                            session.end_attempt(&next, End::Unsent, None);
-                        }
-                        true => {}
+                        true => session.end_attempt(&next, End::Unsent, None),
                         false => session.switch_placement(&next),
                     }
                     let events = opened.events;
@@ -151,9 +144,7 @@
         tokio::time::sleep(delay).await;
         delay = (delay * 2).min(MAX_RESUME_RETRY_DELAY);
     }
-    if is_other_placement {
-        session.end_attempt(&next, End::Unsent, None);
-    }
+    session.end_attempt(&next, End::Unsent, None);
     Continuation::Lost(stopped, Some(handle))
 }
 
--- a/crates/daemon/src/stream_proxy.rs
+++ b/crates/daemon/src/stream_proxy.rs
@@ -338,11 +338,11 @@
                 })
             }
             Some(Err(CopyError::Refused(Some(handle)))) if done.stops_source => {
-                // The source has stopped and retains the KV cache.
-                self.session.end_attempt(&done.start, End::Unsent, None);
+                // The source has stopped. It retains the KV cache, and the destination holds the
+                // first copy and can read the rest by itself.
                 let is_caller_connected = self.drain(placement, u64::MAX).await;
                 CopyStep::EndPlacement(match is_caller_connected {
-                    true => PlacementEnd::ResumeFromCopy(placement.start.clone(), handle),
+                    true => PlacementEnd::ResumeFromCopy(done.start, handle),
                     false => PlacementEnd::CallerGone,
                 })
             }
--- a/tests/fleet/relocation.rs
+++ b/tests/fleet/relocation.rs
@@ -156,6 +156,17 @@
         },
         1..=2,
     );
+    // Guards against a generation that was stopped and is then lost because its engine does not take
+    // it back, although the next engine holds the first copy.
+    stream_uses_the_first_copy_when_the_final_one_finds_no_room: (
+        Standbys::Off, 2,
+        |fleet, first, _| {
+            first.set_copy_fault(CopyFault::NoCapacityBeforeStop);
+            first.set_fault(Fault::ShedsLoad);
+            drain(fleet, first);
+        },
+        2..=2,
+    );
     // Guards against a generation that was stopped and is then lost because the next engine closes
     // the connection, although its own engine would take it back.
     stream_returns_to_its_engine_when_the_next_one_closes_the_connection: (
