Wait for the grant of the standby when another engine is granted first

Callers saw a stream that ended in the middle when its engine died while their standby had no slot or was about to leave, and another engine was granted.

Cause: resume_at_standby gave up at the first grant of an engine other than the standby, also at one that had been on the way when the engine died, before the standby's own grant was read.

The kernel asks again without the engine that was given back, after its usual back-off, so this causes no tight loop and no request to an engine.

Test that failed first (two runs of two without the fix): stream_waits_for_the_grant_of_its_standby ("stream truncated"), where the standby drains in the platform's list until 100 ms after the engine has died.

--- a/crates/daemon/src/continuation.rs
+++ b/crates/daemon/src/continuation.rs
@@ -219,13 +219,16 @@
         };
         let is_standby =
             start.standby.as_ref().is_some_and(|standby| standby.target == next.target);
-        if is_standby {
-            let point =
-                ResumePoint { source: next.address.clone(), kv: KvSource::Standby, last_event };
-            if let OpenResult::Stream(opened) = open(next.clone(), Some(point)).await {
-                session.switch_placement(&next);
-                return Continuation::Resumed(Placement { start: next, events: opened.events });
-            }
+        if !is_standby {
+            // The target of a move requested earlier, or one granted while the standby has no slot.
+            // The kernel asks again without it.
+            session.end_attempt(&next, End::Unsent, None);
+            continue;
+        }
+        let point = ResumePoint { source: next.address.clone(), kv: KvSource::Standby, last_event };
+        if let OpenResult::Stream(opened) = open(next.clone(), Some(point)).await {
+            session.switch_placement(&next);
+            return Continuation::Resumed(Placement { start: next, events: opened.events });
         }
         session.end_attempt(&next, End::Unsent, None);
         break;
--- a/tests/fleet/relocation.rs
+++ b/tests/fleet/relocation.rs
@@ -298,6 +298,35 @@
     });
 }
 
+/// Guards against a generation that is lost because another engine, which has no copy, is granted
+/// before its standby.
+#[test]
+fn stream_waits_for_the_grant_of_its_standby() {
+    block_on(async {
+        let fleet = start_fleet_with_standbys().await;
+        let engines = start_engines(&fleet, 3).await;
+        let response = start_stream(&fleet).await;
+        let first = wait_for_busy_engine(&engines, &[]).await;
+        let received = fleet.request_log.requests();
+        let mut running = received.iter().rev().filter(|request| request.engine == first.name());
+        let address = running.find_map(|request| request.header("x-kv-backup"));
+        let mut others = engines.iter();
+        let standby = others.find(|engine| Some(&*engine.address().to_string()) == address);
+        let standby = standby.expect("the generation has a standby");
+        drain(&fleet, standby);
+        let fail_first = async {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            first.kill();
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            fleet.put_target(standby, "model", "a", "ready");
+        };
+        let (response, ()) = tokio::join!(response, fail_first);
+        response.assert_stream(EVENT_COUNT);
+        let expected = [first.name(), standby.name()];
+        assert_eq!(fleet.request_log.executed_by(&response.attempt_id), expected);
+    });
+}
+
 /// Guards against copies that occupy memory after the caller of their generation disconnected.
 #[test]
 fn unused_copy_is_freed() {
