--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -26,6 +26,7 @@
 mod etcd_table;
 mod experiment;
 mod load;
+mod mock_http;
 mod platform;
 mod probe;
 mod proxy;
--- a/crates/bench/src/mock_engine.rs
+++ b/crates/bench/src/mock_engine.rs
@@ -17,13 +17,19 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::mock_http::{encode_response, header, read_request};
+pub use crate::mock_http::{Ending, Framing, RawResponse, ReceivedRequest};
+
 mod fault;
 
+use fault::ENDLESS_CONTROL_RESPONSE;
 pub use fault::{CopyFault, Fault};
 
 /// Header that tells the caller that a request was not executed.
 const NOT_EXECUTED: &str = "X-Not-Executed: 1\r\n";
 
+/// Duration of a delayed final copy.
+const FINAL_COPY_DELAY: Duration = Duration::from_secs(1);
 /// Time between the response to a copy request and the crash that follows it.
 const CRASH_DELAY: Duration = Duration::from_millis(2);
 /// Time between the failure of a copy request and a crash, for a caller that notices the former
@@ -33,35 +39,6 @@
 /// former first.
 const LATE_STOP_DELAY: Duration = Duration::from_millis(15);
 
-/// A request that reached an engine.
-#[derive(Debug, Clone)]
-pub struct ReceivedRequest {
-    /// Name of the engine.
-    pub engine: String,
-    /// The request line and headers.
-    pub head: String,
-    /// The request body.
-    pub body: Vec<u8>,
-    /// The engine started to execute it.
-    pub executed: bool,
-    /// The caller closed the connection while it was executing.
-    pub caller_disconnected: bool,
-}
-
-impl ReceivedRequest {
-    /// The trimmed value of a header; names are case-insensitive.
-    pub fn header(&self, name: &str) -> Option<&str> {
-        header(&self.head, name)
-    }
-}
-
-fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
-    let mut lines = head.lines().filter_map(|line| line.split_once(':'));
-    lines
-        .find(|(field_name, _)| field_name.eq_ignore_ascii_case(name))
-        .map(|(_, value)| value.trim())
-}
-
 /// A copy of the KV memory of a run, from which the run can be resumed.
 #[derive(Debug, Clone)]
 struct KvCopy {
@@ -70,10 +47,18 @@
     locations: Vec<SocketAddr>,
 }
 
+/// What a run does after its next event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RunOrder {
+    Continue,
+    Stop,
+    Complete,
+}
+
 #[derive(Debug)]
 struct ActiveRun {
     events_sent: u64,
-    stop: watch::Sender<bool>,
+    order: watch::Sender<RunOrder>,
     handle: Option<String>,
 }
 
@@ -134,6 +119,9 @@
 struct State {
     fault: Fault,
     copy_fault: CopyFault,
+    framing: Framing,
+    /// Bytes of responses without end that were sent.
+    endless_bytes: usize,
     is_draining: bool,
     runs: BTreeMap<String, ActiveRun>,
 }
@@ -212,6 +200,17 @@
         self.lock().copy_fault = fault;
     }
 
+    /// Sets how the end of a stream is marked from now on.
+    pub fn set_framing(&self, framing: Framing) {
+        self.lock().framing = framing;
+    }
+
+    /// Number of bytes of responses without end that were sent before the caller closed the
+    /// connection.
+    pub fn endless_bytes(&self) -> usize {
+        self.lock().endless_bytes
+    }
+
     /// Reports the state `draining` from now on.
     pub fn start_draining(&self) {
         self.lock().is_draining = true;
@@ -265,10 +264,19 @@
         while let Some((head, body)) = read_request(stream).await? {
             let line = head.lines().next().unwrap_or_default().to_owned();
             if line.starts_with("GET /hornbeamloom/report ") {
+                if self.lock().fault == Fault::EndlessReport {
+                    return self.send_raw(stream, &ENDLESS_CONTROL_RESPONSE, "").await.map(drop);
+                }
                 stream.write_all(&self.report()).await?;
             } else if line.starts_with("POST /hornbeamloom/kv-move ") {
+                if self.lock().copy_fault == CopyFault::EndlessResponse {
+                    return self.send_raw(stream, &ENDLESS_CONTROL_RESPONSE, "").await.map(drop);
+                }
                 let response = self.copy_kv(&body).await;
                 stream.write_all(&response).await?;
+                if self.lock().copy_fault == CopyFault::TruncatesFinalCopy {
+                    return Ok(());
+                }
             } else if let Some(rest) = line.strip_prefix("DELETE /hornbeamloom/kv-handle/") {
                 let handle = rest.split(' ').next().unwrap_or_default();
                 self.request_log.release_copy(handle);
@@ -312,8 +320,13 @@
             };
             if is_final {
                 match fault {
-                    CopyFault::NoCapacityBeforeStop => stop_late(run.stop.clone()),
-                    _ => drop(run.stop.send_replace(true)),
+                    CopyFault::NoCapacityBeforeStop => stop_late(run.order.clone()),
+                    CopyFault::CompletesAtFinalCopy => {
+                        run.order.send_replace(RunOrder::Complete);
+                    }
+                    _ => {
+                        run.order.send_replace(RunOrder::Stop);
+                    }
                 }
             }
             let handle = run.handle.get_or_insert_with(|| {
@@ -323,6 +336,16 @@
             });
             (handle.clone(), run.events_sent)
         };
+        if is_final && fault == CopyFault::CompletesAtFinalCopy {
+            tokio::time::sleep(LATE_CRASH_DELAY).await;
+            return encode_response(404, "", b"{}");
+        }
+        if is_final && fault == CopyFault::FailsFinalCopy {
+            return encode_response(500, "", b"{}");
+        }
+        if is_final && fault == CopyFault::DelaysFinalCopy {
+            tokio::time::sleep(FINAL_COPY_DELAY).await;
+        }
         let has_no_capacity =
             matches!(fault, CopyFault::NoCapacityForFinalCopy | CopyFault::NoCapacityBeforeStop);
         let is_refused = is_final && has_no_capacity;
@@ -343,6 +366,9 @@
             self.kill_after(CRASH_DELAY);
         }
         let text = json!({"handle": handle, "created": events_sent}).to_string();
+        if is_final && fault == CopyFault::TruncatesFinalCopy {
+            return b"HTTP/1.1 200 x\r\nContent-Length: 40\r\n\r\n{".to_vec();
+        }
         encode_response(if is_refused { 503 } else { 200 }, "", text.as_bytes())
     }
 
@@ -390,6 +416,11 @@
             stream.write_all(&encode_response(status, &headers, b"")).await?;
             return Ok(true);
         }
+        if let Fault::SendsRaw(response) = fault {
+            let is_closed_by_caller = self.send_raw(stream, &response, &attempt).await?;
+            self.request_log.lock().requests[ix].caller_disconnected = is_closed_by_caller;
+            return Ok(false);
+        }
         let text = String::from_utf8_lossy(&body);
         let event_count = text.strip_prefix("events=").and_then(|count| count.trim().parse().ok());
         match event_count {
@@ -400,6 +431,18 @@
         }
     }
 
+    /// Sends a raw response; true if it has no end and the caller has closed the connection.
+    async fn send_raw(
+        &self,
+        stream: &mut TcpStream,
+        response: &RawResponse,
+        attempt: &str,
+    ) -> std::io::Result<bool> {
+        let sent = response.send(stream, attempt).await?;
+        self.lock().endless_bytes += sent.unwrap_or(0);
+        Ok(sent.is_some())
+    }
+
     /// Takes the KV copy that `from` refers to; false unless it belongs to this attempt and is
     /// available at this engine. A copy can be used once.
     fn consume_copy(&self, from: &str, attempt: &str) -> bool {
@@ -466,13 +509,13 @@
         event_count: u64,
         ix: usize,
     ) -> std::io::Result<bool> {
-        let (stop, mut stopped) = watch::channel(false);
-        let run = ActiveRun { events_sent: last_event_id, stop, handle: None };
+        let (order, mut orders) = watch::channel(RunOrder::Continue);
+        let run = ActiveRun { events_sent: last_event_id, order, handle: None };
         self.lock().runs.insert(attempt.to_owned(), run);
         let standby =
             self.request_log.requests()[ix].header("x-kv-backup").and_then(|to| to.parse().ok());
         let stream_run = StreamRun { attempt, last_event_id, event_count, ix, standby };
-        let result = self.send_events(stream, &stream_run, &mut stopped).await;
+        let result = self.send_events(stream, &stream_run, &mut orders).await;
         // The KV copies of a stopped run stay in the log, so that it can be resumed from them.
         self.lock().runs.remove(attempt);
         result
@@ -482,20 +525,26 @@
         &self,
         stream: &mut TcpStream,
         stream_run: &StreamRun<'_>,
-        stopped: &mut watch::Receiver<bool>,
+        orders: &mut watch::Receiver<RunOrder>,
     ) -> std::io::Result<bool> {
         let StreamRun { attempt, last_event_id, event_count, ix, standby } = *stream_run;
+        let framing = self.lock().framing;
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: {attempt}\r\n\
-             X-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+             X-Response-Signature: s\r\n{}\r\n",
+            framing.header()
         );
         let mut due = Instant::now();
+        let mut interval = self.interval;
         let mut byte = [0];
         for seq in last_event_id + 1..=event_count {
-            due += self.interval;
+            due += interval;
             tokio::select! {
                 () = tokio::time::sleep_until(due) => {}
-                _ = stopped.changed() => return Ok(false),
+                _ = orders.changed() => match *orders.borrow_and_update() {
+                    RunOrder::Stop => return Ok(false),
+                    RunOrder::Continue | RunOrder::Complete => interval = Duration::ZERO,
+                },
                 _ = stream.read(&mut byte) => {
                     self.request_log.lock().requests[ix].caller_disconnected = true;
                     return Ok(false);
@@ -505,7 +554,7 @@
                 stream.write_all(head.as_bytes()).await?;
             }
             let event = format!("id: {seq}\ndata: {attempt}.{seq}\n\n");
-            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            let chunk = framing.encode(&event);
             let fault = self.lock().fault;
             if matches!(fault, Fault::DisconnectsAfter(count) if seq > count) {
                 stream.write_all(&chunk.as_bytes()[..chunk.len() / 2]).await?;
@@ -526,47 +575,14 @@
             }
         }
         self.request_log.release_copy(attempt);
-        stream.write_all(b"0\r\n\r\n").await?;
-        Ok(true)
+        framing.finish(stream).await
     }
 }
 
 /// Ends the stream of a run after [`LATE_STOP_DELAY`].
-fn stop_late(stop: watch::Sender<bool>) {
+fn stop_late(order: watch::Sender<RunOrder>) {
     tokio::spawn(async move {
         tokio::time::sleep(LATE_STOP_DELAY).await;
-        stop.send_replace(true);
+        order.send_replace(RunOrder::Stop);
     });
 }
-
-/// Reads one request; `None` if the connection was closed before it was complete.
-async fn read_request(stream: &mut TcpStream) -> std::io::Result<Option<(String, Vec<u8>)>> {
-    let mut bytes = Vec::new();
-    let mut chunk = [0; 4_096];
-    let end = loop {
-        if let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
-            break end + 4;
-        }
-        let count = stream.read(&mut chunk).await?;
-        if count == 0 {
-            return Ok(None);
-        }
-        bytes.extend_from_slice(&chunk[..count]);
-    };
-    let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
-    let length = header(&head, "content-length").and_then(|length| length.parse().ok());
-    let mut body = bytes[end..].to_vec();
-    while body.len() < length.unwrap_or(0) {
-        let count = stream.read(&mut chunk).await?;
-        if count == 0 {
-            return Ok(None);
-        }
-        body.extend_from_slice(&chunk[..count]);
-    }
-    Ok(Some((head, body)))
-}
-
-fn encode_response(status: u16, headers: &str, body: &[u8]) -> Vec<u8> {
-    let head = format!("HTTP/1.1 {status} x\r\n{headers}Content-Length: {}\r\n\r\n", body.len());
-    [head.as_bytes(), body].concat()
-}
--- a/crates/bench/src/mock_engine/fault.rs
+++ b/crates/bench/src/mock_engine/fault.rs
@@ -1,5 +1,13 @@
 //! The faults that a mock engine can inject.
 
+use crate::mock_http::{Ending, RawResponse};
+
+/// Response to a control call whose body has no end.
+pub(super) const ENDLESS_CONTROL_RESPONSE: RawResponse = RawResponse {
+    parts: &["HTTP/1.1 200 x\r\nContent-Type: application/json\r\n\r\n"],
+    ending: Ending::Repeat(" "),
+};
+
 /// The fault that an engine injects into requests.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Fault {
@@ -27,6 +35,10 @@
     Misdirected,
     /// The response has a `Content-Encoding` header.
     SetsContentEncoding,
+    /// Its load reports have no end.
+    EndlessReport,
+    /// It executes requests and sends this response.
+    SendsRaw(RawResponse),
 }
 
 /// The fault that an engine injects into requests to copy KV memory.
@@ -46,4 +58,16 @@
     /// It answers the request for the final copy with bytes that are no response, and crashes a
     /// little later while its streams still run.
     CrashesAtFinalCopy,
+    /// It completes the run at the request for the final copy, which it refuses a little later
+    /// because the run has ended.
+    CompletesAtFinalCopy,
+    /// It stops the run for the final copy, and closes the connection in the middle of its
+    /// response.
+    TruncatesFinalCopy,
+    /// It stops the run for the final copy, which fails with 500.
+    FailsFinalCopy,
+    /// It responds to the request for the final copy long after it has stopped the run.
+    DelaysFinalCopy,
+    /// It sends a response without end.
+    EndlessResponse,
 }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Tests of real daemons against a simulation of the users' platform.
 
 mod feeds;
+mod framing;
 mod harness;
 mod lifecycle;
 mod relocation;
--- a/tests/fleet/relocation.rs
+++ b/tests/fleet/relocation.rs
@@ -13,10 +13,10 @@
 };
 
 /// Number of events of a stream that is long enough for two relocations.
-const EVENT_COUNT: u64 = 150;
+pub const EVENT_COUNT: u64 = 150;
 
 /// Waits until an engine that is not in `excluded` runs a stream, and returns it.
-async fn wait_for_busy_engine<'a>(engines: &'a [Engine], excluded: &[&str]) -> &'a Engine {
+pub async fn wait_for_busy_engine<'a>(engines: &'a [Engine], excluded: &[&str]) -> &'a Engine {
     let find = || {
         let mut engines = engines.iter();
         engines.find(|engine| engine.running() > 0 && !excluded.contains(&engine.name()))
@@ -26,7 +26,7 @@
 }
 
 /// Starts a stream and waits 600 ms, so that a relocation happens in its middle.
-async fn start_stream(fleet: &Fleet) -> impl std::future::Future<Output = CallerResponse> + '_ {
+pub async fn start_stream(fleet: &Fleet) -> impl std::future::Future<Output = CallerResponse> + '_ {
     let response = call(fleet, "/draft/1", b"events=150");
     let mut response = Box::pin(response);
     tokio::select! {
@@ -94,7 +94,7 @@
 }
 
 /// Sets the state of an engine to draining in the platform's list.
-fn drain(fleet: &Fleet, engine: &Engine) {
+pub fn drain(fleet: &Fleet, engine: &Engine) {
     fleet.put_target(engine, "model", "a", "draining");
 }
 
--- a/tests/fleet/target_faults.rs
+++ b/tests/fleet/target_faults.rs
@@ -11,7 +11,7 @@
 
 /// The response to a request that reached the faulty one of two targets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Outcome {
+pub enum Outcome {
     /// The complete response of the healthy target.
     Complete,
     /// The error response of the faulty target.
@@ -30,7 +30,7 @@
 }
 
 /// Sends requests until one reaches the faulty target, and checks its outcome and its runs.
-fn caller_gets(fault: Fault, path: &str, expected: Outcome, runs: usize) {
+pub fn caller_gets(fault: Fault, path: &str, expected: Outcome, runs: usize) {
     block_on(async {
         let fleet = start_fleet().await;
         let targets = start_plain_targets(&fleet, 2).await;
