Tell a stopped stream from a complete one when it ends with its connection

What callers saw: a stream with neither a length nor chunks that was moved to another engine ended with the last chunk after 35 of 150 events and looked complete. A comment, or white space between or after events, cut a stream off, with or without a length.

Cause: the end of an unframed body was reported like the last chunk, although an engine that stops a generation for a move closes its stream in the same way. Each block of a stream had to be an event with a sequence number, and any byte after the last one counted as a part of an event.

Change: the codec reports how a stream ended: marked as complete, closed between two events, or truncated. The proxy decides: a close while the target may have been told to stop is complete only if the target refuses the stop because the generation has ended; otherwise, or without an answer within 250 ms, the generation resumes from the copy. If an earlier stop had no usable response, a close counts as truncated.

--- a/crates/daemon/src/generation.rs
+++ b/crates/daemon/src/generation.rs
@@ -15,6 +15,16 @@
     pub bytes: Bytes,
 }
 
+/// How a stream of events ended that its target did not mark as complete.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StreamEnd {
+    /// The stream ended before it was complete.
+    Truncated,
+    /// The target closed the connection in order between two events, and nothing else marks the
+    /// end of this stream. It is complete unless the target was told to stop it.
+    Closed,
+}
+
 /// The stream ended before it was complete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(thiserror::Error)]
@@ -26,7 +36,7 @@
 pub struct OpenedStream<A, S> {
     /// Head of the response.
     pub head: A,
-    /// The events. They end without an error only if the target marked the stream as complete.
+    /// The events, up to a [`StreamEnd`] unless the target marked the stream as complete.
     pub events: S,
 }
 
@@ -82,10 +92,10 @@
 /// Why a KV cache was not copied.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CopyError {
-    /// There is no room for the copy or no way to make it. Contains a handle if the source has
-    /// stopped and retains the KV cache.
+    /// There is no room for the copy or no way to make it, for example because the generation has
+    /// ended. Contains a handle if the source has stopped and retains the KV cache.
     Refused(Option<String>),
-    /// There was no response, so the source may have stopped.
+    /// There was no response, or an invalid one, so the source may have stopped.
     Unknown,
 }
 
--- a/crates/daemon/src/stream_proxy.rs
+++ b/crates/daemon/src/stream_proxy.rs
@@ -21,8 +21,8 @@
 use crate::control::{Decision, Input};
 use crate::delivery::ResponseSender;
 use crate::generation::{
-    CopyError, CopyRequest, Event, KvCopy, OpenResult, OpenedStream, ResumePoint, TargetClient,
-    Truncated,
+    CopyError, CopyRequest, Event, KvCopy, OpenResult, OpenedStream, ResumePoint, StreamEnd,
+    TargetClient,
 };
 use crate::metrics;
 use crate::session::Session;
@@ -31,6 +31,10 @@
 /// reports the stop.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time for a target whose stream has ended to refuse a request to stop it. A target that has
+/// stopped may need longer, because it responds only after the copy.
+const STOP_REFUSAL_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Time without an event after which the standby is asked to take over. Engines send an event
 /// every few hundredths of a second, and callers disconnect after two seconds at the earliest.
 const STALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -61,7 +65,7 @@
     targets: TargetClient<O, C, R>,
     mut response: ResponseSender<A>,
 ) where
-    S: Stream<Item = Result<Event, Truncated>> + Unpin,
+    S: Stream<Item = Result<Event, StreamEnd>> + Unpin,
     O: Fn(Start, Option<ResumePoint>) -> OF,
     OF: Future<Output = OpenResult<A, S>>,
     C: Fn(CopyRequest) -> CF + Clone + Send + 'static,
@@ -186,9 +190,11 @@
     /// Forwards events until the placement ends.
     async fn forward_events<S>(&mut self, placement: &mut Placement<S>) -> PlacementEnd
     where
-        S: Stream<Item = Result<Event, Truncated>> + Unpin,
+        S: Stream<Item = Result<Event, StreamEnd>> + Unpin,
     {
         let mut pending: Option<PendingCopy> = None;
+        // Set if a request to stop the target had no usable response.
+        let mut may_be_stopped = false;
         let mut may_request_standby = placement.start.standby.is_some();
         // A stall of an earlier target does not count against this one.
         let placement_started_at = Instant::now();
@@ -210,7 +216,10 @@
                             return PlacementEnd::CallerGone;
                         }
                     }
-                    Some(Err(Truncated)) => return self.on_truncated(pending),
+                    Some(Err(StreamEnd::Truncated)) => return self.on_truncated(pending),
+                    Some(Err(StreamEnd::Closed)) => {
+                        return self.on_closed(placement, pending, may_be_stopped).await;
+                    }
                     None => {
                         self.release_pending(placement, pending);
                         return PlacementEnd::Complete;
@@ -220,6 +229,8 @@
                     let Some(done) = pending.take() else {
                         continue;
                     };
+                    may_be_stopped |= done.stops_source
+                        && matches!(copied, None | Some(Err(CopyError::Unknown)));
                     match self.on_copy_done(placement, done, copied).await {
                         CopyStep::KeepReading(next) => pending = next,
                         CopyStep::EndPlacement(placement_end) => return placement_end,
@@ -324,7 +335,7 @@
         copied: Option<Result<KvCopy, CopyError>>,
     ) -> CopyStep
     where
-        S: Stream<Item = Result<Event, Truncated>> + Unpin,
+        S: Stream<Item = Result<Event, StreamEnd>> + Unpin,
     {
         match copied {
             Some(Ok(copied)) if !done.stops_source => {
@@ -372,7 +383,7 @@
     /// disconnected.
     async fn drain<S>(&mut self, placement: &mut Placement<S>, last_generated: u64) -> bool
     where
-        S: Stream<Item = Result<Event, Truncated>> + Unpin,
+        S: Stream<Item = Result<Event, StreamEnd>> + Unpin,
     {
         let deadline = Instant::now() + DRAIN_TIMEOUT;
         while self.last_event < last_generated {
@@ -383,7 +394,7 @@
                     }
                 }
                 // A stopped target ends its stream without completing it.
-                Ok(Some(Err(Truncated)) | None) | Err(_) => break,
+                Ok(Some(Err(_)) | None) | Err(_) => break,
             }
         }
         true
@@ -406,6 +417,42 @@
         }
     }
 
+    /// Decides whether a stream that ended with its connection is complete or was stopped for a
+    /// move. A target that completed the generation first refuses to stop it.
+    async fn on_closed<S>(
+        &mut self,
+        placement: &Placement<S>,
+        pending: Option<PendingCopy>,
+        may_be_stopped: bool,
+    ) -> PlacementEnd {
+        let stop = pending.filter(|pending| pending.stops_source);
+        if may_be_stopped {
+            return self.on_truncated(stop);
+        }
+        let Some(mut stop) = stop else {
+            return PlacementEnd::Complete;
+        };
+        let answer = tokio::time::timeout(STOP_REFUSAL_TIMEOUT, &mut stop.result).await;
+        log::info!(
+            "request={} target={} connection closed during a move last={} copy={answer:?}",
+            placement.start.id,
+            placement.start.target,
+            self.last_event
+        );
+        match answer {
+            Ok(Ok(Ok(copied))) => PlacementEnd::ResumeFromCopy(stop.start, copied.handle),
+            Ok(Ok(Err(CopyError::Refused(Some(handle))))) => {
+                self.session.end_attempt(&stop.start, End::Unsent, None);
+                PlacementEnd::ResumeFromCopy(placement.start.clone(), handle)
+            }
+            Ok(Ok(Err(CopyError::Refused(None)))) => {
+                self.release_pending(placement, Some(stop));
+                PlacementEnd::Complete
+            }
+            Ok(Ok(Err(CopyError::Unknown)) | Err(_)) | Err(_) => self.on_truncated(Some(stop)),
+        }
+    }
+
     /// Releases the copy of a generation that has ended.
     fn release_pending<S>(&self, placement: &Placement<S>, pending: Option<PendingCopy>) {
         self.release_handle(&placement.start, pending.and_then(|pending| pending.live_copy));
--- a/crates/wire/src/sse.rs
+++ b/crates/wire/src/sse.rs
@@ -29,6 +29,8 @@
 pub struct Block<'a> {
     /// Value of the last `id` field.
     pub id: Option<&'a str>,
+    /// Whether the block is an event. A block without data contains only comments or other fields.
+    pub is_event: bool,
     /// Bytes of the block as received.
     pub bytes: &'a [u8],
 }
@@ -85,6 +87,16 @@
         self.buf.len() - self.start
     }
 
+    /// Whether the bytes that have not been returned yet are a part of an event. Blank lines and
+    /// whole lines of comments are not.
+    pub fn is_inside_event(&self) -> bool {
+        let mut lines = self.buf[self.start..].split_inclusive(|byte| *byte == b'\n');
+        lines.any(|line| {
+            let is_comment = line.starts_with(b":") && line.ends_with(b"\n");
+            !is_comment && !line.trim_ascii().is_empty()
+        })
+    }
+
     /// The next complete item, or `None` until more bytes are pushed.
     pub fn next_item(&mut self) -> Result<Option<Item<'_>>, Error> {
         let Some((end, next)) = self.find_block() else {
@@ -115,20 +127,22 @@
     /// let mut parser = Parser::new(1024);
     /// parser.push(b"id: 7\ndata: a\n\nid: 8\n");
     /// let block = parser.next_block().unwrap().unwrap();
-    /// assert_eq!(block, Block { id: Some("7"), bytes: b"id: 7\ndata: a\n\n" });
+    /// assert_eq!(block, Block { id: Some("7"), is_event: true, bytes: b"id: 7\ndata: a\n\n" });
     /// assert_eq!(parser.next_block(), Ok(None));
     /// assert_eq!(parser.buffered_bytes(), 6);
+    /// assert!(parser.is_inside_event());
     /// ```
     pub fn next_block(&mut self) -> Result<Option<Block<'_>>, Error> {
         let begin = self.start;
-        if self.next_item()?.is_none() {
-            return Ok(None);
-        }
+        let is_event = match self.next_item()? {
+            Some(item) => matches!(item, Item::Event(_)),
+            None => return Ok(None),
+        };
         let bytes = &self.buf[begin..self.start];
         let text = std::str::from_utf8(bytes).map_err(|_| Error::Encoding)?;
         let mut ids = text.lines().filter_map(|line| line.strip_prefix("id:"));
         let id = ids.next_back().map(|id| id.strip_prefix(' ').unwrap_or(id));
-        Ok(Some(Block { id, bytes }))
+        Ok(Some(Block { id, is_event, bytes }))
     }
 
     /// End of the next block, without its blank line, and start of the block after it.
--- a/crates/wire/tests/sse.rs
+++ b/crates/wire/tests/sse.rs
@@ -95,6 +95,28 @@
     }
 }
 
+/// Whether the rest of the input after its last event is a part of another one.
+fn ends_inside_event(input: &str, expected: bool) {
+    let mut parser = Parser::new(MAX_EVENT_BYTES);
+    parser.push(input.as_bytes());
+    while parser.next_block().unwrap().is_some() {}
+    assert_eq!(parser.is_inside_event(), expected);
+}
+
+hornbeamloom_kernel::cases! {
+    ends_inside_event;
+    // Guards against a truncated event at the end of a stream that is taken for complete.
+    event_without_its_blank_line_is_unfinished: ("data: a\n\ndata: b\n", true);
+    event_with_half_of_its_blank_line_is_unfinished: ("data: a\r\n\r", true);
+    line_without_its_end_is_unfinished: ("data: a\n\nda", true);
+    comment_without_its_end_is_unfinished: ("data: a\n\n: x", true);
+    event_after_a_comment_is_unfinished: (": x\ndata: a\n", true);
+    // Guards against a complete stream that is taken for truncated.
+    end_after_an_event_is_no_event: ("data: a\n\n", false);
+    comment_line_is_no_event: ("data: a\n\n: x\n", false);
+    white_space_is_no_event: ("data: a\n\n\r\n \t\r", false);
+}
+
 /// The parser returns events with these data texts, then the error.
 fn yields(input: &str, data: &[&str], error: Option<Error>) {
     let mut parser = Parser::new(MAX_EVENT_BYTES);
--- a/tests/fleet/framing.rs
+++ b/tests/fleet/framing.rs
@@ -7,14 +7,16 @@
 use reqwest::header::{HeaderMap, HeaderName};
 
 use crate::harness::{
-    block_on, new_attempt_id, new_request, send, start_engines, start_fleet, start_plain_targets,
-    wait_until,
+    block_on, call, new_attempt_id, new_request, send, start_engines, start_fleet,
+    start_plain_targets, wait_until,
 };
 use crate::relocation::{drain, start_stream, wait_for_busy_engine, EVENT_COUNT};
 use crate::target_faults::{caller_gets, Outcome};
 
 const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
                            X-Attempt-Id: {id}\r\nX-Response-Signature: s\r\n\r\n";
+const CHUNKED_HEAD: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
+                            X-Attempt-Id: {id}\r\nTransfer-Encoding: chunked\r\n\r\n";
 const PLAIN_HEAD: &str = "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Signature: s\r\n\r\n";
 const DEADLINE_HEADER: HeaderName = HeaderName::from_static("x-deadline-ms");
 const EVENT: &str = "id: 1\ndata: a\n\n";
@@ -23,6 +25,18 @@
 /// Deadline of requests whose response is never complete.
 const SHORT_DEADLINE_MS: u64 = 1_500;
 
+/// Checks the stream that a caller receives, and whether it looks complete.
+fn caller_reads(response: RawResponse, expected: &str, is_complete: bool) {
+    block_on(async {
+        let fleet = start_fleet().await;
+        let engines = start_engines(&fleet, 1).await;
+        engines[0].set_fault(Fault::SendsRaw(response));
+        let response = call(&fleet, "/draft/1", b"x").await;
+        assert_eq!((response.status, &*response.text()), (200, expected));
+        assert_eq!(response.is_complete, is_complete);
+    });
+}
+
 /// A response whose connection is closed after its parts.
 const fn closed(parts: &'static [&'static str]) -> RawResponse {
     RawResponse { parts, ending: Ending::Close }
@@ -33,6 +47,37 @@
     RawResponse { parts, ending: Ending::Reset }
 }
 
+cases! {
+    caller_reads;
+
+    // Guards against a whole stream that the caller takes for a truncated one.
+    closed_between_events_is_complete: (closed(&[STREAM_HEAD, EVENT]), EVENT, true);
+    crlf_split_between_reads_ends_an_event: (
+        closed(&[STREAM_HEAD, "id: 1\r\ndata: a\r\n\r", "\n"]), "id: 1\r\ndata: a\r\n\r\n", true,
+    );
+    mixed_line_ends_split_between_reads_end_an_event: (
+        closed(&[STREAM_HEAD, "id: 1\ndata: a\n", "\r", "\n"]), "id: 1\ndata: a\n\r\n", true,
+    );
+    // Guards against comments and white space that are taken for events and end the stream.
+    comment_between_events_is_skipped: (
+        closed(&[STREAM_HEAD, ": ping\n\n", EVENT, ": ping\n\n", "id: 2\ndata: b\n\n"]),
+        "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", true,
+    );
+    trailing_comment_is_no_event: (closed(&[STREAM_HEAD, EVENT, ": end\n"]), EVENT, true);
+    trailing_white_space_is_no_event: (closed(&[STREAM_HEAD, EVENT, "\n\r\n \r"]), EVENT, true);
+
+    // Guards against a stream that was broken off and looks complete.
+    closed_without_the_blank_line_is_truncated: (
+        closed(&[STREAM_HEAD, EVENT, "id: 2\ndata: b\n"]), EVENT, false,
+    );
+    closed_inside_a_line_is_truncated: (closed(&[STREAM_HEAD, EVENT, "id: 2\nda"]), EVENT, false);
+    closed_inside_a_comment_is_truncated: (closed(&[STREAM_HEAD, EVENT, ": en"]), EVENT, false);
+    reset_between_events_is_truncated: (reset(&[STREAM_HEAD, EVENT]), EVENT, false);
+    closed_without_the_last_chunk_is_truncated: (
+        closed(&[CHUNKED_HEAD, "f\r\nid: 1\ndata: a\n\n\r\n"]), EVENT, false,
+    );
+}
+
 /// Checks that a stream is complete although its engine drains while it has a fault.
 fn moved_stream_is_whole(framing: Framing, fault: CopyFault) {
     block_on(async {
@@ -54,6 +99,17 @@
 cases! {
     moved_stream_is_whole;
 
+    // Guards against a stream that looks complete because its engine stopped it for a move.
+    unframed_stream_is_moved: (Framing::Close, CopyFault::None);
+    unframed_stream_resumes_when_the_final_copy_finds_no_room: (Framing::Close, CopyFault::NoCapacityForFinalCopy);
+    unframed_stream_resumes_when_its_engine_is_closed_after_the_copy: (Framing::Close, CopyFault::CrashesAfterCopy);
+    unframed_stream_resumes_when_its_engine_is_closed_at_the_final_copy: (Framing::Close, CopyFault::CrashesAtFinalCopy);
+    unframed_stream_resumes_when_the_final_copy_has_no_readable_response: (Framing::Close, CopyFault::TruncatesFinalCopy);
+    unframed_stream_resumes_when_the_final_copy_fails: (Framing::Close, CopyFault::FailsFinalCopy);
+    unframed_stream_resumes_before_a_slow_final_copy_is_answered: (Framing::Close, CopyFault::DelaysFinalCopy);
+    // Guards against a stream that looks truncated although its engine completed it before the stop.
+    unframed_stream_completed_at_the_final_copy_is_complete: (Framing::Close, CopyFault::CompletesAtFinalCopy);
+    chunked_stream_completed_at_the_final_copy_is_complete: (Framing::Chunked, CopyFault::CompletesAtFinalCopy);
     // Guards against a copy response that is buffered without a limit.
     stream_stays_when_the_copy_response_has_no_end: (Framing::Chunked, CopyFault::EndlessResponse);
 }
