Record that a late refusal of a standby costs a working stream

Cause: a generation that moves to its standby leaves its engine 250 ms after it has asked the standby; a refusal or a failed connection after that leaves no engine.

A fix that stays with the working engine and closes the connection to the standby was tried and not taken: a standby that has begun by then may work beside the old engine for longer than the platform allows.

--- a/crates/bench/src/mock_engine.rs
+++ b/crates/bench/src/mock_engine.rs
@@ -385,7 +385,7 @@
         let is_other_instance = expected_instance.is_some_and(|name| name != self.name);
         let refusal_status = match fault {
             _ if is_other_instance || fault == Fault::Misdirected => Some(421),
-            Fault::ShedsLoad => Some(503),
+            Fault::ShedsLoad | Fault::ShedsLoadAfter(_) => Some(503),
             Fault::ClosesConnections => None,
             _ => {
                 let has_copy =
@@ -408,8 +408,10 @@
             });
             shared.requests.len() - 1
         };
-        if fault == Fault::ClosesConnections {
-            return Ok(false);
+        match fault {
+            Fault::ShedsLoadAfter(delay) => tokio::time::sleep(delay).await,
+            Fault::ClosesConnections => return Ok(false),
+            _ => {}
         }
         if let Some(status) = refusal_status {
             let headers = format!("{NOT_EXECUTED}X-Attempt-Id: {attempt}\r\n");
--- a/crates/bench/src/mock_engine/fault.rs
+++ b/crates/bench/src/mock_engine/fault.rs
@@ -1,5 +1,7 @@
 //! The faults that a mock engine can inject.
 
+use std::time::Duration;
+
 use crate::mock_http::{Ending, RawResponse};
 
 /// Response to a control call whose body has no end.
@@ -16,6 +18,8 @@
     None,
     /// It rejects every request with 503 without executing it.
     ShedsLoad,
+    /// It rejects every request in the same way, but only after this time.
+    ShedsLoadAfter(Duration),
     /// It closes the connection of every request without a response and without executing it, like
     /// an engine that has as many connections as it accepts.
     ClosesConnections,
--- a/tests/fleet/relocation.rs
+++ b/tests/fleet/relocation.rs
@@ -167,6 +167,17 @@
         },
         2..=2,
     );
+    // Guards against a connection to a working engine that is closed before its standby, which lacks
+    // the copy, has answered.
+    stream_stays_on_its_engine_when_its_standby_refuses_late: (
+        Standbys::On, 2,
+        |fleet, first, others| {
+            others[0].set_fault(Fault::ShedsLoadAfter(Duration::from_millis(350)));
+            first.set_copy_fault(CopyFault::NoCapacity);
+            drain(fleet, first);
+        },
+        1..=1,
+    );
     // Guards against a generation that was stopped and is then lost because the next engine closes
     // the connection, although its own engine would take it back.
     stream_returns_to_its_engine_when_the_next_one_closes_the_connection: (
