Limit the time for which one engine may delay the resume of a generation

Callers saw a gap of several seconds in a stream, or its end, when the next engine accepted the request to resume a generation and did not respond.

Cause: the limit of 1.5 s since the last event was checked between two requests only, so one engine could hold the generation until the deadline although the engine that had stopped would have taken it back. If the response to the copy request was late, the limit left a single round.

Change: a request to resume that has no response at the limit, or after 300 ms if that is later, is closed and counts as broken, and the other engine is asked; both are asked for at least 300 ms.

Result: without the change stream_returns_to_its_engine_when_the_next_one_does_not_respond fails ("stream truncated"), with it it passes.

--- a/crates/daemon/src/continuation.rs
+++ b/crates/daemon/src/continuation.rs
@@ -20,6 +20,9 @@
 /// that stopped. Either may refuse while the rest of the KV cache waits for the network, and a refused
 /// offer has not run. Callers disconnect after a gap of two seconds at the earliest.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Minimum time for these offers if the last event is older, for example because the response to the
+/// copy request was late.
+const MIN_RESUME_TIME: Duration = Duration::from_millis(300);
 /// Delay before the second of these offers, in which the copy of what was generated meanwhile can
 /// arrive. It doubles with each further offer up to the maximum, because refused requests count
 /// against the retry budget of the service.
@@ -83,7 +86,9 @@
             // The old connection must be closed before another target continues the generation.
             drop(events);
             let point = ResumePoint { source, kv: KvSource::Copy(handle.clone()), last_event };
-            let deadline = last_event_at.unwrap_or_else(Instant::now) + RESUME_TIMEOUT;
+            let now = Instant::now();
+            let deadline = last_event_at.unwrap_or(now) + RESUME_TIMEOUT;
+            let deadline = deadline.max(now + MIN_RESUME_TIME);
             resume_from_copy(session, open, start, next, point, handle, deadline).await
         }
         PlacementEnd::SwitchToStandby(next) => {
@@ -97,7 +102,8 @@
 }
 
 /// Resumes from a copy at the target of `next`, or at the stopped target if that one does not
-/// resume it. Both are asked once at least, and again until `deadline`.
+/// resume it. Both are asked once at least, and again until `deadline`. A target that has not
+/// responded by then is disconnected.
 async fn resume_from_copy<A, S, O, OF>(
     session: &mut Session,
     open: &O,
@@ -116,7 +122,10 @@
     loop {
         let mut refusing = Vec::new();
         for candidate in candidates {
-            match open(candidate.clone(), Some(point.clone())).await {
+            let response_limit = deadline.max(Instant::now() + MIN_RESUME_TIME);
+            let opened = open(candidate.clone(), Some(point.clone()));
+            let opened = tokio::time::timeout_at(response_limit, opened).await;
+            match opened.unwrap_or(OpenResult::NoStream(TargetReply::Broken)) {
                 OpenResult::Stream(opened) => {
                     match candidate.id == stopped.id {
                         true => session.end_attempt(&next, End::Unsent, None),
--- a/tests/fleet/relocation.rs
+++ b/tests/fleet/relocation.rs
@@ -167,6 +167,16 @@
         },
         2..=2,
     );
+    // Guards against waiting for an engine that does not respond until the caller has disconnected,
+    // although the stopped engine would take the generation back.
+    stream_returns_to_its_engine_when_the_next_one_does_not_respond: (
+        Standbys::Off, 2,
+        |fleet, first, others| {
+            others[0].set_fault(Fault::ShedsLoadAfter(TEST_TIMEOUT));
+            drain(fleet, first);
+        },
+        1..=1,
+    );
     // Guards against a connection to a working engine that is closed before its standby, which lacks
     // the copy, has answered.
     stream_stays_on_its_engine_when_its_standby_refuses_late: (
