Keep the attempt of a generation that resumes at its source after a close

A stream without framing that closes while the final copy is refused resumed at its source under the start of the source; since a generation that returns to its source gives the next placement back, that ended the running attempt in the kernel, which freed its slot while it ran.

Change: this path offers the generation to both engines under the next placement, like the same refusal noticed before the close.

--- a/crates/daemon/src/stream_proxy.rs
+++ b/crates/daemon/src/stream_proxy.rs
@@ -440,10 +440,8 @@
             self.last_event
         );
         match answer {
-            Ok(Ok(Ok(copied))) => PlacementEnd::ResumeFromCopy(stop.start, copied.handle),
-            Ok(Ok(Err(CopyError::Refused(Some(handle))))) => {
-                self.session.end_attempt(&stop.start, End::Unsent, None);
-                PlacementEnd::ResumeFromCopy(placement.start.clone(), handle)
+            Ok(Ok(Ok(KvCopy { handle, .. }) | Err(CopyError::Refused(Some(handle))))) => {
+                PlacementEnd::ResumeFromCopy(stop.start, handle)
             }
             Ok(Ok(Err(CopyError::Refused(None)))) => {
                 self.release_pending(placement, Some(stop));
