Free the copy of a generation whose caller leaves while it is resumed

What was seen: a copy occupied memory and a slot at its destination until the engine dropped it, after the caller had disconnected while engines refused to resume the generation. Found in a review.

Cause: the handle of the copy was dropped with the task when the caller disconnected during the resume, or between the copy and the resume.

Change: the copy is freed at its source in both places.

--- a/crates/daemon/src/stream_proxy.rs
+++ b/crates/daemon/src/stream_proxy.rs
@@ -94,6 +94,11 @@
             PlacementEnd::CallerGone => return,
             placement_end => placement_end,
         };
+        let unused_copy = match &placement_end {
+            PlacementEnd::ResumeFromCopy(_, handle) => Some(handle.clone()),
+            _ => None,
+        };
+        let source = placement.start.clone();
         let continuation = tokio::select! {
             continuation = continue_elsewhere(
                 &mut proxy.session,
@@ -103,7 +108,7 @@
                 proxy.last_event,
                 proxy.last_event_at,
             ) => continuation,
-            _ = proxy.response.closed() => return,
+            _ = proxy.response.closed() => return proxy.release_handle(&source, unused_copy),
         };
         placement = match continuation {
             Continuation::Resumed(placement) => placement,
@@ -343,9 +348,10 @@
                 CopyStep::KeepReading(Some(next))
             }
             Some(Ok(copied)) => {
-                CopyStep::EndPlacement(match self.drain(placement, copied.last_generated).await {
+                let is_caller_connected = self.drain(placement, copied.last_generated).await;
+                CopyStep::EndPlacement(match is_caller_connected {
                     true => PlacementEnd::ResumeFromCopy(done.start, copied.handle),
-                    false => PlacementEnd::CallerGone,
+                    false => self.free_copy(placement, copied.handle),
                 })
             }
             Some(Err(CopyError::Refused(Some(handle)))) if done.stops_source => {
@@ -354,7 +360,7 @@
                 let is_caller_connected = self.drain(placement, u64::MAX).await;
                 CopyStep::EndPlacement(match is_caller_connected {
                     true => PlacementEnd::ResumeFromCopy(done.start, handle),
-                    false => PlacementEnd::CallerGone,
+                    false => self.free_copy(placement, handle),
                 })
             }
             // An engine that gave no response may be gone. The first copy is kept until its stream
@@ -456,6 +462,12 @@
         self.release_handle(&placement.start, pending.and_then(|pending| pending.live_copy));
     }
 
+    /// Releases a copy whose generation has no caller any more.
+    fn free_copy<S>(&self, placement: &Placement<S>, handle: String) -> PlacementEnd {
+        self.release_handle(&placement.start, Some(handle));
+        PlacementEnd::CallerGone
+    }
+
     fn release_handle(&self, source: &Start, handle: Option<String>) {
         if let Some(handle) = handle {
             let release = (self.release)(source.address.clone(), handle);
--- a/tests/fleet/relocation.rs
+++ b/tests/fleet/relocation.rs
@@ -348,6 +348,27 @@
     });
 }
 
+/// Guards against copies that occupy memory after the caller disconnected while no engine resumed its
+/// generation.
+#[test]
+fn copy_is_freed_when_the_caller_disconnects_during_a_resume() {
+    block_on(async {
+        let fleet = start_fleet().await;
+        let engines = start_engines(&fleet, 2).await;
+        let response = start_stream(&fleet).await;
+        let first = wait_for_busy_engine(&engines, &[]).await;
+        engines.iter().for_each(|engine| engine.set_fault(Fault::ShedsLoad));
+        drain(&fleet, first);
+        let is_resume = |request: &ReceivedRequest| request.header("kv-from").is_some();
+        wait_until("an engine is asked to resume", || async {
+            fleet.request_log.requests().iter().any(is_resume)
+        })
+        .await;
+        drop(response);
+        wait_until("the copy is freed", || async { fleet.request_log.kv_copies() == 0 }).await;
+    });
+}
+
 /// Guards against copies that occupy memory after the caller of their generation disconnected.
 #[test]
 fn unused_copy_is_freed() {
