Quarantine parts of prompts that crash engines

Callers saw engines crash one after another, and with them the generations that ran there, for as long as requests with one part of a prompt arrived: deaths counted for the fingerprint of the whole body only, and no two of these bodies are alike.

A request now carries the hashes of the parts of its prompt that others may share. A death is evidence against the parts of the requests that had no output yet, unless requests with the part had output at that time. Requests with a suspected part start one at a time in a pool, and the first output of a sound one clears it. After three deaths, one of them of a request granted after an earlier death was known, the part with the most deaths is quarantined like a body: told to all VMs, stored, listed, lifted.

Requests that wait, retries and grants that were not used yet are refused when the quarantine is known; a generation without output is not resumed at its standby while a part of its prompt is suspected. The records of the table are first listed 1.5 s after the start in place of 5 s, since nobody knows the quarantines after a power loss of all VMs.

wire: the parsed frame is boxed, since an ask has grown by its parts.

--- a/crates/bench/src/mock_engine.rs
+++ b/crates/bench/src/mock_engine.rs
@@ -393,6 +393,8 @@
                 (has_copy == Some(false)).then_some(503)
             }
         };
+        let prompt = header(&head, "x-prompt-prefix").unwrap_or_default();
+        let is_deadly = matches!(fault, Fault::CrashesOnPart(part) if prompt.contains(part));
         let last_event_id =
             header(&head, "last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
         let ix = {
@@ -423,6 +425,10 @@
             self.request_log.lock().requests[ix].caller_disconnected = is_closed_by_caller;
             return Ok(false);
         }
+        if is_deadly {
+            self.kill();
+            return Ok(false);
+        }
         let text = String::from_utf8_lossy(&body);
         let event_count = text.strip_prefix("events=").and_then(|count| count.trim().parse().ok());
         match event_count {
--- a/crates/bench/src/mock_engine/fault.rs
+++ b/crates/bench/src/mock_engine/fault.rs
@@ -39,6 +39,8 @@
     Misdirected,
     /// The response has a `Content-Encoding` header.
     SetsContentEncoding,
+    /// It crashes when it runs a request whose prompt has this part.
+    CrashesOnPart(&'static str),
     /// Its load reports have no end.
     EndlessReport,
     /// It executes requests and sends this response.
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -450,6 +450,7 @@
         max_tokens: request.max_tokens,
         fingerprint: request.fingerprint,
         prefixes: request.prefixes,
+        parts: Vec::new(),
         rerun: request.idempotency_key.clone().map_or(RerunPolicy::Allowed, RerunPolicy::Keyed),
         terms: request.terms,
         decisions,
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -44,6 +44,8 @@
     pub fingerprint: u64,
     /// Hashes of prompt prefixes of increasing length, for prefix-cache lookups.
     pub prefixes: Vec<u64>,
+    /// Hashes of the parts of the prompt that other requests may share, in order.
+    pub parts: Vec<u64>,
     /// Whether the request may be executed more than once.
     pub rerun: RerunPolicy,
     /// Scheduling terms set by the request's route.
@@ -433,6 +435,7 @@
             max_tokens: arrival.max_tokens,
             fingerprint: arrival.fingerprint,
             prefixes: &arrival.prefixes,
+            parts: &arrival.parts,
             idempotency: arrival.rerun.repeat(),
             options: arrival.terms,
         }));
@@ -489,7 +492,10 @@
             Input::AttemptEnded { id, attempt, end, first_token_ms, stored } => {
                 self.end_attempt(&id, attempt, end, first_token_ms, stored.as_ref());
             }
-            Input::GenerationLost(id) => self.handle_event(Event::GenerationLost { id: &id }),
+            Input::GenerationLost(id) => {
+                let tokens = self.requests.get(&id).map_or(0, ActiveRequest::delivered);
+                self.handle_event(Event::GenerationLost { id: &id, tokens });
+            }
             Input::GenerationMoved { from, to } => self.complete_move(&from, &to),
             Input::CallerDisconnected(id) => {
                 self.handle_event(Event::CallerDisconnected { id: &id });
--- a/crates/daemon/src/session.rs
+++ b/crates/daemon/src/session.rs
@@ -27,6 +27,8 @@
     pub max_tokens: Option<u32>,
     /// Hash of everything that determines what a target executes.
     pub fingerprint: u64,
+    /// Hashes of the parts of the prompt that other requests may share, in order.
+    pub parts: Vec<u64>,
     /// Whether the request may be executed again.
     pub rerun: RerunPolicy,
     /// Limits and policies set by the request's route.
@@ -61,6 +63,7 @@
             max_tokens: request.max_tokens,
             fingerprint: request.fingerprint,
             prefixes: Vec::new(),
+            parts: request.parts,
             rerun: request.rerun,
             terms: request.terms,
             decisions: sender,
--- a/crates/kernel/src/accounting.rs
+++ b/crates/kernel/src/accounting.rs
@@ -9,6 +9,7 @@
 use crate::outcome::{Counter, Outcome, Reason, Refusal};
 use crate::peer::{Ask, Death, MemberStatus, Message, Progress, Release, Suspect};
 use crate::pool::{self, Key, Pool};
+use crate::prompt_part;
 use crate::request::{Class, End, Id};
 use crate::schedule;
 use crate::takeover::{self, Rights};
@@ -207,6 +208,7 @@
         return;
     };
     let mut is_unknown = false;
+    let mut outputs = Vec::new();
     for entry in entries {
         let id = Id::new(from, entry.incarnation, entry.counter);
         match pool.in_flight.get_mut(&id) {
@@ -217,6 +219,7 @@
             }
             None => is_unknown = true,
         }
+        outputs.extend(first_output(pool, &id, entry.tokens));
         pool.record_progress(&id, entry.tokens, now);
     }
     if let Some(takeover) = pool.takeover.as_mut().filter(|_| is_unknown) {
@@ -230,7 +233,9 @@
         pool.remove_request(id, now);
         out.count(Counter::Event("work_left_out"));
     }
-    if !left_out.is_empty() {
+    let may_start = outputs.iter().any(|first| state.quarantine.parts.has_suspect(&first.parts));
+    outputs.iter().for_each(|first| record_output(state, first, now, out));
+    if !left_out.is_empty() || may_start {
         schedule::run(state, key, now, out);
     }
 }
@@ -246,16 +251,54 @@
         pool.queue.remove(id);
     }
     let attempt = pool.in_flight.get(id).map(|running| running.ask.attempt);
+    let mut output = None;
+    let mut has_broken_early = false;
     if attempt.is_some_and(|attempt| attempt <= release.attempt) {
+        let running = pool.in_flight.get(id);
+        let is_silent = running.is_some_and(|running| running.has_no_output());
+        let has_parts = running.is_some_and(|running| !running.ask.parts.is_empty());
+        has_broken_early = release.end == End::Broken && release.tokens == 0;
+        has_broken_early &= is_silent && has_parts;
+        let tokens = release.tokens.max(u32::from(release.end == End::Complete));
+        output = first_output(pool, id, tokens);
         end_request(pool, release, now);
     }
     if release.end != End::Unsent {
         pool.in_flight.mark_ended(id, release.attempt);
     }
     pool.drop_removed_targets();
+    if has_broken_early {
+        prompt_part::poll_after_break(state, &release.pool, &release.target, out);
+    }
+    if let Some(first) = output {
+        record_output(state, &first, now, out);
+    }
     schedule::run(state, &release.pool, now, out);
 }
 
+/// The first output of a request.
+struct FirstOutput {
+    id: Id,
+    parts: Vec<u64>,
+    granted_at: Millis,
+}
+
+/// Returns the first output of a request if `tokens` is that and the request was granted here, so
+/// that the time of its grant is known.
+fn first_output(pool: &Pool, id: &Id, tokens: u32) -> Option<FirstOutput> {
+    let running = pool.in_flight.get(id)?;
+    let is_first = running.has_no_output() && tokens > 0;
+    (is_first && running.grant.is_some() && !running.ask.parts.is_empty()).then(|| FirstOutput {
+        id: id.clone(),
+        parts: running.ask.parts.clone(),
+        granted_at: running.granted_at,
+    })
+}
+
+fn record_output(state: &mut State, first: &FirstOutput, now: Millis, out: &mut Outbox) {
+    prompt_part::on_output(state, &first.id, &first.parts, first.granted_at, now, out);
+}
+
 /// Removes a granted request and records how it ended.
 fn end_request(pool: &mut Pool, release: &Release, now: Millis) {
     pool.record_progress(&release.id, release.tokens, now);
@@ -274,14 +317,24 @@
     if target.name != release.target {
         return;
     }
-    target.attempt_ended(release.end, suspect(&running.ask), running.granted_at, now);
+    target.attempt_ended(release.end, suspect(&running, now), running.granted_at, now);
     if let Some(first_ms) = release.first_token_ms {
         target.record_first_token(first_ms);
     }
 }
 
-fn suspect(ask: &Ask) -> Suspect {
+/// Describes a request whose target may have died at `now`.
+///
+/// An engine that crashes as its output begins is not crashed by a request that already has some.
+fn suspect(running: &InFlightRequest, now: Millis) -> Suspect {
+    let ask = &running.ask;
+    let parts = match running.has_no_output() {
+        true => ask.parts.clone(),
+        false => Vec::new(),
+    };
     Suspect {
+        parts,
+        granted_ago_ms: now.since(running.granted_at),
         fingerprint: ask.fingerprint,
         organisation: ask.organisation.clone(),
         service: ask.pool.service.clone(),
@@ -361,11 +414,11 @@
         .iter()
         .filter_map(|id| pool.in_flight.get(id))
         .filter(|running| !target.is_covered_by_death(running.granted_at))
-        .map(|running| suspect(&running.ask))
+        .map(|running| suspect(running, now))
         .collect();
     running.extend(pool.targets[ix].take_broken_attempts(now));
-    running.sort_by_key(|suspect| suspect.fingerprint);
-    running.dedup_by_key(|suspect| suspect.fingerprint);
+    running.sort_by(|a, b| (a.fingerprint, &a.parts).cmp(&(b.fingerprint, &b.parts)));
+    running.dedup_by(|a, b| (a.fingerprint, &a.parts) == (b.fingerprint, &b.parts));
     Death { target: pool.targets[ix].name.clone(), start_id, running, age_ms: 0 }
 }
 
--- a/crates/kernel/src/ask.rs
+++ b/crates/kernel/src/ask.rs
@@ -113,6 +113,9 @@
     let Some(request) = state.entry.requests.get(id) else {
         return;
     };
+    if state.quarantine.refuses(&request.ask, now) {
+        return entry::refuse(state, id, Refusal::new(Reason::Quarantined), now, out);
+    }
     let view = entry::route_view(state, request, &unresponsive);
     match route::next_destination(&view, &request.ask, &request.tried_zones) {
         Some(destination) => ask_pool(state, id, destination, now, out),
--- a/crates/kernel/src/attempt.rs
+++ b/crates/kernel/src/attempt.rs
@@ -143,7 +143,7 @@
     if is_leaving || is_out || state.intent.is_zone_out(&grant.pool.zone) {
         return Err(Unusable::Left);
     }
-    if state.quarantine.is_quarantined(request.ask.fingerprint, now) {
+    if state.quarantine.refuses(&request.ask, now) {
         return Err(Unusable::Quarantined);
     }
     Ok(())
@@ -249,6 +249,15 @@
     }
 }
 
+/// Records the tokens that a running attempt has delivered.
+pub(crate) fn record_tokens(state: &mut State, id: &Id, tokens: u32) {
+    if let Some(request) = state.entry.requests.get_mut(id) {
+        if let Phase::Running(run) = &mut request.phase {
+            run.tokens = run.tokens.max(tokens);
+        }
+    }
+}
+
 /// The VMs that keep an in-flight entry for the attempt: the one that granted it and the current
 /// owner of the pool.
 fn in_flight_vms(state: &State, pool: &pool::Key, run: &RunningAttempt) -> Vec<Name> {
--- a/crates/kernel/src/entry.rs
+++ b/crates/kernel/src/entry.rs
@@ -235,7 +235,7 @@
     if !view.organisation.is_empty() && !state.freshness.accepts_keys(key_age_ms, now) {
         return Err(Refusal::new(Reason::KeyUnconfirmed).with_retry_after(RETRY_AFTER_MS));
     }
-    if state.quarantine.is_quarantined(view.fingerprint, now) {
+    if state.quarantine.is_any_quarantined(view.fingerprint, view.parts, now) {
         return Err(Refusal::new(Reason::Quarantined));
     }
     if is_refused_for_shutdown(state, view, now) {
@@ -258,6 +258,7 @@
         class,
         fingerprint: view.fingerprint,
         prefixes: view.prefixes.to_vec(),
+        parts: view.parts.to_vec(),
         waited_ms: 0,
         max_wait_ms: service.queue_ms,
         exclude: Vec::new(),
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -42,6 +42,8 @@
     GenerationLost {
         /// The placement that was interrupted.
         id: &'a Id,
+        /// Output tokens that it delivered to the caller.
+        tokens: u32,
     },
     /// A generation continues on another target, under the id of its next placement.
     GenerationMoved {
--- a/crates/kernel/src/in_flight.rs
+++ b/crates/kernel/src/in_flight.rs
@@ -53,6 +53,11 @@
         }
     }
 
+    /// Returns whether no output of its generation is known, here or on earlier targets.
+    pub fn has_no_output(&self) -> bool {
+        self.tokens == 0 && self.ask.generated_tokens == 0
+    }
+
     /// Returns the fencing token of its grant; zero if another scheduler granted it.
     pub fn fence(&self) -> Fence {
         self.grant.as_ref().map_or(Fence::default(), |grant| grant.fence)
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -21,6 +21,7 @@
 //!     max_tokens: None,
 //!     fingerprint: 7,
 //!     prefixes: &[],
+//!     parts: &[],
 //!     idempotency: Idempotency::Idempotent,
 //!     options: RouteOptions::default(),
 //! };
@@ -56,6 +57,7 @@
 pub mod peer;
 pub mod plugin;
 pub mod pool;
+pub mod prompt_part;
 pub mod quarantine;
 pub mod queue;
 pub mod reconcile;
@@ -73,6 +75,7 @@
 mod affinity;
 mod ask;
 mod attempt;
+mod broken_attempt;
 mod claim_table;
 mod departure;
 mod discovery;
--- a/crates/kernel/src/peer.rs
+++ b/crates/kernel/src/peer.rs
@@ -74,7 +74,8 @@
     Handover(pool::Snapshot),
     /// Reports that a target crashed while running these request bodies.
     Death(Death),
-    /// Reports that a quarantine entry was created or lifted.
+    /// Reports that a quarantine entry was created or lifted. A part of a prompt is named by its
+    /// hash in place of a fingerprint.
     Quarantine {
         /// Fingerprint of the body.
         fingerprint: u64,
@@ -217,6 +218,9 @@
     pub fingerprint: u64,
     /// Hashes of the prompt's prefixes, shortest first.
     pub prefixes: Vec<u64>,
+    /// Hashes of the parts of the prompt that other requests may share, in order.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub parts: Vec<u64>,
     /// Time already spent waiting when this message was sent, in milliseconds.
     pub waited_ms: u64,
     /// Time for which the request may still wait, in milliseconds.
@@ -332,6 +336,12 @@
     pub organisation: Name,
     /// The service it was sent to.
     pub service: Name,
+    /// Hashes of the shared parts of its prompt, in order; empty if it had output.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub parts: Vec<u64>,
+    /// Time from its grant to the report of the crash, in milliseconds.
+    #[serde(default)]
+    pub granted_ago_ms: u64,
 }
 
 impl Ask {
@@ -353,6 +363,7 @@
     ///     class: Class::Long,
     ///     fingerprint: 0,
     ///     prefixes: Vec::new(),
+    ///     parts: Vec::new(),
     ///     waited_ms: 300,
     ///     max_wait_ms: 30_000,
     ///     priority: None,
--- a/crates/kernel/src/quarantine.rs
+++ b/crates/kernel/src/quarantine.rs
@@ -9,10 +9,11 @@
 use crate::event::Event;
 use crate::ids::{Millis, Name, Revision};
 use crate::kernel::{Outbox, State};
-use crate::map::Map;
+use crate::map::{Map, Set};
 use crate::outcome::{Counter, Reason, Refusal};
 use crate::peer::{Ask, Death, Message, Suspect};
 use crate::plugin::{control, policy};
+use crate::prompt_part;
 use crate::quarantine_table;
 use crate::retry::{draw, seed};
 use crate::store::CallId;
@@ -36,6 +37,8 @@
 #[derive(Debug, Default)]
 pub struct Registry {
     pub(crate) bodies: Map<u64, Body>,
+    /// Parts of prompts that may crash engines; those that do are among `bodies`.
+    pub(crate) parts: prompt_part::Registry,
     pub(crate) recent_deaths: VecDeque<(Name, u64)>,
     pub(crate) lifted: Map<u64, LiftedQuarantine>,
     pub(crate) pending_calls: Map<CallId, PendingCall>,
@@ -107,6 +110,33 @@
         self.bodies.get(&fingerprint).is_some_and(|body| body.is_quarantined(now))
     }
 
+    /// Whether a body or one of the parts of its prompt is quarantined at `now`.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::ids::Millis;
+    /// use hornbeamloom_kernel::quarantine::Registry;
+    ///
+    /// assert!(!Registry::default().is_any_quarantined(7, &[8, 9], Millis(0)));
+    /// ```
+    pub fn is_any_quarantined(&self, fingerprint: u64, parts: &[u64], now: Millis) -> bool {
+        let mut hashes = parts.iter().chain([&fingerprint]);
+        hashes.any(|hash| self.is_quarantined(*hash, now))
+    }
+
+    /// The suspected parts of prompts.
+    pub fn parts(&self) -> &prompt_part::Registry {
+        &self.parts
+    }
+
+    /// Whether the request may not start. The parts of a generation that has output are sound.
+    pub(crate) fn refuses(&self, ask: &Ask, now: Millis) -> bool {
+        let parts = match ask.generated_tokens {
+            0 => &*ask.parts,
+            _ => &[],
+        };
+        self.is_any_quarantined(ask.fingerprint, parts, now)
+    }
+
     /// Whether a body is quarantined, or ran on a target that died and has not completed since.
     ///
     /// ```
@@ -217,7 +247,7 @@
 }
 
 fn admit(view: &policy::View<'_>, ask: &Ask) -> Result<(), Refusal> {
-    match view.quarantine.is_quarantined(ask.fingerprint, view.now) {
+    match view.quarantine.refuses(ask, view.now) {
         true => Err(Refusal::new(Reason::Quarantined)),
         false => Ok(()),
     }
@@ -271,6 +301,8 @@
                 fingerprint: *fingerprint,
                 organisation: organisation.clone(),
                 service: service.clone(),
+                parts: Vec::new(),
+                granted_ago_ms: 0,
             };
             on_peer_quarantine(state, &suspect, *deaths, *remaining_ms, now);
         }
@@ -292,7 +324,11 @@
     let running = &death.running[..death.running.len().min(MAX_BODIES)];
     let earlier = running.iter().filter(|suspect| registry.is_suspect(suspect.fingerprint, now));
     let is_ambiguous = earlier.count() > 1;
+    let mut counted = Set::default();
     for suspect in running {
+        if !counted.insert(suspect.fingerprint) {
+            continue;
+        }
         let is_stale = !state.quarantine.is_suspect(suspect.fingerprint, now);
         if is_stale {
             state.quarantine.bodies.remove(&suspect.fingerprint);
@@ -301,6 +337,23 @@
             on_quarantined(state, suspect, is_own, now, out);
         }
     }
+    prompt_part::on_death(state, death, is_own, now, out);
+}
+
+/// Quarantines what `suspect` names after a number of deaths.
+pub(crate) fn quarantine(
+    state: &mut State,
+    suspect: &Suspect,
+    deaths: u32,
+    is_own: bool,
+    now: Millis,
+    out: &mut Outbox,
+) {
+    let body = state.quarantine.body_entry(suspect.fingerprint, suspect, now);
+    body.deaths = body.deaths.max(deaths);
+    body.last_seen = now;
+    body.quarantined_until = Some(now.after(QUARANTINE_MS));
+    on_quarantined(state, suspect, is_own, now, out);
 }
 
 fn on_quarantined(
@@ -444,7 +497,7 @@
     quarantine_table::sweep(state, now, out);
 }
 
-fn broadcast(state: &State, message: &Message, out: &mut Outbox) {
+pub(crate) fn broadcast(state: &State, message: &Message, out: &mut Outbox) {
     let members = state.members.iter().map(|member| &member.entry.vm);
     let mut vms: Vec<&Name> = members.filter(|vm| **vm != state.identity.vm).collect();
     vms.sort();
--- a/crates/kernel/src/quarantine_table.rs
+++ b/crates/kernel/src/quarantine_table.rs
@@ -29,7 +29,7 @@
 const LISTING_RANK_KEY: &str = "quarantine";
 /// Delay of the first list in such a zone, in milliseconds, so that the VM first learns of the
 /// others.
-const FIRST_LIST_DELAY_MS: u64 = 5_000;
+const FIRST_LIST_DELAY_MS: u64 = 1_500;
 
 pub(crate) fn list_entries(state: &mut State, now: Millis, out: &mut Outbox) {
     if now < state.quarantine.next_list_at {
@@ -250,6 +250,8 @@
         fingerprint,
         organisation: value.organisation.clone(),
         service: value.service.clone(),
+        parts: Vec::new(),
+        granted_ago_ms: 0,
     };
     let body = registry.body_entry(fingerprint, &suspect, now);
     body.write_at = None;
--- a/crates/kernel/src/relocate.rs
+++ b/crates/kernel/src/relocate.rs
@@ -40,7 +40,8 @@
     if let Event::GenerationMoved { from, to, tokens } = event {
         on_moved(state, from, to, *tokens, now, out);
     }
-    if let Event::GenerationLost { id } = event {
+    if let Event::GenerationLost { id, tokens } = event {
+        attempt::record_tokens(state, id, *tokens);
         on_lost(state, id, now, out);
     }
     let is_due = state.relocations.due.is_some_and(|at| at <= now);
@@ -85,6 +86,12 @@
     is_relocatable && (is_leaving || state.departures.is_departing(run.target(), now))
 }
 
+/// Whether a part of the request's prompt is suspected or quarantined.
+fn may_crash_targets(state: &State, request: &Request, now: Millis) -> bool {
+    let registry = &state.quarantine;
+    registry.parts.has_suspect(&request.ask.parts) || registry.refuses(&request.ask, now)
+}
+
 /// Asks for a start of the next placement of a generation.
 fn request_placement(state: &mut State, id: &Id, now: Millis, out: &mut Outbox) {
     let Some(request) = state.entry.requests.get(id) else {
@@ -93,8 +100,13 @@
     let Phase::Running(run) = &request.phase else {
         return;
     };
-    let placement = id.next_placement();
     let tokens = run.tokens();
+    let is_unproven = tokens == 0 && request.ask.generated_tokens == 0;
+    if is_unproven && may_crash_targets(state, request, now) {
+        let text = "not continued: its prompt may crash targets".to_owned();
+        return state.decisions.record(now, &id.first_placement(), text);
+    }
+    let placement = id.next_placement();
     let mut ask = request.ask.clone();
     ask.id = placement.clone();
     ask.attempt = 0;
--- a/crates/kernel/src/request.rs
+++ b/crates/kernel/src/request.rs
@@ -147,6 +147,8 @@
     pub fingerprint: u64,
     /// Hashes of prompt prefixes of increasing length.
     pub prefixes: &'a [u64],
+    /// Hashes of the parts of the prompt that other requests may share, in order.
+    pub parts: &'a [u64],
     /// Whether the request may be executed more than once.
     pub idempotency: Idempotency<'a>,
     /// Options of the route that the request matched.
--- a/crates/kernel/src/schedule.rs
+++ b/crates/kernel/src/schedule.rs
@@ -10,6 +10,7 @@
 use crate::peer::{Ask, Grant, Message};
 use crate::plugin::policy;
 use crate::pool::{Key, Pool, Reservation};
+use crate::prompt_part;
 use crate::quarantine::Registry;
 use crate::request::{Class, Id};
 use crate::resource;
@@ -133,14 +134,19 @@
     for (ix, class) in queue_heads(&view) {
         let targets = &open[class as usize];
         let waiting = pool.queue.organisations[ix].waiting(class);
-        for queued in waiting.iter().take(LOOKAHEAD) {
+        let mut tried = 0;
+        for queued in waiting {
             let ask = &queued.ask;
+            if prompt_part::is_held_back(&view, ask) {
+                continue;
+            }
             if let Some(target_ix) = best_target(&view, ask, targets) {
                 let id = ask.id.clone();
                 return Some(Assignment { id, target_ix, bypassed: first });
             }
             first.get_or_insert_with(|| ask.id.clone());
-            if !is_restricted(&view, ask) {
+            tried += 1;
+            if tried == LOOKAHEAD || !is_restricted(&view, ask) {
                 break;
             }
         }
@@ -150,7 +156,9 @@
 
 /// Returns whether a request may be kept from targets that the next one of its queue may use.
 fn is_restricted(view: &policy::View<'_>, ask: &Ask) -> bool {
-    !ask.exclude.is_empty() || view.quarantine.is_suspect(ask.fingerprint, view.now)
+    !ask.exclude.is_empty()
+        || view.quarantine.is_suspect(ask.fingerprint, view.now)
+        || view.quarantine.parts.has_suspect(&ask.parts)
 }
 
 /// Returns the targets that could take the smallest request of a class.
@@ -168,6 +176,7 @@
         class,
         fingerprint: 0,
         prefixes: Vec::new(),
+        parts: Vec::new(),
         waited_ms: 0,
         max_wait_ms: 0,
         priority: None,
--- a/crates/kernel/src/standby.rs
+++ b/crates/kernel/src/standby.rs
@@ -22,6 +22,10 @@
     // The usage in the grant is the most recent one available.
     let config = state.intent.configuration_for(&grant.pool.service)?;
     let limit = config.standby_percent * PERMILLE_PER_PERCENT;
+    // A copy of a generation that may crash its targets would crash the standby as well.
+    if state.quarantine.parts.has_suspect(&request.ask.parts) {
+        return None;
+    }
     if !request.options.relocatable || is_short || grant.usage >= limit {
         return None;
     }
--- a/crates/kernel/src/target.rs
+++ b/crates/kernel/src/target.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::broken_attempt;
 use crate::ids::{Millis, Name};
 use crate::map::Set;
 use crate::peer::Suspect;
@@ -32,10 +33,8 @@
 const FAILED_POLLS_LIMIT: u32 = 3;
 /// Start id of a process of which no report was received.
 const UNREPORTED_START_ID: u64 = 0;
-/// Broken attempts are kept for this time, since a death found later may explain them.
-const BROKEN_ATTEMPT_TTL_MS: u64 = 10_000;
-/// Number of broken attempts kept.
-const MAX_BROKEN_ATTEMPTS: usize = 64;
+/// Number of attempts kept that may still run.
+const MAX_ORPHANS: usize = 64;
 /// Number of releases kept within `REPORT_LAG_MS`.
 const MAX_RELEASES: usize = 1_024;
 /// Number of prefix hashes kept for one engine; beyond it all are dropped.
@@ -175,7 +174,8 @@
     releases: VecDeque<Millis>,
     /// When attempts lost their connection that may still run on the target.
     orphans: VecDeque<Millis>,
-    broken_attempts: VecDeque<(Millis, Suspect)>,
+    /// Attempts whose connection broke; the death of the target may explain them.
+    pub(crate) broken_attempts: broken_attempt::Attempts,
     /// An attempt found the process dead before any report of it was received.
     died_unreported: bool,
     cached_prefixes: Set<u64>,
@@ -211,7 +211,7 @@
             first_token_times: VecDeque::new(),
             releases: VecDeque::new(),
             orphans: VecDeque::new(),
-            broken_attempts: VecDeque::new(),
+            broken_attempts: broken_attempt::Attempts::default(),
             died_unreported: false,
             cached_prefixes: Set::default(),
             next_cache_event: 0,
@@ -436,7 +436,7 @@
     /// Keeps an attempt whose connection broke counted, since the target may continue it.
     fn record_orphan(&mut self, now: Millis) {
         self.releases.pop_back();
-        if self.orphans.len() == MAX_BROKEN_ATTEMPTS {
+        if self.orphans.len() == MAX_ORPHANS {
             self.orphans.pop_front();
         }
         self.orphans.push_back(now);
@@ -496,7 +496,7 @@
             }
             End::Rejected => self.paused_until = now.after(REJECTION_BACKOFF_MS),
             End::Broken | End::Died if !self.is_covered_by_death(granted_at) => {
-                self.record_broken_attempt(suspect, now)
+                self.broken_attempts.record(suspect, now)
             }
             _ => {}
         }
@@ -542,24 +542,15 @@
         self.releases.push_back(now);
     }
 
-    fn record_broken_attempt(&mut self, suspect: Suspect, now: Millis) {
-        if self.broken_attempts.len() == MAX_BROKEN_ATTEMPTS {
-            self.broken_attempts.pop_front();
-        }
-        self.broken_attempts.push_back((now, suspect));
-    }
-
     /// Returns whether requests granted at `granted_at` are already part of a reported death.
     pub(crate) fn is_covered_by_death(&self, granted_at: Millis) -> bool {
         self.died_at.is_some_and(|died_at| granted_at <= died_at)
     }
 
-    /// Removes and returns the bodies of recently broken attempts, which a death at `now` explains.
+    /// Removes and returns the recently broken attempts, which a death at `now` explains.
     pub(crate) fn take_broken_attempts(&mut self, now: Millis) -> Vec<Suspect> {
         self.died_at = Some(now);
-        let broken = std::mem::take(&mut self.broken_attempts);
-        let recent = broken.into_iter().filter(|(at, _)| now.since(*at) <= BROKEN_ATTEMPT_TTL_MS);
-        recent.map(|(_, suspect)| suspect).collect()
+        self.broken_attempts.take(now)
     }
 
     /// Applies prefix-cache events; a gap in their sequence drops all cached prefixes.
--- a/crates/kernel/tests/common/mod.rs
+++ b/crates/kernel/tests/common/mod.rs
@@ -128,6 +128,8 @@
     pub outcomes: Vec<Outcome>,
     /// Limit on the output tokens of requests that arrive.
     pub max_tokens: u32,
+    /// Hashes of the shared parts of the prompts of requests that arrive.
+    pub parts: Vec<u64>,
     /// Usage reported in every grant, in thousandths.
     pub usage: u32,
     store_mode: StoreMode,
@@ -174,6 +176,8 @@
         fingerprint: *body,
         organisation: "school".into(),
         service: "menu".into(),
+        parts: Vec::new(),
+        granted_ago_ms: 0,
     };
     bodies.iter().map(suspect).collect()
 }
@@ -261,6 +265,7 @@
             table: HashMap::new(),
             outcomes: Vec::new(),
             max_tokens: 100,
+            parts: Vec::new(),
             usage: 1_000,
             store_mode: StoreMode::Up,
             unanswered_calls: Vec::new(),
@@ -371,6 +376,7 @@
             max_tokens: Some(self.max_tokens),
             fingerprint,
             prefixes: &[],
+            parts: &self.parts.clone(),
             idempotency,
             options,
         }));
@@ -476,7 +482,7 @@
                     stored,
                 });
             }
-            Step::Lose(n) => self.handle(Event::GenerationLost { id: &id(n) }),
+            Step::Lose(n) => self.handle(Event::GenerationLost { id: &id(n), tokens: 0 }),
             Step::Move(n, tokens) => {
                 let (from, to) = (&id(n), &id(n).next_placement());
                 self.handle(Event::GenerationMoved { from, to, tokens });
--- a/crates/kernel/tests/entry.rs
+++ b/crates/kernel/tests/entry.rs
@@ -428,6 +428,7 @@
         class: Class::Long,
         fingerprint: 1,
         prefixes: Vec::new(),
+        parts: Vec::new(),
         waited_ms: 0,
         max_wait_ms: 1_000,
         exclude: Vec::new(),
--- a/crates/kernel/tests/feed.rs
+++ b/crates/kernel/tests/feed.rs
@@ -239,6 +239,8 @@
             fingerprint: FINGERPRINT,
             organisation: name("school-1"),
             service: name("menu-model"),
+            parts: Vec::new(),
+            granted_ago_ms: 0,
         }];
         let death = Message::Death(Death { target: name("t1"), start_id, running, age_ms: 0 });
         for vm in harness.vms() {
--- a/crates/kernel/tests/fuzz/harness.rs
+++ b/crates/kernel/tests/fuzz/harness.rs
@@ -365,6 +365,7 @@
                 max_tokens: Some(100),
                 fingerprint,
                 prefixes: &[],
+                parts: &[],
                 idempotency: repeat,
                 options: Default::default(),
             }),
--- a/crates/kernel/tests/isolate.rs
+++ b/crates/kernel/tests/isolate.rs
@@ -17,6 +17,8 @@
         fingerprint: *body,
         organisation: "school".into(),
         service: harness::key().service,
+        parts: Vec::new(),
+        granted_ago_ms: 0,
     };
     let death = Death {
         target: "t9".into(),
--- a/crates/kernel/tests/pool/harness.rs
+++ b/crates/kernel/tests/pool/harness.rs
@@ -416,6 +416,7 @@
             class: Class::Long,
             fingerprint: self.counter,
             prefixes: Vec::new(),
+            parts: Vec::new(),
             waited_ms: 0,
             max_wait_ms: 30_000,
             exclude: Vec::new(),
--- a/crates/kernel/tests/quarantine.rs
+++ b/crates/kernel/tests/quarantine.rs
@@ -166,6 +166,55 @@
     a_record_of_a_lifted_body_is_ignored: (300, true, 40_000, false);
 }
 
+/// A message that quarantines prompt part 9.
+fn quarantine_of_part() -> Message {
+    Message::Quarantine {
+        fingerprint: 9,
+        organisation: "school".into(),
+        service: "menu".into(),
+        deaths: 3,
+        remaining_ms: 60_000,
+    }
+}
+
+/// Runs steps before and after prompt part 9 is quarantined, for requests with some parts.
+fn refuses_part(parts: &[u64], before: &[Step], after: &[Step], expected: &[&str]) {
+    let mut harness = Harness::new();
+    harness.parts = parts.to_vec();
+    harness.run(before);
+    harness.receive("e3", quarantine_of_part());
+    assert_eq!(harness.run(after), expected);
+}
+
+hornbeamloom_kernel::cases! {
+    refuses_part;
+
+    // Guards against requests, no two alike, that start with a part which crashes engines.
+    a_new_request_is_refused: (
+        &[8, 9], &[], &[Step::Arrive(1)], &["refuse 1 Quarantined ran No"],
+    );
+    // Guards against refusing requests that share only sound parts with the quarantined ones.
+    other_parts_are_admitted: (&[8], &[], &[Step::Arrive(1)], &["ask e2 for 1"]);
+    // Guards against a caller that is held until the request's deadline, and against a grant that
+    // was sent before the owner knew of the quarantine.
+    a_waiting_request_is_refused_at_once: (
+        &[9], &[Step::Arrive(1)], &[Step::Grant(1, "e2", "t1")],
+        &[
+            "ask e2 for 1", "refuse 1 Quarantined ran No", "withdraw 1 from e2",
+            "release 1 on t1 Unsent to e2",
+        ],
+    );
+    // Guards against a retry that crashes a second engine.
+    a_retry_is_refused: (
+        &[9], &[Step::Arrive(1), Step::Grant(1, "e2", "t1"), Step::StartSend(1)],
+        &[Step::End(1, End::Broken, 0), Step::Wait(500), Step::Grant(1, "e2", "t2")],
+        &[
+            "ask e2 for 1", "start 1 on t1", "retry TargetBroken", "release 1 on t1 Broken to e2",
+            "refuse 1 Quarantined ran Unknown", "release 1 on t2 Unsent to e2",
+        ],
+    );
+}
+
 /// Applies a peer's message about body 7 and compares whether it is quarantined and a suspect.
 fn applies_message(starts: u64, deaths: u32, remaining_ms: u64, expected: (bool, bool)) {
     let mut harness = Harness::new();
--- a/crates/kernel/tests/relocate.rs
+++ b/crates/kernel/tests/relocate.rs
@@ -4,7 +4,7 @@
 
 use common::{Harness, Step};
 use hornbeamloom_kernel::outcome::{Outcome, Reason};
-use hornbeamloom_kernel::peer::{Ask, Message};
+use hornbeamloom_kernel::peer::{Ask, Death, Message};
 use hornbeamloom_kernel::request::End;
 use hornbeamloom_kernel::resource::{Configuration, Key, Kind, Spec};
 
@@ -152,8 +152,9 @@
     );
 }
 
-/// Runs a script in pools with enough free memory for every start to have a standby.
-fn relocates_to_standby(steps: &[Step], expected: &[&str]) {
+/// A harness with enough free memory for every start to have a standby, after the start of request 1
+/// with some prompt parts.
+fn started_with_standby(parts: &[u64]) -> Harness {
     let mut harness = Harness::with_resources(|records| {
         let config = Configuration { standby_percent: 50, ..Configuration::default() };
         let mut record = records[0].clone();
@@ -165,7 +166,14 @@
     });
     harness.max_tokens = 2_000;
     harness.usage = 100;
+    harness.parts = parts.to_vec();
     harness.run(&[Step::ArriveRouted(1), Step::Grant(1, "e2", "t1"), Step::StartSend(1)]);
+    harness
+}
+
+/// Runs a script for a generation with a standby.
+fn relocates_to_standby(steps: &[Step], expected: &[&str]) {
+    let mut harness = started_with_standby(&[]);
     let before = harness.trace.len();
     harness.run(steps);
     let trace: Vec<&String> = harness.trace[before..].iter().collect();
@@ -188,6 +196,29 @@
     );
 }
 
+/// Checks whether a lost generation with prompt part 9 asks for its standby, after a death that makes
+/// `suspect` a suspect and after a number of tokens.
+fn resumes(suspect: u64, tokens: u32, is_expected: bool) {
+    let mut harness = started_with_standby(&[9]);
+    let mut running = common::suspects(&[70]);
+    running[0].parts = vec![suspect];
+    let death = Death { target: "t9".into(), start_id: 1, running, age_ms: 0 };
+    harness.receive("e2", Message::Death(death));
+    harness.run(&[Step::Progress(1, tokens), Step::Lose(1)]);
+    let asks = harness.trace.iter().filter(|line| line.starts_with("ask e2 for 1/1"));
+    assert_eq!(asks.count(), usize::from(is_expected));
+}
+
+hornbeamloom_kernel::cases! {
+    resumes;
+
+    // Guards against a generation that crashes its standby after its target.
+    a_suspected_generation_without_output_is_not_resumed: (9, 0, false);
+    // Guards against losing a generation whose output shows that its prompt is sound.
+    a_suspected_generation_with_output_is_resumed: (9, 4, true);
+    a_sound_generation_is_resumed: (8, 0, true);
+}
+
 /// Guards against replicas in a pool that has little free memory.
 #[test]
 fn a_full_pool_gets_no_standby() {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -170,7 +170,7 @@
         return Err(Error::Malformed("not an array".to_owned()));
     }
     match ciborium::from_reader(bytes) {
-        Ok(Parsed::Frame(frame)) => Ok(frame),
+        Ok(Parsed::Frame(frame)) => Ok(*frame),
         Ok(Parsed::Version(version)) => Err(Error::Version(version)),
         Ok(Parsed::Kind(kind)) => Err(Error::Kind(kind)),
         Err(error) => Err(Error::Malformed(error.to_string())),
@@ -179,7 +179,7 @@
 
 /// Result of decoding a frame up to the first field that rules it out.
 enum Parsed {
-    Frame(Frame),
+    Frame(Box<Frame>),
     Version(u64),
     Kind(String),
 }
@@ -214,6 +214,6 @@
         if kind(&message) != kind_name {
             return Err(de::Error::custom("the message is not of the announced kind"));
         }
-        Ok(Parsed::Frame(Frame { sender, message }))
+        Ok(Parsed::Frame(Box::new(Frame { sender, message })))
     }
 }
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -76,6 +76,7 @@
         class: Class::Short,
         fingerprint: u64::MAX,
         prefixes: vec![1, 2],
+        parts: vec![3, u64::MAX],
         waited_ms: 10,
         max_wait_ms: 30_000,
         exclude: vec!["engine-1".into()],
@@ -139,6 +140,8 @@
             fingerprint: 3,
             organisation: "kitchen-1".into(),
             service: "menu-model".into(),
+            parts: vec![3, u64::MAX],
+            granted_ago_ms: 900,
         }],
         age_ms: 12,
     })
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod framing;
 mod harness;
 mod lifecycle;
+mod prompt_parts;
 mod relocation;
 mod request_path;
 mod store;
