Merge the reports of one death, and weigh parts that share their deaths

A part that explains about as many of the same deaths now contends; a fourth death is awaited, and the last part in the prompt is taken. Reports of one target within 2 s are now one death, and a refused poll after a broken attempt shows a death. - A scheduler knew an output that the observer of the death did not. It now answers with a clearance.

--- a/crates/kernel/src/accounting.rs
+++ b/crates/kernel/src/accounting.rs
@@ -368,7 +368,7 @@
     let is_taking_over = pool.is_taking_over();
     let change = match report {
         Ok(report) => pool.targets[ix].apply_report(report, now),
-        Err(error) => pool.targets[ix].poll_failed(error),
+        Err(error) => pool.targets[ix].poll_failed(error, now),
     };
     if let Ok(report) = report {
         let reportable = if is_taking_over { 0 } else { count_reportable(pool, ix, now) };
@@ -376,7 +376,8 @@
         remove_unreported(pool, ix, report, now);
     }
     if let LivenessChange::Died(start_id) = change {
-        let death = build_death(pool, ix, start_id, now);
+        let mut death = build_death(pool, ix, start_id, now);
+        prompt_part::drop_sound_parts(&state.quarantine.parts, &mut death, now);
         out.warn(format!("target={target} start_id={start_id} died"));
         // The death of an idle target makes no body a suspect.
         let vms = takeover::known_vms(state);
--- a/crates/kernel/src/broken_attempt.rs
+++ b/crates/kernel/src/broken_attempt.rs
@@ -39,6 +39,12 @@
         suspects.collect()
     }
 
+    /// Returns whether an attempt broke so recently that the death of the target may not be known
+    /// yet.
+    pub(crate) fn has_recent(&self, now: Millis) -> bool {
+        self.attempts.iter().any(|(at, _)| now.since(*at) < UNEXPLAINED_MS)
+    }
+
     /// Returns whether an attempt with the prompt part broke without output so recently that the
     /// death of the target may not be known yet.
     pub(crate) fn has_unexplained(&self, part: u64, now: Millis) -> bool {
--- a/crates/kernel/src/prompt_part.rs
+++ b/crates/kernel/src/prompt_part.rs
@@ -7,6 +7,8 @@
 //! that the next death has one suspect, and the first output of a sound one clears the part. A part
 //! that remains a suspect over several deaths is quarantined like a body, under its hash.
 
+use std::collections::VecDeque;
+
 use crate::ask;
 use crate::entry::{self, Phase, Request};
 use crate::event::Event;
@@ -24,9 +26,16 @@
 
 /// Number of deaths after which a part is quarantined.
 const QUARANTINE_DEATHS: usize = 3;
-/// Number of deaths after which the later one of two parts with equally many is quarantined. Until
-/// then, an output may clear one of them.
-const TIE_DEATHS: usize = 4;
+/// Number of deaths after which one of several parts with about as many is quarantined. Until then,
+/// an output may clear the others.
+const CONTENDED_DEATHS: usize = 4;
+/// Number of common deaths that make two parts contenders.
+const COMMON_DEATHS: usize = 2;
+/// A target that died takes longer to start, so reports of its death within this time are of one
+/// death. VMs that schedule a pool without a lease each report their own requests.
+const SAME_DEATH_MS: u64 = 2_000;
+/// Number of deaths kept to recognise reports of the same one.
+const MAX_RECENT_DEATHS: usize = 64;
 /// Number of deaths kept for a part.
 const MAX_DEATHS: usize = 16;
 /// A death does not make a part a suspect for this time after an output of a request with it.
@@ -62,6 +71,10 @@
     suspects: Map<u64, Suspect>,
     /// When an output of a request with the part was last reported to this VM.
     outputs: Map<u64, Millis>,
+    /// When another VM last cleared the part.
+    clearances: Map<u64, Millis>,
+    /// Recent deaths: target, time and identifier.
+    recent_deaths: VecDeque<(Name, Millis, u64)>,
     next_sweep: Millis,
 }
 
@@ -129,20 +142,33 @@
             .is_some_and(|at| *at >= granted_at || now.since(*at) < OUTPUT_TTL_MS)
     }
 
-    fn record_output(&mut self, part: u64, now: Millis) {
-        if !self.outputs.contains_key(&part) && self.outputs.len() >= MAX_OUTPUTS {
-            self.outputs.retain(|_, at| now.since(*at) < MAX_FIRST_TOKEN_MS);
+    /// Whether this VM or another one knows that a request with the part had output.
+    fn is_known_sound(&self, part: u64, granted_at: Millis, now: Millis) -> bool {
+        let cleared = self.clearances.get(&part);
+        cleared.is_some_and(|at| now.since(*at) < OUTPUT_TTL_MS)
+            || self.has_recent_output(part, granted_at, now)
+    }
+
+    /// The identifier of a death, which is the same for each report of it.
+    fn death_id(&mut self, death: &Death, now: Millis) -> u64 {
+        let mut recent = self.recent_deaths.iter();
+        let known = recent
+            .rfind(|(target, at, _)| *target == death.target && now.since(*at) < SAME_DEATH_MS);
+        if let Some((_, _, id)) = known {
+            return *id;
         }
-        if self.outputs.len() >= MAX_OUTPUTS {
-            evict(&mut self.outputs, |at| *at);
+        let id = random::hash(&[&death.target, &death.start_id.to_string()]);
+        if self.recent_deaths.len() == MAX_RECENT_DEATHS {
+            self.recent_deaths.pop_front();
         }
-        self.outputs.insert(part, now);
+        self.recent_deaths.push_back((death.target.clone(), now, id));
+        id
     }
 
-    /// Removes a part from the suspects.
+    /// Removes a part that another VM cleared from the suspects.
     pub(crate) fn clear(&mut self, part: u64, now: Millis) {
         if self.suspects.remove(&part).is_some() {
-            self.record_output(part, now);
+            record_time(&mut self.clearances, part, now);
         }
     }
 
@@ -150,7 +176,7 @@
     fn count_death(&mut self, id: u64, death: &Death, now: Millis) -> Vec<u64> {
         let mut counted = Vec::new();
         for exposure in exposures(death, now) {
-            if self.has_recent_output(exposure.part, exposure.granted_at, now) {
+            if self.is_known_sound(exposure.part, exposure.granted_at, now) {
                 continue;
             }
             let Some(ran) = death.running.get(exposure.request_ix) else {
@@ -177,20 +203,24 @@
 
     /// The part to quarantine, if the evidence against one is sufficient.
     ///
-    /// Of several parts, it is the one with the most deaths.
+    /// Of several contenders, it is the last one in a prompt: earlier parts are shared by more
+    /// requests, so that one of them may have been on a target that died of something else.
     fn cause(&self) -> Option<u64> {
-        let strongest = self
+        let sufficient = self.suspects.iter().filter(|(_, suspect)| suspect.is_sufficient());
+        let (first, strongest) = sufficient
+            .max_by_key(|(part, suspect)| (suspect.deaths.len(), suspect.position, **part))?;
+        let contenders = self
             .suspects
             .iter()
-            .filter(|(_, suspect)| suspect.is_sufficient())
-            .max_by_key(|(part, suspect)| (suspect.deaths.len(), suspect.position, **part))?;
-        let (cause, suspect) = strongest;
-        let is_tied = self.suspects.iter().any(|(part, other)| {
-            part != cause
-                && other.deaths.len() >= suspect.deaths.len()
-                && !other.deaths.is_disjoint(&suspect.deaths)
-        });
-        (!is_tied || suspect.deaths.len() >= TIE_DEATHS).then_some(*cause)
+            .filter(|(part, other)| *part == first || other.contends_with(strongest));
+        let contenders: Vec<(&u64, &Suspect)> = contenders.collect();
+        if contenders.len() > 1 && strongest.deaths.len() < CONTENDED_DEATHS {
+            return None;
+        }
+        let last = contenders
+            .into_iter()
+            .max_by_key(|(part, suspect)| (suspect.position, suspect.deaths.len(), **part));
+        last.map(|(part, _)| *part)
     }
 
     /// Removes the part and the deaths that it explains, which no longer count against others.
@@ -207,17 +237,21 @@
 
 impl Suspect {
     fn count(&mut self, death: u64, exposure: &Exposure, now: Millis) {
-        if self.deaths.len() < MAX_DEATHS {
-            self.deaths.insert(death);
-        }
+        let is_new = self.deaths.len() < MAX_DEATHS && self.deaths.insert(death);
         self.last_death = now;
         self.position = self.position.max(exposure.position);
-        if exposure.granted_at >= self.round_at && self.round_at < now {
+        if is_new && exposure.granted_at >= self.round_at && self.round_at < now {
             self.rounds += 1;
             self.round_at = now;
         }
     }
 
+    /// Whether the part explains about as many deaths as another one that has the most.
+    fn contends_with(&self, strongest: &Suspect) -> bool {
+        let common = self.deaths.intersection(&strongest.deaths).count();
+        common >= COMMON_DEATHS && self.deaths.len() + 1 >= strongest.deaths.len()
+    }
+
     /// At least one request was granted after the suspicion was known: otherwise one event may have
     /// killed all the targets.
     fn is_sufficient(&self) -> bool {
@@ -225,6 +259,17 @@
     }
 }
 
+/// Records when a part was last known to be sound.
+fn record_time(times: &mut Map<u64, Millis>, part: u64, now: Millis) {
+    if !times.contains_key(&part) && times.len() >= MAX_OUTPUTS {
+        times.retain(|_, at| now.since(*at) < MAX_FIRST_TOKEN_MS);
+    }
+    if times.len() >= MAX_OUTPUTS {
+        evict(times, |at| *at);
+    }
+    times.insert(part, now);
+}
+
 /// Removes the entry with the lowest time.
 fn evict<V>(entries: &mut Map<u64, V>, time: impl Fn(&V) -> Millis) {
     let oldest = entries.iter().min_by_key(|(part, entry)| (time(entry), **part));
@@ -299,7 +344,8 @@
         // The request was granted before the quarantine was known, and explains the death.
         return;
     }
-    let id = random::hash(&[&death.target, &death.start_id.to_string()]);
+    let id = state.quarantine.parts.death_id(death, now);
+    report_outputs(state, death, now, out);
     let counted = state.quarantine.parts.count_death(id, death, now);
     if counted.is_empty() {
         return;
@@ -310,6 +356,35 @@
     }
 }
 
+/// Drops the parts with recent output from a death that this VM observed.
+pub(crate) fn drop_sound_parts(registry: &Registry, death: &mut Death, now: Millis) {
+    for ran in &mut death.running {
+        let granted_at = Millis(now.0.saturating_sub(ran.granted_ago_ms));
+        ran.parts.retain(|part| !registry.has_recent_output(*part, granted_at, now));
+    }
+}
+
+/// Clears the parts of which this VM knows a recent output, and the observer of the death does not.
+fn report_outputs(state: &State, death: &Death, now: Millis, out: &mut Outbox) {
+    let exposures = exposures(death, now).into_iter();
+    let registry = &state.quarantine.parts;
+    let sound = exposures
+        .filter(|exposure| registry.has_recent_output(exposure.part, exposure.granted_at, now));
+    for exposure in sound {
+        let Some(ran) = death.running.get(exposure.request_ix) else {
+            continue;
+        };
+        let message = Message::Quarantine {
+            fingerprint: exposure.part,
+            organisation: ran.organisation.clone(),
+            service: ran.service.clone(),
+            deaths: 0,
+            remaining_ms: 0,
+        };
+        quarantine::broadcast(state, &message, out);
+    }
+}
+
 fn log_suspects(registry: &Registry, death: &Death, counted: &[u64], out: &mut Outbox) {
     let suspects = counted.iter().filter_map(|part| {
         let suspect = registry.suspects.get(part)?;
@@ -383,7 +458,7 @@
 ) {
     for &part in parts {
         let registry = &mut state.quarantine.parts;
-        registry.record_output(part, now);
+        record_time(&mut registry.outputs, part, now);
         let is_cleared =
             registry.suspects.get(&part).is_some_and(|suspect| granted_at > suspect.since);
         if !is_cleared {
--- a/crates/kernel/src/quarantine.rs
+++ b/crates/kernel/src/quarantine.rs
@@ -316,6 +316,8 @@
 /// does not show which one caused it, and from now on suspects run on separate targets.
 fn on_death(state: &mut State, death: &Death, is_own: bool, now: Millis, out: &mut Outbox) {
     if !state.quarantine.record_death(death) {
+        // A second scheduler without a lease may know other requests that ran on the target.
+        prompt_part::on_death(state, death, is_own, now, out);
         return out.count(Counter::Ignored("known_death"));
     }
     out.count(Counter::Event("target_death"));
--- a/crates/kernel/src/target.rs
+++ b/crates/kernel/src/target.rs
@@ -454,7 +454,7 @@
     }
 
     /// Applies a failed poll.
-    pub(crate) fn poll_failed(&mut self, error: PollError) -> LivenessChange {
+    pub(crate) fn poll_failed(&mut self, error: PollError, now: Millis) -> LivenessChange {
         self.failed_polls = self.failed_polls.saturating_add(1);
         if error != PollError::Refused {
             return LivenessChange::None;
@@ -472,6 +472,10 @@
                     false => LivenessChange::None,
                 }
             }
+            None if self.broken_attempts.has_recent(now) => {
+                self.died_unreported = false;
+                LivenessChange::Died(UNREPORTED_START_ID)
+            }
             None => self.take_unreported_death(),
             _ => LivenessChange::None,
         }
--- a/crates/kernel/tests/prompt_part/main.rs
+++ b/crates/kernel/tests/prompt_part/main.rs
@@ -108,6 +108,17 @@
     assert!(!play.is_suspect(1) && play.is_suspect(DEADLY));
 }
 
+/// Guards against a common part that is quarantined because only the scheduler of another pool knows
+/// that requests with it have output.
+#[test]
+fn a_scheduler_clears_a_part_that_had_output_in_its_pool() {
+    let mut play = Play::new(1, 2, true);
+    play.arrive(0, Kind::Chosen([1, 2, 3]));
+    play.run(1_000);
+    assert_eq!([1, 4].map(|part| play.clears_after_death_elsewhere(part)), [true, false]);
+    assert!(!play.is_suspect(1) && play.is_suspect(4));
+}
+
 /// Guards against requests of VMs that have not heard of a quarantine, at an owner with and without
 /// a lease.
 #[test]
--- a/crates/kernel/tests/prompt_part/play.rs
+++ b/crates/kernel/tests/prompt_part/play.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use hornbeamloom_kernel::ids::{Millis, Name};
-use hornbeamloom_kernel::peer::Message;
+use hornbeamloom_kernel::peer::{Death, Message, Suspect};
 use hornbeamloom_kernel::request::{End, Id};
 use hornbeamloom_kernel::target::PollError;
 
@@ -224,6 +224,26 @@
         self.pools[pool].receive("entry-9", message);
     }
 
+    /// Reports a death in another pool that makes the part a suspect, and returns whether the first
+    /// pool's scheduler clears it.
+    pub fn clears_after_death_elsewhere(&mut self, part: u64) -> bool {
+        let suspect = Suspect {
+            fingerprint: part,
+            organisation: "parlour-1".into(),
+            service: harness::SERVICE.into(),
+            parts: vec![part],
+            granted_ago_ms: 100,
+        };
+        let target = format!("elsewhere-{part}").as_str().into();
+        let death = Death { target, start_id: 1, running: vec![suspect], age_ms: 0 };
+        self.pools[0].sent.clear();
+        self.pools[0].receive("entry-9", Message::Death(death));
+        let mut sent = self.pools[0].sent.iter();
+        sent.any(|(_, message)| {
+            matches!(message, Message::Quarantine { fingerprint, deaths: 0, .. } if *fingerprint == part)
+        })
+    }
+
     /// Starts of deadly requests later than `window_ms` after the fifth death.
     pub fn late_starts(&self, window_ms: u64) -> usize {
         let Some(fifth) = self.deaths.get(4) else {
--- a/crates/kernel/tests/quarantine.rs
+++ b/crates/kernel/tests/quarantine.rs
@@ -166,6 +166,56 @@
     a_record_of_a_lifted_body_is_ignored: (300, true, 40_000, false);
 }
 
+/// Reports deaths `interval_ms` apart, each with its target and the parts of one request that was
+/// granted 50 ms before, and compares which of the parts 1 to 9 are quarantined.
+fn quarantines_parts(interval_ms: u64, deaths: &[(&str, &[u64])], expected: &[u64]) {
+    let mut harness = Harness::new();
+    for (ix, (target, parts)) in deaths.iter().enumerate() {
+        let mut running = common::suspects(&[70 + ix as u64]);
+        running[0].parts = parts.to_vec();
+        running[0].granted_ago_ms = 50;
+        let death = Death { target: (*target).into(), start_id: 1, running, age_ms: 0 };
+        harness.receive(["e2", "e3"][ix % 2], Message::Death(death));
+        harness.run(&[Step::Wait(interval_ms)]);
+    }
+    let (registry, now) = (&harness.kernel.state().quarantine, Millis(harness.now));
+    let quarantined = (1..10).filter(|part| registry.is_quarantined(*part, now));
+    assert_eq!(quarantined.collect::<Vec<u64>>(), expected);
+}
+
+hornbeamloom_kernel::cases! {
+    quarantines_parts;
+
+    // Guards against a part that crashes one engine after another.
+    three_deaths_quarantine_a_part: (
+        500, &[("t1", &[1, 9]), ("t2", &[2, 9]), ("t3", &[3, 9])], &[9],
+    );
+    // Guards against refusing sound requests because engines died at one time.
+    simultaneous_deaths_are_one_round: (
+        0, &[("t1", &[1, 9]), ("t2", &[2, 9]), ("t3", &[3, 9]), ("t4", &[4, 9])], &[],
+    );
+    // Guards against a tie that is decided before an output could clear one of the parts.
+    contenders_wait_for_a_fourth_death: (
+        500, &[("t1", &[1, 9]), ("t2", &[1, 9]), ("t3", &[1, 9])], &[],
+    );
+    the_last_contender_is_quarantined: (
+        500, &[("t1", &[1, 9]), ("t2", &[1, 9]), ("t3", &[1, 9]), ("t4", &[1, 9])], &[9],
+    );
+    // Guards against quarantining a common part that was on one more engine when that crashed
+    // (seed 23 of the day `tainted` with crashes).
+    an_unrelated_death_does_not_outweigh_the_cause: (
+        500, &[("t1", &[1, 9]), ("t2", &[1, 5]), ("t3", &[1, 9]), ("t4", &[1, 9])], &[9],
+    );
+    // Guards against counting a death twice that two schedulers without a lease report, and against
+    // ignoring the request that only the second one knows.
+    reports_of_one_death_are_merged: (
+        500, &[("t1", &[1]), ("t1", &[9]), ("t2", &[9]), ("t2", &[9])], &[],
+    );
+    the_second_report_of_a_death_names_the_cause: (
+        500, &[("t1", &[1]), ("t1", &[9]), ("t2", &[9]), ("t3", &[9])], &[9],
+    );
+}
+
 /// A message that quarantines prompt part 9.
 fn quarantine_of_part() -> Message {
     Message::Quarantine {
