Refuse a rejected request that may outlast the shutdown

Callers of a VM that is stopping could still wait for a second start until the final response at the end of the shutdown: the check for requests that may outlast it was made on arrival and once when the shutdown begins, not when an engine rejects a request later. Found in a review.

Change: the check is made before each retry as well.

--- a/crates/kernel/src/attempt.rs
+++ b/crates/kernel/src/attempt.rs
@@ -455,6 +455,11 @@
     }
     let is_last = request.retries > MAX_RETRIES;
     let service = request.ask.pool.service.clone();
+    let shutdown_refusal =
+        state.entry.requests.get(id).and_then(|request| entry::shutdown_refusal(state, request));
+    if let Some(refusal) = shutdown_refusal {
+        return entry::refuse(state, id, refusal, now, out);
+    }
     if is_last || (spends_budget && !entry::try_spend_retry(state, &service, now)) {
         let refusal = Refusal::new(Reason::RetryBudget).with_retry_after(entry::RETRY_AFTER_MS);
         return entry::refuse(state, id, refusal, now, out);
--- a/crates/kernel/src/entry.rs
+++ b/crates/kernel/src/entry.rs
@@ -302,28 +302,32 @@
     state.entry.is_drained || is_late || (state.leaving && is_long)
 }
 
-/// Whether the process may end before the response to a request of a route is due.
+/// Whether the response to a request of a route may be due later than the shutdown allows.
 fn may_outlast_shutdown(state: &State, options: &RouteOptions, arrived: Millis) -> bool {
     let is_after = |by| options.timeout_ms.is_none_or(|timeout_ms| arrived.after(timeout_ms) > by);
     options.spills && state.answer_by.is_some_and(is_after)
 }
 
-/// Refuses the requests that have not started and may outlast the shutdown that has begun. Another
-/// VM can serve them immediately.
+/// The refusal of a request that waits for a start, if it may outlast the shutdown that has begun.
+/// Another VM can serve it immediately.
+pub(crate) fn shutdown_refusal(state: &State, request: &Request) -> Option<Refusal> {
+    let is_refused = request.relocation_source.is_none()
+        && may_outlast_shutdown(state, &request.options, request.arrived);
+    let refusal = Refusal::new(Reason::ShuttingDown).with_retry_after(SHUTDOWN_RETRY_AFTER_MS);
+    is_refused.then_some(refusal)
+}
+
 fn refuse_waiting(state: &mut State, now: Millis, out: &mut Outbox) {
-    let is_waiting = |request: &Request| {
-        matches!(request.phase, Phase::Asking(_) | Phase::Waiting)
-            && request.relocation_source.is_none()
-            && may_outlast_shutdown(state, &request.options, request.arrived)
-    };
-    let requests = state.entry.requests.iter();
-    let waiting = requests.filter(|(_, request)| is_waiting(request));
-    let mut waiting: Vec<Id> = waiting.map(|(id, _)| id.clone()).collect();
-    waiting.sort();
-    for id in waiting {
+    let is_waiting =
+        |request: &&Request| matches!(request.phase, Phase::Asking(_) | Phase::Waiting);
+    let waiting = state.entry.requests.values().filter(is_waiting);
+    let refusals = waiting
+        .filter_map(|request| Some((request.ask.id.clone(), shutdown_refusal(state, request)?)));
+    let mut refusals: Vec<(Id, Refusal)> = refusals.collect();
+    refusals.sort_by(|(a, _), (b, _)| a.cmp(b));
+    for (id, refusal) in refusals {
         ask::withdraw(state, &id, out);
-        let refusal = Refusal::new(Reason::ShuttingDown);
-        refuse(state, &id, refusal.with_retry_after(SHUTDOWN_RETRY_AFTER_MS), now, out);
+        refuse(state, &id, refusal, now, out);
     }
 }
 
--- a/crates/kernel/tests/entry.rs
+++ b/crates/kernel/tests/entry.rs
@@ -284,6 +284,17 @@
             "refuse 1 ShuttingDown ran No", "withdraw 1 from e2",
         ],
     );
+    // Guards against a request that waits for its next start until the process is killed (I8).
+    a_rejected_request_that_may_outlast_the_shutdown_is_refused: (
+        &[
+            Step::ArriveTimed(1, 39_000), Step::Grant(1, "e2", "t1"), Step::StartSend(1),
+            Step::LeaveWithin(7_500), Step::End(1, End::Rejected, 0),
+        ],
+        &[
+            "ask e2 for 1", "start 1 on t1", "refuse 1 ShuttingDown ran No",
+            "release 1 on t1 Rejected to e2",
+        ],
+    );
     // Guards against turning callers away from a VM whose shutdown waits for all requests.
     a_shutdown_without_limit_accepts_requests_of_any_length: (
         &[Step::Leave, Step::ArriveTimed(1, 39_000)],
