Answer callers of the own interface before the shutdown ends

Callers of the product's own interface saw a connection that closed without a response when the shutdown reached its limit: only the platform adapter gave final responses. Found in a review, as the same fault elsewhere.

Change: a request of the own interface whose response has not begun gets 503 shutting_down with not_run: unknown at the same time. Streams are still cut at the limit.

--- a/crates/daemon/src/adapter.rs
+++ b/crates/daemon/src/adapter.rs
@@ -36,18 +36,20 @@
 impl Context {
     /// Resolves when a response is due: at `deadline`, or earlier if the process is about to end.
     pub async fn response_due(&self, deadline: Instant) {
-        let mut answer_by = self.answer_by.clone();
-        let process_end = async {
-            let found = answer_by.wait_for(Option::is_some).await.map(|by| *by);
-            match found.ok().flatten() {
-                Some(by) => tokio::time::sleep_until(by).await,
-                // The sender is dropped when the process exits.
-                None => std::future::pending().await,
-            }
-        };
         tokio::select! {
             () = tokio::time::sleep_until(deadline) => {}
-            () = process_end => {}
+            () = self.final_responses_due() => {}
+        }
+    }
+
+    /// Resolves when every request needs its response because the process is about to end.
+    pub async fn final_responses_due(&self) {
+        let mut answer_by = self.answer_by.clone();
+        let found = answer_by.wait_for(Option::is_some).await.map(|by| *by);
+        match found.ok().flatten() {
+            Some(by) => tokio::time::sleep_until(by).await,
+            // The sender is dropped when the process exits.
+            None => std::future::pending().await,
         }
     }
 }
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -10,6 +10,7 @@
 use futures_util::{Stream, StreamExt};
 use hornbeamloom_kernel::ids::Name;
 use hornbeamloom_kernel::ingress;
+use hornbeamloom_kernel::outcome::{Ran, Reason, Refusal};
 use hornbeamloom_kernel::request::{Id, RouteOptions};
 use hornbeamloom_kernel::resource::{self, Protocol};
 use hornbeamloom_wire::openai::{self, Endpoint};
@@ -326,9 +327,27 @@
         body: body.clone(),
     };
     let reader = submit(traffic, id, request, permit);
-    match stream {
-        true => response::stream(reader).await,
-        false => response::full(reader, endpoint).await,
+    let response = async {
+        match stream {
+            true => response::stream(reader).await,
+            false => response::full(reader, endpoint).await,
+        }
+    };
+    before_process_end(traffic, response).await
+}
+
+/// The response, or a refusal if the process is about to end before there is one.
+async fn before_process_end(
+    traffic: &Traffic,
+    response: impl Future<Output = Result<Response, ErrorResponse>>,
+) -> Result<Response, ErrorResponse> {
+    tokio::select! {
+        biased;
+        response = response => response,
+        () = traffic.context.final_responses_due() => {
+            let refusal = Refusal::new(Reason::ShuttingDown).with_ran(Ran::Unknown);
+            Err((&refusal).into())
+        }
     }
 }
 
@@ -416,7 +435,8 @@
         terms,
         body,
     };
-    response::forwarded(submit(traffic, id, request, permit)).await
+    let response = response::forwarded(submit(traffic, id, request, permit));
+    before_process_end(traffic, response).await
 }
 
 /// A validated request.
--- a/crates/daemon/tests/callers.rs
+++ b/crates/daemon/tests/callers.rs
@@ -142,6 +142,28 @@
     tokio::time::timeout(TEST_TIMEOUT, stop).await.expect("the daemon stops").unwrap();
 }
 
+/// Guards against a request that has no response when the process reaches the limit of its shutdown.
+#[tokio::test]
+async fn request_without_response_is_refused_before_the_shutdown_ends() {
+    let target = ScriptedTarget::start(|request, _| {
+        vec![
+            ScriptStep::Send(stream_head(&request.id) + &token_event("g1", 0)),
+            ScriptStep::Wait(TEST_TIMEOUT),
+        ]
+    });
+    let target = target.await;
+    let vm = Harness::with_settings(&target, "shutdown_limit_s: 1").await;
+    let answer = tokio::spawn(vm.post(COMPLETIONS_PATH, VALID_BODY).send());
+    target.wait_for(|request| request.path == "/v1/completions").await;
+    vm.daemon.stop().await;
+    let answer = tokio::time::timeout(TEST_TIMEOUT / 2, answer).await.expect("there is a response");
+    let answer = answer.unwrap().unwrap();
+    assert_eq!(answer.status(), 503);
+    let text = answer.text().await.unwrap();
+    assert!(text.contains(r#""reason":"shutting_down""#), "{text}");
+    assert!(!text.contains(r#""not_run":true"#), "{text}");
+}
+
 /// Keys and limits change without a restart; addresses do not.
 #[tokio::test]
 async fn reloaded_settings_replace_keys_and_limits() {
