Count rounds of deaths beyond the limit of those that are kept

Found in a review.

Cause: a death beyond the 16 kept for a part did not count as a new round. If so many targets died before the first death was known, the second round never came.

Change: a death that is not kept still begins a round, and 256 deaths are kept, so that the cause and a part that often stands beside it do not look alike.

Result: deaths_after_many_simultaneous_ones_quarantine_a_part fails without the change and passes with it; quarantine 32 and prompt_part 14 passed.

--- a/crates/kernel/src/prompt_part.rs
+++ b/crates/kernel/src/prompt_part.rs
@@ -36,8 +36,9 @@
 const SAME_DEATH_MS: u64 = 2_000;
 /// Number of deaths kept to recognise reports of the same one.
 const MAX_RECENT_DEATHS: usize = 64;
-/// Number of deaths kept for a part.
-const MAX_DEATHS: usize = 16;
+/// Number of deaths kept for a part. It exceeds the number of targets that can die before the first
+/// death is known; beyond it the cause and a part that often stands beside it look alike.
+const MAX_DEATHS: usize = 256;
 /// A death does not make a part a suspect for this time after an output of a request with it.
 /// Progress is reported every 500 ms, so an output may be known that late.
 const OUTPUT_TTL_MS: u64 = 1_000;
@@ -237,7 +238,10 @@
 
 impl Suspect {
     fn count(&mut self, death: u64, exposure: &Exposure, now: Millis) {
-        let is_new = self.deaths.len() < MAX_DEATHS && self.deaths.insert(death);
+        let is_new = !self.deaths.contains(&death);
+        if self.deaths.len() < MAX_DEATHS {
+            self.deaths.insert(death);
+        }
         self.last_death = now;
         self.position = self.position.max(exposure.position);
         if is_new && exposure.granted_at >= self.round_at && self.round_at < now {
--- a/crates/kernel/tests/quarantine.rs
+++ b/crates/kernel/tests/quarantine.rs
@@ -216,6 +216,26 @@
     );
 }
 
+/// Guards against a part that is never quarantined because a great many targets died before the first
+/// death was known.
+#[test]
+fn deaths_after_many_simultaneous_ones_quarantine_a_part() {
+    let mut harness = Harness::new();
+    let mut report = |number: u64, wait_ms: u64| {
+        let mut running = common::suspects(&[700 + number]);
+        running[0].parts = vec![100 + number, 9];
+        running[0].granted_ago_ms = 50;
+        let target = format!("t{number}").as_str().into();
+        let death = Death { target, start_id: 1, running, age_ms: 0 };
+        harness.receive("e2", Message::Death(death));
+        harness.run(&[Step::Wait(wait_ms)]);
+        harness.kernel.state().quarantine.is_quarantined(9, Millis(harness.now))
+    };
+    assert!((0..40).all(|number| !report(number, 0)));
+    report(40, 500);
+    assert!(report(41, 500));
+}
+
 /// A message that quarantines prompt part 9.
 fn quarantine_of_part() -> Message {
     Message::Quarantine {
