Check for held-back requests once per request and not once per target

What was seen: a report of one target took 9.0 ms of the control thread in a pool with 57 targets, 900 running and 84 waiting requests and 400 suspected parts (a reviewer's trial, release build; 0.05 ms without suspects). 57 targets report twice a second.

Cause: the filter of each target repeated the check that the schedule had already made, and scanned all requests of the pool.

Change: the filter only looks at the requests on its own target.

--- a/crates/kernel/src/prompt_part.rs
+++ b/crates/kernel/src/prompt_part.rs
@@ -514,22 +514,16 @@
     })
 }
 
-/// Allows a request with a suspected part only while no other such request runs without output, and
-/// only on a target where no other request without output has a suspected part.
+/// Allows a request with a suspected part only on a target where no other request without output has
+/// a suspected part.
 fn filter(view: &policy::View<'_>, ask: &Ask, target: usize) -> bool {
     let suspects = &view.quarantine.parts;
-    if is_held_back(view, ask) {
-        return false;
-    }
     if ask.generated_tokens > 0 || !suspects.has_suspect(&ask.parts) {
         return true;
     }
-    let mut running = view.pool.in_flight.values();
-    !running.any(|running| {
-        running.target_ix == target
-            && running.has_no_output()
-            && suspects.has_suspect(&running.ask.parts)
-    })
+    let running = view.pool.targets[target].in_flight.iter();
+    let mut running = running.filter_map(|id| view.pool.in_flight.get(id));
+    !running.any(|running| running.has_no_output() && suspects.has_suspect(&running.ask.parts))
 }
 
 /// Requests a report of a target on which an attempt with parts broke without output.
