--- a/crates/kernel/src/entry.rs
+++ b/crates/kernel/src/entry.rs
@@ -298,8 +298,8 @@
     let is_long = view.max_tokens.is_none_or(|tokens| tokens > pool::SHORT_TOKENS);
     let is_long = view.options.relocatable && is_long;
     let is_late = view.options.spills && state.draining;
-    let is_late = is_late || may_outlast_shutdown(state, &view.options, now);
-    state.entry.is_drained || is_late || (state.leaving && is_long)
+    let may_outlast = may_outlast_shutdown(state, &view.options, now);
+    state.entry.is_drained || is_late || may_outlast || (state.leaving && is_long)
 }
 
 /// Whether the response to a request of a route may be due later than the shutdown allows.
