Keep the attempt of a generation whose move has the id of its placement

Cause: a move that was requested before a takeover by a standby may have the id of the placement that runs now. Since both engines are offered a stopped generation, a return to the engine that stopped, or the loss of the generation, ended the attempt of the present placement as if it were the move.

--- a/crates/daemon/src/continuation.rs
+++ b/crates/daemon/src/continuation.rs
@@ -117,6 +117,8 @@
     O: Fn(Start, Option<ResumePoint>) -> OF,
     OF: Future<Output = OpenResult<A, S>>,
 {
+    // A move that was requested before a takeover may have the id of the present placement.
+    let is_other_placement = next.id != stopped.id;
     let mut candidates = vec![next.clone(), stopped.clone()];
     let mut delay = RESUME_RETRY_DELAY;
     loop {
@@ -128,7 +130,8 @@
             match opened.unwrap_or(OpenResult::NoStream(TargetReply::Broken)) {
                 OpenResult::Stream(opened) => {
                     match candidate.id == stopped.id {
-                        true => session.end_attempt(&next, End::Unsent, None),
+                        true if is_other_placement => session.end_attempt(&next, End::Unsent, None),
+                        true => {}
                         false => session.switch_placement(&next),
                     }
                     let events = opened.events;
@@ -153,7 +156,9 @@
         tokio::time::sleep(delay).await;
         delay = (delay * 2).min(MAX_RESUME_RETRY_DELAY);
     }
-    session.end_attempt(&next, End::Unsent, None);
+    if is_other_placement {
+        session.end_attempt(&next, End::Unsent, None);
+    }
     Continuation::Lost(stopped, Some(handle))
 }
 
