Log which resources are in force, and when table copies are outdated

Each change of the resources in force is now logged with its revision and source, and a search with the versions and ages of the copies.

--- a/crates/kernel/src/feed.rs
+++ b/crates/kernel/src/feed.rs
@@ -504,7 +504,7 @@
     };
     if replication.age_limit_ms == 0 {
         state.feeds.wake_at = None;
-        return set_source(&mut state.feeds, FeedSource::Direct, out);
+        return set_source(&mut state.feeds, FeedSource::Direct, now, out);
     }
     let order = rank::ordered(&state.members, &state.identity.zone, TREE_RANK_KEY);
     let own = &state.identity.vm;
@@ -521,11 +521,18 @@
     feeds.parent = parent;
     match until {
         Some(_) => {
-            feeds.search = None;
+            if feeds.search.take().is_some() {
+                let provider = feeds.provider.as_deref().unwrap_or("-");
+                out.log(format!("table copies current again provider={provider}"));
+            }
             repeat_queries(feeds, is_new_parent, now, out);
         }
         None => {
-            let search = *feeds.search.get_or_insert(Search { attempt: 0, next_at: now });
+            let search = feeds.search.unwrap_or_else(|| {
+                out.log(format!("table copies outdated {}", describe_ages(feeds, now)));
+                Search { attempt: 0, next_at: now }
+            });
+            feeds.search = Some(search);
             if is_new_parent && search.attempt == 0 || now >= search.next_at {
                 let search = advance_search(feeds, search, &order, own, is_joining, now, out);
                 feeds.search = Some(search);
@@ -536,8 +543,10 @@
     let is_peer_current =
         feeds.peer_current_until(replication.age_limit_ms).is_some_and(|until| now <= until);
     match (feeds.source, needs_direct) {
-        (FeedSource::Peer, true) => set_source(feeds, FeedSource::Direct, out),
-        (FeedSource::Direct, false) if is_peer_current => set_source(feeds, FeedSource::Peer, out),
+        (FeedSource::Peer, true) => set_source(feeds, FeedSource::Direct, now, out),
+        (FeedSource::Direct, false) if is_peer_current => {
+            set_source(feeds, FeedSource::Peer, now, out)
+        }
         _ => {}
     }
     let recheck = is_joining.then(|| now.after(JOIN_RECHECK_MS));
@@ -545,6 +554,16 @@
     feeds.wake_at = Some(recheck.map_or(next_wake, |at| at.min(next_wake)));
 }
 
+/// The version and the age of each copy, for the log.
+fn describe_ages(feeds: &Feeds, now: Millis) -> String {
+    let describe = |table: &Table| {
+        let copy = &feeds.copies[*table as usize];
+        let age = copy.age(now).map_or_else(|| "unknown".to_owned(), |age| age.to_string());
+        format!("{table:?} version={} age_ms={age}", copy.version.0)
+    };
+    TABLES.iter().map(describe).collect::<Vec<_>>().join(" ")
+}
+
 /// The VM that passes the tables on to `own`; `None` for the root of the tree.
 fn parent<'a>(order: &[&'a Name], own: &Name) -> Option<&'a Name> {
     match order.iter().position(|vm| *vm == own) {
@@ -640,7 +659,7 @@
     due.min(substitute_end.unwrap_or(due)).max(now.after(1))
 }
 
-fn set_source(feeds: &mut Feeds, source: FeedSource, out: &mut Outbox) {
+fn set_source(feeds: &mut Feeds, source: FeedSource, now: Millis, out: &mut Outbox) {
     if feeds.source == source {
         return;
     }
@@ -650,6 +669,7 @@
         FeedSource::Peer => ("feed_heard", "tables read from=peer"),
     };
     out.count(Counter::Event(event));
-    out.log(format!("{text} provider={}", feeds.provider.as_deref().unwrap_or("-")));
+    let provider = feeds.provider.as_deref().unwrap_or("-");
+    out.log(format!("{text} provider={provider} {}", describe_ages(feeds, now)));
     out.push(Outcome::Follow(Assignment { source, versions: feeds.versions() }));
 }
--- a/crates/kernel/src/intent.rs
+++ b/crates/kernel/src/intent.rs
@@ -534,6 +534,8 @@
             key.name
         ));
     }
+    let source = peer.unwrap_or("store");
+    out.log(format!("resources in force revision={} from={source}", delta.to.0));
     out.push(Outcome::Publish);
     push_to_peers(state, delta, peer, out);
 }
