Add a failing test of table updates for an earlier process of a VM

A VM that is restarted within 5 s of a change of its parent is still subscribed at the earlier parent. Updates for that subscription carry a time of the earlier process; the new process takes it for its own clock, which is younger, and counts its copies as current until it has run as long.

The test fails with 'a1 accepts keys'.

--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -104,7 +104,7 @@
     /// The resources in force.
     pub intent: intent::Intent,
     /// How up to date the resources in force are.
-    pub(crate) freshness: freshness::Freshness,
+    pub freshness: freshness::Freshness,
     /// Targets that are no longer in the platform's list.
     pub(crate) discovery: discovery::Discovery,
     /// Generations whose target is leaving.
--- a/crates/kernel/tests/feed.rs
+++ b/crates/kernel/tests/feed.rs
@@ -69,6 +69,12 @@
         self.fleet.event_at(vm, Event::TablesAvailable { age_limit_ms });
     }
 
+    /// Starts a VM again, with a clock that starts at zero.
+    fn restart_vm(&mut self, vm: &str) {
+        self.fleet.restart_vm(vm, "riga-a", 2);
+        self.announce(vm);
+    }
+
     fn vms(&self) -> Vec<String> {
         self.fleet.nodes.iter().map(|node| node.name.to_string()).collect()
     }
@@ -323,3 +329,28 @@
     assert_eq!(feeds.version(Table::Targets), version);
     assert_eq!(feeds.rows(Table::Targets), 3);
 }
+
+/// Guards against a VM that applies updates meant for its earlier process to the clock of its new
+/// one. Its copies then seem to be current for as long as the earlier process ran, as do those of
+/// the VMs that it passes them on to: the zone keeps old resources and accepts revoked keys.
+#[test]
+fn updates_for_an_earlier_process_make_no_copy_current() {
+    let mut harness = Harness::new(3);
+    let reader = harness.readers().remove(0);
+    // While the reader restarts, the third VM subscribes at the second one.
+    harness.fleet.node(&reader).is_stopped = true;
+    harness.run(20_000);
+    let second = harness.readers().into_iter().find(|vm| *vm != reader).unwrap();
+    let third = harness.vms().into_iter().find(|vm| *vm != reader && *vm != second).unwrap();
+    harness.restart_vm(&reader);
+    harness.run(2_000);
+    harness.restart_vm(&third);
+    harness.run(3_000);
+    harness.vms_without_store = harness.vms();
+    harness.run(2 * FEED_AGE_LIMIT_MS);
+    for vm in harness.vms() {
+        let now = harness.fleet.clock(&vm);
+        let freshness = &harness.fleet.node(&vm).kernel.state().freshness;
+        assert!(!freshness.accepts_keys(FEED_AGE_LIMIT_MS as u32, now), "{vm} accepts keys");
+    }
+}
--- a/crates/kernel/tests/fleet/mod.rs
+++ b/crates/kernel/tests/fleet/mod.rs
@@ -54,6 +54,7 @@
     /// Number of messages sent.
     pub sent_messages: u64,
     pub max_gossip_items: usize,
+    /// Difference between this VM's clock and logical time, modulo 2^64.
     clock_offset_ms: u64,
     inbox: VecDeque<(Name, Message)>,
     answers: VecDeque<(u64, store::CallId, Answer)>,
@@ -98,6 +99,12 @@
         fleet
     }
 
+    /// Starts a VM again, with a clock that starts at zero.
+    pub fn restart_vm(&mut self, vm: &str, zone: &str, incarnation: u64) {
+        self.start_vm(vm, zone, incarnation);
+        self.node(vm).clock_offset_ms = 0_u64.wrapping_sub(self.now);
+    }
+
     /// Starts a VM, replacing any VM of the same name.
     pub fn start_vm(&mut self, vm: &str, zone: &str, incarnation: u64) {
         let identity = Identity::new(vm, zone, Incarnation(incarnation))
@@ -133,7 +140,7 @@
     /// The current time on the VM's clock.
     pub fn clock(&self, vm: &str) -> Millis {
         let node = self.nodes.iter().find(|node| *node.name == *vm).unwrap();
-        Millis(self.now + node.clock_offset_ms)
+        node.clock(self.now)
     }
 
     /// Declares resources on every VM as one revision of the store.
@@ -166,7 +173,7 @@
             return;
         }
         let mut out = Vec::new();
-        let now = Millis(self.now + self.nodes[ix].clock_offset_ms);
+        let now = self.nodes[ix].clock(self.now);
         self.nodes[ix].kernel.handle(event, now, &mut out);
         for outcome in out {
             self.apply_outcome(ix, outcome);
@@ -213,7 +220,7 @@
             self.event(ix, Event::StoreAnswered { call, answer });
         }
         let node = &self.nodes[ix];
-        let now = Millis(self.now + node.clock_offset_ms);
+        let now = node.clock(self.now);
         if node.kernel.next_wakeup().is_some_and(|at| at <= now) {
             self.event(ix, Event::Tick);
         }
@@ -322,7 +329,7 @@
         let running = self.nodes.iter().filter(|node| !node.is_paused && !node.is_stopped);
         running
             .filter_map(|node| {
-                let now = Millis(self.now + node.clock_offset_ms);
+                let now = node.clock(self.now);
                 let fence = node.kernel.state().leases.fence(pool, now)?;
                 Some((node.name.clone(), fence))
             })
@@ -364,6 +371,11 @@
 }
 
 impl Node {
+    /// The VM's clock at the logical time `now`.
+    fn clock(&self, now: u64) -> Millis {
+        Millis(now.wrapping_add(self.clock_offset_ms))
+    }
+
     pub fn clear_inbox(&mut self) {
         self.inbox.clear();
     }
