Ignore table updates that answer a query of an earlier process

Callers got answers by an older configuration for seconds, and revoked keys would have been accepted: a zone whose reader loses the store kept its copies for current.

A VM applies the age in an update to the time at which it sent its query. That time is on the clock of the process, which starts at zero. A provider goes on sending updates for 5 s after a query, so a restarted VM got updates for its earlier process and counted its copies as current that far into the future, as did all VMs that it passed the age on to.

Subscribe and TableUpdates now carry the incarnation of the VM that asked, and updates for another one are ignored.

--- a/crates/kernel/src/feed.rs
+++ b/crates/kernel/src/feed.rs
@@ -12,15 +12,16 @@
 //!
 //! Delayed messages cannot make a copy appear newer than it is: the provider measures ages from the
 //! arrival of a query, and the querying VM applies them to the time at which it sent the query,
-//! which is earlier.
+//! which is earlier. That time is on the clock of one process, so a VM ignores updates that answer a
+//! query of its earlier process.
 
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 
 use crate::event::Event;
-use crate::ids::{Millis, Name, Revision};
-use crate::kernel::{Outbox, State};
+use crate::ids::{Incarnation, Millis, Name, Revision};
+use crate::kernel::{Identity, Outbox, State};
 use crate::map::Map;
 use crate::outcome::{Counter, Outcome};
 use crate::peer::Message;
@@ -237,8 +238,10 @@
 struct Subscription {
     /// When it arrived.
     received_at: Millis,
-    /// When it was sent, on the sender's clock.
+    /// When it was sent, on the clock of the process that sent it.
     sent_at: Millis,
+    /// That process.
+    incarnation: Incarnation,
     /// Versions of the sender's copies.
     versions: Vec<(Table, Revision)>,
 }
@@ -326,7 +329,11 @@
             }
         };
         let updates = subscription.versions.iter().map(update).collect();
-        Message::TableUpdates { sent: subscription.sent_at, updates }
+        Message::TableUpdates {
+            sent: subscription.sent_at,
+            incarnation: subscription.incarnation,
+            updates,
+        }
     }
 
     /// Sends all subscribers but `origin` what they lack.
@@ -350,6 +357,12 @@
         }
     }
 
+    /// A query for the rows that the copies lack.
+    fn query(&self, identity: &Identity, needs_read: bool, now: Millis) -> Message {
+        let incarnation = identity.incarnation;
+        Message::Subscribe { sent: now, incarnation, known: self.versions(), needs_read }
+    }
+
     /// The versions of all copies.
     fn versions(&self) -> Vec<(Table, Revision)> {
         TABLES.iter().map(|&table| (table, self.copies[table as usize].version)).collect()
@@ -383,14 +396,25 @@
             merge_read_rows(state, rows, *at, now, out);
             true
         }
-        Event::Peer { from, message: Message::Subscribe { sent, known, needs_read } } => {
-            let subscription =
-                Subscription { received_at: now, sent_at: *sent, versions: known.clone() };
+        Event::Peer {
+            from,
+            message: Message::Subscribe { sent, incarnation, known, needs_read },
+        } => {
+            let subscription = Subscription {
+                received_at: now,
+                sent_at: *sent,
+                incarnation: *incarnation,
+                versions: known.clone(),
+            };
             accept_query(state, from, subscription, *needs_read, now, out)
         }
-        Event::Peer { from, message: Message::TableUpdates { sent, updates } } => {
-            merge_peer_updates(state, from, *sent, updates, now, out);
-            true
+        Event::Peer { from, message: Message::TableUpdates { sent, incarnation, updates } } => {
+            let is_own = *incarnation == state.identity.incarnation;
+            match is_own {
+                true => merge_peer_updates(state, from, *sent, updates, now, out),
+                false => out.count(Counter::Ignored("updates_of_earlier_process")),
+            }
+            is_own
         }
         _ => false,
     };
@@ -525,7 +549,7 @@
                 let provider = feeds.provider.as_deref().unwrap_or("-");
                 out.log(format!("table copies current again provider={provider}"));
             }
-            repeat_queries(feeds, is_new_parent, now, out);
+            repeat_queries(feeds, &state.identity, is_new_parent, now, out);
         }
         None => {
             let search = feeds.search.unwrap_or_else(|| {
@@ -534,7 +558,8 @@
             });
             feeds.search = Some(search);
             if is_new_parent && search.attempt == 0 || now >= search.next_at {
-                let search = advance_search(feeds, search, &order, own, is_joining, now, out);
+                let search =
+                    advance_search(feeds, search, &order, &state.identity, is_joining, now, out);
                 feeds.search = Some(search);
             }
         }
@@ -575,22 +600,26 @@
 }
 
 /// Queries the provider and the parent while the copies are current.
-fn repeat_queries(feeds: &mut Feeds, is_new_parent: bool, now: Millis, out: &mut Outbox) {
+fn repeat_queries(
+    feeds: &mut Feeds,
+    identity: &Identity,
+    is_new_parent: bool,
+    now: Millis,
+    out: &mut Outbox,
+) {
     let is_due = feeds.last_query_at.is_none_or(|at| now.since(at) >= QUERY_INTERVAL_MS);
     if !is_due && !is_new_parent {
         return;
     }
     feeds.last_query_at = Some(now);
-    let known = feeds.versions();
     let has_recipient = feeds.provider.is_some() || feeds.parent.is_some();
     feeds.unanswered_since = feeds.unanswered_since.or(Some(now)).filter(|_| has_recipient);
     if let Some(provider) = feeds.provider.as_ref().filter(|vm| Some(*vm) != feeds.parent.as_ref())
     {
-        let known = known.clone();
-        out.send(provider, Message::Subscribe { sent: now, known, needs_read: true });
+        out.send(provider, feeds.query(identity, true, now));
     }
     if let Some(parent) = &feeds.parent {
-        out.send(parent, Message::Subscribe { sent: now, known, needs_read: false });
+        out.send(parent, feeds.query(identity, false, now));
     }
 }
 
@@ -599,19 +628,18 @@
     feeds: &mut Feeds,
     search: Search,
     order: &[&Name],
-    own: &Name,
+    identity: &Identity,
     is_joining: bool,
     now: Millis,
     out: &mut Outbox,
 ) -> Search {
     feeds.last_query_at = Some(now);
-    let known = feeds.versions();
     let Search { attempt, .. } = search;
     let Some(ix) = attempt.checked_sub(1).filter(|_| !is_joining) else {
         let pause = match &feeds.parent {
             Some(parent) => {
                 feeds.unanswered_since.get_or_insert(now);
-                out.send(parent, Message::Subscribe { sent: now, known, needs_read: false });
+                out.send(parent, feeds.query(identity, false, now));
                 MIN_SEARCH_PAUSE_MS
             }
             None if is_joining => JOIN_RECHECK_MS,
@@ -621,9 +649,9 @@
         return Search { attempt, next_at: now.after(pause) };
     };
     match order.get(ix as usize % order.len().max(1)) {
-        Some(vm) if *vm != own => {
+        Some(vm) if **vm != identity.vm => {
             feeds.unanswered_since.get_or_insert(now);
-            out.send(vm, Message::Subscribe { sent: now, known, needs_read: true });
+            out.send(vm, feeds.query(identity, true, now));
         }
         _ => feeds.substitute_until = Some(now.after(SUBSTITUTE_MS)),
     }
--- a/crates/kernel/src/peer.rs
+++ b/crates/kernel/src/peer.rs
@@ -102,6 +102,9 @@
     Subscribe {
         /// Send time on the sender's clock.
         sent: Millis,
+        /// The process whose clock that is.
+        #[serde(default)]
+        incarnation: Incarnation,
         /// Versions of the sender's copies.
         known: Vec<(feed::Table, Revision)>,
         /// Whether the receiver must read the tables if its own copies are outdated.
@@ -111,6 +114,9 @@
     TableUpdates {
         /// The `sent` time of the latest `Subscribe`.
         sent: Millis,
+        /// The `incarnation` of the latest `Subscribe`.
+        #[serde(default)]
+        incarnation: Incarnation,
         /// One update per table.
         updates: Vec<feed::TableUpdate>,
     },
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -157,7 +157,7 @@
 
 fn subscribe() -> Message {
     let known = vec![(Table::Resources, Revision(3)), (Table::Targets, Revision(0))];
-    Message::Subscribe { sent: Millis(5), known, needs_read: true }
+    Message::Subscribe { sent: Millis(5), incarnation: Incarnation(3), known, needs_read: true }
 }
 
 fn table_updates() -> Message {
@@ -175,7 +175,7 @@
         rows: vec![row("engine-1", Some(b"\xff{")), row("engine-2", None)],
     };
     let updates = vec![TableUpdate { rows, age_ms: Some(-40) }];
-    Message::TableUpdates { sent: Millis(5), updates }
+    Message::TableUpdates { sent: Millis(5), incarnation: Incarnation(3), updates }
 }
 
 fn sample_messages() -> Vec<Message> {
