Add failing tests of bodies that crash one back end after the other

A body that crashes the back ends that run it is sent to all of them, and other callers are refused when none is left: in the tests the eighth and the fourth sound request get 503.

--- a/crates/bench/src/mock_engine.rs
+++ b/crates/bench/src/mock_engine.rs
@@ -394,7 +394,11 @@
             }
         };
         let prompt = header(&head, "x-prompt-prefix").unwrap_or_default();
-        let is_deadly = matches!(fault, Fault::CrashesOnPart(part) if prompt.contains(part));
+        let is_deadly = match fault {
+            Fault::CrashesOnPart(part) => prompt.contains(part),
+            Fault::CrashesOnBody(deadly) => body == deadly.as_bytes(),
+            _ => false,
+        };
         let last_event_id =
             header(&head, "last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
         let ix = {
--- a/crates/bench/src/mock_engine/fault.rs
+++ b/crates/bench/src/mock_engine/fault.rs
@@ -41,6 +41,8 @@
     SetsContentEncoding,
     /// It crashes when it runs a request whose prompt has this part.
     CrashesOnPart(&'static str),
+    /// It crashes when it runs a request with this body.
+    CrashesOnBody(&'static str),
     /// Its load reports have no end.
     EndlessReport,
     /// It executes requests and sends this response.
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Tests of real daemons against a simulation of the users' platform.
 
+mod crashing_bodies;
 mod feeds;
 mod framing;
 mod harness;
