Contact back ends after broken attempts, so that their deaths are known

Deaths are found by reports: a refused poll or another start id. A back end has no report of its own; its registration stands in for one, says 'ready' for seconds after the death and is then removed, so no death was ever found and no body of a plain service was ever a suspect.

The owner of the pool now asks for a contact with the process after an attempt that broke without output, at most every 100 ms, and with the regular polls while a break is recent or the target is down.

--- a/crates/daemon/src/engines.rs
+++ b/crates/daemon/src/engines.rs
@@ -42,7 +42,7 @@
     tokio::spawn(async move {
         while let Some(outcome) = inbox.recv().await {
             match outcome {
-                Outcome::Poll { target, address } => poller.spawn_poll(target, address),
+                Outcome::Poll { target, address, .. } => poller.spawn_poll(target, address),
                 Outcome::Order(order) => orders.push(order),
                 _ => {}
             }
--- a/crates/kernel/src/accounting.rs
+++ b/crates/kernel/src/accounting.rs
@@ -13,9 +13,12 @@
 use crate::request::{Class, End, Id};
 use crate::schedule;
 use crate::takeover::{self, Rights};
-use crate::target::{CacheBatch, LivenessChange, PollError, Report, REPORT_LAG_MS};
+use crate::target::{CacheBatch, LivenessChange, PollError, Report, TargetState, REPORT_LAG_MS};
 
 const POLL_INTERVAL_MS: u64 = 500;
+/// Minimum interval between the polls of a target after attempts that broke: all requests that run
+/// on a target break together when it dies.
+const CONTACT_INTERVAL_MS: u64 = 100;
 /// Interval at which a holder announces its targets to the VMs of the zone.
 const ANNOUNCE_INTERVAL_MS: u64 = 1_000;
 /// Bound on a pool's queue that holds for any configuration, to bound memory.
@@ -256,9 +259,7 @@
     if attempt.is_some_and(|attempt| attempt <= release.attempt) {
         let running = pool.in_flight.get(id);
         let is_silent = running.is_some_and(|running| running.has_no_output());
-        let has_parts = running.is_some_and(|running| !running.ask.parts.is_empty());
-        has_broken_early = release.end == End::Broken && release.tokens == 0;
-        has_broken_early &= is_silent && has_parts;
+        has_broken_early = release.end == End::Broken && release.tokens == 0 && is_silent;
         let tokens = release.tokens.max(u32::from(release.end == End::Complete));
         output = first_output(pool, id, tokens);
         end_request(pool, release, now);
@@ -268,7 +269,7 @@
     }
     pool.drop_removed_targets();
     if has_broken_early {
-        prompt_part::poll_after_break(state, &release.pool, &release.target, out);
+        poll_after_break(state, &release.pool, &release.target, now, out);
     }
     if let Some(first) = output {
         record_output(state, &first, now, out);
@@ -545,13 +546,30 @@
     }
     pool.last_polled = Some(now);
     for target in &pool.targets {
-        out.push(Outcome::Poll {
-            target: target.name.clone(),
-            address: target.spec.address.clone(),
-        });
+        out.push(poll(target, target.may_have_died(now)));
+    }
+}
+
+/// Requests a report of a target on which an attempt broke without output.
+///
+/// A death is then known before the request is granted again.
+fn poll_after_break(state: &mut State, key: &Key, target: &str, now: Millis, out: &mut Outbox) {
+    let pool = state.pools.get_mut(key);
+    let target = pool.and_then(|pool| pool.targets.iter_mut().find(|state| *state.name == *target));
+    let is_due = |target: &&mut TargetState| {
+        target.contacted_at.is_none_or(|at| now.since(at) >= CONTACT_INTERVAL_MS)
+    };
+    if let Some(target) = target.filter(is_due) {
+        target.contacted_at = Some(now);
+        out.push(poll(target, true));
     }
 }
 
+fn poll(target: &TargetState, needs_contact: bool) -> Outcome {
+    let (target, address) = (target.name.clone(), target.spec.address.clone());
+    Outcome::Poll { target, address, needs_contact }
+}
+
 /// Announces warm and cold targets to the VMs of the zone, which use them in fallback.
 pub(crate) fn announce_targets(state: &mut State, key: &Key, now: Millis, out: &mut Outbox) {
     let own = state.identity.vm.clone();
--- a/crates/kernel/src/outcome.rs
+++ b/crates/kernel/src/outcome.rs
@@ -253,6 +253,9 @@
         target: Name,
         /// Its `IP:port`.
         address: String,
+        /// Whether its process must be contacted even if its report is known without. Only that
+        /// shows the death of a target that reports through the platform.
+        needs_contact: bool,
     },
     /// Send an order to an engine.
     Order(reconcile::Order),
--- a/crates/kernel/src/prompt_part.rs
+++ b/crates/kernel/src/prompt_part.rs
@@ -15,10 +15,9 @@
 use crate::ids::{Millis, Name};
 use crate::kernel::{Outbox, State};
 use crate::map::{Map, Set};
-use crate::outcome::{Counter, Outcome, Reason, Refusal};
+use crate::outcome::{Counter, Reason, Refusal};
 use crate::peer::{Ask, Death, Message};
 use crate::plugin::{control, policy};
-use crate::pool::Key;
 use crate::quarantine;
 use crate::random;
 use crate::request::Id;
@@ -536,14 +535,3 @@
     let mut running = running.filter_map(|id| view.pool.in_flight.get(id));
     !running.any(|running| running.has_no_output() && suspects.has_suspect(&running.ask.parts))
 }
-
-/// Requests a report of a target on which an attempt with parts broke without output.
-///
-/// A death is then known before the request is granted again.
-pub(crate) fn poll_after_break(state: &State, key: &Key, target: &str, out: &mut Outbox) {
-    let pool = state.pools.get(key);
-    let found = pool.and_then(|pool| pool.targets.iter().find(|state| *state.name == *target));
-    if let Some(found) = found {
-        out.push(Outcome::Poll { target: found.name.clone(), address: found.spec.address.clone() });
-    }
-}
--- a/crates/kernel/src/reconcile.rs
+++ b/crates/kernel/src/reconcile.rs
@@ -423,7 +423,8 @@
         }
     }
     // The engine is polled after every order, whatever the answer.
-    out.push(Outcome::Poll { target: order.target.clone(), address: order.address.clone() });
+    let (target, address) = (order.target.clone(), order.address.clone());
+    out.push(Outcome::Poll { target, address, needs_contact: true });
 }
 
 /// Advances the load slots and plans orders of the engines that wait for them.
--- a/crates/kernel/src/target.rs
+++ b/crates/kernel/src/target.rs
@@ -161,6 +161,8 @@
     pub last_grant: u64,
     /// It gets no new requests before this time.
     pub paused_until: Millis,
+    /// When it was last polled after an attempt that broke.
+    pub(crate) contacted_at: Option<Millis>,
     failed_polls: u32,
     dead_start_id: Option<u64>,
     died_at: Option<Millis>,
@@ -200,6 +202,7 @@
             unavailable: Unavailable::default(),
             last_grant: 0,
             paused_until: Millis(0),
+            contacted_at: None,
             failed_polls: 0,
             dead_start_id: None,
             died_at: None,
@@ -252,6 +255,11 @@
         !self.unavailable.down && self.failed_polls < FAILED_POLLS_LIMIT && self.paused_until <= now
     }
 
+    /// Returns whether its process is known to have died, or may have: an attempt has just broken.
+    pub(crate) fn may_have_died(&self, now: Millis) -> bool {
+        self.unavailable.down || self.broken_attempts.has_recent(now)
+    }
+
     /// Returns the phase in the latest report.
     pub fn phase(&self) -> Option<Phase> {
         self.last_report.as_ref().map(|last| last.report.phase)
