--- a/crates/bench/src/mock_engine.rs
+++ b/crates/bench/src/mock_engine.rs
@@ -123,6 +123,8 @@
     /// Bytes of responses without end that were sent.
     endless_bytes: usize,
     is_draining: bool,
+    /// Header lines that each response to a request contains.
+    headers: &'static str,
     runs: BTreeMap<String, ActiveRun>,
 }
 
@@ -211,6 +213,11 @@
         self.lock().endless_bytes
     }
 
+    /// Adds header lines, each with its line end, to each response to a request from now on.
+    pub fn set_headers(&self, headers: &'static str) {
+        self.lock().headers = headers;
+    }
+
     /// Reports the state `draining` from now on.
     pub fn start_draining(&self) {
         self.lock().is_draining = true;
@@ -411,6 +418,7 @@
                 body: body.clone(),
                 executed,
                 caller_disconnected: false,
+                received_at: std::time::Instant::now(),
             });
             shared.requests.len() - 1
         };
@@ -420,7 +428,8 @@
             _ => {}
         }
         if let Some(status) = refusal_status {
-            let headers = format!("{NOT_EXECUTED}X-Attempt-Id: {attempt}\r\n");
+            let hints = self.lock().headers;
+            let headers = format!("{NOT_EXECUTED}X-Attempt-Id: {attempt}\r\n{hints}");
             stream.write_all(&encode_response(status, &headers, b"")).await?;
             return Ok(true);
         }
@@ -491,8 +500,10 @@
         };
         let encoding =
             if fault == Fault::SetsContentEncoding { "Content-Encoding: gzip\r\n" } else { "" };
-        let headers =
-            format!("X-Response-Signature: s\r\nX-Attempt-Id: {echoed_attempt}\r\n{encoding}");
+        let hints = self.lock().headers;
+        let headers = format!(
+            "X-Response-Signature: s\r\nX-Attempt-Id: {echoed_attempt}\r\n{encoding}{hints}"
+        );
         let body = format!("{}:{attempt}", self.name);
         let status = if fault == Fault::ReturnsError { 500 } else { 200 };
         let response = encode_response(status, &headers, body.as_bytes());
@@ -540,10 +551,13 @@
         orders: &mut watch::Receiver<RunOrder>,
     ) -> std::io::Result<bool> {
         let StreamRun { attempt, last_event_id, event_count, ix, standby } = *stream_run;
-        let framing = self.lock().framing;
+        let (framing, hints) = {
+            let state = self.lock();
+            (state.framing, state.headers)
+        };
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: {attempt}\r\n\
-             X-Response-Signature: s\r\n{}\r\n",
+             X-Response-Signature: s\r\n{hints}{}\r\n",
             framing.header()
         );
         let mut due = Instant::now();
--- a/crates/bench/src/mock_http.rs
+++ b/crates/bench/src/mock_http.rs
@@ -1,6 +1,6 @@
 //! HTTP of the mock engine, on plain sockets.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -21,6 +21,8 @@
     pub executed: bool,
     /// The caller closed the connection while it was executing.
     pub caller_disconnected: bool,
+    /// When it arrived.
+    pub received_at: Instant,
 }
 
 impl ReceivedRequest {
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod feeds;
 mod framing;
 mod harness;
+mod hints;
 mod lifecycle;
 mod prompt_parts;
 mod relocation;
