--- a/tests/fleet/framing.rs
+++ b/tests/fleet/framing.rs
@@ -18,6 +18,15 @@
 const CHUNKED_HEAD: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
                             X-Attempt-Id: {id}\r\nTransfer-Encoding: chunked\r\n\r\n";
 const PLAIN_HEAD: &str = "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Signature: s\r\n\r\n";
+/// Heads that end early. A length that follows them would be lost.
+const HEAD_CUT_IN_A_HEADER: &str = "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Sig";
+const HEAD_WITHOUT_BLANK_LINE: &str =
+    "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Signature: s\r\n";
+/// Refusals that name another attempt.
+const OTHER_REFUSAL: &str = "HTTP/1.1 503 x\r\nX-Not-Executed: 1\r\nX-Attempt-Id: 00aa\r\n\
+                             Content-Length: 0\r\n\r\n";
+const OTHER_MISDIRECTION: &str =
+    "HTTP/1.1 421 x\r\nX-Attempt-Id: 00aa\r\nContent-Length: 0\r\n\r\n";
 const DEADLINE_HEADER: HeaderName = HeaderName::from_static("x-deadline-ms");
 const EVENT: &str = "id: 1\ndata: a\n\n";
 /// Bytes that the kernel and the daemon may buffer of a response that has no end.
@@ -134,6 +143,27 @@
     reset_plain_response_is_retried_where_allowed: (
         Fault::SendsRaw(reset(&[PLAIN_HEAD, "d1:"])), "/look/1", Outcome::Complete, 2,
     );
+    // Guards against a response that ends in its head and is forwarded as an empty or short one.
+    response_that_ends_in_its_status_line_is_not_forwarded: (
+        Fault::SendsRaw(closed(&["HTTP/1.1 200 O"])), "/order/1", Outcome::Unknown, 1,
+    );
+    response_that_ends_in_a_header_is_not_forwarded: (
+        Fault::SendsRaw(closed(&[HEAD_CUT_IN_A_HEADER])), "/order/1", Outcome::Unknown, 1,
+    );
+    response_that_ends_before_the_blank_line_is_not_forwarded: (
+        Fault::SendsRaw(closed(&[HEAD_WITHOUT_BLANK_LINE])), "/order/1", Outcome::Unknown, 1,
+    );
+    response_that_ends_in_its_head_is_retried_where_allowed: (
+        Fault::SendsRaw(closed(&[HEAD_WITHOUT_BLANK_LINE])), "/look/1", Outcome::Complete, 2,
+    );
+    // Guards against a refusal of an earlier request that is taken for one of this request, which
+    // runs: its caller would be told that it has not run, or it would run on a second target.
+    refusal_of_another_request_is_not_forwarded: (
+        Fault::SendsRaw(closed(&[OTHER_REFUSAL])), "/order/1", Outcome::Unknown, 1,
+    );
+    refusal_by_another_incarnation_of_another_request_is_not_forwarded: (
+        Fault::SendsRaw(closed(&[OTHER_MISDIRECTION])), "/order/1", Outcome::Unknown, 1,
+    );
     // Guards against a request that waits or buffers for as long as its target sends.
     endless_head_has_an_unknown_outcome: (
         Fault::SendsRaw(endless(&["HTTP/1.1 200 OK\r\n"], Ending::Repeat("a: b\r\n"))),
