Test that odd entries of targets do not stop the readers of the list

Other operators saw machines that end, or stop following the list of targets, at an entry that is nested deeply, has a number too large or a port out of range.

--- a/tests/fleet/store.rs
+++ b/tests/fleet/store.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use futures_util::future::join_all;
 use hornbeamloom_bench::fleet::{config, target_entry, Fleet};
 use hornbeamloom_bench::mock_store::Fault;
 use hornbeamloom_kernel::cases;
@@ -9,7 +10,7 @@
 
 use crate::harness::{
     block_on, call, start_engines, start_fleet, start_plain_targets, wait_until, wait_until_served,
-    CALLER_KEY,
+    CALLER_KEY, CALL_DURATION,
 };
 
 /// Time for which the store does not respond: longer than the timeout of a call.
@@ -222,6 +223,43 @@
     unknown_operator_row_is_ignored: ("op", "odd", b"1");
 }
 
+/// Checks that later changes of both tables take effect after an odd entry of a target.
+fn tables_are_followed_after(entry: &[u8]) {
+    block_on(async {
+        let fleet = start_fleet().await;
+        start_plain_targets(&fleet, 1).await;
+        fleet.store.put("servers", "x1", entry);
+        tokio::time::sleep(PROPAGATION_TIME).await;
+        fleet.put_config(&config(3, &["k2"]));
+        wait_until("the old key is refused", || async {
+            call_status(&fleet, "/look/1").await == 401
+        })
+        .await;
+        fleet.put_config(&config(4, &[CALLER_KEY]));
+        let before = fleet.request_log.requests().len();
+        fleet.start_engine("d2", "desk", "a", CALL_DURATION).await.unwrap();
+        wait_until("the new target serves requests", || async {
+            // Requests that arrive together are spread over all targets.
+            join_all((0..4).map(|_| call_status(&fleet, "/look/1"))).await;
+            fleet.request_log.requests()[before..].iter().any(|request| request.engine == "d2")
+        })
+        .await;
+    });
+}
+
+const DEEPLY_NESTED: &[u8] = &[b'['; 48 << 10];
+
+cases! {
+    tables_are_followed_after;
+
+    // Guards against a reader of the list of targets that ends or stops at an odd entry.
+    deeply_nested_entry: (DEEPLY_NESTED);
+    entry_with_a_port_out_of_range: (br#"{"service": "desk", "zone": "a", "slots": 1, "state": "ready", "address": "127.0.0.1:99999"}"#);
+    entry_with_a_number_beyond_any_type: (br#"{"service": "desk", "zone": "a", "slots": 1, "state": "ready", "address": "127.0.0.1:1", "cold_remaining_ms": 1e999}"#);
+    entry_with_the_largest_numbers: (br#"{"service": "desk", "zone": "a", "slots": 4294967295, "state": "ready", "address": "127.0.0.1:1", "cold_remaining_ms": 1e308, "born": 18446744073709551615}"#);
+    entry_with_numbers_below_zero: (br#"{"service": "desk", "zone": "a", "slots": 1, "state": "ready", "address": "127.0.0.1:1", "cold_remaining_ms": -1e308, "born": -1}"#);
+}
+
 /// Guards against serving that depends on the availability of the store.
 ///
 /// The routes are public, because keys are refused if they may have been revoked during the outage.
