Do not bring a removed row back by a late update of a peer

A whole table replaces the copy of a table and forgets the rows that it does not contain. An update of a peer from before it then looked new: a target that is gone came back and was passed on to the VMs of the zone until the next whole read.

A row that the copy does not know counts as removed if it is not newer than the rows that the copy has forgotten. late_update_brings_no_removed_row_back failed before (3 rows for 2) and passes now.

--- a/crates/kernel/src/feed.rs
+++ b/crates/kernel/src/feed.rs
@@ -136,9 +136,10 @@
         if is_older || self.version < rows.from {
             return None;
         }
-        let is_new = |row: &&Row| {
-            let known = self.rows.get(&row.key);
-            known.is_none_or(|(version, _)| *version < row.version)
+        let is_new = |row: &&Row| match self.rows.get(&row.key) {
+            Some((version, _)) => *version < row.version,
+            // An unknown row of that age has been removed since.
+            None => rows.is_whole || row.version > self.pruned_version,
         };
         let new_rows: Vec<Row> = rows.rows.iter().filter(is_new).cloned().collect();
         if rows.is_whole {
--- a/crates/kernel/tests/feed.rs
+++ b/crates/kernel/tests/feed.rs
@@ -5,8 +5,8 @@
 
 use fleet::{name, zone, Fleet};
 use hornbeamloom_kernel::event::Event;
-use hornbeamloom_kernel::feed::{FeedSource, Row, Rows, Table};
-use hornbeamloom_kernel::ids::Revision;
+use hornbeamloom_kernel::feed::{FeedSource, Row, Rows, Table, TableUpdate};
+use hornbeamloom_kernel::ids::{Incarnation, Revision};
 use hornbeamloom_kernel::peer::{Death, Message, Suspect};
 
 /// Interval between the reads of a VM that reads the tables itself.
@@ -330,6 +330,35 @@
     assert_eq!(feeds.rows(Table::Targets), 3);
 }
 
+/// Guards against a target that is gone and comes back, because a late update of a peer contains its
+/// row from before the whole table was read.
+#[test]
+fn late_update_brings_no_removed_row_back() {
+    let mut harness = Harness::new(2);
+    let reader = harness.readers().remove(0);
+    let at = harness.fleet.clock(&reader);
+    let row = |key, version| Row {
+        key: name(key),
+        version: Revision(version),
+        value: Some(b"{}".to_vec()),
+    };
+    let whole = Rows {
+        table: Table::Targets,
+        from: Revision(0),
+        version: Revision(50),
+        is_whole: true,
+        rows: vec![row("engine-2", 40)],
+    };
+    harness.fleet.event_at(&reader, Event::RowsRead { rows: &whole, at });
+    let late = Rows { from: Revision(5), version: Revision(20), is_whole: false, ..whole };
+    let late = Rows { rows: vec![row("engine-1", 10), row("engine-3", 60)], ..late };
+    let updates = vec![TableUpdate { rows: late, age_ms: None }];
+    let message = &Message::TableUpdates { sent: at, incarnation: Incarnation(1), updates };
+    harness.fleet.event_at(&reader, Event::Peer { from: "a2", message });
+    // The newer row is not known from the whole table.
+    assert_eq!(harness.fleet.node(&reader).kernel.state().feeds.rows(Table::Targets), 2);
+}
+
 /// Guards against a VM that applies updates meant for its earlier process to the clock of its new
 /// one. Its copies then seem to be current for as long as the earlier process ran, as do those of
 /// the VMs that it passes them on to: the zone keeps old resources and accepts revoked keys.
