--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -102,4 +102,5 @@
 mod schedule;
 mod slots;
 mod standby;
+mod table_copy;
 mod usage;
