Decline grants of targets that this VM's current list has dropped

A target got requests up to 2.3 s after it was gone from the platform's list (DRAIN): the owner of its pool could not reach the store, and another VM, whose list was current all the time, used its grants. A VM checked only whether its list marks the target of a grant as leaving; some targets never say so and are removed instead.

A VM now remembers for a minute which targets it has dropped and declines grants of them. Removals right after an outage are not counted, since entries expire in an outage although their targets live, nor are targets that the VM never knew, which may be new. a_grant_of_a_removed_target_is_not_used fails without the check.

--- a/crates/kernel/src/discovery.rs
+++ b/crates/kernel/src/discovery.rs
@@ -6,10 +6,10 @@
 //! again.
 
 use crate::event::Event;
-use crate::feed;
-use crate::ids::{Millis, Name};
+use crate::feed::Table::Targets as TARGETS;
+use crate::ids::{Millis, Name, Revision};
 use crate::kernel::{Outbox, State};
-use crate::map::Set;
+use crate::map::{Map, Set};
 use crate::outcome::{Counter, Outcome};
 use crate::peer::Delta;
 use crate::plugin::control;
@@ -25,12 +25,41 @@
 /// refreshes.
 const MAX_CURRENT_AGE_MS: u64 = 1_000;
 
-/// Removals that are deferred until their targets had time to register again.
+/// Time in milliseconds for which a removed target is remembered. The owner of its pool may not
+/// reach the store for that long, and grants it meanwhile.
+const REMOVED_TTL_MS: u64 = 60_000;
+
+/// Number of removed targets that are remembered.
+const MAX_REMOVED: usize = 1_024;
+
+/// Removals that are deferred until their targets had time to register again, and those that were
+/// applied lately.
 #[derive(Debug, Default)]
 pub struct Discovery {
     was_unreadable: bool,
     defer_until: Millis,
     deferred: Set<Name>,
+    /// When the list was last known to be outdated.
+    outdated_at: Option<Millis>,
+    /// Targets that were removed from a current list, and when.
+    removed: Map<Name, Millis>,
+}
+
+impl Discovery {
+    /// Whether a target was removed from a list that was current all the time.
+    pub(crate) fn is_removed(&self, target: &str, now: Millis) -> bool {
+        self.removed.get(target).is_some_and(|at| now.since(*at) < REMOVED_TTL_MS)
+    }
+
+    fn record_removed(&mut self, removed: &[Name], now: Millis) {
+        let is_recent = |at: Millis| now.since(at) <= RETURN_GRACE_MS;
+        if removed.is_empty() || self.outdated_at.is_some_and(is_recent) {
+            return;
+        }
+        self.removed.retain(|_, at| now.since(*at) < REMOVED_TTL_MS);
+        let free = MAX_REMOVED.saturating_sub(self.removed.len());
+        self.removed.extend(removed.iter().take(free).map(|name| (name.clone(), now)));
+    }
 }
 
 inventory::submit! {
@@ -47,8 +76,10 @@
         // A failed call that started before the newest list was read does not indicate an outage
         // since then.
         Event::TableUnavailable => {
-            let is_current = state.feeds.is_current(feed::Table::Targets, MAX_CURRENT_AGE_MS, now);
+            let is_current = state.feeds.is_current(TARGETS, MAX_CURRENT_AGE_MS, now);
             state.discovery.was_unreadable |= !is_current;
+            state.discovery.outdated_at =
+                (!is_current).then_some(now).max(state.discovery.outdated_at);
         }
         Event::TargetsDiscovered(delta) => apply_list(state, delta, now, out),
         _ => {}
@@ -56,7 +87,12 @@
     if now >= state.discovery.defer_until && !state.discovery.deferred.is_empty() {
         let deferred = std::mem::take(&mut state.discovery.deferred);
         let removed: Vec<Name> = deferred.into_iter().collect();
-        update_targets(state, &[], &removed, out);
+        update_targets(state, &[], &removed, now, out);
+    }
+    let feeds = &state.feeds;
+    let is_outdated = feeds.is_replicated() && !feeds.is_within_age_limit(TARGETS, now);
+    if is_outdated && feeds.version(TARGETS) > Revision(0) {
+        state.discovery.outdated_at = Some(now);
     }
 }
 
@@ -78,7 +114,7 @@
     if now < discovery.defer_until {
         discovery.deferred.extend(removed.drain(..));
     }
-    update_targets(state, &found, &removed, out);
+    update_targets(state, &found, &removed, now, out);
 }
 
 /// Splits a delta into the records that have a specification and the names of those that have none.
@@ -90,7 +126,17 @@
 }
 
 /// Adds or updates the targets in `found` and drops those in `removed`.
-fn update_targets(state: &mut State, found: &[Record], removed: &[Name], out: &mut Outbox) {
+fn update_targets(
+    state: &mut State,
+    found: &[Record],
+    removed: &[Name],
+    now: Millis,
+    out: &mut Outbox,
+) {
+    for record in found {
+        state.discovery.removed.remove(&record.key.name);
+    }
+    state.discovery.record_removed(removed, now);
     if found.is_empty() && removed.is_empty() {
         return;
     }
--- a/crates/kernel/tests/common/mod.rs
+++ b/crates/kernel/tests/common/mod.rs
@@ -392,8 +392,13 @@
             Some(Spec::Target(spec)) if *record.key.name == *target => Some(spec.zone.clone()),
             _ => None,
         });
+        self.grant_in_zone(id, attempt, from, &zone.expect("a declared target"), target);
+    }
+
+    /// Receives a grant of a target that need not be known.
+    pub fn grant_in_zone(&mut self, id: Id, attempt: u32, from: &str, zone: &str, target: &str) {
         let grant = Grant {
-            pool: pool::Key::new("menu", &zone.expect("a declared target")),
+            pool: pool::Key::new("menu", zone),
             id,
             attempt,
             target: target.into(),
--- a/crates/kernel/tests/discovery.rs
+++ b/crates/kernel/tests/discovery.rs
@@ -6,6 +6,7 @@
 use hornbeamloom_kernel::event::Event;
 use hornbeamloom_kernel::feed::{Rows, Table};
 use hornbeamloom_kernel::ids::{Millis, Revision};
+use hornbeamloom_kernel::outcome::Outcome;
 use hornbeamloom_kernel::peer::Delta;
 use hornbeamloom_kernel::resource::{Key, Kind, Record, Spec, Target};
 
@@ -99,6 +100,39 @@
     assert_eq!(found, expected);
 }
 
+/// Checks whether this VM uses a grant of `x1` after a script.
+fn grant_is_used(steps: &[Step], expected: bool) {
+    let mut world = Harness::new();
+    for one in steps {
+        match one {
+            // With gossip, so that the other VMs are not taken for dead.
+            Wait(ms) => drop(world.run(&[common::Step::Wait(*ms)])),
+            _ => step(&mut world, *one),
+        }
+    }
+    world.run(&[common::Step::Arrive(1)]);
+    world.grant_in_zone(common::id(1), 1, "e2", "a1", "x1");
+    let is_start = |outcome: &Outcome| matches!(outcome, Outcome::Start(_));
+    assert_eq!(world.outcomes.iter().any(is_start), expected);
+}
+
+hornbeamloom_kernel::cases! {
+    grant_is_used;
+
+    // The owner may know a new target before this VM does.
+    a_grant_of_an_unknown_target_is_used: (&[], true);
+    // Guards against requests to a target that is gone, by a grant of an owner that has lost the
+    // store for longer than this VM.
+    a_grant_of_a_removed_target_is_not_used: (&[Found("x1", 5), Removed("x1", 6)], false);
+    a_grant_of_a_target_that_is_listed_again_is_used: (
+        &[Found("x1", 5), Removed("x1", 6), Found("x1", 7)], true,
+    );
+    // Guards against refusing live targets whose entries expired in an outage of the store.
+    a_grant_of_a_target_removed_after_an_outage_is_used: (
+        &[Found("x1", 5), Unreadable, FullList(9, &[]), Wait(2_000)], true,
+    );
+}
+
 use Step::{Found, FullList, Leaving, Removed, Unchanged, Unreadable, Wait};
 
 hornbeamloom_kernel::cases! {
