Create no pool for the limit that a response names

Each VM that read a limit in a response created the pool of the target to record it, and polled the targets of the pool like its scheduler. Only a VM that is told as a scheduler, or schedules the pool already, records it now. Found by reading; no run shows the extra polls.

--- a/crates/kernel/src/backpressure.rs
+++ b/crates/kernel/src/backpressure.rs
@@ -168,7 +168,14 @@
         }
         Event::Peer {
             message: Message::Backpressure { pool, target, limit, is_leaving }, ..
-        } => apply_to_pool(state, pool, target, *limit, *is_leaving, now),
+        } => {
+            let State { pools, intent, .. } = state;
+            if intent.service(&pool.service).is_some() {
+                // The ask that follows creates the pool as well.
+                let pool = pools.get_or_create(pool, intent, now);
+                apply_to_pool(pool, target, *limit, *is_leaving, now);
+            }
+        }
         Event::TargetsDiscovered(_) => {
             let State { backpressure, intent, .. } = state;
             backpressure.targets.retain(|name, _| intent.target(name).is_some());
@@ -231,8 +238,10 @@
     if record.is_empty(now) {
         targets.remove(target);
     }
-    // Without a reachable owner this VM schedules the pool itself.
-    apply_to_pool(state, &pool, target, limit, is_leaving, now);
+    // This VM may schedule the pool as well, if it does not reach the owner.
+    if let Some(pool) = state.pools.get_mut(&pool) {
+        apply_to_pool(pool, target, limit, is_leaving, now);
+    }
 }
 
 fn tell(
@@ -281,20 +290,7 @@
     blocked.map(|(name, _)| name.clone()).collect()
 }
 
-fn apply_to_pool(
-    state: &mut State,
-    key: &pool::Key,
-    target: &str,
-    limit: Option<u64>,
-    is_leaving: bool,
-    now: Millis,
-) {
-    let State { pools, intent, .. } = state;
-    if intent.service(&key.service).is_none() {
-        return;
-    }
-    // The ask that follows creates the pool as well.
-    let pool = pools.get_or_create(key, intent, now);
+fn apply_to_pool(pool: &mut Pool, target: &str, limit: Option<u64>, is_leaving: bool, now: Millis) {
     let divisor = divisor(pool);
     let Some(ix) = pool.target_index(target) else {
         return;
