Split the request log from the mock engine

The log of requests and the KV copies that all mock engines of a test share now stand in a module of their own.

--- a/crates/bench/src/mock_engine.rs
+++ b/crates/bench/src/mock_engine.rs
@@ -21,9 +21,12 @@
 pub use crate::mock_http::{Ending, Framing, RawResponse, ReceivedRequest};
 
 mod fault;
+mod request_log;
 
 use fault::ENDLESS_CONTROL_RESPONSE;
 pub use fault::{CopyFault, Fault};
+use request_log::KvCopy;
+pub use request_log::RequestLog;
 
 /// Header that tells the caller that a request was not executed.
 const NOT_EXECUTED: &str = "X-Not-Executed: 1\r\n";
@@ -39,14 +42,6 @@
 /// former first.
 const LATE_STOP_DELAY: Duration = Duration::from_millis(15);
 
-/// A copy of the KV memory of a run, from which the run can be resumed.
-#[derive(Debug, Clone)]
-struct KvCopy {
-    attempt: String,
-    /// Addresses of the engines that can resume the run.
-    locations: Vec<SocketAddr>,
-}
-
 /// What a run does after its next event.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum RunOrder {
@@ -62,59 +57,6 @@
     handle: Option<String>,
 }
 
-/// State that all engines of a test share.
-#[derive(Debug, Default)]
-struct SharedState {
-    requests: Vec<ReceivedRequest>,
-    kv_copies: BTreeMap<String, KvCopy>,
-    handles_issued: u64,
-}
-
-/// The requests that reached the engines of one test, and the KV copies that they hold.
-#[derive(Debug, Clone, Default)]
-pub struct RequestLog(Arc<Mutex<SharedState>>);
-
-impl RequestLog {
-    /// An empty log.
-    pub fn new() -> RequestLog {
-        RequestLog::default()
-    }
-
-    fn lock(&self) -> MutexGuard<'_, SharedState> {
-        self.0.lock().expect("no thread panics while it holds the lock")
-    }
-
-    /// The requests that reached engines, in order, without load reports and KV operations.
-    pub fn requests(&self) -> Vec<ReceivedRequest> {
-        self.lock().requests.clone()
-    }
-
-    /// Names of the engines that executed an attempt, in order.
-    pub fn executed_by(&self, attempt: &str) -> Vec<String> {
-        let shared = self.lock();
-        let requests = shared
-            .requests
-            .iter()
-            .filter(|request| request.header("x-attempt-id") == Some(attempt));
-        requests.filter(|request| request.executed).map(|request| request.engine.clone()).collect()
-    }
-
-    /// Records that the KV memory of a run is replicated to a standby engine.
-    fn copy_to_standby(&self, attempt: &str, to: SocketAddr) {
-        let copy = KvCopy { attempt: attempt.to_owned(), locations: vec![to] };
-        self.lock().kv_copies.insert(attempt.to_owned(), copy);
-    }
-
-    fn release_copy(&self, handle: &str) {
-        self.lock().kv_copies.remove(handle);
-    }
-
-    /// Number of KV copies that have been neither used nor released.
-    pub fn kv_copies(&self) -> usize {
-        self.lock().kv_copies.len()
-    }
-}
-
 #[derive(Debug, Default)]
 struct State {
     fault: Fault,
