Order what the store returns by its era and by its writers

Callers got 404 on routes that an operator had added, and requests ran on services that a confirmed change had taken off their route (CONFIG, DENIED), after the store had come back from a copy that was some seconds old. The store issues its versions again then, and every comparison in the system took a lower version for an older one: copies of the tables, watches, resources in force, gossip. The copies still called themselves current, since their age was renewed by reads that were ignored.

Eras alone would bring back the older configuration until the operator replaces it, so a row also carries the order that its writer gives to its values: the operator's version, a target's start and whether it leaves. An older value is not applied; rows that the copy lacks stay for a time, and targets that had been removed stay removed for a time. The kernel decides on rows that a VM reads itself as on those of peers.

Weighed: dropping all knowledge at a return (revoked keys and removed targets come back); holding on to it for a fixed time (the operator may take longer).

--- a/crates/bench/src/mock_store.rs
+++ b/crates/bench/src/mock_store.rs
@@ -1,7 +1,8 @@
 //! A mock of the store of the users' platform: rows, conditional transactions and change feeds.
 //!
 //! It runs in the process of the test. It injects the faults that the platform's documentation
-//! names: it is unreachable, refuses calls, discards its history, loses responses or delays writes.
+//! names: it is unreachable, refuses calls, discards its history, loses responses, delays writes or
+//! comes back from an older copy.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -63,10 +64,19 @@
     history: VecDeque<Change>,
     /// Changes up to this version have been discarded from the history.
     compacted_version: u64,
+    /// How often the store has come back from a copy.
+    restored: u64,
     fault: Fault,
     calls: BTreeMap<String, usize>,
 }
 
+/// A copy of the rows at one time.
+#[derive(Debug, Clone)]
+pub struct Backup {
+    rows: BTreeMap<RowKey, (u64, Vec<u8>)>,
+    version: u64,
+}
+
 /// A handle to a running mock store.
 #[derive(Debug, Clone)]
 pub struct Store {
@@ -158,7 +168,12 @@
                 move |body| (store.clone(), body)
             })
             .then(|(store, body): (Store, Transaction)| async move { store.transact(body).await });
-        let routes = rows.or(feed).unify().or(transaction).unify();
+        let era_store = with_store();
+        let routes =
+            rows.or(feed).unify().or(transaction).unify().map(move |response: Response| {
+                let era = 1 + era_store.lock().restored;
+                warp::reply::with_header(response, "store-era", era)
+            });
         tokio::spawn(warp::serve(routes).incoming(listener).run());
         Ok(store)
     }
@@ -180,6 +195,25 @@
         state.compacted_version = state.version;
     }
 
+    /// Copies all rows.
+    pub fn back_up(&self) -> Backup {
+        let state = self.lock();
+        Backup { rows: state.rows.clone(), version: state.version }
+    }
+
+    /// Goes back to a copy. The versions issued since are issued again.
+    pub fn restore(&self, backup: &Backup) {
+        let version = {
+            let mut state = self.lock();
+            state.rows = backup.rows.clone();
+            state.version = backup.version;
+            state.history.retain(|change| change.version <= backup.version);
+            state.restored += 1;
+            state.version
+        };
+        self.changed.send_replace(version);
+    }
+
     /// Writes a row on behalf of the operator or a target and returns its version.
     pub fn put(&self, table: &str, key: &str, value: &[u8]) -> u64 {
         let row_key = (table.to_owned(), String::new(), key.to_owned());
@@ -307,7 +341,7 @@
 
     fn changes_since(&self, query: &Query) -> Option<Response> {
         let state = self.lock();
-        if query.since_revision < state.compacted_version {
+        if !(state.compacted_version..=state.version).contains(&query.since_revision) {
             return Some(StatusCode::GONE.into_response());
         }
         let rows: Vec<Value> = state
--- a/crates/daemon/src/snapshot.rs
+++ b/crates/daemon/src/snapshot.rs
@@ -111,6 +111,7 @@
         Delta {
             from: Revision(0),
             to: intent.revision,
+            sequence: 0,
             complete: true,
             records: intent.records().cloned().collect(),
         }
--- a/crates/daemon/src/table.rs
+++ b/crates/daemon/src/table.rs
@@ -180,6 +180,7 @@
         Delta {
             from: self.since,
             to: self.head,
+            sequence: 0,
             complete: self.since == Revision(0),
             records: records.collect(),
         }
--- a/crates/daemon/src/write.rs
+++ b/crates/daemon/src/write.rs
@@ -139,6 +139,7 @@
         let delta = Delta {
             from: self.base_revision,
             to,
+            sequence: 0,
             complete: self.base_revision == Revision(0),
             records: self.changes,
         };
--- a/crates/daemon/tests/operators.rs
+++ b/crates/daemon/tests/operators.rs
@@ -322,6 +322,7 @@
     Delta {
         from: Revision(from),
         to: Revision(to),
+        sequence: 0,
         complete: false,
         records: (from + 1..=to).map(record).collect(),
     }
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -335,7 +335,13 @@
             spec: Some(spec),
         }
     });
-    Delta { from: Revision(0), to: Revision(5), complete: true, records: records.collect() }
+    Delta {
+        from: Revision(0),
+        to: Revision(5),
+        sequence: 0,
+        complete: true,
+        records: records.collect(),
+    }
 }
 
 fn target_spec(service: &str, address: &str) -> String {
--- a/crates/kernel/src/feed.rs
+++ b/crates/kernel/src/feed.rs
@@ -174,7 +174,7 @@
     /// Number of rows in a table, not counting removed ones.
     pub fn rows(&self, table: Table) -> usize {
         let copy = &self.copies[table as usize];
-        copy.rows.values().filter(|(_, value)| value.is_some()).count()
+        copy.rows.values().filter(|stored| stored.value.is_some()).count()
     }
 
     fn copy_mut(&mut self, table: Table) -> &mut TableCopy {
@@ -292,8 +292,11 @@
         state.freshness.record_current(at);
     }
     let copy = state.feeds.copy_mut(rows.table);
-    copy.merge(rows);
+    let in_force = copy.merge(rows, now);
     copy.current_at = copy.current_at.max(Some(at));
+    if let Some(rows) = in_force {
+        out.push(Outcome::ApplyRows(rows));
+    }
     state.feeds.provider = None;
     state.feeds.send_updates(None, now, out);
 }
@@ -335,7 +338,7 @@
     state.feeds.unanswered_since = None;
     let mut is_news = false;
     for update in updates {
-        is_news |= merge_peer_update(state, sent, update, out);
+        is_news |= merge_peer_update(state, sent, update, now, out);
     }
     let feeds = &mut state.feeds;
     let is_gap = |update: &TableUpdate| feeds.version(update.rows.table) < update.rows.from;
@@ -359,12 +362,13 @@
     state: &mut State,
     sent: Millis,
     update: &TableUpdate,
+    now: Millis,
     out: &mut Outbox,
 ) -> bool {
     let TableUpdate { rows, age_ms } = update;
     let copy = state.feeds.copy_mut(rows.table);
     let before = copy.current_at;
-    let new_rows = copy.merge(rows);
+    let new_rows = copy.merge(rows, now);
     // With the rows merged, this copy contains everything that the peer's does.
     let is_complete = copy.version >= rows.from;
     if let (Some(age), true) = (age_ms, is_complete) {
--- a/crates/kernel/src/intent.rs
+++ b/crates/kernel/src/intent.rs
@@ -74,6 +74,8 @@
     pub revision: Revision,
     /// Number of changes applied on this VM, including changes of discovered targets.
     pub generation: u64,
+    /// The operators' own number of the active resources; zero if they keep none.
+    sequence: u64,
     /// Where the revision came from.
     pub source: Source,
     /// One map per kind, so that lookups need no owned key.
@@ -264,7 +266,7 @@
         let mut records: Vec<Record> =
             self.records().filter(|record| complete || record.version > from).cloned().collect();
         records.sort_by(|left, right| (left.version, &left.key).cmp(&(right.version, &right.key)));
-        Delta { from, to: self.revision, complete, records }
+        Delta { from, to: self.revision, sequence: self.sequence, complete, records }
     }
 
     fn version(&self, key: &resource::Key) -> Option<Revision> {
@@ -514,6 +516,14 @@
         };
         return out.count(Counter::Ignored(label));
     }
+    // The store or a peer went back to an older copy that operators have not replaced yet.
+    if delta.sequence < intent.sequence {
+        out.log(format!(
+            "resources ignored revision={} sequence={} known={}",
+            delta.to.0, delta.sequence, intent.sequence
+        ));
+        return out.count(Counter::Ignored("store_regressed"));
+    }
     if !delta.complete && delta.from > intent.revision {
         out.count(Counter::Ignored("delta_gap"));
         if let Some(peer) = peer {
@@ -552,6 +562,7 @@
         }
     }
     intent.revision = delta.to;
+    intent.sequence = delta.sequence;
     // The pull has been answered, so the next one may be sent at once.
     intent.last_pull_at = None;
     intent.prune_tombstones(now);
--- a/crates/kernel/src/peer.rs
+++ b/crates/kernel/src/peer.rs
@@ -207,6 +207,10 @@
     pub from: Revision,
     /// The revision after applying the delta.
     pub to: Revision,
+    /// The operators' own number of these resources, if they keep one; otherwise zero. Unlike the
+    /// revision it still orders resources after the store came back from an older copy.
+    #[serde(default)]
+    pub sequence: u64,
     /// Whether `records` is the complete set of resources.
     pub complete: bool,
     /// Changed records, including tombstones.
--- a/crates/kernel/tests/common/mod.rs
+++ b/crates/kernel/tests/common/mod.rs
@@ -317,6 +317,7 @@
         let delta = Delta {
             from: Revision(0),
             to: Revision(self.revision),
+            sequence: 0,
             complete: true,
             records: self.resources.clone(),
         };
--- a/crates/kernel/tests/discovery.rs
+++ b/crates/kernel/tests/discovery.rs
@@ -56,7 +56,7 @@
 }
 
 fn discover(world: &mut Harness, to: u64, complete: bool, records: Vec<Record>) {
-    let delta = Delta { from: Revision(0), to: Revision(to), complete, records };
+    let delta = Delta { from: Revision(0), to: Revision(to), sequence: 0, complete, records };
     world.handle(Event::TargetsDiscovered(&delta));
 }
 
--- a/crates/kernel/tests/feed.rs
+++ b/crates/kernel/tests/feed.rs
@@ -128,6 +128,7 @@
             key: name(key),
             version: Revision(*version),
             value: Some(b"{}".to_vec()),
+            sequence: None,
         };
         newer.map(row).collect()
     }
@@ -341,6 +342,7 @@
         key: name(key),
         version: Revision(version),
         value: Some(b"{}".to_vec()),
+        sequence: None,
     };
     let whole = Rows {
         table: Table::Targets,
--- a/crates/kernel/tests/fleet/mod.rs
+++ b/crates/kernel/tests/fleet/mod.rs
@@ -428,7 +428,13 @@
 
 pub fn delta(from: u64, to: u64, specs: &[(&str, Spec)]) -> Delta {
     let records = specs.iter().map(|(key, spec)| record_of(key, to, spec.clone()));
-    Delta { from: Revision(from), to: Revision(to), complete: false, records: records.collect() }
+    Delta {
+        from: Revision(from),
+        to: Revision(to),
+        sequence: 0,
+        complete: false,
+        records: records.collect(),
+    }
 }
 
 pub fn service() -> Spec {
--- a/crates/kernel/tests/fuzz/table.rs
+++ b/crates/kernel/tests/fuzz/table.rs
@@ -50,7 +50,13 @@
     /// The resources changed after revision `from`.
     pub fn changes(&self, from: Revision) -> Delta {
         let changed = self.records.values().filter(|record| record.version > from);
-        Delta { from, to: self.head, complete: false, records: changed.cloned().collect() }
+        Delta {
+            from,
+            to: self.head,
+            sequence: 0,
+            complete: false,
+            records: changed.cloned().collect(),
+        }
     }
 
     pub fn perform(&mut self, op: &Op) -> Answer {
--- a/crates/kernel/tests/ingress.rs
+++ b/crates/kernel/tests/ingress.rs
@@ -58,7 +58,7 @@
         record(Kind::Route, "new", Spec::Route(route("a.example", "/orders/new/", &[("desk", 1)]))),
         record(Kind::Route, "other", Spec::Route(route("b.example", "/drafts/", &[("desk", 1)]))),
     ];
-    let delta = Delta { from: Revision(0), to: Revision(1), complete: true, records };
+    let delta = Delta { from: Revision(0), to: Revision(1), sequence: 0, complete: true, records };
     kernel.handle(Event::Changes(&delta), Millis(1), &mut Vec::new());
     kernel
 }
--- a/crates/kernel/tests/intent.rs
+++ b/crates/kernel/tests/intent.rs
@@ -22,7 +22,7 @@
 }
 
 fn changes(from: u64, to: u64, complete: bool, records: Vec<Record>) -> Delta {
-    Delta { from: Revision(from), to: Revision(to), complete, records }
+    Delta { from: Revision(from), to: Revision(to), sequence: 0, complete, records }
 }
 
 /// A VM at revision 5 with a service, a zone and a target.
--- a/crates/kernel/tests/pool/harness.rs
+++ b/crates/kernel/tests/pool/harness.rs
@@ -246,7 +246,7 @@
                 spec: Some(spec.clone()),
             })
         });
-        let delta = Delta { from, to, complete: true, records: records.collect() };
+        let delta = Delta { from, to, sequence: 0, complete: true, records: records.collect() };
         self.handle(Event::Changes(&delta));
     }
 
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -60,6 +60,7 @@
     Message::Delta(Delta {
         from: Revision(3),
         to: Revision(12),
+        sequence: 0,
         complete: false,
         records: vec![record],
     })
@@ -172,6 +173,7 @@
         key: key.into(),
         version: Revision(9),
         value: value.map(<[u8]>::to_vec),
+        sequence: None,
     };
     let rows = Rows {
         table: Table::Targets,
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -9,5 +9,6 @@
 mod prompt_parts;
 mod relocation;
 mod request_path;
+mod restored_store;
 mod store;
 mod target_faults;
