Let the holder of a lease that the store has lost write it again

After the store came back from an older copy, the record of a lease could be that of an earlier holder. That VM took the pool back at once, since a record of its own needs no waiting, while the real holder acted until its next renewal: two schedulers for up to 2 s, and cold targets beyond their limit. The real holder gave the pool up, so that nobody held it for 8 s.

Fencing tokens only increase, so a record with a lower token than one already seen, or none at all, shows the return of the store. The holder keeps its lease and writes it again; all others wait for the full take-over time, which is longer than a lease is valid. This needs no era, so it also holds for stores that do not name one.

Tests: return_loses_a_takeover, return_loses_two_takeovers and return_that_loses_the_first_lease_keeps_the_holder failed before (the earlier holder or nobody held the pool) and pass now; Fleet::run checks after each step that a pool has one holder.

--- a/crates/kernel/src/pool_lease.rs
+++ b/crates/kernel/src/pool_lease.rs
@@ -76,6 +76,8 @@
     pub(crate) renewal: u64,
     /// Highest fencing token observed or attempted.
     pub(crate) fence: Fence,
+    /// Highest fencing token of a record or of a lease held here.
+    pub(crate) observed_fence: Fence,
     /// Whether the releasing holder sent the pool's state to this VM.
     pub(crate) is_successor: bool,
     /// Whether the pool has active targets.
@@ -135,7 +137,7 @@
             renewal: self.renewal + 1,
             released,
         };
-        Some((Condition::Version(held.version), lease))
+        Some((version_condition(held.version), lease))
     }
 
     /// When this VM may take over the pool.
@@ -146,7 +148,12 @@
         }
         let rank =
             |excluded| RANK_DELAY_MS * rank::rank(pool, context.own, &context.candidates, excluded);
+        let known_fence = self.observed_fence.max(context.members.highest_fence(pool));
         let wait = match &observed.lease {
+            // The store came back from an older copy. The holder writes its lease again.
+            lease if is_outdated(observed.version, lease.as_ref(), known_fence) => {
+                TAKEOVER_MS + rank(None)
+            }
             None if observed.version.is_none() => {
                 return Some(
                     observed.first_seen_at.after(rank(None)).max(context.claim_free_after),
@@ -213,6 +220,7 @@
             out.count(Counter::Event("lease_taken"));
         }
         self.is_successor = false;
+        self.observed_fence = self.observed_fence.max(pending.lease.fence);
         self.held = Some(HeldLease {
             fence: pending.lease.fence,
             version,
@@ -235,6 +243,7 @@
         }
         if let Some(lease) = &lease {
             self.fence = self.fence.max(lease.fence);
+            self.observed_fence = self.observed_fence.max(lease.fence);
             self.is_successor &= lease.released || self.observed.is_none();
         }
         self.observed = Some(Observation { version, lease, first_seen_at: now });
@@ -269,6 +278,13 @@
                     self.observe(found, now);
                 }
             }
+            // The store came back from an older copy, so this VM writes its lease again. That is
+            // safe: whoever takes an older record over waits for longer than this lease is valid.
+            found if is_outdated_record(found.as_ref(), held.fence) => {
+                held.version = found.as_ref().map_or(Revision(0), |(version, _)| *version);
+                held.renew_at = now;
+                out.count(Counter::Event("lease_restored"));
+            }
             _ => {
                 self.mark_lost(out);
                 self.observe(found, now);
@@ -313,3 +329,25 @@
 fn is_own_lease(lease: &Lease, context: &WriteContext<'_>) -> bool {
     lease.vm == *context.own && lease.incarnation == context.incarnation
 }
+
+/// Whether a record was written before the one with `known_fence`. Fencing tokens only increase and
+/// records are never deleted, so the store then came back from an older copy.
+fn is_outdated(version: Option<Revision>, lease: Option<&Lease>, known_fence: Fence) -> bool {
+    match (version, lease) {
+        (None, _) => known_fence > Fence(0),
+        (Some(_), lease) => lease.is_some_and(|lease| lease.fence < known_fence),
+    }
+}
+
+fn is_outdated_record(found: Option<&VersionedLease>, known_fence: Fence) -> bool {
+    let version = found.map(|(version, _)| *version);
+    is_outdated(version, found.and_then(|(_, lease)| lease.as_ref()), known_fence)
+}
+
+/// The condition that the record still has a version; zero stands for no record.
+fn version_condition(version: Revision) -> Condition {
+    match version {
+        Revision(0) => Condition::Absent,
+        version => Condition::Version(version),
+    }
+}
--- a/crates/kernel/tests/fleet/mod.rs
+++ b/crates/kernel/tests/fleet/mod.rs
@@ -81,6 +81,13 @@
     declared_revision: u64,
 }
 
+/// A copy of the store's records.
+#[derive(Debug)]
+pub struct Backup {
+    table: BTreeMap<String, (store::Key, Revision, Value)>,
+    revision: u64,
+}
+
 pub fn name(text: &str) -> Name {
     text.into()
 }
@@ -315,6 +322,21 @@
         WriteResult::Applied(revision)
     }
 
+    /// Copies all records of the store.
+    pub fn back_up(&self) -> Backup {
+        Backup { table: self.table.clone(), revision: self.revision }
+    }
+
+    /// Makes the store go back to a copy and issue the numbers since again.
+    pub fn restore(&mut self, backup: Backup) {
+        let era = Revision(self.revision).era() + 1;
+        self.table = backup.table;
+        self.revision = Revision::new(era, Revision(backup.revision).number()).0;
+        for (_, version, _) in self.table.values_mut() {
+            *version = Revision::new(era, version.number());
+        }
+    }
+
     /// Advances time until the pool's lease has just been written.
     pub fn run_to_renewal(&mut self, pool: &Key) {
         let row_key = format!("{:?}", store::Key::Lease(pool.clone()));
--- a/crates/kernel/tests/lease.rs
+++ b/crates/kernel/tests/lease.rs
@@ -119,6 +119,56 @@
     assert_eq!(fleet.holders(&pool()), vec![(holder, fence)]);
 }
 
+/// Checks that the holder keeps the pool, alone, when the store goes back to the time before
+/// `lost`. `Fleet::run` checks the latter.
+fn return_of_the_store_keeps_the_holder(lost: fn(&mut Fleet, &Name)) {
+    let (mut fleet, holder) = settled_fleet();
+    let backup = fleet.back_up();
+    lost(&mut fleet, &holder);
+    let holder = fleet.holder(&pool()).expect("the pool has a holder");
+    fleet.restore(backup);
+    for _ in 0..(TAKEOVER_MS + SETTLE_MS) / RENEW_INTERVAL_MS {
+        fleet.run(RENEW_INTERVAL_MS);
+        assert_eq!(fleet.holder(&pool()).as_ref(), Some(&holder));
+    }
+}
+
+/// Pauses the holder until another VM has taken the pool over.
+fn take_over(fleet: &mut Fleet, holder: &Name) {
+    fleet.node(holder).is_paused = true;
+    fleet.run(TAKEOVER_MS + SETTLE_MS);
+    fleet.node(holder).is_paused = false;
+    fleet.run(RENEW_INTERVAL_MS);
+}
+
+cases! {
+    return_of_the_store_keeps_the_holder;
+    return_loses_renewals: (|fleet, _| fleet.run(SETTLE_MS));
+    // Guards against an earlier holder that finds its record again and acts beside its successor.
+    return_loses_a_takeover: (take_over);
+    return_loses_two_takeovers: (|fleet, holder| {
+        take_over(fleet, holder);
+        let holder = fleet.holder(&pool()).unwrap();
+        take_over(fleet, &holder);
+    });
+}
+
+/// Guards against a second holder after the store has lost the record of the first one.
+#[test]
+fn return_that_loses_the_first_lease_keeps_the_holder() {
+    let mut fleet = Fleet::of_zone(3);
+    fleet.declare(&one_pool());
+    let backup = fleet.back_up();
+    fleet.run(SETTLE_MS);
+    let holder = fleet.holder(&pool());
+    assert!(holder.is_some());
+    fleet.restore(backup);
+    fleet.run(RENEW_INTERVAL_MS);
+    assert_eq!(fleet.holder(&pool()), holder);
+    fleet.run(TAKEOVER_MS + SETTLE_MS);
+    assert_eq!(fleet.holder(&pool()), holder);
+}
+
 /// Guards against two observers that both see an unchanged record and both take over.
 #[test]
 fn one_of_two_observers_that_race_wins() {
