Relay the connections of a VM that reaches no target through its peers

Their connections timed out or were refused until the request's deadline, and no path led to a VM that still reached the targets. The other VMs suffered as well, since a cut-off owner of a pool took its failed polls for dead targets and granted nothing.

The kernel's new plug-in "reach" takes failed connections to several targets, with no success within a second of them, for a lost path of this VM. It then names the live peers as relays, probes a target every 250 ms, ends the state after two connections that succeed, and does not count failed polls as faults of targets. The daemon opens a tunnel at a peer's listener, with the peer key; the peer connects only to targets that it knows and that are not leaving, never relays for a third VM, and says at once that it cannot help if it is cut off itself. Reports of engines take the same way. A tunnel that breaks off is a reset connection, so that a response that ends with its connection does not look complete.

The request keeps its ids, deadline and attempt count; to the kernel it is an attempt like any other, which counts once against budgets, limits and the ramp of a cold target.

Weighed: handing the whole request to another VM (it would be admitted, counted and explained twice, and its response would take a second protocol); handing pools over (nobody is left if the zone is cut off); a flag in gossip (a refusal tells the same, without a new field).

Tests: kernel reach (11), tests/fleet/relayed_connections (4, of which three failed before: the request was never relayed).

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -54,8 +54,12 @@
 
 /// A target entry in the format of the platform.
 pub fn target_entry(engine: &Engine, service: &str, zone: &str, state: &str) -> Value {
+    target_entry_at(&engine.address().to_string(), service, zone, state)
+}
+
+fn target_entry_at(address: &str, service: &str, zone: &str, state: &str) -> Value {
     json!({
-        "service": service, "address": engine.address().to_string(), "zone": zone,
+        "service": service, "address": address, "zone": zone,
         "version": "v1", "slots": 24, "state": state, "cold_remaining_ms": 0, "born": 1,
         "sequence": 1,
     })
@@ -119,6 +123,23 @@
         self.store.put("op", "config", config.to_string().as_bytes());
     }
 
+    /// Writes the entry of a target that refuses connections to the store.
+    ///
+    /// # Errors
+    ///
+    /// No port is free.
+    pub fn put_unreachable_target(
+        &self,
+        name: &str,
+        service: &str,
+        zone: &str,
+    ) -> Result<(), Error> {
+        let address = free_addresses(1)?.remove(0).to_string();
+        let entry = target_entry_at(&address, service, zone, "ready").to_string();
+        self.store.put("servers", name, entry.as_bytes());
+        Ok(())
+    }
+
     /// Writes the entry of a target to the store.
     pub fn put_target(&self, engine: &Engine, service: &str, zone: &str, state: &str) {
         let entry = target_entry(engine, service, zone, state).to_string();
--- a/crates/daemon/src/adapter.rs
+++ b/crates/daemon/src/adapter.rs
@@ -8,6 +8,7 @@
 use hornbeamloom_kernel::intent::Intent;
 use hornbeamloom_kernel::kernel::Identity;
 use hornbeamloom_kernel::outcome::Outcome;
+use hornbeamloom_kernel::reach::Path;
 use tokio::sync::{mpsc, watch, OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
 
@@ -25,6 +26,8 @@
     pub control: Control,
     /// The resources in force, published by the control thread.
     pub intent: watch::Receiver<Arc<Intent>>,
+    /// How connections to targets are opened, published by the control thread.
+    pub path: watch::Receiver<Path>,
     /// Becomes true when a graceful shutdown begins.
     pub stopping: watch::Receiver<bool>,
     /// When every request needs its response; `None` unless a shutdown with a limit has begun.
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -16,6 +16,7 @@
 use hornbeamloom_kernel::map::Map;
 use hornbeamloom_kernel::outcome::{Counter, Outcome, Refusal, Start};
 use hornbeamloom_kernel::peer::{Delta, Message};
+use hornbeamloom_kernel::reach::Path;
 use hornbeamloom_kernel::reconcile;
 use hornbeamloom_kernel::request::{End, Id, Idempotency, RouteOptions, View};
 use hornbeamloom_kernel::store::{Answer, CallId, StoredResponse};
@@ -140,6 +141,15 @@
         /// Whether the response is that to a control call.
         is_control: bool,
     },
+    /// Whether this VM could open a connection to a target itself.
+    TargetContact {
+        /// The target.
+        target: Name,
+        /// Whether the connection was established.
+        is_reached: bool,
+    },
+    /// A VM could not relay a connection.
+    RelayFailed(Name),
     /// Prefix-cache events of an engine.
     CacheEvents(Name, CacheBatch),
     /// An engine's response to an order.
@@ -255,6 +265,7 @@
     requests: Map<Id, ActiveRequest>,
     routes: Vec<OutcomeRoute>,
     intent: watch::Sender<Arc<Intent>>,
+    path: watch::Sender<Path>,
     wakeup: watch::Sender<Option<Millis>>,
     drained: Option<oneshot::Sender<()>>,
     last_progress_at: Millis,
@@ -264,6 +275,7 @@
 /// The receiving ends of the actor's output channels.
 pub(crate) struct Receivers {
     pub(crate) intent: watch::Receiver<Arc<Intent>>,
+    pub(crate) path: watch::Receiver<Path>,
     pub(crate) drained: oneshot::Receiver<()>,
 }
 
@@ -273,6 +285,7 @@
     routes: Vec<OutcomeRoute>,
 ) -> std::io::Result<(Control, Receivers)> {
     let (intent_sender, intent) = watch::channel(Arc::new(Intent::default()));
+    let (path_sender, path) = watch::channel(Path::Direct);
     let (wakeup_sender, wakeup) = watch::channel(Some(Millis(0)));
     let (drained_sender, drained) = oneshot::channel();
     let (address, mailbox) = Mailbox::<Actor>::unbounded();
@@ -286,6 +299,7 @@
         requests: Map::default(),
         routes,
         intent: intent_sender,
+        path: path_sender,
         wakeup: wakeup_sender,
         drained: Some(drained_sender),
         last_progress_at: Millis(0),
@@ -299,7 +313,7 @@
             xtra::run(mailbox, actor).await;
         });
     })?;
-    Ok((control, Receivers { intent, drained }))
+    Ok((control, Receivers { intent, path, drained }))
 }
 
 /// Forwards inputs to the actor's mailbox; runs on the control thread.
@@ -387,6 +401,7 @@
             Outcome::Publish => {
                 self.intent.send_replace(Arc::new(self.kernel.state().intent.clone()));
             }
+            Outcome::SetPath(path) => drop(self.path.send_replace(path)),
             Outcome::Drained => {
                 if let Some(drained) = self.drained.take() {
                     // The receiver is dropped only when the process is already exiting.
@@ -520,6 +535,10 @@
                 let (target, signal) = (&*target, &signal);
                 self.handle_event(Event::TargetSignal { target, signal, is_control });
             }
+            Input::TargetContact { target, is_reached } => {
+                self.handle_event(Event::TargetContact { target: &target, is_reached });
+            }
+            Input::RelayFailed(vm) => self.handle_event(Event::RelayFailed { vm: &vm }),
             Input::CacheEvents(target, batch) => {
                 self.handle_event(Event::CacheEvents { target: &target, batch: &batch });
             }
--- a/crates/daemon/src/jitter.rs
+++ b/crates/daemon/src/jitter.rs
@@ -21,6 +21,11 @@
     limit.mul_f64(0.5 + 0.5 * random_fraction())
 }
 
+/// A random index below `count`, zero if there is none.
+pub(crate) fn index(count: usize) -> usize {
+    (random_fraction() * count as f64) as usize % count.max(1)
+}
+
 /// A random number from 0 to 1. A failure of the random source only removes the jitter.
 fn random_fraction() -> f64 {
     match getrandom::u32() {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod session;
 pub mod settings;
 pub mod stream_proxy;
+pub mod tunnel;
 
 mod api_error;
 mod attempt;
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -46,6 +46,8 @@
 pub const MAX_QUEUED_FRAMES: usize = 1_024;
 /// Maximum number of bytes queued on one link (4 MiB): at least four frames of maximum size.
 pub const MAX_QUEUED_BYTES: usize = 4 << 20;
+/// Path of a link on the peer listener.
+const FRAMES_PATH: &str = "/peers";
 /// Metric label of heartbeats.
 const HEARTBEAT_KIND: &str = "heartbeat";
 /// Kind of gossip frames, which are dropped first because the next gossip round supersedes them.
@@ -210,7 +212,7 @@
     let mut unreachable_since: Option<Instant> = None;
     loop {
         let opened_at = Instant::now();
-        let error = match open(&endpoint()).await {
+        let error = match open(&endpoint(), FRAMES_PATH).await {
             Ok(socket) => {
                 unreachable_since = None;
                 run_connection(socket, &queue).await
@@ -253,13 +255,17 @@
         .max_frame_size(Some(hornbeamloom_wire::frame::MAX_BYTES))
 }
 
-async fn open(endpoint: &Endpoint) -> Result<WebSocketStream<TcpStream>, Error> {
+/// Opens a WebSocket connection to a peer under the given path.
+pub(crate) async fn open(
+    endpoint: &Endpoint,
+    path: &str,
+) -> Result<WebSocketStream<TcpStream>, Error> {
     let connect = async {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(&*endpoint.address))
             .await
             .unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))?;
         stream.set_nodelay(true)?;
-        let mut request = format!("ws://{}/peers", endpoint.address).into_client_request()?;
+        let mut request = format!("ws://{}{path}", endpoint.address).into_client_request()?;
         let key = HeaderValue::from_str(&format!("Bearer {}", endpoint.key))
             .map_err(tungstenite::http::Error::from)
             .map_err(tungstenite::Error::from)?;
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -1,4 +1,4 @@
-//! Inbound links from peers: authentication and reception of frames.
+//! Inbound connections from peers: authentication, reception of frames, and tunnels to targets.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,6 +19,7 @@
 
 use crate::link::{self, HEARTBEAT_TIMEOUT, IDLE_TIMEOUT};
 use crate::settings::Settings;
+use crate::tunnel;
 
 /// Maximum number of open inbound links; more than the fleet opens at the two-year scale.
 const MAX_INBOUND_LINKS: usize = 1_024;
@@ -34,6 +35,8 @@
     pub own_vm: Name,
     /// Settings with the accepted peer keys.
     pub settings: watch::Receiver<Arc<Settings>>,
+    /// Relays connections to targets; `None` if this VM relays none.
+    pub tunnels: Option<tunnel::Server>,
     /// Called with the sender and the decoded message of each frame.
     pub on_message: D,
 }
@@ -71,20 +74,27 @@
         return;
     }
     let settings = handler.settings.borrow().clone();
+    let mut path = String::new();
     // The error type is prescribed by tungstenite's callback.
     #[allow(clippy::result_large_err)]
-    let authenticate =
-        move |request: &Request, response: Response| match is_authorized(&settings, request) {
+    let authenticate = |request: &Request, response: Response| {
+        request.uri().path().clone_into(&mut path);
+        match is_authorized(&settings, request) {
             true => Ok(response),
             false => Err(unauthorized()),
-        };
+        }
+    };
     let handshake = tokio_tungstenite::accept_hdr_async_with_config(
         stream,
         authenticate,
         Some(link::websocket_config()),
     );
     match timeout(HEARTBEAT_TIMEOUT, handshake).await {
-        Ok(Ok(socket)) => receive_frames(handler, socket).await,
+        Ok(Ok(socket)) => match (path.strip_prefix(tunnel::PATH_PREFIX), &handler.tunnels) {
+            (Some(target), Some(tunnels)) => tunnels.serve(socket, target).await,
+            (Some(_), None) => link::count_ignored("tunnel"),
+            (None, _) => receive_frames(handler, socket).await,
+        },
         Ok(Err(_)) | Err(_) => link::count_event("peer_handshake_failed"),
     }
 }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -14,7 +14,7 @@
 use crate::adapter::{self, Context, Inbox};
 use crate::control::Input;
 use crate::link::{self, Endpoint, OutgoingFrame, Queue};
-use crate::peer_server;
+use crate::{peer_server, tunnel};
 
 inventory::submit! {
     adapter::Plugin {
@@ -34,6 +34,7 @@
     let handler = peer_server::FrameHandler {
         own_vm: context.identity.vm.clone(),
         settings: context.settings.clone(),
+        tunnels: Some(tunnel::Server::new(&context)),
         on_message: move |sender, message| control.tell(Input::Peer(sender, message)),
     };
     tokio::spawn(peer_server::accept(listener, handler));
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -118,6 +118,7 @@
             identity,
             control: control.clone(),
             intent: receivers.intent,
+            path: receivers.path,
             stopping,
             answer_by,
             server_shutdown: server_shutdown.clone(),
--- a/crates/daemon/tests/link.rs
+++ b/crates/daemon/tests/link.rs
@@ -38,6 +38,7 @@
     let handler = FrameHandler {
         own_vm: "entry-a1".into(),
         settings: watch::channel(settings()).1,
+        tunnels: None,
         on_message: move |from, message| drop(sender.send((from, message))),
     };
     (delivered, tokio::spawn(peer_server::accept(listener, handler)))
--- a/crates/kernel/src/accounting.rs
+++ b/crates/kernel/src/accounting.rs
@@ -369,6 +369,11 @@
     let Some(ix) = pool.target_index(target) else {
         return;
     };
+    if let Err(error) = report {
+        if !state.reach.trusts_failed_poll(error == PollError::Refused, now) {
+            return out.count(Counter::Ignored("poll_while_cut_off"));
+        }
+    }
     let untracked = pool.targets[ix].untracked;
     let is_taking_over = pool.is_taking_over();
     let change = match report {
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -75,6 +75,18 @@
         /// Whether the response is that to a control call and not to a request.
         is_control: bool,
     },
+    /// This VM tried to open a connection to a target itself.
+    TargetContact {
+        /// The target.
+        target: &'a str,
+        /// Whether the connection was established.
+        is_reached: bool,
+    },
+    /// A VM could not relay a connection because it is unreachable or reaches no target either.
+    RelayFailed {
+        /// The VM.
+        vm: &'a str,
+    },
     /// Prefix-cache events of an engine.
     CacheEvents {
         /// The engine.
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -9,7 +9,7 @@
 use crate::plugin::{control, policy};
 use crate::{
     backpressure, claim, departure, discovery, entry, explain, feed, freshness, intent, lease,
-    member, pool, quarantine, reconcile, relocate,
+    member, pool, quarantine, reach, reconcile, relocate,
 };
 
 /// The identity of this VM, from its settings.
@@ -121,6 +121,8 @@
     pub entry: entry::Table,
     /// Pools that this VM schedules.
     pub pools: pool::Pools,
+    /// Whether this VM reaches the targets.
+    pub reach: reach::Reach,
     /// What targets have said about new requests.
     pub(crate) backpressure: backpressure::Registry,
     /// Crash correlation and quarantined bodies.
@@ -153,6 +155,7 @@
             leases: lease::LeaseManager::default(),
             entry: entry::Table::default(),
             pools: pool::Pools::new(policy::all()),
+            reach: reach::Reach::default(),
             backpressure: backpressure::Registry::default(),
             quarantine: quarantine::Registry::default(),
             claims: claim::Registry::default(),
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod prompt_part;
 pub mod quarantine;
 pub mod queue;
+pub mod reach;
 pub mod reconcile;
 pub mod request;
 pub mod resource;
--- a/crates/kernel/src/outcome.rs
+++ b/crates/kernel/src/outcome.rs
@@ -5,7 +5,7 @@
 use crate::ids::{Fence, Name};
 use crate::peer::Message;
 use crate::request::Id;
-use crate::{feed, reconcile, store};
+use crate::{feed, reach, reconcile, store};
 
 /// Whether any part of a refused request may have been executed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -260,6 +260,15 @@
         /// shows the death of a target that reports through the platform.
         needs_contact: bool,
     },
+    /// Try to open a connection to a target from this VM, and report whether it was established.
+    Probe {
+        /// The target.
+        target: Name,
+        /// Its `IP:port`.
+        address: String,
+    },
+    /// Open connections to targets in this way from now on.
+    SetPath(reach::Path),
     /// Send an order to an engine.
     Order(reconcile::Order),
     /// Increment a counter.
--- a/crates/kernel/src/pool.rs
+++ b/crates/kernel/src/pool.rs
@@ -140,6 +140,12 @@
         self.pools.get(key)
     }
 
+    /// Forgets the failed polls of all targets, which were no fault of theirs.
+    pub(crate) fn forget_failed_polls(&mut self) {
+        let targets = self.pools.values_mut().flat_map(|pool| &mut pool.targets);
+        targets.for_each(TargetState::forget_failed_polls);
+    }
+
     /// Iterates over the pools that this VM schedules, in the order of their keys.
     pub fn iter(&self) -> impl Iterator<Item = &Pool> {
         self.pools.values()
--- a/crates/kernel/src/target.rs
+++ b/crates/kernel/src/target.rs
@@ -472,6 +472,12 @@
         self.untracked = self.untracked.max(previous.min(shown));
     }
 
+    /// Forgets failed polls, which were no fault of the target.
+    pub(crate) fn forget_failed_polls(&mut self) {
+        self.failed_polls = 0;
+        self.unavailable.down = false;
+    }
+
     /// Applies a failed poll.
     pub(crate) fn poll_failed(&mut self, error: PollError, now: Millis) -> LivenessChange {
         self.failed_polls = self.failed_polls.saturating_add(1);
--- a/crates/kernel/tests/fleet/mod.rs
+++ b/crates/kernel/tests/fleet/mod.rs
@@ -15,6 +15,7 @@
 use hornbeamloom_kernel::outcome::{Counter, Outcome};
 use hornbeamloom_kernel::peer::{Delta, Message};
 use hornbeamloom_kernel::pool::Key;
+use hornbeamloom_kernel::reach::Path;
 use hornbeamloom_kernel::reconcile::Order;
 use hornbeamloom_kernel::resource::{self, Kind, Record, Spec};
 use hornbeamloom_kernel::store::{
@@ -51,6 +52,8 @@
     pub store_latency_ms: u64,
     pub counts: Map<String, u64>,
     pub orders: Vec<(Millis, Order)>,
+    /// The VMs that relay its connections to targets.
+    pub relays: Vec<Name>,
     /// Number of messages sent.
     pub sent_messages: u64,
     pub max_gossip_items: usize,
@@ -128,6 +131,7 @@
             store_latency_ms: STORE_LATENCY_MS,
             counts: Map::default(),
             orders: Vec::new(),
+            relays: Vec::new(),
             sent_messages: 0,
             max_gossip_items: 0,
             clock_offset_ms,
@@ -237,6 +241,12 @@
         match outcome {
             Outcome::Send { address: to, message, .. } => self.send(ix, &to, message),
             Outcome::Store(call) => self.call_store(ix, call),
+            Outcome::SetPath(path) => {
+                self.nodes[ix].relays = match &path {
+                    Path::Direct => Vec::new(),
+                    Path::Relayed(relays) => relays.iter().map(|relay| relay.vm.clone()).collect(),
+                };
+            }
             Outcome::Order(order) => {
                 let now = Millis(self.now);
                 self.nodes[ix].orders.push((now, order));
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod hints;
 mod lifecycle;
 mod prompt_parts;
+mod relayed_connections;
 mod relocation;
 mod request_path;
 mod restored_store;
