Test that a planned stop leaves no request without its response

Operators of a similar system lost requests that came late in the grace of a planned stop, were passed on and then cut off. It does not happen here: requests are refused on arrival if their timeout ends after the last time for responses, and all requests of routes after the settle time. The test calls on kept and on new connections until the process is gone; it passed at once, without a change for it.

--- a/tests/fleet/lifecycle.rs
+++ b/tests/fleet/lifecycle.rs
@@ -202,3 +202,68 @@
         wait_until_served(&fleet, "/look/1").await;
     });
 }
+
+/// Guards against requests that come on open connections late in a planned stop, are passed on to a
+/// target, and are cut off without a response when the process ends.
+#[test]
+fn every_request_passed_on_during_a_planned_stop_is_answered() {
+    const DEADLINES_MS: [u64; 4] = [300, 900, 2_000, 20_000];
+    block_on(async {
+        let mut fleet = start_fleet_with_shutdown_limit(5).await;
+        let slow = Duration::from_millis(600);
+        let mut targets = Vec::new();
+        for name in ["d1", "d2"] {
+            targets.push(fleet.start_engine(name, "desk", "a", slow).await.unwrap());
+        }
+        targets.extend(start_engines(&fleet, 2).await);
+        let callers: Vec<_> = (0..12)
+            .map(|ix: usize| {
+                let path = ["/look/1", "/order/1", "/draft/1"][ix % 3];
+                let deadline_ms = DEADLINES_MS[ix / 3];
+                let client = reqwest::Client::builder().no_proxy().build().unwrap();
+                let url = format!("http://{}{path}", fleet.daemons[0].caller_address);
+                tokio::spawn(call_until_gone(client, url, deadline_ms))
+            })
+            .collect();
+        tokio::time::sleep(STOP_PROPAGATION).await;
+        fleet.daemons[0].process.terminate();
+        assert!(fleet.daemons[0].process.wait(TEST_TIMEOUT).await.is_some());
+        let mut unanswered = Vec::new();
+        for caller in callers {
+            unanswered.extend(caller.await.unwrap());
+        }
+        let passed_on = |id: &String| !fleet.request_log.executed_by(id).is_empty();
+        let lost: Vec<&String> = unanswered.iter().filter(|id| passed_on(id)).collect();
+        assert!(
+            lost.is_empty(),
+            "{} of {} without a response: {lost:?}",
+            lost.len(),
+            unanswered.len()
+        );
+    });
+}
+
+/// Sends requests one after the other, on a kept connection where the VM allows it, until the VM is
+/// gone. Returns the attempt ids of those without a complete response.
+async fn call_until_gone(client: reqwest::Client, url: String, deadline_ms: u64) -> Vec<String> {
+    let mut unanswered = Vec::new();
+    loop {
+        let attempt_id = new_attempt_id();
+        let request = client
+            .post(&url)
+            .header("host", "host.example")
+            .header(hornbeamloom_bench::fleet::ATTEMPT_ID_HEADER, &attempt_id)
+            .header("x-deadline-ms", deadline_ms)
+            .header("x-token-usage", "100,2000")
+            .header("authorization", format!("Token {CALLER_KEY}"))
+            .body("events=5");
+        let response = send(request, attempt_id).await;
+        if response.status == 0 || !response.is_complete {
+            unanswered.push(response.attempt_id);
+        }
+        let host = url.trim_start_matches("http://").split('/').next().unwrap_or_default();
+        if response.status == 0 && tokio::net::TcpStream::connect(host).await.is_err() {
+            return unanswered;
+        }
+    }
+}
