Probe another target after a first connection that fails

A VM that reaches no target finds out by connections to two targets that fail. One with few requests, as in a large fleet, took another request or a retry for that, a second or more where connections hang.

Test: first_failure_probes_another_target.

--- a/crates/kernel/src/reach.rs
+++ b/crates/kernel/src/reach.rs
@@ -163,7 +163,8 @@
     }
     reach.failed.insert(target.into(), now);
     if reach.failed.len() < MIN_FAILED_TARGETS {
-        return;
+        // A VM with few requests would take seconds to try another target.
+        return probe(state, out);
     }
     reach.cut_off_since = Some(now);
     reach.reached = 0;
@@ -175,14 +176,16 @@
     state.pools.forget_failed_polls();
 }
 
-/// Tries to reach the next target.
+/// Tries to reach the next target that has not failed.
 fn probe(state: &mut State, out: &mut Outbox) {
-    let targets = state.intent.targets();
-    let count = targets.len() as u64;
-    let Some(ix) = state.reach.probed.checked_rem(count) else {
+    let State { reach, intent, .. } = state;
+    let is_cut_off = reach.is_cut_off();
+    let mut targets = intent.targets();
+    targets.retain(|(name, _)| is_cut_off || !reach.failed.contains_key(*name));
+    let Some(ix) = reach.probed.checked_rem(targets.len() as u64) else {
         return;
     };
-    state.reach.probed += 1;
+    reach.probed += 1;
     if let Some((target, spec)) = targets.get(ix as usize) {
         let (target, address) = ((*target).clone(), spec.address.clone());
         out.push(Outcome::Probe { target, address });
--- a/crates/kernel/tests/fleet/mod.rs
+++ b/crates/kernel/tests/fleet/mod.rs
@@ -52,6 +52,8 @@
     pub store_latency_ms: u64,
     pub counts: Map<String, u64>,
     pub orders: Vec<(Millis, Order)>,
+    /// The targets that it probed.
+    pub probes: Vec<Name>,
     /// The VMs that relay its connections to targets.
     pub relays: Vec<Name>,
     /// Number of messages sent.
@@ -131,6 +133,7 @@
             store_latency_ms: STORE_LATENCY_MS,
             counts: Map::default(),
             orders: Vec::new(),
+            probes: Vec::new(),
             relays: Vec::new(),
             sent_messages: 0,
             max_gossip_items: 0,
@@ -241,6 +244,7 @@
         match outcome {
             Outcome::Send { address: to, message, .. } => self.send(ix, &to, message),
             Outcome::Store(call) => self.call_store(ix, call),
+            Outcome::Probe { target, .. } => self.nodes[ix].probes.push(target),
             Outcome::SetPath(path) => {
                 self.nodes[ix].relays = match &path {
                     Path::Direct => Vec::new(),
--- a/crates/kernel/tests/reach.rs
+++ b/crates/kernel/tests/reach.rs
@@ -91,6 +91,17 @@
     ]);
 }
 
+/// Guards against a VM with few requests that notices the loss of its paths only after seconds.
+#[test]
+fn first_failure_probes_another_target() {
+    let mut fleet = start_fleet();
+    observe(&mut fleet, Failed("engine-1"));
+    assert_eq!(fleet.node("a1").probes, vec![name("engine-2")]);
+    observe(&mut fleet, Reached("engine-3"));
+    observe(&mut fleet, Failed("engine-2"));
+    assert_eq!(fleet.node("a1").probes.len(), 1, "a target was reached just before");
+}
+
 /// Guards against an owner that takes all its targets for dead because it is cut off from them.
 #[test]
 fn failed_polls_of_a_cut_off_vm_do_not_count() {
