Relay nothing to a zone out of service, and trust malformed reports

A relaying VM checked that a target is not leaving, but not that its zone is in service, so a VM that has missed an evacuation could still reach the zone through a peer that knew of it. A report of another form counted as a failed connection, although the engine had answered.

Tests: nothing_is_relayed_to_a_zone_out_of_service, malformed_reports.

--- a/crates/daemon/src/tunnel.rs
+++ b/crates/daemon/src/tunnel.rs
@@ -19,6 +19,7 @@
 use futures_util::{SinkExt, StreamExt};
 use hornbeamloom_kernel::ids::Name;
 use hornbeamloom_kernel::reach::{Path, Relay};
+use hornbeamloom_kernel::resource::Target;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
@@ -50,7 +51,7 @@
 const CONNECTED: &str = "connected";
 /// The target refuses connections.
 const REFUSED: &str = "refused";
-/// The target does not respond, is unknown or is leaving.
+/// The target does not respond, is unknown, is leaving or is in a zone out of service.
 const UNREACHED: &str = "unreached";
 /// The relaying VM reaches no target itself, or relays too many connections already.
 const UNABLE: &str = "unable";
@@ -210,7 +211,8 @@
         }
         let address = {
             let intent = self.context.intent.borrow();
-            let known = intent.target(target).filter(|known| !known.leaving);
+            let is_usable = |known: &&Target| !known.leaving && !intent.is_zone_out(&known.zone);
+            let known = intent.target(target).filter(is_usable);
             known.ok_or(UNREACHED)?.address.clone()
         };
         let connected = timeout(TARGET_CONNECT_TIMEOUT, TcpStream::connect(&address)).await;
--- a/crates/kernel/src/reach.rs
+++ b/crates/kernel/src/reach.rs
@@ -19,6 +19,7 @@
 use crate::outcome::{Counter, Outcome};
 use crate::peer::MemberStatus;
 use crate::plugin::control;
+use crate::target::PollError;
 
 /// Number of targets to which connections must fail before this VM counts as cut off.
 const MIN_FAILED_TARGETS: usize = 2;
@@ -116,7 +117,7 @@
         Event::Report { report: Ok(report), .. } if report.kv_capacity > 0 => {
             state.reach.polled_at = Some(now);
         }
-        Event::Report { target, report: Err(_) } => {
+        Event::Report { target, report: Err(PollError::Refused | PollError::Timeout) } => {
             let is_recent = |at| now.since(at) < REACHED_TTL_MS;
             if !state.reach.polled_at.is_some_and(is_recent) {
                 record_failed(state, target, now, out);
--- a/crates/kernel/tests/reach.rs
+++ b/crates/kernel/tests/reach.rs
@@ -14,12 +14,13 @@
     Reached(&'static str),
     Failed(&'static str),
     PollFailed(&'static str),
+    PollMalformed(&'static str),
     Polled(&'static str),
     /// Time passes, in milliseconds.
     Wait(u64),
 }
 
-use Step::{Failed, PollFailed, Polled, Reached, Wait};
+use Step::{Failed, PollFailed, PollMalformed, Polled, Reached, Wait};
 
 /// VMs `a1` and `a2`, and the targets `engine-1` to `engine-3`.
 fn start_fleet() -> Fleet {
@@ -45,6 +46,9 @@
         PollFailed(target) => {
             fleet.event_at("a1", Event::Report { target, report: Err(PollError::Timeout) });
         }
+        PollMalformed(target) => {
+            fleet.event_at("a1", Event::Report { target, report: Err(PollError::Malformed) });
+        }
         Polled(target) => fleet.event_at("a1", Event::Report { target, report: Ok(&report) }),
         Wait(ms) => fleet.run(ms),
     }
@@ -80,6 +84,8 @@
     ]);
     failure_of_an_unknown_target: (&[(Failed("engine-1"), false), (Failed("odd"), false)]);
     failed_polls: (&[(PollFailed("engine-1"), false), (PollFailed("engine-2"), true)]);
+    // Guards against reports of another form that are taken for lost paths.
+    malformed_reports: (&[(PollMalformed("engine-1"), false), (PollMalformed("engine-2"), false)]);
     failed_polls_beside_a_report: (&[
         (Polled("engine-3"), false), (PollFailed("engine-1"), false),
         (PollFailed("engine-2"), false),
--- a/tests/fleet/relayed_connections.rs
+++ b/tests/fleet/relayed_connections.rs
@@ -101,6 +101,27 @@
     });
 }
 
+/// Guards against requests to a zone that was taken out of service, of which only the relaying VM
+/// knows (I3).
+#[test]
+fn nothing_is_relayed_to_a_zone_out_of_service() {
+    block_on(async {
+        let mut fleet = start_fleet().await;
+        let _targets = start_plain_targets(&fleet, 2).await;
+        let first_store = fleet.store.clone();
+        add_cut_off_vm(&mut fleet).await;
+        wait_until_relayed(&fleet).await;
+        first_store.put("op", "evacuate/a", b"{}");
+        wait_until("nothing is relayed", || async {
+            call_cut_off(&fleet, "/look/1", 1).await.status == 503
+        })
+        .await;
+        let before = fleet.request_log.requests().len();
+        assert_eq!(call_cut_off(&fleet, "/look/1", 1).await.status, 503);
+        assert_eq!(fleet.request_log.requests().len(), before);
+    });
+}
+
 /// Guards against requests that wait until their deadline although no VM can serve them.
 #[test]
 fn cut_off_vm_without_help_refuses_at_once() {
