--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -25,6 +25,7 @@
 use xtra::prelude::*;
 
 use crate::clock::BootInstant;
+use crate::metrics;
 
 /// Interval between progress reports of running requests to the kernel, in milliseconds.
 const PROGRESS_INTERVAL_MS: u64 = 500;
@@ -395,7 +396,7 @@
                 self.send_decision(&id, Decision::Replay(stored));
                 self.requests.remove(&id);
             }
-            Outcome::Count(counter) => count(counter),
+            Outcome::Count(counter) => metrics::count(counter),
             Outcome::Log { warn: true, text } => log::warn!("{text}"),
             Outcome::Log { warn: false, text } => log::info!("{text}"),
             Outcome::Publish => {
@@ -417,7 +418,7 @@
         match route {
             // An inbox is closed only when its adapter has stopped, which happens only on exit.
             Some(route) => drop(route.inbox.send(outcome)),
-            None => count(Counter::Ignored("outcome_without_adapter")),
+            None => metrics::count(Counter::Ignored("outcome_without_adapter")),
         }
     }
 
@@ -591,23 +592,3 @@
         self.dispatch_outcomes();
     }
 }
-
-/// Increments the metric of a kernel counter.
-fn count(counter: Counter) {
-    match counter {
-        Counter::Refusal(reason) => {
-            metrics::counter!("hornbeamloom_refusals_total", "reason" => reason.as_str())
-                .increment(1);
-        }
-        Counter::Retry(retry) => {
-            metrics::counter!("hornbeamloom_retries_total", "reason" => retry.as_str())
-                .increment(1);
-        }
-        Counter::Ignored(what) => {
-            metrics::counter!("hornbeamloom_ignored_total", "input" => what).increment(1);
-        }
-        Counter::Event(what) => {
-            metrics::counter!("hornbeamloom_events_total", "event" => what).increment(1);
-        }
-    }
-}
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::sync::OnceLock;
 use std::time::Duration;
 
+use hornbeamloom_kernel::outcome::Counter;
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
 
 /// Upper bounds of the histogram buckets for durations, in seconds.
@@ -66,3 +67,23 @@
         ::metrics::histogram!("hornbeamloom_stall_seconds").record(gap);
     }
 }
+
+/// Increments the metric of a kernel counter.
+pub(crate) fn count(counter: Counter) {
+    match counter {
+        Counter::Refusal(reason) => {
+            ::metrics::counter!("hornbeamloom_refusals_total", "reason" => reason.as_str())
+                .increment(1);
+        }
+        Counter::Retry(retry) => {
+            ::metrics::counter!("hornbeamloom_retries_total", "reason" => retry.as_str())
+                .increment(1);
+        }
+        Counter::Ignored(what) => {
+            ::metrics::counter!("hornbeamloom_ignored_total", "input" => what).increment(1);
+        }
+        Counter::Event(what) => {
+            ::metrics::counter!("hornbeamloom_events_total", "event" => what).increment(1);
+        }
+    }
+}
--- a/crates/kernel/src/accounting.rs
+++ b/crates/kernel/src/accounting.rs
@@ -6,19 +6,16 @@
 use crate::ids::{Incarnation, Millis, Name};
 use crate::in_flight::{InFlightRequest, GRANT_TTL_MS, SILENCE_TIMEOUT_MS};
 use crate::kernel::{Outbox, State};
-use crate::outcome::{Counter, Outcome, Reason, Refusal};
+use crate::outcome::{Counter, Reason, Refusal};
 use crate::peer::{Ask, Death, MemberStatus, Message, Progress, Release, Suspect};
+use crate::polling;
 use crate::pool::{self, Key, Pool};
 use crate::prompt_part;
 use crate::request::{Class, End, Id};
 use crate::schedule;
 use crate::takeover::{self, Rights};
-use crate::target::{CacheBatch, LivenessChange, PollError, Report, TargetState, REPORT_LAG_MS};
+use crate::target::{CacheBatch, LivenessChange, PollError, Report, REPORT_LAG_MS};
 
-const POLL_INTERVAL_MS: u64 = 500;
-/// Minimum interval between the polls of a target after attempts that broke: all requests that run
-/// on a target break together when it dies.
-const CONTACT_INTERVAL_MS: u64 = 100;
 /// Interval at which a holder announces its targets to the VMs of the zone.
 const ANNOUNCE_INTERVAL_MS: u64 = 1_000;
 /// Bound on a pool's queue that holds for any configuration, to bound memory.
@@ -36,7 +33,7 @@
     pools.get_or_create(&ask.pool, intent, now).last_used = now;
     takeover::update_rights(state, &ask.pool, now, out);
     // A new scheduler knows nothing of its targets before their first reports.
-    poll_targets(state, &ask.pool, now, out);
+    polling::poll_targets(state, &ask.pool, now, out);
     let own = &state.identity.vm;
     let Some(pool) = state.pools.get_mut(&ask.pool) else {
         return;
@@ -269,7 +266,7 @@
     }
     pool.drop_removed_targets();
     if has_broken_early {
-        poll_after_break(state, &release.pool, &release.target, now, out);
+        polling::poll_after_break(state, &release.pool, &release.target, now, out);
     }
     if let Some(first) = output {
         record_output(state, &first, now, out);
@@ -540,41 +537,6 @@
     }
 }
 
-/// Requests a report from each target.
-pub(crate) fn poll_targets(state: &mut State, key: &Key, now: Millis, out: &mut Outbox) {
-    let own_zone = state.identity.zone == key.zone;
-    let Some(pool) = state.pools.get_mut(key).filter(|_| own_zone) else {
-        return;
-    };
-    if pool.last_polled.is_some_and(|at| now.since(at) < POLL_INTERVAL_MS) {
-        return;
-    }
-    pool.last_polled = Some(now);
-    for target in &pool.targets {
-        out.push(poll(target, target.may_have_died(now)));
-    }
-}
-
-/// Requests a report of a target on which an attempt broke without output.
-///
-/// A death is then known before the request is granted again.
-fn poll_after_break(state: &mut State, key: &Key, target: &str, now: Millis, out: &mut Outbox) {
-    let pool = state.pools.get_mut(key);
-    let target = pool.and_then(|pool| pool.targets.iter_mut().find(|state| *state.name == *target));
-    let is_due = |target: &&mut TargetState| {
-        target.contacted_at.is_none_or(|at| now.since(at) >= CONTACT_INTERVAL_MS)
-    };
-    if let Some(target) = target.filter(is_due) {
-        target.contacted_at = Some(now);
-        out.push(poll(target, true));
-    }
-}
-
-fn poll(target: &TargetState, needs_contact: bool) -> Outcome {
-    let (target, address) = (target.name.clone(), target.spec.address.clone());
-    Outcome::Poll { target, address, needs_contact }
-}
-
 /// Announces warm and cold targets to the VMs of the zone, which use them in fallback.
 pub(crate) fn announce_targets(state: &mut State, key: &Key, now: Millis, out: &mut Outbox) {
     let own = state.identity.vm.clone();
--- a/crates/kernel/src/pool.rs
+++ b/crates/kernel/src/pool.rs
@@ -10,10 +10,12 @@
 use crate::in_flight::InFlight;
 use crate::intent::Intent;
 use crate::kernel::{Outbox, State};
-use crate::length::{Lengths, Survival};
+use crate::kv_growth::{likely_kv_use, KvGrowth};
+use crate::length::Lengths;
 use crate::map::Map;
 use crate::peer::{Ask, Message};
 use crate::plugin::{control, policy};
+use crate::polling;
 use crate::queue::Queue;
 use crate::rate::StartRate;
 use crate::request::{Class, Id};
@@ -278,7 +280,7 @@
         takeover::update_rights(state, key, now, out);
         takeover::request_inventories(state, key, now, out);
         accounting::expire(state, key, now, out);
-        accounting::poll_targets(state, key, now, out);
+        polling::poll_targets(state, key, now, out);
         accounting::announce_targets(state, key, now, out);
         schedule::run(state, key, now, out);
     }
@@ -588,24 +590,6 @@
     }
 }
 
-/// The current KV use of one request in tokens, and how long the request is likely to run.
-struct KvGrowth<'a> {
-    used: u64,
-    survival: Survival<'a>,
-}
-
-/// Returns the mean KV use after `ahead` more tokens, plus one standard deviation.
-fn likely_kv_use(growths: &[KvGrowth<'_>], ahead: u32) -> u64 {
-    let (mut mean, mut variance) = (0.0, 0.0);
-    for growth in growths {
-        let chance = growth.survival.probability(ahead);
-        let used = growth.used as f64 + f64::from(ahead);
-        mean += chance * used;
-        variance += chance * (1.0 - chance) * used * used;
-    }
-    (mean + variance.sqrt()) as u64
-}
-
 /// Returns the weight of an organisation; one that is not declared has weight 1.
 pub(crate) fn weight(intent: &Intent, organisation: &str) -> u32 {
     intent.organisation(organisation).map_or(1, |organisation| organisation.weight.max(1))
--- a/crates/kernel/src/target.rs
+++ b/crates/kernel/src/target.rs
@@ -1,9 +1,7 @@
-//! What a target reports, and its state at the scheduler of its pool.
+//! The state of a target at the scheduler of its pool.
 
 use std::collections::{BTreeSet, VecDeque};
 
-use serde::{Deserialize, Serialize};
-
 use crate::backpressure;
 use crate::broken_attempt;
 use crate::ids::{Millis, Name};
@@ -13,6 +11,7 @@
 use crate::resource;
 
 pub use crate::ramp::Ramp;
+pub use crate::report::{CacheBatch, Phase, PollError, Report};
 
 /// Longest time by which a report lags the state of its target.
 pub const REPORT_LAG_MS: u64 = 3_000;
@@ -41,71 +40,6 @@
 /// Number of prefix hashes kept for one engine; beyond it all are dropped.
 const MAX_PREFIXES: usize = 65_536;
 
-/// The readiness that a target reports.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub enum Phase {
-    /// Starting: it can serve only few requests.
-    #[default]
-    Cold,
-    /// Able to serve its full load.
-    Warm,
-    /// About to stop.
-    Leaving,
-}
-
-/// A target's load report, which may be up to [`REPORT_LAG_MS`] old.
-#[derive(Debug, Clone, Default, PartialEq)]
-#[derive(Serialize, Deserialize)]
-pub struct Report {
-    /// Identifies the target's process; it changes with every start.
-    pub start_id: u64,
-    /// Readiness.
-    pub phase: Phase,
-    /// Number of requests being served.
-    pub running: u32,
-    /// Number of requests accepted and not yet started.
-    pub waiting: u32,
-    /// KV cache in use, in tokens.
-    pub kv_used: u64,
-    /// KV cache size, in tokens; zero if it has none.
-    pub kv_capacity: u64,
-    /// Number of preemptions since the process started.
-    pub preemptions: u64,
-    /// The current role.
-    pub role: Option<Name>,
-    /// Models and adapters that are loaded.
-    pub loaded: Vec<Name>,
-    /// Models and adapters being loaded.
-    pub loading: Vec<Name>,
-    /// The highest fencing token of an order that it has accepted.
-    pub fence: u64,
-}
-
-/// Why a poll gave no report.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub enum PollError {
-    /// The connection was refused or reset: no process listens.
-    Refused,
-    /// No answer within the deadline.
-    Timeout,
-    /// The answer could not be parsed.
-    Malformed,
-}
-
-/// A batch of prefix-cache events of one engine.
-#[derive(Debug, Clone, Default, PartialEq)]
-#[derive(Serialize, Deserialize)]
-pub struct CacheBatch {
-    /// Sequence number of the first event; a gap to the previous batch means lost events.
-    pub first: u64,
-    /// Prefix hashes that were stored.
-    pub stored: Vec<u64>,
-    /// Prefix hashes that were evicted.
-    pub evicted: Vec<u64>,
-}
-
 /// A report and the time at which it was received.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ReceivedReport {
