Observe how many requests a target can reject

Engines may say in their responses that they fall over if they reject more than so many requests in a second for want of room (LIMIT). Nothing read it. After a rejection the scheduler of the pool paused the target for half a second and then granted as many requests as it took for free places, so a target whose places were taken by requests that the scheduler did not know of rejected a dozen at once after each pause.

The number is passed on like the limit on the rate. After a rejection the scheduler leaves such a target alone for a second, and for 3 s after the last one it grants no more requests a second than the target may reject. Other targets are treated as before.

Tests: brittle_target_that_bears_three and brittle_target_that_bears_one saw 12 and 13 rejections in a second before and pass now. Whether the users would have seen falls is not shown.

--- a/crates/kernel/src/backpressure.rs
+++ b/crates/kernel/src/backpressure.rs
@@ -1,7 +1,7 @@
 //! What targets say about new requests in their responses: control plug-in and policies.
 //!
-//! A target in need names how many requests a second it takes from all VMs together, says that it
-//! leaves, or turns one VM away for some time. A VM that receives such a response sends nothing to
+//! A target in need names how many requests a second it takes from all VMs together, how many it can
+//! reject in a second without falling over, says that it leaves, or turns one VM away for some time. A VM that receives such a response sends nothing to
 //! a target that leaves or has turned it away, whoever grants it, and tells the scheduler of the
 //! target's pool of the limit and the departure. The scheduler spreads the limit over time and
 //! grants nothing beyond it. Grants carry the limit, so that each VM which uses the target notices a
@@ -48,6 +48,9 @@
 pub struct Signal {
     /// Requests per 1,000 s that it takes from all VMs together; `None` without a limit.
     pub limit: Option<u64>,
+    /// Rejections a second, to all VMs together, beyond which it falls over; `None` if it bears any
+    /// number.
+    pub max_rejections: Option<u32>,
     /// Whether it leaves.
     pub is_leaving: bool,
     /// Time for which it wants no request of the VM that it answers, in milliseconds.
@@ -60,6 +63,7 @@
     /// The process that said it.
     start_id: u64,
     limit: Option<u64>,
+    max_rejections: Option<u32>,
     is_leaving: bool,
     paused_until: Millis,
     /// When a response named a limit or the departure; `None` if a grant told of the limit.
@@ -70,7 +74,8 @@
 
 impl TargetRecord {
     fn is_empty(&self, now: Millis) -> bool {
-        self.limit.is_none() && !self.is_leaving && self.paused_until <= now
+        let has_bounds = self.limit.is_some() || self.max_rejections.is_some();
+        !has_bounds && !self.is_leaving && self.paused_until <= now
     }
 }
 
@@ -167,13 +172,15 @@
             handle_signal(state, target, signal, *is_control, now, out)
         }
         Event::Peer {
-            message: Message::Backpressure { pool, target, limit, is_leaving }, ..
+            message: Message::Backpressure { pool, target, limit, max_rejections, is_leaving },
+            ..
         } => {
             let State { pools, intent, .. } = state;
             if intent.service(&pool.service).is_some() {
                 // The ask that follows creates the pool as well.
                 let pool = pools.get_or_create(pool, intent, now);
-                apply_to_pool(pool, target, *limit, *is_leaving, now);
+                let bounds = Bounds { limit: *limit, max_rejections: *max_rejections };
+                apply_to_pool(pool, target, bounds, *is_leaving, now);
             }
         }
         Event::TargetsDiscovered(_) => {
@@ -212,17 +219,23 @@
     }
     let limit = signal.limit.map(|limit| limit.clamp(MIN_LIMIT, MAX_LIMIT));
     let limit = limit.or(record.limit.filter(|_| is_control));
+    let max_rejections = signal.max_rejections.or(record.max_rejections.filter(|_| is_control));
     let is_leaving = signal.is_leaving || (record.is_leaving && is_control);
-    let is_changed = (limit, is_leaving) != (record.limit, record.is_leaving);
-    (record.limit, record.is_leaving) = (limit, is_leaving);
+    let known = (record.limit, record.max_rejections, record.is_leaving);
+    let is_changed = (limit, max_rejections, is_leaving) != known;
+    (record.limit, record.max_rejections, record.is_leaving) = (limit, max_rejections, is_leaving);
     record.paused_until = record.paused_until.max(now.after(signal.pause_ms.min(MAX_PAUSE_MS)));
-    if limit.is_some() || is_leaving {
+    if limit.is_some() || max_rejections.is_some() || is_leaving {
         record.named_at = Some(now);
     }
     if is_changed {
         out.count(Counter::Event("target_signal"));
         let limit = limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
-        out.log(format!("target={target} limit_per_1000_s={limit} leaving={is_leaving}"));
+        let rejections = max_rejections.map_or_else(|| "any".to_owned(), |max| max.to_string());
+        out.log(format!(
+            "target={target} limit_per_1000_s={limit} rejections_per_s={rejections} \
+             leaving={is_leaving}"
+        ));
     }
     if signal.pause_ms > 0 {
         out.log(format!("target={target} turns this VM away for {} ms", signal.pause_ms));
@@ -234,13 +247,14 @@
     if is_changed || !is_told {
         tell(record, target, &pool, &owner, now, out);
     }
-    let (limit, is_leaving) = (record.limit, record.is_leaving);
+    let bounds = Bounds { limit: record.limit, max_rejections: record.max_rejections };
+    let is_leaving = record.is_leaving;
     if record.is_empty(now) {
         targets.remove(target);
     }
     // This VM may schedule the pool as well, if it does not reach the owner.
     if let Some(pool) = state.pools.get_mut(&pool) {
-        apply_to_pool(pool, target, limit, is_leaving, now);
+        apply_to_pool(pool, target, bounds, is_leaving, now);
     }
 }
 
@@ -254,8 +268,8 @@
 ) {
     record.told = Some((to.clone(), now));
     let (pool, target) = (pool.clone(), target.into());
-    let TargetRecord { limit, is_leaving, .. } = *record;
-    out.send(to, Message::Backpressure { pool, target, limit, is_leaving });
+    let TargetRecord { limit, max_rejections, is_leaving, .. } = *record;
+    out.send(to, Message::Backpressure { pool, target, limit, max_rejections, is_leaving });
 }
 
 /// Tells a scheduler that this VM is about to ask what it may not know, as the successor of another.
@@ -290,14 +304,22 @@
     blocked.map(|(name, _)| name.clone()).collect()
 }
 
-fn apply_to_pool(pool: &mut Pool, target: &str, limit: Option<u64>, is_leaving: bool, now: Millis) {
+/// The bounds on requests that a target names.
+#[derive(Debug, Clone, Copy)]
+struct Bounds {
+    limit: Option<u64>,
+    max_rejections: Option<u32>,
+}
+
+fn apply_to_pool(pool: &mut Pool, target: &str, bounds: Bounds, is_leaving: bool, now: Millis) {
     let divisor = divisor(pool);
     let Some(ix) = pool.target_index(target) else {
         return;
     };
     let target = &mut pool.targets[ix];
     target.says_leaving = is_leaving;
-    match (limit, &mut target.limiter) {
+    target.rejections.set_max(bounds.max_rejections);
+    match (bounds.limit, &mut target.limiter) {
         (Some(limit), Some(limiter)) => limiter.update(limit, divisor, now),
         (Some(limit), None) => target.limiter = Some(Limiter::new(limit, now)),
         (None, _) => target.limiter = None,
@@ -322,8 +344,10 @@
 }
 
 fn filter(view: &policy::View<'_>, _ask: &Ask, ix: usize) -> bool {
-    let limiter = &view.pool.targets[ix].limiter;
-    limiter.as_ref().is_none_or(|limiter| limiter.allows_request(view.now))
+    let target = &view.pool.targets[ix];
+    let limiter = target.limiter.as_ref();
+    limiter.is_none_or(|limiter| limiter.allows_request(view.now))
+        && target.rejections.allows_request(view.now, divisor(view.pool))
 }
 
 /// Refuses a request that the limits of all targets keep waiting for longer than it may.
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -101,6 +101,7 @@
 mod random;
 mod rank;
 mod rate;
+mod rejections;
 mod relocate;
 mod round_robin;
 mod schedule;
--- a/crates/kernel/src/peer.rs
+++ b/crates/kernel/src/peer.rs
@@ -128,6 +128,9 @@
         target: Name,
         /// Requests per 1,000 s that it takes from all VMs together; `None` without a limit.
         limit: Option<u64>,
+        /// Rejections a second beyond which it falls over; `None` if it bears any number.
+        #[serde(default)]
+        max_rejections: Option<u32>,
         /// Whether it leaves.
         is_leaving: bool,
     },
--- a/crates/kernel/src/schedule.rs
+++ b/crates/kernel/src/schedule.rs
@@ -269,6 +269,7 @@
     let target = &mut pool.targets[assignment.target_ix];
     target.last_grant = pool.grants;
     target.record_grant(now);
+    target.rejections.record_grant(now);
     let limiter = target.limiter.as_mut();
     let limit = limiter.map(|limiter| {
         limiter.record_request(now);
--- a/crates/kernel/src/target.rs
+++ b/crates/kernel/src/target.rs
@@ -7,6 +7,7 @@
 use crate::ids::{Millis, Name};
 use crate::map::Set;
 use crate::peer::Suspect;
+use crate::rejections::Rejections;
 use crate::request::{Class, End, Id};
 use crate::resource;
 
@@ -27,8 +28,6 @@
 const COLD_WINDOW_MS: u64 = 1_000;
 /// Smallest number of first-token times that gives a median.
 const MIN_FIRST_TOKEN_SAMPLES: usize = 8;
-/// A target that rejected a request gets no other for this time.
-const REJECTION_BACKOFF_MS: u64 = 500;
 /// Number of successive failed polls after which a target gets no new requests.
 const FAILED_POLLS_LIMIT: u32 = 3;
 /// Start id of a process of which no report was received.
@@ -98,6 +97,8 @@
     pub paused_until: Millis,
     /// The limit that it names on the rate of its requests.
     pub(crate) limiter: Option<backpressure::Limiter>,
+    /// What it bears of rejections, and those that there were.
+    pub(crate) rejections: Rejections,
     /// It says in its responses that it leaves.
     pub(crate) says_leaving: bool,
     /// When it was last polled after an attempt that broke.
@@ -142,6 +143,7 @@
             last_grant: 0,
             paused_until: Millis(0),
             limiter: None,
+            rejections: Rejections::default(),
             says_leaving: false,
             contacted_at: None,
             failed_polls: 0,
@@ -330,6 +332,7 @@
         if has_restarted {
             self.clear_prefixes();
             self.limiter = None;
+            self.rejections = Rejections::default();
             self.says_leaving = false;
         }
         if std::mem::take(&mut self.awaits_warm_report)
@@ -457,7 +460,7 @@
                 self.slow_while_warm = false;
                 self.ramp.record_success(&self.spec);
             }
-            End::Rejected => self.paused_until = now.after(REJECTION_BACKOFF_MS),
+            End::Rejected => self.paused_until = self.rejections.record(now),
             End::Broken | End::Died if !self.is_covered_by_death(granted_at) => {
                 self.broken_attempts.record(suspect, now)
             }
--- a/crates/kernel/tests/entry.rs
+++ b/crates/kernel/tests/entry.rs
@@ -477,8 +477,10 @@
     assert_eq!(harness.run(steps), expected);
 }
 
-const PAUSE: Signal = Signal { limit: None, is_leaving: false, pause_ms: 3_000 };
-const DEPARTURE: Signal = Signal { limit: None, is_leaving: true, pause_ms: 0 };
+const PAUSE: Signal =
+    Signal { limit: None, max_rejections: None, is_leaving: false, pause_ms: 3_000 };
+const DEPARTURE: Signal =
+    Signal { limit: None, max_rejections: None, is_leaving: true, pause_ms: 0 };
 
 hornbeamloom_kernel::cases! {
     signal_precedes;
--- a/crates/kernel/tests/pool/backpressure.rs
+++ b/crates/kernel/tests/pool/backpressure.rs
@@ -19,7 +19,9 @@
 /// Tells the scheduler what `engine-1` has said to the entry VM.
 fn tell(harness: &mut Harness, limit: Option<u64>, is_leaving: bool) {
     let (pool, target) = (key(), "engine-1".into());
-    harness.receive(ENTRY, Message::Backpressure { pool, target, limit, is_leaving });
+    let max_rejections = None;
+    harness
+        .receive(ENTRY, Message::Backpressure { pool, target, limit, max_rejections, is_leaving });
 }
 
 /// Number of requests granted within the window when more are asked for than the target takes.
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -156,7 +156,13 @@
 fn backpressure() -> Message {
     let pool = Key::new("menu-model", "riga-a");
     let target = "engine-1".into();
-    Message::Backpressure { pool, target, limit: Some(1_500), is_leaving: true }
+    Message::Backpressure {
+        pool,
+        target,
+        limit: Some(1_500),
+        max_rejections: Some(4),
+        is_leaving: true,
+    }
 }
 
 fn departing() -> Message {
--- a/tests/fleet/hints.rs
+++ b/tests/fleet/hints.rs
@@ -61,11 +61,10 @@
     times.filter(|at| *at >= since).collect()
 }
 
-/// The most requests that arrived within any span of [`LIMIT_WINDOW`].
-fn peak_arrivals(arrivals: &[Instant]) -> usize {
-    let in_window = |from: &Instant| {
-        arrivals.iter().filter(|at| *at >= from && **at - *from < LIMIT_WINDOW).count()
-    };
+/// The most requests that arrived within any span of a length.
+fn peak_arrivals(arrivals: &[Instant], span: Duration) -> usize {
+    let in_window =
+        |from: &Instant| arrivals.iter().filter(|at| *at >= from && **at - *from < span).count();
     arrivals.iter().map(in_window).max().unwrap_or(0)
 }
 
@@ -78,7 +77,8 @@
         let named_at = Instant::now();
         let responses = send_requests(&fleet, service, LIMIT_DELAY + LIMIT_WINDOW).await;
         assert!(responses.iter().all(|response| response.status == 200));
-        let limited = peak_arrivals(&arrivals(&fleet, targets[0].name(), named_at + LIMIT_DELAY));
+        let arrivals = arrivals(&fleet, targets[0].name(), named_at + LIMIT_DELAY);
+        let limited = peak_arrivals(&arrivals, LIMIT_WINDOW);
         let allowed = (1.5 * limit * LIMIT_WINDOW.as_secs_f64()) as usize + 5;
         assert!(limited <= allowed, "{limited} requests in 4 s, {allowed} allowed");
         assert!(limited >= limit as usize, "{limited} requests in 4 s");
@@ -93,6 +93,33 @@
     limit_of_an_engine: (MODEL, 1.5, "server-limit: 1.5\r\n");
 }
 
+/// Checks how many requests a target gets in a second that it may have to reject, after it said how
+/// many rejections it bears.
+fn full_target_gets_no_more_than_it_bears(header: &'static str, max_rejections: usize) {
+    const CALLERS: usize = 30;
+    block_on(async {
+        let fleet = start_fleet().await;
+        let targets = start_plain_targets(&fleet, 2).await;
+        targets[0].set_headers(header);
+        targets[0].set_fault(Fault::ShedsLoad);
+        let named_at = Instant::now();
+        let time = LIMIT_DELAY + LIMIT_WINDOW;
+        futures_util::future::join_all((0..CALLERS).map(|_| send_requests(&fleet, PLAIN, time)))
+            .await;
+        let arrivals = arrivals(&fleet, targets[0].name(), named_at + LIMIT_DELAY);
+        let peak = peak_arrivals(&arrivals, Duration::from_secs(1));
+        assert!((1..=max_rejections).contains(&peak), "{peak} requests in a second");
+    });
+}
+
+cases! {
+    full_target_gets_no_more_than_it_bears;
+
+    // Guards against a target that falls over because each pause ends with many requests at once.
+    brittle_target_that_bears_three: ("Server-Brittle: 3\r\n", 3);
+    brittle_target_that_bears_one: ("Server-Brittle: 1\r\n", 1);
+}
+
 /// Guards against requests that wait for a target that takes none before their deadline, or are
 /// refused without a time to come back.
 #[test]
