Open tunnels without the daemon's context

tunnel::open took the whole context of the adapters for a key and for one message, so it had no runnable example.

--- a/crates/daemon/src/tunnel.rs
+++ b/crates/daemon/src/tunnel.rs
@@ -116,21 +116,37 @@
     }
 }
 
-/// Opens a connection to a target through one of `relays`. The first one asked is chosen at random,
-/// so that connections are spread over them.
+/// Opens a connection to a target through one of `relays`, to which `key` is presented. The first
+/// one asked is chosen at random, so that connections are spread over them. `on_failure` is called
+/// with each one that could not relay.
 ///
 /// # Errors
 ///
 /// The result of the last VM that tried, or [`Error::NoRelay`] if none could.
-pub async fn open(context: &Context, relays: &[Relay], target: &str) -> Result<Tunnel, Error> {
+///
+/// ```
+/// use hornbeamloom_daemon::tunnel::{self, Error};
+///
+/// # let runtime = tokio::runtime::Builder::new_current_thread().build().unwrap();
+/// # runtime.block_on(async {
+/// let opened = tunnel::open(&[], "peer-key", "engine-1", |_| {}).await;
+/// assert_eq!(opened.unwrap_err(), Error::NoRelay);
+/// # });
+/// ```
+pub async fn open(
+    relays: &[Relay],
+    key: &str,
+    target: &str,
+    on_failure: impl Fn(&Relay),
+) -> Result<Tunnel, Error> {
     let first = jitter::index(relays.len());
     for relay in relays.iter().cycle().skip(first).take(relays.len().min(MAX_RELAYS)) {
-        match timeout(OPEN_TIMEOUT, open_through(context, relay, target)).await {
+        match timeout(OPEN_TIMEOUT, open_through(relay, key, target)).await {
             Ok(Ok(socket)) => return Ok(start_client(socket)),
             Ok(Err(error @ (Error::Refused | Error::Unreached))) => return Err(error),
             Ok(Err(Error::NoRelay)) | Err(_) => {
                 log::info!("target={target} not relayed by vm={}", relay.vm);
-                context.control.tell(Input::RelayFailed(relay.vm.clone()));
+                on_failure(relay);
             }
         }
     }
@@ -138,12 +154,11 @@
 }
 
 async fn open_through(
-    context: &Context,
     relay: &Relay,
+    key: &str,
     target: &str,
 ) -> Result<WebSocketStream<TcpStream>, Error> {
-    let key = context.settings.borrow().keys.peer.first().cloned().unwrap_or_default();
-    let endpoint = link::Endpoint { address: relay.address.clone(), key };
+    let endpoint = link::Endpoint { address: relay.address.clone(), key: key.to_owned() };
     let path = format!("{PATH_PREFIX}{target}");
     let mut socket = link::open(&endpoint, &path).await.map_err(|error| {
         log::debug!("vm={} tunnel not opened: {error}", relay.vm);
@@ -181,7 +196,7 @@
 
 impl Server {
     /// Creates a server that relays to the targets of the resources in force.
-    pub fn new(context: &Context) -> Server {
+    pub(crate) fn new(context: &Context) -> Server {
         Server { context: context.clone(), permits: Arc::new(Semaphore::new(MAX_TUNNELS)) }
     }
 
--- a/crates/kernel/src/ids.rs
+++ b/crates/kernel/src/ids.rs
@@ -66,18 +66,37 @@
 const NUMBER_BITS: u32 = 40;
 
 impl Revision {
-    /// The revision with a number that the store issued in `era`.
+    /// The revision with a number that the store issued in `era`. Numbers that do not fit are
+    /// replaced by the highest one that does.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::ids::Revision;
+    ///
+    /// assert!(Revision::new(0, u64::MAX) < Revision::new(1, 0));
+    /// ```
     pub fn new(era: u64, number: u64) -> Revision {
         let max_number = (1 << NUMBER_BITS) - 1;
         Revision(era << NUMBER_BITS | number.min(max_number))
     }
 
     /// How often the store had come back from an older copy.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::ids::Revision;
+    ///
+    /// assert_eq!(Revision(7).era(), 0);
+    /// ```
     pub fn era(self) -> u64 {
         self.0 >> NUMBER_BITS
     }
 
     /// The number that the store issued.
+    ///
+    /// ```
+    /// use hornbeamloom_kernel::ids::Revision;
+    ///
+    /// assert_eq!(Revision::new(2, 7).number(), 7);
+    /// ```
     pub fn number(self) -> u64 {
         self.0 & ((1 << NUMBER_BITS) - 1)
     }
--- a/tests/fleet/restored_store.rs
+++ b/tests/fleet/restored_store.rs
@@ -7,18 +7,15 @@
 use hornbeamloom_kernel::cases;
 
 use crate::harness::{
-    block_on, call, start_fleet, start_plain_targets, wait_until, wait_until_served, CALLER_KEY,
+    block_on, start_fleet, start_plain_targets, wait_until, wait_until_served, CALLER_KEY,
 };
+use crate::store::call_status;
 
 /// Time for which the store is away.
 const OUTAGE: Duration = Duration::from_millis(500);
 /// Time for which nobody has replaced what the store lost.
 const OUTDATED_TIME: Duration = Duration::from_secs(3);
 
-async fn call_status(fleet: &Fleet, path: &str) -> u16 {
-    call(fleet, path, b"events=1").await.status
-}
-
 async fn restore_store(fleet: &Fleet, backup: &Backup) {
     fleet.store.set_fault(Fault::Unavailable);
     tokio::time::sleep(OUTAGE).await;
--- a/tests/fleet/store.rs
+++ b/tests/fleet/store.rs
@@ -25,7 +25,7 @@
 /// Time in which a change reaches the daemon; also the length of a short outage.
 const PROPAGATION_TIME: Duration = Duration::from_millis(500);
 
-async fn call_status(fleet: &Fleet, path: &str) -> u16 {
+pub async fn call_status(fleet: &Fleet, path: &str) -> u16 {
     call(fleet, path, b"events=1").await.status
 }
 
