Accept keys only once the newest resources are in force

The VM had been cut off from the store. In the trace it took its copy of the table for current 10 ms before the rows were in force; a request that arrived in between had its key checked against the earlier configuration and was admitted 1 ms after the new one was in force.

Since the kernel decides on the rows that a VM reads itself, it recorded their age before the adapter had applied them, as it always did for rows of peers. The age now counts from when the adapter reports that the rows are applied. Keys also stay refused for 250 ms after a time in which they were refused, since a request may be on its way that was checked against the earlier resources.

Tests: rows_count_once_they_are_applied and keys_stay_refused_for_a_moment_after_an_outage failed before.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -170,6 +170,8 @@
     },
     /// Rows of a platform table read by this VM, and a time at which it contained no newer rows.
     RowsRead(feed::Rows, BootInstant),
+    /// Rows of a platform table that the kernel has passed on are applied.
+    RowsApplied(feed::Table),
     /// The table's head revision was read and is not newer than the revision in force.
     TableHead(Revision),
     /// The table contained no newer resources at this time.
@@ -562,6 +564,7 @@
                 let at = self.to_kernel_time(at);
                 self.handle_event(Event::RowsRead { rows: &rows, at });
             }
+            Input::RowsApplied(table) => self.handle_event(Event::RowsApplied { table }),
             Input::TableHead(revision) => self.handle_event(Event::TableHead(revision)),
             Input::TableCurrent(at) => {
                 let at = self.to_kernel_time(at);
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -134,6 +134,12 @@
         /// A time at which the table contained no newer rows.
         at: Millis,
     },
+    /// The adapter has applied rows that the kernel has passed to it (`Outcome::ApplyRows`), and has
+    /// reported the resources that follow from them.
+    RowsApplied {
+        /// The table.
+        table: feed::Table,
+    },
     /// The head revision of the table was read and is not newer than the revision in force.
     TableHead(Revision),
     /// The table was read, and the resources in force were the newest ones.
--- a/crates/kernel/src/feed.rs
+++ b/crates/kernel/src/feed.rs
@@ -288,12 +288,12 @@
 
 /// Merges rows that this VM read itself. They were known to be the newest at time `at`.
 fn merge_read_rows(state: &mut State, rows: &Rows, at: Millis, now: Millis, out: &mut Outbox) {
-    if rows.table == Table::Resources {
-        state.freshness.record_current(at);
-    }
     let copy = state.feeds.copy_mut(rows.table);
     let in_force = copy.merge(rows, now);
     copy.current_at = copy.current_at.max(Some(at));
+    if rows.table == Table::Resources {
+        state.freshness.record_current_when_applied(Some(at), in_force.is_some());
+    }
     if let Some(rows) = in_force {
         out.push(Outcome::ApplyRows(rows));
     }
@@ -371,13 +371,12 @@
     let new_rows = copy.merge(rows, now);
     // With the rows merged, this copy contains everything that the peer's does.
     let is_complete = copy.version >= rows.from;
-    if let (Some(age), true) = (age_ms, is_complete) {
-        let at = Millis(sent.0.saturating_add_signed(age.saturating_neg()));
-        copy.peer_current_at = copy.peer_current_at.max(Some(at));
-        copy.current_at = copy.current_at.max(Some(at));
-        if rows.table == Table::Resources {
-            state.freshness.record_current(at);
-        }
+    let at = age_ms.filter(|_| is_complete);
+    let at = at.map(|age| Millis(sent.0.saturating_add_signed(age.saturating_neg())));
+    copy.peer_current_at = copy.peer_current_at.max(at);
+    copy.current_at = copy.current_at.max(at);
+    if rows.table == Table::Resources {
+        state.freshness.record_current_when_applied(at, new_rows.is_some());
     }
     let is_newer = before < state.feeds.copies[rows.table as usize].current_at;
     let has_rows = new_rows.is_some();
--- a/crates/kernel/tests/freshness.rs
+++ b/crates/kernel/tests/freshness.rs
@@ -5,7 +5,8 @@
 
 use common::{Harness, Step};
 use hornbeamloom_kernel::event::Event;
-use hornbeamloom_kernel::ids::Millis;
+use hornbeamloom_kernel::feed::{Row, Rows, Table};
+use hornbeamloom_kernel::ids::{Millis, Revision};
 use hornbeamloom_kernel::resource::Configuration;
 
 /// Checks the outcome of a request that arrives `wait_ms` after the configuration was last known to
@@ -52,3 +53,50 @@
     world.run(&[Step::Wait(900), Step::Arrive(1)]);
     assert_eq!(world.trace.last().map(String::as_str), Some("ask e2 for 1"));
 }
+
+fn last(world: &Harness) -> &str {
+    world.trace.last().map_or("", String::as_str)
+}
+
+const REFUSED: &str = "refuse 1 KeyUnconfirmed ran No";
+
+/// Guards against a revoked key that is accepted because the rows which revoke it have been read,
+/// but are not in force yet.
+#[test]
+fn rows_count_once_they_are_applied() {
+    let mut world = Harness::with_configuration(Configuration {
+        key_age_ms: 1_000,
+        ..Configuration::default()
+    });
+    let (key, version, value) = ("config".into(), Revision(9), Some(b"{}".to_vec()));
+    let rows = Rows {
+        table: Table::Resources,
+        from: Revision(0),
+        version,
+        is_whole: true,
+        rows: vec![Row { key, version, value, sequence: None }],
+    };
+    world.handle(Event::RowsRead { rows: &rows, at: Millis(world.now) });
+    world.run(&[Step::Arrive(1)]);
+    assert_eq!(last(&world), REFUSED);
+    world.handle(Event::RowsApplied { table: Table::Resources });
+    world.run(&[Step::Arrive(2)]);
+    assert_eq!(last(&world), "ask e2 for 2");
+}
+
+/// Guards against a request whose key was checked just before newer resources were in force, and
+/// that arrives just after.
+#[test]
+fn keys_stay_refused_for_a_moment_after_an_outage() {
+    let mut world = Harness::with_configuration(Configuration {
+        key_age_ms: 1_000,
+        ..Configuration::default()
+    });
+    world.handle(Event::TableCurrent { at: Millis(world.now) });
+    world.run(&[Step::Wait(1_100)]);
+    world.handle(Event::TableCurrent { at: Millis(world.now) });
+    world.run(&[Step::Arrive(1)]);
+    assert_eq!(last(&world), REFUSED);
+    world.run(&[Step::Wait(250), Step::Arrive(2)]);
+    assert_eq!(last(&world), "ask e2 for 2");
+}
