--- a/crates/daemon/src/tunnel.rs
+++ b/crates/daemon/src/tunnel.rs
@@ -6,8 +6,8 @@
 //! becomes a close message. A tunnel without one was broken off, which must not look like the end of
 //! a response.
 //!
-//! The relaying VM decides nothing about the request. It only connects to targets that it knows and
-//! that are not leaving, and never passes a tunnel on to a third VM.
+//! The relaying VM decides nothing about the request. It only connects to targets that it knows, that
+//! are not leaving and whose zone is in service, and never passes a tunnel on to a third VM.
 
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
--- a/crates/kernel/src/reach.rs
+++ b/crates/kernel/src/reach.rs
@@ -6,8 +6,8 @@
 //! nothing about them, so failed polls do not count as failures of targets.
 //!
 //! A failed connection alone does not tell which end is at fault. Connections to several targets
-//! that fail, with none in between that succeeds, point to this VM. If the targets are at fault
-//! after all, the relays find the same, and the next probe that succeeds ends the assumption.
+//! that fail, with none shortly before that succeeds, point to this VM. If the targets are at fault
+//! after all, the relays find the same, and probes that succeed soon end the state.
 
 use std::sync::Arc;
 
