--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -6,6 +6,7 @@
 import base64
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -26,6 +27,9 @@
 }
 
 
+used_ports = set()
+
+
 def trouble():
     return os.environ.get("TROUBLE", "1") != "0"
 
@@ -48,9 +52,18 @@
 
 
 def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """A free port below the range from which the system takes those of outgoing connections."""
+    while True:
+        port = random.randrange(20000, 32000)
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in used_ports:
+            used_ports.add(port)
+            return port
 
 
 async def read_head(reader):
