--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,7 +9,7 @@
 sys.path.insert(0, os.path.join(HERE, "..", "lib"))
 from standins import *
 
-SILENT_S = 1.4
+SILENT_S = 1.5
 EVENTS, PAUSE_S = 100, 0.03
 STREAMS = 8
 
