--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,7 +10,7 @@
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(HERE, "..", "lib"))
+sys.path.insert(0, os.path.join(HERE, ".."))
 from standins import *
 
 ZONES = ["lodz-a", "lodz-b", "lodz-c"]
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 python3 -c 'import sys; assert sys.version_info >= (3, 11), "Python 3.11 or later is needed"'
-for file in lib/standins.py */case.py; do
+for file in standins.py */case.py; do
     python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
 done
 echo "the stand-ins are ready"
--- a/review/lib/standins.py
+++ b/review/standins.py
@@ -16,7 +16,7 @@
 import tempfile
 import time
 
-ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
+ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), ".."))
 HOST = "ficu95.example"
 KEY = "xd9dnn2ctnfzs989anu6"
 OTHER_KEY = "wsjnbanfqasnmgkcuyj8"
