Bound the memory of responses as it is allocated

Cause: callers lost their streams because one faulty engine took a VM beyond its memory limit: with its response without end in chunks of two bytes, the platform killed the process and with it all requests of sound engines. The limit of 16 MiB counts payload, while each chunk was kept as a piece of its own, and nothing bounded all responses together. Change: each response that is read to its end goes into one buffer whose allocation is taken from an account of the process (limits.buffer_bytes), given back when the last reference is dropped.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -47,6 +47,8 @@
     pub standby_percent: u32,
     /// Limit of the daemons' shutdown in seconds; applies to daemons that are started later.
     pub shutdown_limit_s: Option<u64>,
+    /// Memory in bytes in which the daemons buffer bodies; applies to daemons that are started later.
+    pub buffer_bytes: Option<u64>,
     daemon_binary: PathBuf,
     dir: PathBuf,
     peer_addresses: Vec<SocketAddr>,
@@ -112,6 +114,7 @@
             daemons: Vec::new(),
             standby_percent: 0,
             shutdown_limit_s: None,
+            buffer_bytes: None,
             daemon_binary: daemon_binary.to_owned(),
             dir: dir.to_owned(),
             peer_addresses: Vec::new(),
@@ -187,6 +190,7 @@
             "keys": {"operator": ["operator"], "peer": ["peer"]},
             "settle_s": 1,
             "shutdown_limit_s": self.shutdown_limit_s,
+            "limits": {"buffer_bytes": self.buffer_bytes},
             "adapter": {
                 "name": "fleet",
                 "settings": {
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -98,6 +98,14 @@
         self.child.id()
     }
 
+    /// Largest resident memory of the process so far, in MiB; `None` if it has exited.
+    pub fn peak_resident_mb(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.id())).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let kib: u64 = line.split_whitespace().next()?.parse().ok()?;
+        Some(kib / 1_024)
+    }
+
     /// Sends a signal if the process still runs.
     pub fn signal(&mut self, signal: Signal) {
         let Ok(None) = self.child.try_wait() else {
--- a/crates/daemon/src/adapter.rs
+++ b/crates/daemon/src/adapter.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use crate::control::Control;
+use crate::memory::Account;
 use crate::settings::Settings;
 
 /// Shared state passed to every adapter.
@@ -24,6 +25,8 @@
     pub identity: Identity,
     /// Handle to the control thread.
     pub control: Control,
+    /// Memory in which bodies are buffered.
+    pub memory: Account,
     /// The resources in force, published by the control thread.
     pub intent: watch::Receiver<Arc<Intent>>,
     /// How connections to targets are opened, published by the control thread.
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -14,6 +14,7 @@
 use crate::control::Input;
 use crate::engines::{AttemptResult, RequestTask, Traffic};
 use crate::http::{self, ExchangeError, IDLE_TIMEOUT};
+use crate::memory::Account;
 use crate::refusal::REQUEST_ID;
 use crate::relay::{Finish, Relay, TargetResponse};
 use crate::{metrics, stored_response};
@@ -104,7 +105,9 @@
             }
             // The engine does not hold the model (any more), but another engine may.
             StatusCode::NOT_FOUND => return (End::Rejected, None),
-            status if status.is_client_error() => return forward_rejection(response).await,
+            status if status.is_client_error() => {
+                return forward_rejection(response, &self.traffic.context.memory).await
+            }
             _ => return (End::Broken, None),
         }
         loop {
@@ -312,14 +315,15 @@
 }
 
 /// Forwards an engine's rejection of the request's content to the caller.
-async fn forward_rejection(response: Response) -> (End, Option<Finish>) {
+async fn forward_rejection(response: Response, account: &Account) -> (End, Option<Finish>) {
     let status = response.status().as_u16();
     let content_type = response.headers().get(reqwest::header::CONTENT_TYPE);
     let headers = content_type
         .map(|value| ("content-type".to_owned(), value.as_bytes().to_vec()))
         .into_iter()
         .collect();
-    match http::read_body(response, MAX_ERROR_BODY_BYTES, IDLE_TIMEOUT).await {
+    let buffer = account.buffer(MAX_ERROR_BODY_BYTES);
+    match http::read_body(response, buffer, IDLE_TIMEOUT).await {
         Ok(body) => {
             let forwarded = TargetResponse { status, headers, body };
             (End::Complete, Some(Finish::Forwarded(forwarded)))
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -9,6 +9,7 @@
 use reqwest::header::CONTENT_LENGTH;
 use reqwest::{Body, Client, RequestBuilder, Response};
 
+use crate::memory::Buffer;
 use crate::refusal::REQUEST_ID;
 
 /// Time limit for opening a connection.
@@ -43,7 +44,7 @@
     TimedOut,
     /// The response belongs to another request.
     RequestIdMismatch,
-    /// The response is longer than the reader's limit.
+    /// The response is longer than the reader's limit, or no memory is left to buffer it.
     TooLarge,
 }
 
@@ -136,32 +137,27 @@
     response.headers().get(REQUEST_ID)?.to_str().ok()
 }
 
-/// Reads the whole body, at most `limit` bytes, with at most `idle_timeout` between two chunks.
+/// Reads the whole body into `buffer`, with at most `idle_timeout` between two chunks.
 ///
 /// A body shorter than its `Content-Length` is [`ExchangeError::Broken`].
 pub(crate) async fn read_body(
     mut response: Response,
-    limit: usize,
+    mut buffer: Buffer,
     idle_timeout: Duration,
 ) -> Result<Bytes, ExchangeError> {
     let content_length = response.content_length();
-    if content_length.is_some_and(|length| length > limit as u64) {
-        return Err(ExchangeError::TooLarge);
-    }
-    let mut body = Vec::new();
+    let length = content_length.map_or(0, |length| usize::try_from(length).unwrap_or(usize::MAX));
+    buffer.check_length(length).map_err(|_| ExchangeError::TooLarge)?;
     loop {
         let chunk = tokio::time::timeout(idle_timeout, response.chunk()).await;
         match chunk.map_err(|_| ExchangeError::TimedOut)? {
-            Ok(Some(chunk)) if body.len() + chunk.len() > limit => {
-                return Err(ExchangeError::TooLarge)
-            }
-            Ok(Some(chunk)) => body.extend_from_slice(&chunk),
+            Ok(Some(chunk)) => buffer.push(&chunk).map_err(|_| ExchangeError::TooLarge)?,
             Ok(None) => break,
             Err(_) => return Err(ExchangeError::Broken),
         }
     }
     match content_length {
-        Some(length) if length != body.len() as u64 => Err(ExchangeError::Broken),
-        _ => Ok(body.into()),
+        Some(length) if length != buffer.as_ref().len() as u64 => Err(ExchangeError::Broken),
+        _ => Ok(buffer.freeze()),
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod http;
 pub mod link;
 pub mod log_writer;
+pub mod memory;
 pub mod peer_server;
 pub mod peers;
 pub mod run;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -54,6 +54,11 @@
     ::metrics::counter!("hornbeamloom_crossed_answers_total").increment(1);
 }
 
+/// Records the memory in use by buffers of bodies, in bytes.
+pub(crate) fn record_buffered_bytes(bytes: usize) {
+    ::metrics::gauge!("hornbeamloom_buffered_bytes").set(bytes as f64);
+}
+
 /// Records the time from a request's arrival to its first token.
 pub(crate) fn record_first_token(time: Duration) {
     ::metrics::histogram!("hornbeamloom_first_token_seconds").record(time);
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -133,7 +133,10 @@
     match path {
         "/healthz" => Some("ok\n".into_response()),
         "/readyz" => Some(readiness(api)),
-        "/metrics" => Some(metrics::render().into_response()),
+        "/metrics" => {
+            metrics::record_buffered_bytes(api.context.memory.used());
+            Some(metrics::render().into_response())
+        }
         _ => None,
     }
 }
--- a/crates/daemon/src/plain.rs
+++ b/crates/daemon/src/plain.rs
@@ -10,6 +10,7 @@
 use crate::control::Input;
 use crate::engines::{AttemptResult, RequestTask, Traffic};
 use crate::http::{self, ExchangeError};
+use crate::memory::Account;
 use crate::refusal::REQUEST_ID;
 use crate::relay::{Finish, Relay, TargetResponse};
 use crate::{metrics, stored_response};
@@ -108,15 +109,19 @@
         metrics::count_misdirected_answer();
         return Err(ExchangeError::RequestIdMismatch);
     }
-    read_response(response).await
+    read_response(response, &traffic.context.memory).await
 }
 
-async fn read_response(response: Response) -> Result<TargetResponse, ExchangeError> {
+async fn read_response(
+    response: Response,
+    account: &Account,
+) -> Result<TargetResponse, ExchangeError> {
     let status = response.status().as_u16();
     let headers = end_to_end_headers(response.headers())
         .map(|(name, value)| (name.to_owned(), value.as_bytes().to_vec()))
         .collect();
-    let body = http::read_body(response, MAX_RESPONSE_BYTES, BODY_IDLE_TIMEOUT).await?;
+    let body =
+        http::read_body(response, account.buffer(MAX_RESPONSE_BYTES), BODY_IDLE_TIMEOUT).await?;
     Ok(TargetResponse { status, headers, body })
 }
 
--- a/crates/daemon/src/poll.rs
+++ b/crates/daemon/src/poll.rs
@@ -148,9 +148,11 @@
                 http::send(self.client.get(url), Bytes::new(), POLL_TIMEOUT, || {}).await?;
             match response.status().is_success() {
                 // The head arrived, so the process is alive even if the body is truncated.
-                true => http::read_body(response, MAX_RESPONSE_BYTES, POLL_TIMEOUT)
-                    .await
-                    .map_err(|_| ExchangeError::TooLarge),
+                true => {
+                    let buffer = self.context.memory.buffer(MAX_RESPONSE_BYTES);
+                    let body = http::read_body(response, buffer, POLL_TIMEOUT).await;
+                    body.map_err(|_| ExchangeError::TooLarge)
+                }
                 false => Err(ExchangeError::TooLarge),
             }
         };
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -14,6 +14,7 @@
 
 use crate::control::{self, Control, Input, OutcomeRoute};
 use crate::log_writer::LogWriter;
+use crate::memory::Account;
 use crate::settings::Settings;
 use crate::{adapter, log_writer, settings};
 
@@ -87,6 +88,7 @@
 #[derive(Debug)]
 pub struct Daemon {
     control: Control,
+    memory: Account,
     settings: watch::Sender<Arc<Settings>>,
     stopping: watch::Sender<bool>,
     answer_by: watch::Sender<Option<Instant>>,
@@ -113,10 +115,12 @@
             plugins.iter().map(outcome_route).unzip();
         let (control, receivers) = control::spawn(Kernel::new(identity.clone()), routes)
             .map_err(|error| adapter::Error::Startup(error.to_string()))?;
+        let memory = Account::new(settings.borrow().limits.account_bytes());
         let context = adapter::Context {
             settings,
             identity,
             control: control.clone(),
+            memory: memory.clone(),
             intent: receivers.intent,
             path: receivers.path,
             stopping,
@@ -128,6 +132,7 @@
         }
         Ok(Daemon {
             control,
+            memory,
             settings: settings_sender,
             stopping: stopping_sender,
             answer_by: answer_by_sender,
@@ -156,6 +161,7 @@
             log::warn!("changed settings that need a restart were not applied");
         }
         set_log_level(&settings.log.level);
+        self.memory.set_limit(settings.limits.account_bytes());
         self.settings.send_replace(Arc::new(settings));
     }
 
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -169,11 +169,25 @@
     pub header_s: u64,
     /// Maximum number of open caller connections.
     pub connections: usize,
+    /// Memory in bytes in which bodies are buffered; by default 32 MiB or twice `body_bytes`,
+    /// whichever is more.
+    pub buffer_bytes: Option<u64>,
 }
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits { body_bytes: 1 << 20, header_s: 10, connections: 4096 }
+        Limits { body_bytes: 1 << 20, header_s: 10, connections: 4096, buffer_bytes: None }
+    }
+}
+
+/// Fits beside the rest of the process on VMs with 88 MB of memory.
+const DEFAULT_BUFFER_BYTES: u64 = 32 << 20;
+
+impl Limits {
+    /// Returns the limit of the account from which buffers for bodies are taken, in bytes.
+    pub(crate) fn account_bytes(&self) -> usize {
+        let default = DEFAULT_BUFFER_BYTES.max(2 * self.body_bytes);
+        usize::try_from(self.buffer_bytes.unwrap_or(default)).unwrap_or(usize::MAX)
     }
 }
 
--- a/crates/daemon/src/validation.rs
+++ b/crates/daemon/src/validation.rs
@@ -17,6 +17,9 @@
 /// Accepted range of `limits.body_bytes`.
 const BODY_BYTES_RANGE: RangeInclusive<u64> = 1_024..=64 * 1024 * 1024;
 
+/// Upper limit of `limits.buffer_bytes`.
+const MAX_BUFFER_BYTES: u64 = 1 << 40;
+
 /// Accepted range of `limits.header_s`, in seconds.
 const HEADER_S_RANGE: RangeInclusive<u64> = 1..=300;
 
@@ -58,6 +61,11 @@
     check_range("limits.body_bytes", settings.limits.body_bytes, &BODY_BYTES_RANGE)?;
     check_range("limits.header_s", settings.limits.header_s, &HEADER_S_RANGE)?;
     check_range("limits.connections", settings.limits.connections as u64, &CONNECTIONS_RANGE)?;
+    if let Some(bytes) = settings.limits.buffer_bytes {
+        // A body and the response to it may be buffered at the same time.
+        let range = 2 * settings.limits.body_bytes..=MAX_BUFFER_BYTES;
+        check_range("limits.buffer_bytes", bytes, &range)?;
+    }
     if let Some(limit) = settings.shutdown_limit_s {
         check_range("shutdown_limit_s", limit, &SHUTDOWN_LIMIT_S_RANGE)?;
         if limit <= settings.settle_s {
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -49,6 +49,7 @@
     huge_body_limit_is_refused: ("1048576", "1048576000", &["limits.body_bytes"]);
     zero_header_time_is_refused: ("header_s: 10", "header_s: 0", &["limits.header_s"]);
     zero_connections_are_refused: ("connections: 4096", "connections: 0", &["limits.connections"]);
+    buffers_for_less_than_two_bodies_are_refused: ("4096}", "4096, buffer_bytes: 2097151}", &["limits.buffer_bytes", "2097152"]);
     long_settle_time_is_refused: ("settle_s: 10", "settle_s: 1000", &["settle_s"]);
     shutdown_limit_within_settle_time_is_refused: ("shutdown_limit_s: null", "shutdown_limit_s: 10", &["shutdown_limit_s"]);
     vm_with_a_slash_is_refused: ("vm: entry-1", "vm: entry/1", &["vm"]);
--- a/crates/wire/src/sse.rs
+++ b/crates/wire/src/sse.rs
@@ -87,6 +87,11 @@
         self.buf.len() - self.start
     }
 
+    /// Number of bytes that the parser has allocated.
+    pub fn allocated_bytes(&self) -> usize {
+        self.buf.capacity()
+    }
+
     /// Whether the bytes that have not been returned yet are a part of an event. Blank lines and
     /// whole lines of comments are not.
     pub fn is_inside_event(&self) -> bool {
--- a/tests/fleet/harness.rs
+++ b/tests/fleet/harness.rs
@@ -50,32 +50,42 @@
 
 /// Starts a fleet of one daemon in zone `a` whose generations have standbys.
 pub async fn start_fleet_with_standbys() -> Fleet {
-    let fleet = launch_fleet(90, None).await;
+    let fleet = launch_fleet(|fleet| fleet.standby_percent = 90).await;
     fleet.put_config(&config(1, &[CALLER_KEY]));
     fleet
 }
 
 /// Starts a fleet of one daemon in zone `a` without a configuration.
 pub async fn start_unconfigured_fleet() -> Fleet {
-    launch_fleet(0, None).await
+    launch_fleet(|_| {}).await
 }
 
 /// Starts a fleet of one daemon in zone `a` whose shutdown ends after `limit_s` seconds.
 pub async fn start_fleet_with_shutdown_limit(limit_s: u64) -> Fleet {
-    let fleet = launch_fleet(0, Some(limit_s)).await;
+    let fleet = launch_fleet(|fleet| fleet.shutdown_limit_s = Some(limit_s)).await;
     fleet.put_config(&config(1, &[CALLER_KEY]));
     fleet
 }
 
-async fn launch_fleet(standby_percent: u32, shutdown_limit_s: Option<u64>) -> Fleet {
+/// Starts a fleet of one daemon in zone `a` that buffers at most `buffer_bytes` of bodies, and whose
+/// callers may send bodies of `max_body_bytes`.
+pub async fn start_fleet_with_buffers(buffer_bytes: u64, max_body_bytes: usize) -> Fleet {
+    let fleet = launch_fleet(|fleet| fleet.buffer_bytes = Some(buffer_bytes)).await;
+    let mut config = config(1, &[CALLER_KEY]);
+    config["limits"]["max_body_bytes"] = max_body_bytes.into();
+    fleet.put_config(&config);
+    fleet
+}
+
+/// Starts a fleet of one daemon in zone `a` with settings that differ from the standard ones.
+async fn launch_fleet(change_settings: impl FnOnce(&mut Fleet)) -> Fleet {
     static NUMBER: AtomicU64 = AtomicU64::new(0);
     let number = NUMBER.fetch_add(1, Ordering::Relaxed);
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR"))
         .join(format!("fleet-{}-{number}", std::process::id()));
     let program = Path::new(env!("CARGO_BIN_EXE_hornbeamloomd"));
     let mut fleet = Fleet::new(program, &folder).await.expect("the store starts");
-    fleet.standby_percent = standby_percent;
-    fleet.shutdown_limit_s = shutdown_limit_s;
+    change_settings(&mut fleet);
     fleet.start_daemon("vm-1", "a").expect("the daemon starts");
     fleet
 }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 mod harness;
 mod hints;
 mod lifecycle;
+mod memory;
 mod prompt_parts;
 mod relayed_connections;
 mod relocation;
