Bound the memory of callers' bodies as it is allocated

Four bodies of 4,000,000 bytes in chunks of four bytes, each inside max_body_bytes, took a VM beyond its memory limit; no caller of that VM got an answer.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -22,12 +22,16 @@
 
 use crate::control::{Arrival, Input, RerunPolicy};
 use crate::engines::{self, ConnectionPermit, Job, RequestTask, Traffic};
+use crate::memory::{self, Buffer};
 use crate::plain::{self, IDEMPOTENCY_KEY};
 use crate::refusal::{ErrorResponse, REQUEST_ID};
 use crate::relay::{Reader, Relay, REATTACH_GRACE};
 use crate::settings::Settings;
 use crate::{adapter, auth, http, reattach, response};
 
+/// Sent to callers whose body finds no memory; bodies are held for a second or longer.
+const EXHAUSTED_RETRY_AFTER_MS: u64 = 1_000;
+
 /// Maximum length of an idempotency key, in bytes.
 const MAX_IDEMPOTENCY_KEY_BYTES: usize = 255;
 
@@ -245,7 +249,7 @@
     if declared.is_some_and(|length| length > limit) {
         return Err(body_too_large());
     }
-    let collected = collect_body(body, limit);
+    let collected = collect_body(body, traffic.context.memory.buffer(limit));
     let timeout = Duration::from_secs(limits.header_s);
     with_body_timeout(timeout, collected).await
 }
@@ -264,26 +268,34 @@
     }
 }
 
-async fn collect_body<S, B>(body: S, limit: usize) -> Result<Bytes, ErrorResponse>
+async fn collect_body<S, B>(body: S, mut buffer: Buffer) -> Result<Bytes, ErrorResponse>
 where
     S: Stream<Item = Result<B, warp::Error>>,
     B: Buf,
 {
     let mut body = std::pin::pin!(body);
-    let mut bytes = Vec::new();
     while let Some(chunk) = body.next().await {
         let mut chunk = chunk.map_err(|_| {
             ErrorResponse::new(StatusCode::BAD_REQUEST, "body_incomplete", "the body ended early")
         })?;
-        if bytes.len() + chunk.remaining() > limit {
-            return Err(body_too_large());
-        }
         while chunk.has_remaining() {
-            bytes.extend_from_slice(chunk.chunk());
+            buffer.push(chunk.chunk()).map_err(body_not_buffered)?;
             chunk.advance(chunk.chunk().len());
         }
     }
-    Ok(bytes.into())
+    Ok(buffer.freeze())
+}
+
+fn body_not_buffered(error: memory::Error) -> ErrorResponse {
+    match error {
+        memory::Error::TooLong(_) => body_too_large(),
+        memory::Error::Exhausted => ErrorResponse::new(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "buffers_exhausted",
+            "this VM has no memory left to read the body",
+        )
+        .with_retry_after(EXHAUSTED_RETRY_AFTER_MS),
+    }
 }
 
 fn body_too_large() -> ErrorResponse {
--- a/tests/fleet/memory.rs
+++ b/tests/fleet/memory.rs
@@ -1,14 +1,18 @@
-//! Memory of a daemon that reads responses without end.
+//! Memory of a daemon that reads bodies without end, or bodies in small chunks.
+
+use std::net::SocketAddr;
 
 use futures_util::future::join_all;
-use hornbeamloom_bench::fleet::Fleet;
+use hornbeamloom_bench::fleet::{Fleet, ATTEMPT_ID_HEADER};
 use hornbeamloom_bench::mock_engine::{Ending, Fault, RawResponse};
 use hornbeamloom_kernel::cases;
 use reqwest::header::{HeaderMap, HeaderName};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 use crate::harness::{
     block_on, call, new_attempt_id, new_request, send, start_engines, start_fleet_with_buffers,
-    start_plain_targets,
+    start_plain_targets, CALLER_KEY, TEST_TIMEOUT,
 };
 
 /// Memory in which the daemon may buffer bodies, in MiB.
@@ -84,3 +88,66 @@
     many_heads: ("/order/1", 20, &[OPEN_HEAD], "a: b\r\n");
     many_events: ("/draft/1", 20, &[STREAM_HEAD], "xxxxxxxx");
 }
+
+/// Sends a request whose body consists of `count` chunks of `chunk_bytes`, and returns the response
+/// as received.
+async fn upload_in_chunks(address: SocketAddr, count: usize, chunk_bytes: usize) -> String {
+    let attempt_id = new_attempt_id();
+    let head = format!(
+        "POST /order/1 HTTP/1.1\r\nHost: host.example\r\n{ATTEMPT_ID_HEADER}: {attempt_id}\r\n\
+         X-Deadline-Ms: 20000\r\nAuthorization: Token {CALLER_KEY}\r\nConnection: close\r\n\
+         Transfer-Encoding: chunked\r\n\r\n"
+    );
+    let chunk = format!("{chunk_bytes:x}\r\n{}\r\n", "x".repeat(chunk_bytes));
+    let body = chunk.repeat(count) + "0\r\n\r\n";
+    let stream = TcpStream::connect(address).await.expect("the daemon accepts connections");
+    let (mut reader, mut writer) = stream.into_split();
+    let write = async move {
+        writer.write_all(head.as_bytes()).await.expect("the head is sent");
+        writer.write_all(body.as_bytes()).await.expect("the daemon reads the whole body");
+        writer
+    };
+    let mut response = String::new();
+    let (_writer, read) = tokio::join!(write, reader.read_to_string(&mut response));
+    read.expect("the response is read to its end");
+    response
+}
+
+/// Checks that bodies of callers in chunks stay within the memory limit, and that each of them is
+/// served, or refused as not run.
+fn uploads_are_bounded(
+    uploads: usize,
+    chunks: usize,
+    chunk_bytes: usize,
+    is_refusal_expected: bool,
+) {
+    block_on(async {
+        let fleet = start_fleet_with_buffers(BUFFER_MB << 20, MAX_BODY_BYTES).await;
+        let _targets = start_plain_targets(&fleet, 1).await;
+        let address = fleet.daemons[0].caller_address;
+        let before = peak_mb(&fleet);
+        let uploads = (0..uploads).map(|_| upload_in_chunks(address, chunks, chunk_bytes));
+        let responses = tokio::time::timeout(TEST_TIMEOUT, join_all(uploads)).await;
+        let responses = responses.expect("each caller gets a response");
+        let is_refused = |response: &&String| {
+            let has_retry_after = response.to_ascii_lowercase().contains("\r\nretry-after: ");
+            response.starts_with("HTTP/1.1 503 ") && has_retry_after
+        };
+        let refused = responses.iter().filter(is_refused).count();
+        let served = responses.iter().filter(|response| response.starts_with("HTTP/1.1 200 "));
+        assert_eq!(served.count() + refused, responses.len(), "{responses:?}");
+        assert_eq!(refused > 0, is_refusal_expected, "{refused} requests refused");
+        assert_bounded(&fleet, before);
+        assert_eq!(call(&fleet, "/order/1", b"x").await.status, 200);
+    });
+}
+
+cases! {
+    uploads_are_bounded;
+
+    // Guards against a limit that counts payload, while each chunk is kept with its overhead.
+    uploads_in_small_chunks: (8, 100_000, 1, false);
+    // Guards against a limit for each body where nothing limits all of them, and against refusals
+    // that callers do not see because their connection is reset.
+    uploads_beyond_all_buffers: (12, 1_000, 1_000, true);
+}
