Keep a stream at its engine until the standby has it

After 250 ms without an answer a standby was taken to have the generation, and the connection to the old engine was closed; the standby then refused. Change: events of the old engine are passed on until the standby answers. The old engine is left when the standby responds with a stream or its report lists the generation, so that two engines do not run it for longer than 400 ms. A stream that completes meanwhile ends as complete.

--- a/crates/bench/src/mock_engine.rs
+++ b/crates/bench/src/mock_engine.rs
@@ -65,6 +65,8 @@
     /// Bytes of responses without end that were sent.
     endless_bytes: usize,
     is_draining: bool,
+    /// Until when it reads, writes and generates nothing.
+    silent_until: Option<Instant>,
     /// Header lines that each response to a request contains.
     headers: &'static str,
     runs: BTreeMap<String, ActiveRun>,
@@ -155,6 +157,18 @@
         self.lock().endless_bytes
     }
 
+    /// Reads, writes and generates nothing for `duration`, and keeps its connections.
+    pub fn fall_silent(&self, duration: Duration) {
+        self.lock().silent_until = Some(Instant::now() + duration);
+    }
+
+    async fn end_of_silence(&self) {
+        let silent_until = self.lock().silent_until;
+        if let Some(silent_until) = silent_until {
+            tokio::time::sleep_until(silent_until).await;
+        }
+    }
+
     /// Adds header lines, each with its line end, to each response to a request from now on.
     pub fn set_headers(&self, headers: &'static str) {
         self.lock().headers = headers;
@@ -211,6 +225,7 @@
 
     async fn serve(&self, stream: &mut TcpStream) -> std::io::Result<()> {
         while let Some((head, body)) = read_request(stream).await? {
+            self.end_of_silence().await;
             let line = head.lines().next().unwrap_or_default().to_owned();
             if line.starts_with("GET /hornbeamloom/report ") {
                 if self.lock().fault == Fault::EndlessReport {
@@ -242,7 +257,9 @@
         let report = json!({
             "phase": "both", "models": [], "busy": false, "sequence": 1, "waiting": 0,
             "running": state.runs.len(), "kv_used_tokens": 0, "kv_total_tokens": 100_000,
-            "handles": 0, "born": 1, "state": if state.is_draining { "draining" } else { "ready" },
+            "handles": 0, "born": 1,
+            "runs": state.runs.keys().map(|id| json!([id, 100, 1, 0])).collect::<Vec<_>>(),
+            "state": if state.is_draining { "draining" } else { "ready" },
         });
         encode_response(200, "Content-Type: application/json\r\n", report.to_string().as_bytes())
     }
@@ -359,7 +376,7 @@
                 head,
                 body: body.clone(),
                 executed,
-                caller_disconnected: false,
+                disconnected_at: None,
                 received_at: std::time::Instant::now(),
             });
             shared.requests.len() - 1
@@ -377,7 +394,9 @@
         }
         if let Fault::SendsRaw(response) = fault {
             let is_closed_by_caller = self.send_raw(stream, &response, &attempt).await?;
-            self.request_log.lock().requests[ix].caller_disconnected = is_closed_by_caller;
+            if is_closed_by_caller {
+                self.request_log.record_disconnect(ix);
+            }
             return Ok(false);
         }
         if is_deadly {
@@ -431,7 +450,7 @@
         tokio::select! {
             () = tokio::time::sleep(self.interval) => {}
             _ = stream.read(&mut byte) => {
-                self.request_log.lock().requests[ix].caller_disconnected = true;
+                self.request_log.record_disconnect(ix);
                 return Ok(false);
             }
         }
@@ -514,11 +533,16 @@
                     RunOrder::Continue | RunOrder::Complete => interval = Duration::ZERO,
                 },
                 _ = stream.read(&mut byte) => {
-                    self.request_log.lock().requests[ix].caller_disconnected = true;
+                    self.request_log.record_disconnect(ix);
                     return Ok(false);
                 }
             }
+            self.end_of_silence().await;
             if seq == last_event_id + 1 {
+                let fault = self.lock().fault;
+                if let Fault::StartsSilently(delay) = fault {
+                    tokio::time::sleep(delay).await;
+                }
                 stream.write_all(head.as_bytes()).await?;
             }
             let event = format!("id: {seq}\ndata: {attempt}.{seq}\n\n");
@@ -531,7 +555,7 @@
             if matches!(fault, Fault::HangsAfter(count) if seq > count) {
                 // Waits until the caller closes the connection.
                 let _ = stream.read(&mut byte).await;
-                self.request_log.lock().requests[ix].caller_disconnected = true;
+                self.request_log.record_disconnect(ix);
                 return Ok(false);
             }
             stream.write_all(chunk.as_bytes()).await?;
--- a/crates/bench/src/mock_engine/fault.rs
+++ b/crates/bench/src/mock_engine/fault.rs
@@ -27,6 +27,8 @@
     ReturnsError,
     /// It closes the connection after this number of events, in the middle of the next one.
     DisconnectsAfter(u64),
+    /// It executes streams, but sends the head of a response only after this time.
+    StartsSilently(Duration),
     /// It stops sending after this number of events and keeps the connection open.
     HangsAfter(u64),
     /// It sends less than the content length of the response and closes the connection.
--- a/crates/bench/src/mock_engine/request_log.rs
+++ b/crates/bench/src/mock_engine/request_log.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Instant;
 
 use crate::mock_http::ReceivedRequest;
 
@@ -61,6 +62,11 @@
         self.lock().kv_copies.remove(handle);
     }
 
+    /// Records that the caller closed the connection of a request while it was executing.
+    pub(super) fn record_disconnect(&self, ix: usize) {
+        self.lock().requests[ix].disconnected_at = Some(Instant::now());
+    }
+
     /// Number of KV copies that have been neither used nor released.
     pub fn kv_copies(&self) -> usize {
         self.lock().kv_copies.len()
--- a/crates/bench/src/mock_http.rs
+++ b/crates/bench/src/mock_http.rs
@@ -19,8 +19,8 @@
     pub body: Vec<u8>,
     /// The engine started to execute it.
     pub executed: bool,
-    /// The caller closed the connection while it was executing.
-    pub caller_disconnected: bool,
+    /// When the caller closed the connection while it was executing.
+    pub disconnected_at: Option<Instant>,
     /// When it arrived.
     pub received_at: Instant,
 }
--- a/crates/daemon/src/continuation.rs
+++ b/crates/daemon/src/continuation.rs
@@ -11,9 +11,6 @@
 use crate::generation::{KvSource, OpenResult, ResumePoint};
 use crate::session::{Session, TargetReply};
 
-/// Maximum time for which the old target keeps running while the standby takes over. The platform
-/// allows 400 ms, and the standby sends its response within one of its steps.
-const STANDBY_OVERLAP: Duration = Duration::from_millis(250);
 /// Time limit for the grant of a slot at the standby after the target of a generation was lost.
 const STANDBY_GRANT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time after the last event within which a generation is offered to its next target and to the one
@@ -42,7 +39,7 @@
     }
 }
 
-/// How a placement ended.
+/// Why the events of a placement are no longer forwarded.
 pub(crate) enum PlacementEnd {
     /// The stream is complete.
     Complete,
@@ -50,11 +47,11 @@
     CallerGone,
     /// The stream was truncated and there is no copy to resume from.
     Truncated,
+    /// The placement still runs, and its standby, to which this start belongs, may take it over.
+    OfferToStandby(Start),
     /// The generation resumes from the copy with this handle, in the placement of this start or at
     /// the source that stopped.
     ResumeFromCopy(Start, String),
-    /// The generation moves to its standby while the placement is still running.
-    SwitchToStandby(Start),
 }
 
 /// Outcome of continuing a generation elsewhere.
@@ -91,9 +88,6 @@
             let deadline = deadline.max(now + MIN_RESUME_TIME);
             resume_from_copy(session, open, start, next, point, handle, deadline).await
         }
-        PlacementEnd::SwitchToStandby(next) => {
-            switch_to_standby(session, open, placement, next, last_event).await
-        }
         _ if placement.start.standby.is_some() => {
             resume_at_standby(session, open, placement, last_event).await
         }
@@ -162,50 +156,6 @@
     Continuation::Lost(stopped, Some(handle))
 }
 
-/// Resumes at the standby and leaves the old target as soon as the standby has taken over.
-///
-/// A standby that holds no copy refuses; the generation then stays where it is.
-async fn switch_to_standby<A, S, O, OF>(
-    session: &mut Session,
-    open: &O,
-    placement: Placement<S>,
-    next: Start,
-    last_event: u64,
-) -> Continuation<S>
-where
-    O: Fn(Start, Option<ResumePoint>) -> OF,
-    OF: Future<Output = OpenResult<A, S>>,
-{
-    let point = ResumePoint { source: next.address.clone(), kv: KvSource::Standby, last_event };
-    let open_standby = open(next.clone(), Some(point));
-    tokio::pin!(open_standby);
-    let mut old_events = Some(placement.events);
-    let opened = tokio::select! {
-        opened = &mut open_standby => opened,
-        () = tokio::time::sleep(STANDBY_OVERLAP) => {
-            // The standby has taken over; a refusal would have arrived by now.
-            old_events = None;
-            open_standby.await
-        }
-    };
-    match (opened, old_events) {
-        (OpenResult::Stream(opened), _) => {
-            session.switch_placement(&next);
-            Continuation::Resumed(Placement { start: next, events: opened.events })
-        }
-        (OpenResult::NoStream(_), Some(events)) => {
-            log::info!("request={} standby={} holds no copy", next.id, next.target);
-            session.end_attempt(&next, End::Unsent, None);
-            let start = Start { standby: None, ..placement.start };
-            Continuation::Resumed(Placement { start, events })
-        }
-        (OpenResult::NoStream(_), None) => {
-            session.end_attempt(&next, End::Unsent, None);
-            Continuation::Lost(placement.start, None)
-        }
-    }
-}
-
 /// Resumes at the standby of a truncated placement, once the owner of the pool has granted a slot.
 async fn resume_at_standby<A, S, O, OF>(
     session: &mut Session,
--- a/crates/daemon/src/generation.rs
+++ b/crates/daemon/src/generation.rs
@@ -104,14 +104,17 @@
 
 /// The calls through which an adapter reaches targets.
 ///
-/// `open` starts a stream or resumes one from a point, `copy` carries out a copy request, and
-/// `release` frees the copy identified by the address of its source and its handle.
+/// `open` starts a stream or resumes one from a point, `copy` carries out a copy request, `release`
+/// frees the copy identified by the address of its source and its handle, and `is_running` asks a
+/// target whether it runs the request.
 #[derive(Debug, Clone)]
-pub struct TargetClient<O, C, R> {
+pub struct TargetClient<O, C, R, Q> {
     /// Starts or resumes a stream.
     pub open: O,
     /// Copies a KV cache.
     pub copy: C,
     /// Frees a copy.
     pub release: R,
+    /// Asks whether a target runs the request; `None` if it does not tell.
+    pub is_running: Q,
 }
--- /dev/null
+++ b/crates/daemon/src/handover.rs
@@ -0,0 +1,124 @@
+//! Offers a running generation to its standby.
+
+use std::future::Future;
+use std::time::Duration;
+
+use futures_util::{Stream, StreamExt};
+use hornbeamloom_kernel::outcome::Start;
+use hornbeamloom_kernel::request::End;
+
+use crate::continuation::Placement;
+use crate::generation::{Event, KvSource, OpenResult, ResumePoint, StreamEnd, TargetClient};
+use crate::stream_proxy::StreamProxy;
+
+/// Interval at which a standby that does not answer is asked whether it runs the generation. The
+/// platform allows two targets to run it for 400 ms.
+const RUN_CHECK_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Outcome of offering a generation to its standby.
+pub(crate) enum Handover<S> {
+    /// The generation continues in this placement: that of the standby, or the old one.
+    Continued(Placement<S>),
+    /// The old placement, that of this start, completed the generation before the standby answered.
+    Complete(Start),
+    /// The caller disconnected.
+    CallerGone,
+    /// The old placement broke off, or was given up for the standby, which then refused.
+    Lost(Start),
+}
+
+impl<A, C, R> StreamProxy<A, C, R> {
+    /// Offers the generation to its standby and keeps forwarding events of the old target until the
+    /// standby has answered.
+    ///
+    /// A standby that holds no copy refuses, however late: it may be silent for a while, like the old
+    /// target. The old target is therefore given up only once the standby responds with a stream, or
+    /// reports that it runs the generation.
+    pub(crate) async fn offer_to_standby<S, O, OF, Q, QF>(
+        &mut self,
+        targets: &TargetClient<O, C, R, Q>,
+        placement: Placement<S>,
+        next: Start,
+    ) -> Handover<S>
+    where
+        S: Stream<Item = Result<Event, StreamEnd>> + Unpin,
+        O: Fn(Start, Option<ResumePoint>) -> OF,
+        OF: Future<Output = OpenResult<A, S>>,
+        Q: Fn(Start) -> QF,
+        QF: Future<Output = Option<bool>>,
+    {
+        let source = next.address.clone();
+        let point = ResumePoint { source, kv: KvSource::Standby, last_event: self.last_event };
+        let offer = (targets.open)(next.clone(), Some(point));
+        let run_check = wait_until_running(&targets.is_running, next.clone());
+        tokio::pin!(offer, run_check);
+        let start = placement.start;
+        let mut old_events = Some(placement.events);
+        loop {
+            // While the caller reads too slowly, the answer of the standby must still be noticed.
+            let has_room = self.response.body.capacity() > 0;
+            let is_old_open = old_events.is_some();
+            let room = async { drop(self.response.body.reserve().await) };
+            let old_event = async {
+                match &mut old_events {
+                    Some(events) if has_room => events.next().await,
+                    _ => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                opened = &mut offer => return match (opened, old_events) {
+                    (OpenResult::Stream(opened), _) => {
+                        self.session.switch_placement(&next);
+                        Handover::Continued(Placement { start: next, events: opened.events })
+                    }
+                    (OpenResult::NoStream(_), old_events) => {
+                        log::info!("request={} standby={} refused", next.id, next.target);
+                        self.session.end_attempt(&next, End::Unsent, None);
+                        match old_events {
+                            Some(events) => {
+                                let start = Start { standby: None, ..start };
+                                Handover::Continued(Placement { start, events })
+                            }
+                            None => Handover::Lost(start),
+                        }
+                    }
+                },
+                () = &mut run_check, if is_old_open => {
+                    log::info!("request={} standby={} runs without a response", next.id, next.target);
+                    old_events = None;
+                }
+                event = old_event => match event {
+                    Some(Ok(event)) => {
+                        if !self.deliver(event).await {
+                            return Handover::CallerGone;
+                        }
+                    }
+                    Some(Err(StreamEnd::Truncated)) => old_events = None,
+                    Some(Err(StreamEnd::Closed)) | None => {
+                        return Handover::Complete(start);
+                    }
+                },
+                () = room, if !has_room => {}
+                () = self.response.body.closed() => {
+                    return Handover::CallerGone;
+                }
+            }
+        }
+    }
+}
+
+/// Resolves when a target reports that it runs the request. A silent one reports nothing, and does
+/// not run the request either.
+async fn wait_until_running<Q, QF>(is_running: &Q, start: Start)
+where
+    Q: Fn(Start) -> QF,
+    QF: Future<Output = Option<bool>>,
+{
+    loop {
+        tokio::time::sleep(RUN_CHECK_INTERVAL).await;
+        if is_running(start.clone()).await == Some(true) {
+            return;
+        }
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -44,6 +44,7 @@
 mod attempt;
 mod continuation;
 mod engines;
+mod handover;
 pub mod jitter;
 mod metrics;
 mod operators;
--- a/crates/daemon/src/stream_proxy.rs
+++ b/crates/daemon/src/stream_proxy.rs
@@ -24,6 +24,7 @@
     CopyError, CopyRequest, Event, KvCopy, OpenResult, OpenedStream, ResumePoint, StreamEnd,
     TargetClient,
 };
+use crate::handover::Handover;
 use crate::metrics;
 use crate::session::Session;
 
@@ -60,9 +61,9 @@
 }
 
 /// Runs a request whose response is an event stream.
-pub async fn run<A, S, O, C, R, OF, CF, RF>(
+pub async fn run<A, S, O, C, R, Q, OF, CF, RF, QF>(
     mut session: Session,
-    targets: TargetClient<O, C, R>,
+    targets: TargetClient<O, C, R, Q>,
     mut response: ResponseSender<A>,
 ) where
     S: Stream<Item = Result<Event, StreamEnd>> + Unpin,
@@ -72,6 +73,8 @@
     CF: Future<Output = Result<KvCopy, CopyError>> + Send,
     R: Fn(String, String) -> RF + Clone + Send + 'static,
     RF: Future<Output = ()> + Send + 'static,
+    Q: Fn(Start) -> QF,
+    QF: Future<Output = Option<bool>>,
 {
     let Some((start, opened)) = open_first(&mut session, &targets.open, &mut response).await else {
         return;
@@ -80,8 +83,8 @@
     let mut proxy = StreamProxy {
         session,
         response,
-        copy: targets.copy,
-        release: targets.release,
+        copy: targets.copy.clone(),
+        release: targets.release.clone(),
         last_event: 0,
         first_event_ms: None,
         last_event_at: None,
@@ -90,6 +93,15 @@
     let mut placement = Placement { start, events: opened.events };
     loop {
         let placement_end = match proxy.forward_events(&mut placement).await {
+            PlacementEnd::OfferToStandby(next) => {
+                match proxy.offer_to_standby(&targets, placement, next).await {
+                    Handover::Continued(continued) => placement = continued,
+                    Handover::Complete(start) => return proxy.complete(&start),
+                    Handover::CallerGone => return,
+                    Handover::Lost(start) => return proxy.fail(&start).await,
+                }
+                continue;
+            }
             PlacementEnd::Complete => return proxy.complete(&placement.start),
             PlacementEnd::CallerGone => return,
             placement_end => placement_end,
@@ -170,13 +182,13 @@
 }
 
 /// A stream that has started.
-struct StreamProxy<A, C, R> {
-    session: Session,
-    response: ResponseSender<A>,
+pub(crate) struct StreamProxy<A, C, R> {
+    pub(crate) session: Session,
+    pub(crate) response: ResponseSender<A>,
     copy: C,
     release: R,
     /// Sequence number of the last event delivered to the caller.
-    last_event: u64,
+    pub(crate) last_event: u64,
     /// Time from the arrival of the request to the first event, in milliseconds.
     first_event_ms: Option<u32>,
     /// When the last event arrived.
@@ -185,6 +197,30 @@
     longest_gap: Duration,
 }
 
+impl<A, C, R> StreamProxy<A, C, R> {
+    /// Forwards one event. Returns false if the caller has disconnected.
+    pub(crate) async fn deliver(&mut self, event: Event) -> bool {
+        // A target that resumes from a copy may repeat events that the caller already has.
+        if event.seq <= self.last_event && self.last_event > 0 {
+            return true;
+        }
+        if self.first_event_ms.is_none() {
+            let since = self.session.arrived_at.elapsed();
+            metrics::record_first_token(since);
+            self.first_event_ms = Some(u32::try_from(since.as_millis()).unwrap_or(u32::MAX));
+        }
+        let now = Instant::now();
+        if let Some(previous) = self.last_event_at.replace(now) {
+            let gap = now - previous;
+            metrics::record_token_gap(gap);
+            self.longest_gap = self.longest_gap.max(gap);
+        }
+        self.last_event = event.seq;
+        self.session.delivered_tokens.fetch_add(event.tokens, Ordering::Relaxed);
+        self.response.body.send(Ok(event.bytes)).await.is_ok()
+    }
+}
+
 impl<A, C, R, CF, RF> StreamProxy<A, C, R>
 where
     C: Fn(CopyRequest) -> CF + Clone + Send + 'static,
@@ -243,7 +279,7 @@
                 }
                 decision = self.session.decisions.recv(), if no_copy_pending => match decision {
                     Some(Decision::Move(start)) if placement.is_standby(&start.target) => {
-                        return PlacementEnd::SwitchToStandby(start);
+                        return PlacementEnd::OfferToStandby(start);
                     }
                     Some(Decision::Move(start)) => {
                         pending = Some(self.spawn_copy(placement, start, false, 0, None));
@@ -274,28 +310,6 @@
         }
     }
 
-    /// Forwards one event. Returns false if the caller has disconnected.
-    async fn deliver(&mut self, event: Event) -> bool {
-        // A target that resumes from a copy may repeat events that the caller already has.
-        if event.seq <= self.last_event && self.last_event > 0 {
-            return true;
-        }
-        if self.first_event_ms.is_none() {
-            let since = self.session.arrived_at.elapsed();
-            metrics::record_first_token(since);
-            self.first_event_ms = Some(u32::try_from(since.as_millis()).unwrap_or(u32::MAX));
-        }
-        let now = Instant::now();
-        if let Some(previous) = self.last_event_at.replace(now) {
-            let gap = now - previous;
-            metrics::record_token_gap(gap);
-            self.longest_gap = self.longest_gap.max(gap);
-        }
-        self.last_event = event.seq;
-        self.session.delivered_tokens.fetch_add(event.tokens, Ordering::Relaxed);
-        self.response.body.send(Ok(event.bytes)).await.is_ok()
-    }
-
     /// Requests a copy in a separate task, which releases it if nothing waits for it any more.
     fn spawn_copy<S>(
         &self,
--- a/tests/fleet/framing.rs
+++ b/tests/fleet/framing.rs
@@ -210,7 +210,7 @@
         assert_eq!((response.status, response.is_complete), (status, status != 200));
         assert!(started.elapsed() < Duration::from_secs(10), "{:?}", started.elapsed());
         wait_until("the connection is closed", || async {
-            fleet.request_log.requests().iter().any(|request| request.caller_disconnected)
+            fleet.request_log.requests().iter().any(|request| request.disconnected_at.is_some())
         })
         .await;
         assert!(engines[0].endless_bytes() < MAX_ENDLESS_BYTES, "{}", engines[0].endless_bytes());
--- a/tests/fleet/lifecycle.rs
+++ b/tests/fleet/lifecycle.rs
@@ -125,7 +125,8 @@
         let is_cancelled = || async {
             let received = fleet.request_log.requests();
             received.iter().any(|request| {
-                request.header("x-attempt-id") == Some(&*attempt_id) && request.caller_disconnected
+                request.header("x-attempt-id") == Some(&*attempt_id)
+                    && request.disconnected_at.is_some()
             })
         };
         wait_until("the request is cancelled", is_cancelled).await;
--- a/tests/fleet/relocation.rs
+++ b/tests/fleet/relocation.rs
@@ -25,6 +25,11 @@
     find().expect("the engine still runs the stream")
 }
 
+/// Duration of the silence of a sound engine.
+const SILENCE: Duration = Duration::from_millis(1_500);
+/// Time for which the platform allows two engines to run one generation.
+const MAX_OVERLAP: Duration = Duration::from_millis(400);
+
 /// Starts a stream and waits 600 ms, so that a relocation happens in its middle.
 pub async fn start_stream(fleet: &Fleet) -> impl std::future::Future<Output = CallerResponse> + '_ {
     let response = call(fleet, "/draft/1", b"events=150");
@@ -188,6 +193,28 @@
         },
         1..=1,
     );
+    // Guards against a connection to a silent engine that is closed before its standby, which is
+    // silent as well and then refuses, has answered.
+    stream_stays_on_its_engine_when_both_are_silent: (
+        Standbys::On, 2,
+        |_, first, others| {
+            first.fall_silent(SILENCE);
+            others[0].fall_silent(SILENCE);
+            others[0].set_fault(Fault::ShedsLoad);
+        },
+        1..=1,
+    );
+    // Guards against a stream that ends with its engine although its standby only answers late.
+    stream_continues_at_its_silent_standby_when_its_engine_dies: (
+        Standbys::On, 2,
+        |fleet, first, others| {
+            first.set_copy_fault(CopyFault::NoCapacity);
+            others[0].fall_silent(SILENCE);
+            drain(fleet, first);
+            first.set_fault(Fault::DisconnectsAfter(60));
+        },
+        2..=2,
+    );
     // Guards against a generation that was stopped and is then lost because the next engine closes
     // the connection, although its own engine would take it back.
     stream_returns_to_its_engine_when_the_next_one_closes_the_connection: (
@@ -311,7 +338,7 @@
         let first =
             requests.find(|request| request.header("x-attempt-id") == Some(&*response.attempt_id));
         assert!(
-            first.is_some_and(|request| request.caller_disconnected),
+            first.is_some_and(|request| request.disconnected_at.is_some()),
             "the connection to the silent engine must be closed"
         );
         // Fails if the stall of the first engine also counts against the standby.
@@ -319,6 +346,35 @@
     });
 }
 
+/// Guards against an engine that keeps running a generation that its standby has resumed without a
+/// response so far (I1).
+#[test]
+fn engine_is_disconnected_when_its_standby_runs_without_a_response() {
+    block_on(async {
+        let fleet = start_fleet_with_standbys().await;
+        let engines = start_engines(&fleet, 2).await;
+        let response = start_stream(&fleet).await;
+        let first = wait_for_busy_engine(&engines, &[]).await;
+        first.set_copy_fault(CopyFault::NoCapacity);
+        let standby = engines.iter().find(|engine| engine.name() != first.name());
+        let standby = standby.expect("there are two engines");
+        standby.set_fault(Fault::StartsSilently(Duration::from_millis(900)));
+        drain(&fleet, first);
+        let response = response.await;
+        response.assert_stream(EVENT_COUNT);
+        let requests = fleet.request_log.requests();
+        let find = |name: &str| {
+            let mut requests = requests.iter().filter(|request| request.engine == name);
+            requests.find(|request| request.header("x-attempt-id") == Some(&response.attempt_id))
+        };
+        let left_at = find(first.name()).and_then(|request| request.disconnected_at);
+        let resumed_at = find(standby.name()).map(|request| request.received_at);
+        let overlap = left_at.expect("the first engine was left")
+            - resumed_at.expect("the standby has resumed the generation");
+        assert!(overlap < MAX_OVERLAP, "{overlap:?}");
+    });
+}
+
 /// Guards against a generation that is lost because another engine, which has no copy, is granted
 /// before its standby.
 #[test]
