--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -250,7 +250,7 @@
         return Err(body_too_large());
     }
     let collected = collect_body(body, traffic.context.memory.buffer(limit));
-    let timeout = Duration::from_secs(limits.header_s);
+    let timeout = Duration::from_secs_f64(limits.header_s);
     with_body_timeout(timeout, collected).await
 }
 
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -169,13 +169,13 @@
     /// balancer stops sending requests, finishes all work and stops.
     pub async fn stop(self) {
         let settings = self.settings.borrow().clone();
-        let limit = settings.shutdown_limit_s.map(Duration::from_secs);
+        let limit = settings.shutdown_limit_s.map(Duration::from_secs_f64);
         let answer_within = limit.map(|limit| limit.saturating_sub(FINAL_RESPONSE_MARGIN));
         self.answer_by.send_replace(answer_within.map(|within| Instant::now() + within));
         self.stopping.send_replace(true);
         self.control.tell(Input::ShutdownStarted(answer_within));
         let work = async {
-            tokio::time::sleep(Duration::from_secs(settings.settle_s)).await;
+            tokio::time::sleep(Duration::from_secs_f64(settings.settle_s)).await;
             self.control.tell(Input::Drain);
             // Resolves when the kernel is drained.
             let _ = self.kernel_drained.await;
@@ -188,7 +188,7 @@
             None => work.await,
             Some(limit) => {
                 if tokio::time::timeout(limit, work).await.is_err() {
-                    log::warn!("shutdown limit reached limit_s={}", limit.as_secs());
+                    log::warn!("shutdown limit reached limit_s={}", limit.as_secs_f64());
                 }
             }
         }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -7,7 +7,7 @@
 
 use crate::validation;
 
-/// The settings of one daemon.
+/// The settings of one daemon. Times may have fractions.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -33,10 +33,10 @@
     pub log: Log,
     /// Time after SIGTERM during which new requests are still accepted, in seconds.
     #[serde(default = "default_settle_s")]
-    pub settle_s: u64,
+    pub settle_s: f64,
     /// Maximum duration of a graceful shutdown in seconds; unlimited if absent.
     #[serde(default)]
-    pub shutdown_limit_s: Option<u64>,
+    pub shutdown_limit_s: Option<f64>,
     /// Limits on callers' requests and connections.
     #[serde(default)]
     pub limits: Limits,
@@ -166,7 +166,7 @@
     /// Maximum size of a request body in bytes.
     pub body_bytes: u64,
     /// Time allowed for sending a request's header, in seconds.
-    pub header_s: u64,
+    pub header_s: f64,
     /// Maximum number of open caller connections.
     pub connections: usize,
     /// Memory in bytes in which bodies are buffered; by default 32 MiB or twice `body_bytes`,
@@ -176,7 +176,7 @@
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits { body_bytes: 1 << 20, header_s: 10, connections: 4096, buffer_bytes: None }
+        Limits { body_bytes: 1 << 20, header_s: 10.0, connections: 4096, buffer_bytes: None }
     }
 }
 
@@ -191,8 +191,8 @@
     }
 }
 
-fn default_settle_s() -> u64 {
-    10
+fn default_settle_s() -> f64 {
+    10.0
 }
 
 /// The reason why settings were rejected.
--- a/crates/daemon/src/validation.rs
+++ b/crates/daemon/src/validation.rs
@@ -1,5 +1,6 @@
 //! Semantic validation of settings.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 
@@ -21,16 +22,16 @@
 const MAX_BUFFER_BYTES: u64 = 1 << 40;
 
 /// Accepted range of `limits.header_s`, in seconds.
-const HEADER_S_RANGE: RangeInclusive<u64> = 1..=300;
+const HEADER_S_RANGE: RangeInclusive<f64> = 1.0..=300.0;
 
 /// Accepted range of `limits.connections`.
 const CONNECTIONS_RANGE: RangeInclusive<u64> = 1..=65_536;
 
 /// Accepted range of `settle_s`, in seconds.
-const SETTLE_S_RANGE: RangeInclusive<u64> = 0..=600;
+const SETTLE_S_RANGE: RangeInclusive<f64> = 0.0..=600.0;
 
 /// Accepted range of `shutdown_limit_s`, in seconds.
-const SHUTDOWN_LIMIT_S_RANGE: RangeInclusive<u64> = 1..=7 * 24 * 3_600;
+const SHUTDOWN_LIMIT_S_RANGE: RangeInclusive<f64> = 1.0..=604_800.0;
 
 const LOG_LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
 
@@ -177,7 +178,11 @@
     Ok(())
 }
 
-fn check_range(field: &'static str, value: u64, range: &RangeInclusive<u64>) -> CheckResult {
+fn check_range<T: PartialOrd + Display>(
+    field: &'static str,
+    value: T,
+    range: &RangeInclusive<T>,
+) -> CheckResult {
     match range.contains(&value) {
         true => Ok(()),
         false => {
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -28,6 +28,22 @@
     assert!(!message.contains("secret"), "{message:?} contains a key");
 }
 
+/// Checks that the valid settings with one change are accepted.
+fn is_accepted(from: &str, to: &str) {
+    let text = VALID.replacen(from, to, 1);
+    assert_ne!(text, VALID, "the change has no effect");
+    settings::parse(&text).expect("the settings are valid");
+}
+
+hornbeamloom_kernel::cases! {
+    is_accepted;
+    // Guards against a daemon that does not start because a time is not a whole number.
+    fraction_as_settle_time: ("settle_s: 10", "settle_s: 2.5");
+    fraction_as_shutdown_limit: ("shutdown_limit_s: null", "shutdown_limit_s: 10.5");
+    whole_number_with_a_point_as_shutdown_limit: ("shutdown_limit_s: null", "shutdown_limit_s: 11.0");
+    fraction_as_header_time: ("header_s: 10", "header_s: 1.5");
+}
+
 hornbeamloom_kernel::cases! {
     is_refused;
     unknown_key_is_refused: ("zone:", "zzz: 1\nzone:", &["zzz"]);
@@ -52,6 +68,8 @@
     buffers_for_less_than_two_bodies_are_refused: ("4096}", "4096, buffer_bytes: 2097151}", &["limits.buffer_bytes", "2097152"]);
     long_settle_time_is_refused: ("settle_s: 10", "settle_s: 1000", &["settle_s"]);
     shutdown_limit_within_settle_time_is_refused: ("shutdown_limit_s: null", "shutdown_limit_s: 10", &["shutdown_limit_s"]);
+    shutdown_limit_that_is_not_a_number_is_refused: ("shutdown_limit_s: null", "shutdown_limit_s: .nan", &["shutdown_limit_s"]);
+    endless_settle_time_is_refused: ("settle_s: 10", "settle_s: .inf", &["settle_s"]);
     vm_with_a_slash_is_refused: ("vm: entry-1", "vm: entry/1", &["vm"]);
     negative_number_is_refused: ("header_s: 10", "header_s: -1", &["header_s"]);
 }
