Wait for silent engines that hold the copy of a stream

A stream that was moved by copy was cut 1.5 s after its last event if the next engine had not answered by then and the old one, which had stopped, refused it. Evidence: the new test, in which the next engine holds the copy and is silent for 2.5 s. Change: an offer without an answer stays open while the other engine is asked, and afterwards until it is answered or the caller leaves. A handle can be used once, so only one of them resumes the generation.

--- a/crates/daemon/src/continuation.rs
+++ b/crates/daemon/src/continuation.rs
@@ -3,6 +3,8 @@
 use std::future::Future;
 use std::time::Duration;
 
+use futures_util::stream::FuturesUnordered;
+use futures_util::StreamExt;
 use hornbeamloom_kernel::outcome::Start;
 use hornbeamloom_kernel::request::End;
 use tokio::time::Instant;
@@ -96,8 +98,11 @@
 }
 
 /// Resumes from a copy at the target of `next`, or at the stopped target if that one does not
-/// resume it. Both are asked once at least, and again until `deadline`. A target that has not
-/// responded by then is disconnected.
+/// resume it. Both are asked once at least, and those that refuse again until `deadline`.
+///
+/// A target that does not respond may only be silent for a while. Its connection stays open while
+/// the other one is asked, and after `deadline`: a handle can be used once, so that only one of them
+/// resumes the generation.
 async fn resume_from_copy<A, S, O, OF>(
     session: &mut Session,
     open: &O,
@@ -113,47 +118,96 @@
 {
     // A move that was requested before a takeover may have the id of the present placement.
     let is_other_placement = next.id != stopped.id;
+    let ask = |candidate: Start| {
+        let opened = open(candidate.clone(), Some(point.clone()));
+        async move { (candidate, opened.await) }
+    };
+    let mut offers = Offers { pending: FuturesUnordered::new(), refusing: Vec::new() };
     let mut candidates = vec![next.clone(), stopped.clone()];
     let mut delay = RESUME_RETRY_DELAY;
-    loop {
-        let mut refusing = Vec::new();
-        for candidate in candidates {
-            let response_limit = deadline.max(Instant::now() + MIN_RESUME_TIME);
-            let opened = open(candidate.clone(), Some(point.clone()));
-            let opened = tokio::time::timeout_at(response_limit, opened).await;
-            match opened.unwrap_or(OpenResult::NoStream(TargetReply::Broken)) {
-                OpenResult::Stream(opened) => {
-                    match candidate.id == stopped.id {
-                        true if is_other_placement => session.end_attempt(&next, End::Unsent, None),
-                        true => {}
-                        false => session.switch_placement(&next),
-                    }
-                    let events = opened.events;
-                    return Continuation::Resumed(Placement { start: candidate, events });
-                }
-                OpenResult::NoStream(TargetReply::Rejected | TargetReply::Unsent) => {
-                    refusing.push(candidate.clone());
-                }
-                // The target may have taken the generation, or closed the connection because it has
-                // too many. It is not asked again, but the other one is: a handle can be used once,
-                // so if this target has taken the generation, the other one refuses without running
-                // it. The broken connection is closed, which stops this target.
-                OpenResult::NoStream(_) => {}
+    let mut resumed = None;
+    while resumed.is_none() && !candidates.is_empty() {
+        for candidate in std::mem::take(&mut candidates) {
+            offers.pending.push(ask(candidate.clone()));
+            let limit = deadline.max(Instant::now() + MIN_RESUME_TIME);
+            resumed = offers.wait_for(&candidate, limit).await;
+            if resumed.is_some() {
+                break;
             }
-            let (id, target) = (&candidate.id, &candidate.target);
-            log::warn!("request={id} target={target} did not resume from the copy");
         }
-        candidates = refusing;
-        if candidates.is_empty() || Instant::now() + delay > deadline {
-            break;
+        let is_retried = !offers.refusing.is_empty() && Instant::now() + delay <= deadline;
+        if resumed.is_none() && is_retried {
+            candidates = std::mem::take(&mut offers.refusing);
+            let has_pending = !offers.pending.is_empty();
+            tokio::select! {
+                () = tokio::time::sleep(delay) => {}
+                placement = offers.next_resumed(), if has_pending => resumed = placement,
+            }
+            delay = (delay * 2).min(MAX_RESUME_RETRY_DELAY);
         }
-        tokio::time::sleep(delay).await;
-        delay = (delay * 2).min(MAX_RESUME_RETRY_DELAY);
     }
-    if is_other_placement {
+    while resumed.is_none() && !offers.pending.is_empty() {
+        resumed = offers.next_resumed().await;
+    }
+    if is_other_placement && resumed.as_ref().is_none_or(|placement| placement.start.id != next.id)
+    {
         session.end_attempt(&next, End::Unsent, None);
     }
-    Continuation::Lost(stopped, Some(handle))
+    let Some(placement) = resumed else {
+        return Continuation::Lost(stopped, Some(handle));
+    };
+    if placement.start.id != stopped.id {
+        session.switch_placement(&next);
+    }
+    Continuation::Resumed(placement)
+}
+
+/// Offers of a generation to targets that can resume it from a copy.
+struct Offers<F> {
+    /// Offers without a response.
+    pending: FuturesUnordered<F>,
+    /// Targets that have not run their offer, and may take another one.
+    refusing: Vec<Start>,
+}
+
+impl<A, S, F> Offers<F>
+where
+    F: Future<Output = (Start, OpenResult<A, S>)>,
+{
+    /// Waits until `candidate` responds or another target resumes the generation, at most until
+    /// `limit`.
+    async fn wait_for(&mut self, candidate: &Start, limit: Instant) -> Option<Placement<S>> {
+        let is_pending = |offers: &Offers<F>| {
+            let is_refusing = offers.refusing.iter().any(|start| start.target == candidate.target);
+            !offers.pending.is_empty() && !is_refusing
+        };
+        while is_pending(self) {
+            match tokio::time::timeout_at(limit, self.next_resumed()).await {
+                Ok(None) => {}
+                Ok(resumed) => return resumed,
+                Err(_) => return None,
+            }
+        }
+        None
+    }
+
+    /// Waits for the next response, and returns the placement if the generation is resumed.
+    async fn next_resumed(&mut self) -> Option<Placement<S>> {
+        let (start, opened) = self.pending.next().await?;
+        match opened {
+            OpenResult::Stream(opened) => return Some(Placement { start, events: opened.events }),
+            OpenResult::NoStream(TargetReply::Rejected | TargetReply::Unsent) => {
+                self.refusing.push(start.clone());
+            }
+            // The target may have taken the generation, or closed the connection because it has too
+            // many. It is not asked again, but the other one is: if this target has taken the
+            // generation, the other one refuses without running it. The broken connection is closed,
+            // which stops this target.
+            OpenResult::NoStream(_) => {}
+        }
+        log::warn!("request={} target={} did not resume from the copy", start.id, start.target);
+        None
+    }
 }
 
 /// Resumes at the standby of a truncated placement, once the owner of the pool has granted a slot.
--- a/tests/fleet/relocation.rs
+++ b/tests/fleet/relocation.rs
@@ -215,6 +215,17 @@
         },
         2..=2,
     );
+    // Guards against a generation that was stopped and is then lost because the next engine, which
+    // holds the copy, is silent for longer than offers are repeated.
+    stream_continues_at_its_next_engine_after_a_silence: (
+        Standbys::Off, 2,
+        |fleet, first, others| {
+            others[0].fall_silent(Duration::from_millis(2_500));
+            first.set_fault(Fault::ShedsLoad);
+            drain(fleet, first);
+        },
+        2..=2,
+    );
     // Guards against a generation that was stopped and is then lost because the next engine closes
     // the connection, although its own engine would take it back.
     stream_returns_to_its_engine_when_the_next_one_closes_the_connection: (
