Search each byte of an event stream once

Cause: an engine that sends one event without end in chunks of one byte costs its VM tens of seconds of a core, since the whole buffer was searched for a line end with each chunk. Change: the parser keeps the position up to which it has searched.

--- a/crates/wire/src/sse.rs
+++ b/crates/wire/src/sse.rs
@@ -63,21 +63,26 @@
 #[derive(Debug)]
 pub struct Parser {
     buf: Vec<u8>,
+    /// Where the first block that has not been returned begins.
     start: usize,
-    scanned: usize,
+    /// Where the first line that has no end yet begins.
+    line: usize,
+    /// Up to where no line end follows `line`.
+    searched: usize,
     max_event_bytes: usize,
 }
 
 impl Parser {
     /// A parser that rejects events longer than `max_event_bytes`.
     pub fn new(max_event_bytes: usize) -> Parser {
-        Parser { buf: Vec::new(), start: 0, scanned: 0, max_event_bytes }
+        Parser { buf: Vec::new(), start: 0, line: 0, searched: 0, max_event_bytes }
     }
 
     /// Adds received bytes. Take all complete items before, so that the buffer stays bounded.
     pub fn push(&mut self, bytes: &[u8]) {
         self.buf.drain(..self.start);
-        self.scanned -= self.start;
+        self.line -= self.start;
+        self.searched -= self.start;
         self.start = 0;
         self.buf.extend_from_slice(bytes);
     }
@@ -152,16 +157,16 @@
 
     /// End of the next block, without its blank line, and start of the block after it.
     fn find_block(&mut self) -> Option<(usize, usize)> {
-        let mut line = self.scanned.max(self.start);
-        while let Some(length) = self.buf[line..].iter().position(|byte| *byte == b'\n') {
-            let next = line + length + 1;
-            let is_blank = matches!(&self.buf[line..next], b"\n" | b"\r\n");
-            self.scanned = next;
-            if is_blank {
+        // Bytes are searched once, however small the pieces in which they arrive.
+        while let Some(length) = self.buf[self.searched..].iter().position(|byte| *byte == b'\n') {
+            let next = self.searched + length + 1;
+            let line = std::mem::replace(&mut self.line, next);
+            self.searched = next;
+            if matches!(&self.buf[line..next], b"\n" | b"\r\n") {
                 return Some((line, next));
             }
-            line = next;
         }
+        self.searched = self.buf.len();
         None
     }
 }
--- a/crates/wire/tests/sse.rs
+++ b/crates/wire/tests/sse.rs
@@ -1,5 +1,7 @@
 //! The parser of server-sent events, on arbitrary bytes split at arbitrary positions.
 
+use std::time::{Duration, Instant};
+
 use hornbeamloom_wire::sse::{write_comment, write_event, Error, Item, Parser};
 use quickcheck::{Arbitrary, Gen};
 
@@ -144,3 +146,19 @@
     event_beyond_the_limit_is_refused: (&format!("data: {}\n\n", "x".repeat(80)), &[], Some(Error::TooLong(MAX_EVENT_BYTES)));
     unterminated_line_is_refused: (&"x".repeat(80), &[], Some(Error::TooLong(MAX_EVENT_BYTES)));
 }
+
+/// Guards against processor time that grows with the square of an event's length: the search for its
+/// end would take minutes here.
+#[test]
+fn long_event_in_single_bytes_is_searched_once() {
+    const EVENT_BYTES: usize = 256 * 1024;
+    let started = Instant::now();
+    let mut parser = Parser::new(EVENT_BYTES);
+    for byte in format!("data: {}\n", "x".repeat(EVENT_BYTES - 7)).bytes() {
+        parser.push(&[byte]);
+        assert_eq!(parser.next_item(), Ok(None));
+    }
+    parser.push(b"\n");
+    assert!(matches!(parser.next_item(), Ok(Some(Item::Event(_)))));
+    assert!(started.elapsed() < Duration::from_secs(10), "{:?}", started.elapsed());
+}
