Look route and key up again after a long body

Route and key were resolved from the head of a request, the body may take 10 s, and only the age of the resources was checked after it. The product's own interface authenticates the caller again after the body.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -151,7 +151,7 @@
         return Err(method_not_allowed());
     }
     let key = idempotency_key(&head.headers)?;
-    let body = read_body(traffic, &head.headers, body).await?;
+    let (organisation, body) = read_authorised_body(traffic, &head.headers, body).await?;
     generate(traffic, id, organisation, endpoint, key, body, permit).await
 }
 
@@ -216,7 +216,7 @@
     let key = auth::bearer_token(headers).unwrap_or_default();
     let settings = traffic.context.settings.borrow();
     match auth::contains_key(&settings.keys.operator, key) {
-        true => Ok(Response::new(crate::metrics::render().into())),
+        true => Ok(Response::new(crate::metrics::render(&traffic.context.memory).into())),
         false => Err(unauthorized()),
     }
 }
@@ -231,6 +231,21 @@
     auth::organisation(&intent, key).ok_or(unauthorized())
 }
 
+/// Reads the whole body, and authenticates the caller by the resources in force after that: while a
+/// body arrives, a key may be revoked.
+async fn read_authorised_body<S, B>(
+    traffic: &Traffic,
+    headers: &HeaderMap,
+    body: S,
+) -> Result<(Name, Bytes), ErrorResponse>
+where
+    S: Stream<Item = Result<B, warp::Error>> + Send,
+    B: Buf,
+{
+    let body = read_body(traffic, headers, body).await?;
+    Ok((authenticate(traffic, headers)?, body))
+}
+
 /// Reads the whole body within the limits of the settings.
 async fn read_body<S, B>(
     traffic: &Traffic,
@@ -424,7 +439,7 @@
     let Destination { service, path, runs_at_most_once, terms } = destination;
     check_service(traffic, &organisation, &service, Protocol::Plain)?;
     let key = idempotency_key(&head.headers)?;
-    let body = read_body(traffic, &head.headers, body).await?;
+    let (organisation, body) = read_authorised_body(traffic, &head.headers, body).await?;
     let path = match head.query.as_str() {
         "" => path,
         query => format!("{path}?{query}"),
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -6,6 +6,8 @@
 use hornbeamloom_kernel::outcome::Counter;
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
 
+use crate::memory::Account;
+
 /// Upper bounds of the histogram buckets for durations, in seconds.
 ///
 /// They include the latency targets: 66 ms between tokens and 0.95 s to the first token.
@@ -44,8 +46,9 @@
     Ok(())
 }
 
-/// Returns all metrics in the Prometheus text format.
-pub(crate) fn render() -> String {
+/// Returns all metrics in the Prometheus text format. The memory in use is read from `account`.
+pub(crate) fn render(account: &Account) -> String {
+    ::metrics::gauge!("hornbeamloom_buffered_bytes").set(account.used() as f64);
     HANDLE.get().map(PrometheusHandle::render).unwrap_or_default()
 }
 
@@ -54,11 +57,6 @@
     ::metrics::counter!("hornbeamloom_crossed_answers_total").increment(1);
 }
 
-/// Records the memory in use by buffers of bodies, in bytes.
-pub(crate) fn record_buffered_bytes(bytes: usize) {
-    ::metrics::gauge!("hornbeamloom_buffered_bytes").set(bytes as f64);
-}
-
 /// Records the time from a request's arrival to its first token.
 pub(crate) fn record_first_token(time: Duration) {
     ::metrics::histogram!("hornbeamloom_first_token_seconds").record(time);
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -133,10 +133,7 @@
     match path {
         "/healthz" => Some("ok\n".into_response()),
         "/readyz" => Some(readiness(api)),
-        "/metrics" => {
-            metrics::record_buffered_bytes(api.context.memory.used());
-            Some(metrics::render().into_response())
-        }
+        "/metrics" => Some(metrics::render(&api.context.memory).into_response()),
         _ => None,
     }
 }
--- a/crates/daemon/tests/callers.rs
+++ b/crates/daemon/tests/callers.rs
@@ -4,10 +4,12 @@
 
 use std::time::Duration;
 
+use hornbeamloom_daemon::control::Input;
 use hornbeamloom_daemon::settings;
+use hornbeamloom_kernel::ids::Revision;
 use support::{
-    final_events, stream_head, token_event, Harness, ReceivedRequest, ScriptStep, ScriptedTarget,
-    TEST_TIMEOUT,
+    final_events, resources, stream_head, token_event, Harness, ReceivedRequest, ScriptStep,
+    ScriptedTarget, TEST_TIMEOUT,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -177,3 +179,40 @@
     let answer = vm.post(COMPLETIONS_PATH, &"x".repeat(2_000)).send().await.unwrap();
     assert_eq!(answer.status(), 413);
 }
+
+/// Guards against a request that runs with a key that was revoked while its body arrived.
+#[tokio::test]
+async fn key_revoked_while_a_body_arrives_is_unauthorized() {
+    let target = ScriptedTarget::start(healthy).await;
+    let vm = Harness::start(&target).await;
+    let address = vm.url.strip_prefix("http://").unwrap();
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let head = format!(
+        "POST {COMPLETIONS_PATH} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-1\r\n\
+         Content-Length: {}\r\n\r\n",
+        VALID_BODY.len()
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut change = resources(&target.address);
+    change.from = Revision(5);
+    change.to = Revision(6);
+    change.complete = false;
+    change.records.retain(|record| &*record.key.name == "org-1");
+    change.records[0].version = Revision(6);
+    change.records[0].spec =
+        serde_json::from_str(r#"{"kind": "Organisation", "spec": {"keys": ["key-8"]}}"#).unwrap();
+    vm.daemon.control().tell(Input::Changes(change));
+    let is_revoked = async {
+        while vm.stream_completion().await.0 != 401 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(TEST_TIMEOUT, is_revoked).await.expect("the change is in force");
+    let earlier_requests = target.requests().len();
+    stream.write_all(VALID_BODY.as_bytes()).await.unwrap();
+    let mut answer = [0; 1024];
+    let length = stream.read(&mut answer).await.unwrap();
+    assert!(answer[..length].starts_with(b"HTTP/1.1 401 "));
+    let mut requests = target.requests().into_iter().skip(earlier_requests);
+    assert!(!requests.any(|request| request.head.starts_with("POST")));
+}
--- a/tests/fleet/memory.rs
+++ b/tests/fleet/memory.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use futures_util::future::join_all;
-use hornbeamloom_bench::fleet::{Fleet, ATTEMPT_ID_HEADER};
+use hornbeamloom_bench::fleet::Fleet;
 use hornbeamloom_bench::mock_engine::{Ending, Fault, RawResponse};
 use hornbeamloom_kernel::cases;
 use reqwest::header::{HeaderMap, HeaderName};
@@ -12,7 +12,7 @@
 
 use crate::harness::{
     block_on, call, new_attempt_id, new_request, send, start_engines, start_fleet_with_buffers,
-    start_plain_targets, CALLER_KEY, TEST_TIMEOUT,
+    start_plain_targets, upload_head, CALLER_KEY, TEST_TIMEOUT,
 };
 
 /// Memory in which the daemon may buffer bodies, in MiB.
@@ -92,12 +92,7 @@
 /// Sends a request whose body consists of `count` chunks of `chunk_bytes`, and returns the response
 /// as received.
 async fn upload_in_chunks(address: SocketAddr, count: usize, chunk_bytes: usize) -> String {
-    let attempt_id = new_attempt_id();
-    let head = format!(
-        "POST /order/1 HTTP/1.1\r\nHost: host.example\r\n{ATTEMPT_ID_HEADER}: {attempt_id}\r\n\
-         X-Deadline-Ms: 20000\r\nAuthorization: Token {CALLER_KEY}\r\nConnection: close\r\n\
-         Transfer-Encoding: chunked\r\n\r\n"
-    );
+    let head = upload_head("/order/1", CALLER_KEY, &new_attempt_id());
     let chunk = format!("{chunk_bytes:x}\r\n{}\r\n", "x".repeat(chunk_bytes));
     let body = chunk.repeat(count) + "0\r\n\r\n";
     let stream = TcpStream::connect(address).await.expect("the daemon accepts connections");
--- a/tests/fleet/request_path.rs
+++ b/tests/fleet/request_path.rs
@@ -2,12 +2,16 @@
 
 use hornbeamloom_kernel::cases;
 use reqwest::Method;
+use serde_json::{json, Value};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 use crate::harness::{
     block_on, call, new_attempt_id, new_request, send, start_engines, start_fleet,
-    start_plain_targets, start_unconfigured_fleet, wait_until, wait_until_served, CALLER_KEY,
+    start_plain_targets, start_unconfigured_fleet, upload_head, wait_until, wait_until_served,
+    CALLER_KEY,
 };
-use hornbeamloom_bench::fleet::config;
+use hornbeamloom_bench::fleet::{config, route_entry};
 
 /// Guards against streams that lose, repeat or withhold events.
 #[test]
@@ -164,3 +168,45 @@
         wait_until_served(&fleet, "/look/2").await;
     });
 }
+
+/// Checks the status of a request with the key `k2` whose body ends only after the configuration was
+/// changed, and that it runs only if the new one allows it.
+fn change_applies_while_a_body_arrives(change: fn(&mut Value), expected: u16) {
+    block_on(async {
+        let fleet = start_fleet().await;
+        start_plain_targets(&fleet, 1).await;
+        let attempt_id = new_attempt_id();
+        let address = fleet.daemons[0].caller_address;
+        let mut stream = TcpStream::connect(address).await.expect("the daemon accepts connections");
+        let head = upload_head("/order/1", "k2", &attempt_id) + "1\r\nx\r\n";
+        stream.write_all(head.as_bytes()).await.expect("the head is sent");
+        let mut changed = config(2, &[CALLER_KEY, "k2"]);
+        change(&mut changed);
+        let routes = changed["routes"].as_array_mut().expect("the configuration has routes");
+        routes.push(route_entry("added", "idempotent", "desk"));
+        fleet.put_config(&changed);
+        wait_until_served(&fleet, "/added/1").await;
+        stream.write_all(b"0\r\n\r\n").await.expect("the body is sent");
+        let mut response = String::new();
+        stream.read_to_string(&mut response).await.expect("the response is read to its end");
+        let status = response.split(' ').nth(1);
+        assert_eq!(status, Some(&*expected.to_string()), "{response}");
+        let runs = fleet.request_log.executed_by(&attempt_id).len();
+        assert_eq!(runs, usize::from(expected == 200));
+    });
+}
+
+cases! {
+    change_applies_while_a_body_arrives;
+
+    // Guards against a request that runs with a key that was revoked while its body arrived.
+    key_revoked_while_a_body_arrives_is_refused: (
+        |config| config["tenants"][0]["api_keys"] = json!([CALLER_KEY]), 401,
+    );
+    // Guards against a request that runs on a route that was removed while its body arrived.
+    route_removed_while_a_body_arrives_is_not_found: (
+        |config| config["routes"] = json!([route_entry("look", "idempotent", "desk")]), 404,
+    );
+    // Guards against a refusal because of a change that does not concern the request.
+    unrelated_change_while_a_body_arrives_has_no_effect: (|_| {}, 200);
+}
