Keep what is known of a stop order while a standby is asked

Cause: found by reading. While a generation was offered to its standby, it was forgotten that the old engine may have been told to stop, so that a stream without length or chunks which ended then would have looked complete. Change: the placement itself carries this.

--- a/crates/daemon/src/continuation.rs
+++ b/crates/daemon/src/continuation.rs
@@ -32,9 +32,16 @@
 pub(crate) struct Placement<S> {
     pub(crate) start: Start,
     pub(crate) events: S,
+    /// Set if a request to stop the target had no usable response.
+    pub(crate) may_be_stopped: bool,
 }
 
 impl<S> Placement<S> {
+    /// A placement whose target was not asked to stop.
+    pub(crate) fn new(start: Start, events: S) -> Placement<S> {
+        Placement { start, events, may_be_stopped: false }
+    }
+
     /// Whether `target` is the standby, which holds a copy of the KV cache.
     pub(crate) fn is_standby(&self, target: &str) -> bool {
         self.start.standby.as_ref().is_some_and(|standby| *standby.target == *target)
@@ -80,7 +87,7 @@
 {
     match placement_end {
         PlacementEnd::ResumeFromCopy(next, handle) => {
-            let Placement { start, events } = placement;
+            let Placement { start, events, .. } = placement;
             let source = start.address.clone();
             // The old connection must be closed before another target continues the generation.
             drop(events);
@@ -195,7 +202,7 @@
     async fn next_resumed(&mut self) -> Option<Placement<S>> {
         let (start, opened) = self.pending.next().await?;
         match opened {
-            OpenResult::Stream(opened) => return Some(Placement { start, events: opened.events }),
+            OpenResult::Stream(opened) => return Some(Placement::new(start, opened.events)),
             OpenResult::NoStream(TargetReply::Rejected | TargetReply::Unsent) => {
                 self.refusing.push(start.clone());
             }
@@ -221,7 +228,7 @@
     O: Fn(Start, Option<ResumePoint>) -> OF,
     OF: Future<Output = OpenResult<A, S>>,
 {
-    let Placement { start, events } = placement;
+    let Placement { start, events, .. } = placement;
     drop(events);
     log::info!(
         "request={} target={} lost; requesting takeover by its standby",
@@ -246,7 +253,7 @@
         let point = ResumePoint { source: next.address.clone(), kv: KvSource::Standby, last_event };
         if let OpenResult::Stream(opened) = open(next.clone(), Some(point)).await {
             session.switch_placement(&next);
-            return Continuation::Resumed(Placement { start: next, events: opened.events });
+            return Continuation::Resumed(Placement::new(next, opened.events));
         }
         session.end_attempt(&next, End::Unsent, None);
         break;
--- a/crates/daemon/src/handover.rs
+++ b/crates/daemon/src/handover.rs
@@ -52,8 +52,8 @@
         let offer = (targets.open)(next.clone(), Some(point));
         let run_check = wait_until_running(&targets.is_running, next.clone());
         tokio::pin!(offer, run_check);
-        let start = placement.start;
-        let mut old_events = Some(placement.events);
+        let Placement { start, events, may_be_stopped } = placement;
+        let mut old_events = Some(events);
         loop {
             // While the caller reads too slowly, the answer of the standby must still be noticed.
             let has_room = self.response.body.capacity() > 0;
@@ -70,7 +70,7 @@
                 opened = &mut offer => return match (opened, old_events) {
                     (OpenResult::Stream(opened), _) => {
                         self.session.switch_placement(&next);
-                        Handover::Continued(Placement { start: next, events: opened.events })
+                        Handover::Continued(Placement::new(next, opened.events))
                     }
                     (OpenResult::NoStream(_), old_events) => {
                         log::info!("request={} standby={} refused", next.id, next.target);
@@ -78,14 +78,15 @@
                         match old_events {
                             Some(events) => {
                                 let start = Start { standby: None, ..start };
-                                Handover::Continued(Placement { start, events })
+                                Handover::Continued(Placement { start, events, may_be_stopped })
                             }
                             None => Handover::Lost(start),
                         }
                     }
                 },
                 () = &mut run_check, if is_old_open => {
-                    log::info!("request={} standby={} runs without a response", next.id, next.target);
+                    let Start { id, target, .. } = &next;
+                    log::info!("request={id} standby={target} runs without a response");
                     old_events = None;
                 }
                 event = old_event => match event {
@@ -95,9 +96,8 @@
                         }
                     }
                     Some(Err(StreamEnd::Truncated)) => old_events = None,
-                    Some(Err(StreamEnd::Closed)) | None => {
-                        return Handover::Complete(start);
-                    }
+                    Some(Err(StreamEnd::Closed)) if may_be_stopped => old_events = None,
+                    Some(Err(StreamEnd::Closed)) | None => return Handover::Complete(start),
                 },
                 () = room, if !has_room => {}
                 () = self.response.body.closed() => {
--- a/crates/daemon/src/stream_proxy.rs
+++ b/crates/daemon/src/stream_proxy.rs
@@ -90,7 +90,7 @@
         last_event_at: None,
         longest_gap: Duration::ZERO,
     };
-    let mut placement = Placement { start, events: opened.events };
+    let mut placement = Placement::new(start, opened.events);
     loop {
         let placement_end = match proxy.forward_events(&mut placement).await {
             PlacementEnd::OfferToStandby(next) => {
@@ -234,8 +234,6 @@
         S: Stream<Item = Result<Event, StreamEnd>> + Unpin,
     {
         let mut pending: Option<PendingCopy> = None;
-        // Set if a request to stop the target had no usable response.
-        let mut may_be_stopped = false;
         let mut may_request_standby = placement.start.standby.is_some();
         // A stall of an earlier target does not count against this one.
         let placement_started_at = Instant::now();
@@ -259,7 +257,7 @@
                     }
                     Some(Err(StreamEnd::Truncated)) => return self.on_truncated(pending),
                     Some(Err(StreamEnd::Closed)) => {
-                        return self.on_closed(placement, pending, may_be_stopped).await;
+                        return self.on_closed(placement, pending).await;
                     }
                     None => {
                         self.release_pending(placement, pending);
@@ -270,7 +268,7 @@
                     let Some(done) = pending.take() else {
                         continue;
                     };
-                    may_be_stopped |= done.stops_source
+                    placement.may_be_stopped |= done.stops_source
                         && matches!(copied, None | Some(Err(CopyError::Unknown)));
                     match self.on_copy_done(placement, done, copied).await {
                         CopyStep::KeepReading(next) => pending = next,
@@ -445,10 +443,9 @@
         &mut self,
         placement: &Placement<S>,
         pending: Option<PendingCopy>,
-        may_be_stopped: bool,
     ) -> PlacementEnd {
         let stop = pending.filter(|pending| pending.stops_source);
-        if may_be_stopped {
+        if placement.may_be_stopped {
             return self.on_truncated(stop);
         }
         let Some(mut stop) = stop else {
