--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -169,7 +169,7 @@
     pub header_s: f64,
     /// Maximum number of open caller connections.
     pub connections: usize,
-    /// Memory in bytes in which bodies are buffered; by default 32 MiB or twice `body_bytes`,
+    /// Memory in bytes in which bodies are buffered; by default 24 MiB or twice `body_bytes`,
     /// whichever is more.
     pub buffer_bytes: Option<u64>,
 }
@@ -180,8 +180,9 @@
     }
 }
 
-/// Fits beside the rest of the process on VMs with 88 MB of memory.
-const DEFAULT_BUFFER_BYTES: u64 = 32 << 20;
+/// Fits into VMs with 88 MB of memory together with the rest of the process and with what the
+/// allocator retains: the resident memory can be twice that of the buffers.
+const DEFAULT_BUFFER_BYTES: u64 = 24 << 20;
 
 impl Limits {
     /// Returns the limit of the account from which buffers for bodies are taken, in bytes.
