--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -181,7 +181,7 @@
 }
 
 /// Fits into VMs with 88 MB of memory together with the rest of the process and with what the
-/// allocator retains: the resident memory can be twice that of the buffers.
+/// allocator retains: the resident memory of buffers can be three times what they hold.
 const DEFAULT_BUFFER_BYTES: u64 = 24 << 20;
 
 impl Limits {
