Log the operators' number of the resources in force

A set that is dropped for its revision although its number is newer was counted only. Change: the line of the resources in force names the number, and the line of ignored resources also appears for a newer number under an older revision.

--- a/crates/kernel/src/intent.rs
+++ b/crates/kernel/src/intent.rs
@@ -514,14 +514,15 @@
             None if delta.to < intent.revision => "store_regressed",
             _ => "delta_old",
         };
+        if delta.sequence > intent.sequence {
+            // The active revision stands for changes that the active resources do not contain.
+            log_ignored(intent, delta, out);
+        }
         return out.count(Counter::Ignored(label));
     }
     // The store or a peer went back to an older copy that operators have not replaced yet.
     if delta.sequence < intent.sequence {
-        out.log(format!(
-            "resources ignored revision={} sequence={} known={}",
-            delta.to.0, delta.sequence, intent.sequence
-        ));
+        log_ignored(intent, delta, out);
         return out.count(Counter::Ignored("store_regressed"));
     }
     if !delta.complete && delta.from > intent.revision {
@@ -545,11 +546,19 @@
         ));
     }
     let source = peer.unwrap_or("store");
-    out.log(format!("resources in force revision={} from={source}", delta.to.0));
+    let Delta { to, sequence, .. } = delta;
+    out.log(format!("resources in force revision={} sequence={sequence} from={source}", to.0));
     out.push(Outcome::Publish);
     push_to_peers(state, delta, peer, out);
 }
 
+/// Logs that a set of resources is not applied although its sequence differs from the active one.
+fn log_ignored(intent: &Intent, delta: &Delta, out: &mut Outbox) {
+    let Delta { to, sequence, .. } = delta;
+    let known = intent.sequence;
+    out.log(format!("resources ignored revision={} sequence={sequence} known={known}", to.0));
+}
+
 fn merge_delta(intent: &mut Intent, delta: &Delta, now: Millis, out: &mut Outbox) {
     if delta.complete {
         intent.retain_listed(delta);
