Apply a target's entry that is read after a newer configuration

Callers: a target that had said that it leaves got new requests until it wrote its entry again, about 1.2 s later. Cause: the record of a target had the version of the configuration where that was newer than its own row. The two tables are read apart, and the targets' one with pauses, so a row that was written before a configuration may be read after it. Its record then had a version that was known already and was dropped.

--- a/crates/kernel/src/intent.rs
+++ b/crates/kernel/src/intent.rs
@@ -350,12 +350,12 @@
         self.discovered.iter().map(|(name, stored)| (name, stored.record.version))
     }
 
-    /// Adds or updates the targets in `found` that are newer than the known ones, and drops those
-    /// in `removed`.
+    /// Adds or updates the targets in `found` that are not older than the known ones, and drops those
+    /// in `removed`. A record changes under its version when the configuration does.
     pub(crate) fn apply_discovered(&mut self, found: &[Record], removed: &[Name]) {
         for record in found {
             let known = self.discovered.get(&record.key.name).map(|stored| stored.record.version);
-            if known < Some(record.version) {
+            if known <= Some(record.version) {
                 let stored = StoredRecord { record: Arc::new(record.clone()), rejection: None };
                 self.discovered.insert(record.key.name.clone(), stored);
             }
--- a/crates/kernel/tests/discovery.rs
+++ b/crates/kernel/tests/discovery.rs
@@ -142,6 +142,11 @@
     a_listed_target_is_in_force: (&[Found("x1", 5)], &["x1"]);
     // Otherwise a leaving target would get new work (I7).
     a_notice_of_leaving_is_in_force_at_once: (&[Found("x1", 5), Leaving("x1", 6)], &["x1-"]);
+    // Otherwise targets would keep the capacities of an earlier configuration, which is not part of
+    // their version.
+    a_record_that_changes_under_its_version_is_in_force: (
+        &[Found("x1", 5), Leaving("x1", 5)], &["x1-"],
+    );
     // Otherwise a stale read would make a leaving target available again.
     an_older_version_is_ignored: (&[Leaving("x1", 6), Found("x1", 5)], &["x1-"]);
     // Otherwise requests would be sent to the address of a removed target.
--- a/tests/fleet/store.rs
+++ b/tests/fleet/store.rs
@@ -182,6 +182,29 @@
     });
 }
 
+/// Guards against requests to a leaving target whose entry is older than a configuration that the
+/// VM has read before it: the record of the target already had the number of the configuration, so
+/// the entry was taken for an old one (I7).
+#[test]
+fn draining_target_is_noticed_after_a_newer_configuration() {
+    block_on(async {
+        let fleet = start_fleet().await;
+        let targets = start_plain_targets(&fleet, 2).await;
+        // The VM pauses between two reads of the targets' table, but not between those of two tables.
+        fleet.put_target(&targets[1], "desk", "a", "ready");
+        tokio::time::sleep(CALL_DURATION).await;
+        fleet.put_target(&targets[0], "desk", "a", "draining");
+        fleet.put_config(&config(3, &[CALLER_KEY]));
+        tokio::time::sleep(PROPAGATION_TIME).await;
+        let before = fleet.request_log.requests().len();
+        for _ in 0..20 {
+            assert_eq!(call_status(&fleet, "/look/1").await, 200);
+        }
+        let received = fleet.request_log.requests();
+        assert!(received[before..].iter().all(|request| request.engine == "d2"));
+    });
+}
+
 /// Guards against new requests to a draining target (I7).
 #[test]
 fn draining_target_gets_no_new_requests() {
