Find a VM that reaches the store within the time for a change

Callers: while the store turned some VMs away, VMs of their zone that it served used an older configuration for up to some seconds: routes that had been dropped were served and added ones were not found. Cause: a VM with outdated copies asked one VM after the other to read, 400 ms to 5 s apart. A copy is outdated after 70 percent of the time within which a change must be in force, so a single VM without a way to the store, or gone, in the order was enough to be late, and with five it took 9 s. Change: rounds of three attempts 150 ms apart that ask one, two and four VMs. A substitute whose reads fail stops when nobody asks it any more; before, the number of VMs that tried to read grew by one each 5 s for as long as the store was away. Measured: 10 cases of change_reaches_the_zone_in_time failed before (1 of 3 to 26 of 27 VMs late) and pass. store_turns_vms_away holds with its bounds as they were.

--- a/crates/kernel/src/feed.rs
+++ b/crates/kernel/src/feed.rs
@@ -5,10 +5,12 @@
 //! current its own copy is, at once and whenever that changes.
 //!
 //! A VM whose copy becomes older than the age limit searches for another provider: its parent
-//! again, then the VMs of the zone in hash order, with growing pauses. All VMs of a zone ask in the
-//! same order, so a root that crashes, hangs or is partitioned is replaced by one substitute at a
-//! time. Only a VM that no peer answers reads the tables for itself alone. The number of store
-//! calls thus grows with the number of zones and not with that of VMs.
+//! again, then the VMs of the zone in hash order, in rounds of a few attempts that each ask twice as
+//! many VMs as the one before. The store may turn away most VMs of a zone, and one that it serves is
+//! then still asked in time. All VMs of a zone ask in the same order, so a root that crashes, hangs
+//! or is partitioned is replaced by a few substitutes. Only a VM that no peer answers reads the
+//! tables for itself alone. The number of store calls thus grows with the number of zones and not
+//! with that of VMs.
 //!
 //! Delayed messages cannot make a copy appear newer than it is: the provider measures ages from the
 //! arrival of a query, and the querying VM applies them to the time at which it sent the query,
@@ -38,18 +40,24 @@
 const SUBSCRIPTION_MS: u64 = 5_000;
 /// Time in milliseconds after a query with `needs_read` for which the receiver reads the tables.
 const SUBSTITUTE_MS: u64 = 5_000;
-/// Pause in milliseconds after the first attempts of a search for a provider.
-const MIN_SEARCH_PAUSE_MS: u64 = 400;
-/// Maximum pause in milliseconds between two attempts of a search.
-const MAX_SEARCH_PAUSE_MS: u64 = 5_000;
-/// Number of attempts of a search before the pause starts to double.
-const SHORT_SEARCH_PAUSES: u32 = 2;
+/// Number of attempts in a round of a search. Each asks twice as many VMs as the one before, the
+/// first one a single VM.
+const ATTEMPTS_PER_ROUND: u32 = 3;
+/// Pause in milliseconds between the attempts of a round. It covers a read of the tables. The age
+/// limit leaves a part of the time within which a change must be in force, and the first round has
+/// to end within that part.
+const ATTEMPT_PAUSE_MS: u64 = 150;
+/// Pause in milliseconds after a round. The VMs asked in it no longer read when the next one begins,
+/// so the number of VMs of a zone that read at a time is limited.
+const ROUND_PAUSE_MS: u64 = SUBSTITUTE_MS;
 /// Time in milliseconds after its start in which a VM with seeds neither reads the tables nor asks
 /// others to, so that it first learns of the VMs of its zone.
 const JOIN_DELAY_MS: u64 = 600;
 /// The same for a VM that knows no other VM of its zone; as much again is added as jitter. After a
 /// restart of all VMs, each of them would otherwise take itself for the root of the tree.
 const ALONE_JOIN_DELAY_MS: u64 = 700;
+/// Interval in milliseconds at which a VM queries its parent during that time.
+const JOIN_QUERY_PAUSE_MS: u64 = 400;
 /// Interval in milliseconds at which a VM checks whether it has learned of others.
 const JOIN_RECHECK_MS: u64 = 100;
 /// Time in milliseconds after a query without an answer from any peer after which a VM with outdated
@@ -434,7 +442,8 @@
         feeds.peer_current_until(replication.age_limit_ms).is_some_and(|until| now <= until);
     match (feeds.source, needs_direct) {
         (FeedSource::Peer, true) => set_source(feeds, FeedSource::Direct, now, out),
-        (FeedSource::Direct, false) if is_peer_current => {
+        // A substitute whose reads fail leaves them to the VMs that are asked next.
+        (FeedSource::Direct, false) if is_peer_current || until.is_none() => {
             set_source(feeds, FeedSource::Peer, now, out)
         }
         _ => {}
@@ -488,7 +497,7 @@
     }
 }
 
-/// Makes the next attempt to find a provider: the parent first, then all VMs in order.
+/// Makes the next attempt to find a provider, beginning with the parent and the root.
 fn advance_search(
     feeds: &mut Feeds,
     search: Search,
@@ -500,31 +509,37 @@
 ) -> Search {
     feeds.last_query_at = Some(now);
     let Search { attempt, .. } = search;
-    let Some(ix) = attempt.checked_sub(1).filter(|_| !is_joining) else {
-        let pause = match &feeds.parent {
-            Some(parent) => {
-                feeds.unanswered_since.get_or_insert(now);
-                out.send(parent, feeds.query(identity, false, now));
-                MIN_SEARCH_PAUSE_MS
-            }
-            None if is_joining => JOIN_RECHECK_MS,
-            None => MIN_SEARCH_PAUSE_MS,
-        };
-        let attempt = if is_joining { 0 } else { 1 };
-        return Search { attempt, next_at: now.after(pause) };
-    };
-    match order.get(ix as usize % order.len().max(1)) {
-        Some(vm) if **vm != identity.vm => {
+    if let Some(parent) = feeds.parent.as_ref().filter(|_| attempt == 0) {
+        feeds.unanswered_since.get_or_insert(now);
+        out.send(parent, feeds.query(identity, false, now));
+    }
+    if is_joining {
+        let pause = feeds.parent.as_ref().map_or(JOIN_RECHECK_MS, |_| JOIN_QUERY_PAUSE_MS);
+        return Search { attempt: 0, next_at: now.after(pause) };
+    }
+    for vm in asked_vms(order, attempt) {
+        if *vm == identity.vm {
+            feeds.substitute_until = Some(now.after(SUBSTITUTE_MS));
+        } else {
             feeds.unanswered_since.get_or_insert(now);
             out.send(vm, feeds.query(identity, true, now));
         }
-        _ => feeds.substitute_until = Some(now.after(SUBSTITUTE_MS)),
     }
-    let doublings = attempt.saturating_sub(SHORT_SEARCH_PAUSES).min(4);
-    let pause = (MIN_SEARCH_PAUSE_MS << doublings).min(MAX_SEARCH_PAUSE_MS);
+    let is_last_of_round = (attempt + 1) % ATTEMPTS_PER_ROUND == 0;
+    let pause = if is_last_of_round { ROUND_PAUSE_MS } else { ATTEMPT_PAUSE_MS };
     Search { attempt: attempt.saturating_add(1), next_at: now.after(pause) }
 }
 
+/// The VMs that an attempt of a search asks to read the tables.
+fn asked_vms<'a>(order: &'a [&'a Name], attempt: u32) -> impl Iterator<Item = &'a Name> {
+    let vms_per_round = (1_usize << ATTEMPTS_PER_ROUND) - 1;
+    let (round, attempt) = (attempt / ATTEMPTS_PER_ROUND, attempt % ATTEMPTS_PER_ROUND);
+    let count = 1_usize << attempt;
+    let first = (round as usize).saturating_mul(vms_per_round).saturating_add(count - 1);
+    // An order that is shorter than a round starts again.
+    order.iter().copied().cycle().skip(first % order.len().max(1)).take(count.min(order.len()))
+}
+
 /// Whether this VM has to read the tables: as the root, as a substitute, or because no peer answers.
 fn needs_direct(
     feeds: &Feeds,
--- a/crates/kernel/tests/feed.rs
+++ b/crates/kernel/tests/feed.rs
@@ -143,6 +143,33 @@
         vms.into_iter().filter(|vm| self.source(vm) == FeedSource::Direct).collect()
     }
 
+    /// The given VM and those that `selects` selects by their number.
+    fn select(&self, vm: &str, selects: fn(usize) -> bool) -> Vec<String> {
+        let vms = self.vms().into_iter().enumerate();
+        vms.filter(|(ix, other)| selects(*ix) || *other == *vm).map(|(_, vm)| vm).collect()
+    }
+
+    /// Makes the store turn away a VM and those that `selects` selects.
+    fn turn_away(&mut self, vm: &str, selects: fn(usize) -> bool) {
+        self.vms_without_store = self.select(vm, selects);
+    }
+
+    /// Stops a VM and those that `selects` selects.
+    fn stop(&mut self, vm: &str, selects: fn(usize) -> bool) {
+        for vm in self.select(vm, selects) {
+            self.fleet.node(&vm).is_stopped = true;
+        }
+    }
+
+    /// Whether a running VM that reaches the store lacks changes.
+    fn lacks_changes(&mut self, vm: &str) -> bool {
+        let is_connected = !self.vms_without_store.iter().any(|other| other == vm);
+        let version = Revision(self.version);
+        let node = self.fleet.node(vm);
+        let known = node.kernel.state().feeds.version(Table::Targets);
+        is_connected && !node.is_stopped && known < version
+    }
+
     /// Number of VMs whose copy contains everything that was written.
     fn up_to_date(&self) -> usize {
         let nodes = self.fleet.nodes.iter();
@@ -190,9 +217,7 @@
 fn store_turns_vms_away(turns_away: fn(usize) -> bool, max_readers: usize, is_served: bool) {
     let mut harness = Harness::new(LARGE_ZONE_VMS);
     let reader = harness.readers().remove(0);
-    let others = harness.vms().into_iter().enumerate();
-    let turned_away = others.filter(|(ix, vm)| turns_away(*ix) || *vm == reader);
-    harness.vms_without_store = turned_away.map(|(_, vm)| vm).collect();
+    harness.turn_away(&reader, turns_away);
     harness.peak_attempts = 0;
     harness.run(10_000);
     harness.write("engine-2");
@@ -217,6 +242,45 @@
     all_vms_are_turned_away: (|_| true, 8, false);
 }
 
+/// Time in milliseconds within which a change is in force, from which the age limit of the copies
+/// follows.
+const APPLY_LIMIT_MS: u64 = 2_000;
+
+/// Checks that all VMs which reach the store have a change in time although others of the zone fail
+/// right after a read and right before the change.
+fn change_reaches_the_zone_in_time(vms: usize, fail: fn(&mut Harness, &str)) {
+    let mut harness = Harness::new(vms);
+    harness.run(10_000);
+    let reader = harness.readers().remove(0);
+    harness.read(&reader);
+    harness.fleet.run(STEP_MS);
+    fail(&mut harness, &reader);
+    harness.write("engine-2");
+    harness.run(APPLY_LIMIT_MS);
+    let late: Vec<String> =
+        harness.vms().into_iter().filter(|vm| harness.lacks_changes(vm)).collect();
+    assert!(late.is_empty(), "{} of {vms} VMs lack the change: {late:?}", late.len());
+}
+
+hornbeamloom_kernel::cases! {
+    change_reaches_the_zone_in_time;
+
+    // A search that asks one VM at a time meets those that fail one after the other.
+    with_three_vms_of_which_one_reads: (3, |zone, reader| zone.turn_away(reader, |ix| ix != 2));
+    with_three_vms_of_which_two_read: (3, |zone, reader| zone.turn_away(reader, |_| false));
+    with_a_third_turned_away: (27, |zone, reader| zone.turn_away(reader, |ix| ix % 3 == 0));
+    with_half_turned_away: (27, |zone, reader| zone.turn_away(reader, |ix| ix % 2 == 0));
+    with_two_thirds_turned_away: (27, |zone, reader| zone.turn_away(reader, |ix| ix % 3 != 0));
+    in_the_largest_zone_with_a_third_turned_away:
+        (LARGE_ZONE_VMS, |zone, reader| zone.turn_away(reader, |ix| ix % 3 == 0));
+    in_the_largest_zone_with_two_thirds_turned_away:
+        (LARGE_ZONE_VMS, |zone, reader| zone.turn_away(reader, |ix| ix % 3 != 0));
+    with_the_reader_gone: (27, |zone, reader| zone.stop(reader, |_| false));
+    with_the_reader_and_a_third_gone: (27, |zone, reader| zone.stop(reader, |ix| ix % 3 == 0));
+    in_the_largest_zone_with_the_reader_and_a_third_gone:
+        (LARGE_ZONE_VMS, |zone, reader| zone.stop(reader, |ix| ix % 3 == 0));
+}
+
 /// Guards against a VM that waits for its zone forever although no other VM answers it.
 #[test]
 fn isolated_vm_reads_for_itself() {
