--- a/crates/kernel/src/feed.rs
+++ b/crates/kernel/src/feed.rs
@@ -47,8 +47,8 @@
 /// limit leaves a part of the time within which a change must be in force, and the first round has
 /// to end within that part.
 const ATTEMPT_PAUSE_MS: u64 = 150;
-/// Pause in milliseconds after a round. The VMs asked in it no longer read when the next one begins,
-/// so the number of VMs of a zone that read at a time is limited.
+/// Pause in milliseconds after a round. The VMs asked in vain no longer read when the next one
+/// begins, so the number of VMs of a zone that read at a time is limited.
 const ROUND_PAUSE_MS: u64 = SUBSTITUTE_MS;
 /// Time in milliseconds after its start in which a VM with seeds neither reads the tables nor asks
 /// others to, so that it first learns of the VMs of its zone.
--- a/tests/fleet/store.rs
+++ b/tests/fleet/store.rs
@@ -187,6 +187,16 @@
     });
 }
 
+/// Checks that requests are served, and by one target only.
+async fn assert_served_by(fleet: &Fleet, target: &str) {
+    let before = fleet.request_log.requests().len();
+    for _ in 0..20 {
+        assert_eq!(call_status(fleet, "/look/1").await, 200);
+    }
+    let received = fleet.request_log.requests();
+    assert!(received[before..].iter().all(|request| request.engine == target));
+}
+
 /// Guards against requests to a leaving target whose entry is older than a configuration that the
 /// VM has read before it: the record of the target already had the number of the configuration, so
 /// the entry was taken for an old one (I7).
@@ -201,12 +211,7 @@
         fleet.put_target(&targets[0], "desk", "a", "draining");
         fleet.put_config(&config(3, &[CALLER_KEY]));
         tokio::time::sleep(PROPAGATION_TIME).await;
-        let before = fleet.request_log.requests().len();
-        for _ in 0..20 {
-            assert_eq!(call_status(&fleet, "/look/1").await, 200);
-        }
-        let received = fleet.request_log.requests();
-        assert!(received[before..].iter().all(|request| request.engine == "d2"));
+        assert_served_by(&fleet, "d2").await;
     });
 }
 
@@ -218,12 +223,7 @@
         let targets = start_plain_targets(&fleet, 2).await;
         fleet.put_target(&targets[0], "desk", "a", "draining");
         tokio::time::sleep(PROPAGATION_TIME).await;
-        let before = fleet.request_log.requests().len();
-        for _ in 0..20 {
-            assert_eq!(call_status(&fleet, "/look/1").await, 200);
-        }
-        let received = fleet.request_log.requests();
-        assert!(received[before..].iter().all(|request| request.engine == "d2"));
+        assert_served_by(&fleet, "d2").await;
     });
 }
 
