--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 mod framing;
 mod harness;
 mod hints;
+mod invalid_status;
 mod lifecycle;
 mod memory;
 mod prompt_parts;
