Treat a target's response with an undefined status as broken

A status from 600 to 999 passed the HTTP library and reached the caller as a response; beside the header of a refusal it was taken for a request that had not run. Such a response now ends the attempt as broken, with an unknown outcome, on both interfaces.

--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use futures_util::stream;
 use reqwest::header::CONTENT_LENGTH;
-use reqwest::{Body, Client, RequestBuilder, Response};
+use reqwest::{Body, Client, RequestBuilder, Response, StatusCode};
 
 use crate::memory::Buffer;
 use crate::refusal::REQUEST_ID;
@@ -91,6 +91,7 @@
         }
     };
     match tokio::time::timeout(timeout, request.send()).await {
+        Ok(Ok(response)) if !is_valid_status(response.status()) => Err(ExchangeError::Broken),
         Ok(Ok(response)) => Ok(response),
         Ok(Err(error)) if error.is_connect() && is_connection_refused(&error) => {
             Err(ExchangeError::ConnectionRefused)
@@ -102,6 +103,20 @@
     }
 }
 
+/// Whether a status is one of the five classes that HTTP defines. The library accepts any three
+/// digits from 100 on.
+///
+/// ```
+/// use hornbeamloom_daemon::http::is_valid_status;
+/// use warp::http::StatusCode;
+///
+/// assert!(is_valid_status(StatusCode::from_u16(599).unwrap()));
+/// assert!(!is_valid_status(StatusCode::from_u16(600).unwrap()));
+/// ```
+pub fn is_valid_status(status: StatusCode) -> bool {
+    (100..600).contains(&status.as_u16())
+}
+
 /// Sets the length of a body that is passed to [`send`].
 pub(crate) fn with_content_length(request: RequestBuilder, body: &[u8]) -> RequestBuilder {
     match body.is_empty() {
--- a/crates/daemon/tests/plain.rs
+++ b/crates/daemon/tests/plain.rs
@@ -56,8 +56,27 @@
     }
 }
 
+fn status_600_once(request: &ReceivedRequest, count: usize) -> Vec<ScriptStep> {
+    match count {
+        1 => vec![ScriptStep::Send(full_response(600, &request.id, "no response"))],
+        _ => vec![ScriptStep::Send(full_response(200, &request.id, "ours"))],
+    }
+}
+
+fn status_000_once(request: &ReceivedRequest, count: usize) -> Vec<ScriptStep> {
+    match count {
+        1 => vec![ScriptStep::Send(full_response(0, &request.id, "").replacen(" 0 ", " 000 ", 1))],
+        _ => vec![ScriptStep::Send(full_response(200, &request.id, "ours"))],
+    }
+}
+
 hornbeamloom_kernel::cases! {
     call_returns;
+    // Guards against a status that HTTP does not define and that the caller gets as a response.
+    status_600_of_a_call_is_repeated: (status_600_once, "POST", "", 200, "ours", 2);
+    status_600_of_a_call_with_a_key_is_unknown: (status_600_once, "POST", "k1", 502, "\"unknown\"", 1);
+    status_000_of_a_call_is_repeated: (status_000_once, "POST", "", 200, "ours", 2);
+    status_000_of_a_call_with_a_key_is_unknown: (status_000_once, "POST", "k1", 502, "\"unknown\"", 1);
     call_and_answer_pass_through: (echo_request, "POST", "", 201, "POST /orders/7?urgent=1 notice", 1);
     truncated_answer_is_never_shown: (truncated_once, "POST", "", 200, "the whole answer", 2);
     answer_of_another_request_is_never_shown: (other_request_once, "POST", "", 200, "ours", 2);
