Add hornbeamctl diff, a check of a resource file before it is applied

Operators saw errors of a file only when they applied it, one at a time and without a line, and nothing told them of entries without effect.

--- a/crates/ctl/src/apply.rs
+++ b/crates/ctl/src/apply.rs
@@ -2,7 +2,7 @@
 
 use argh::FromArgs;
 use hornbeamloom_kernel::ids::Revision;
-use hornbeamloom_kernel::resource::{Key, Kind, Record, ResourceMap, Spec};
+use hornbeamloom_kernel::resource::{Kind, ResourceMap};
 use hornbeamloom_kernel::validate;
 use hornbeamloom_wire::manifest::{self, Document};
 use reqwest::Method;
@@ -10,6 +10,7 @@
 
 use crate::client::{Client, Error};
 use crate::command::{self, Plugin};
+use crate::review::{self, document_key, resource_path, to_record};
 
 inventory::submit! {
     Plugin { name: "apply", help: "create or replace the resources in a file", run }
@@ -40,13 +41,18 @@
     })
 }
 
-/// Reads the documents of a file, sorted by kind so that referenced resources come first.
-fn read_documents(path: &str) -> Result<Vec<Document>, Error> {
+/// Reads a file, or standard input for `-`.
+pub(crate) fn read_file(path: &str) -> Result<String, Error> {
     let text = match path {
         "-" => std::io::read_to_string(std::io::stdin()),
         path => std::fs::read_to_string(path),
     };
-    let text = text.map_err(|source| Error::File { path: path.to_owned(), source })?;
+    text.map_err(|source| Error::File { path: path.to_owned(), source })
+}
+
+/// Reads the documents of a file, sorted by kind so that referenced resources come first.
+fn read_documents(path: &str) -> Result<Vec<Document>, Error> {
+    let text = read_file(path)?;
     let documents = manifest::parse_file(&text);
     let mut documents = documents.map_err(|error| Error::Usage(format!("{path}: {error}")))?;
     if let Some(ix) = documents.iter().position(|document| document.metadata.name.is_none()) {
@@ -58,14 +64,6 @@
     Ok(documents)
 }
 
-fn document_key(document: &Document) -> Key {
-    Key { kind: document.kind, name: document.metadata.name.clone().unwrap_or_default() }
-}
-
-fn resource_path(key: &Key) -> String {
-    format!("{}/{}", key.kind.plural(), key.name)
-}
-
 async fn apply(client: &Client, documents: &[Document]) -> Result<(), Error> {
     for document in documents {
         let path = resource_path(&document_key(document));
@@ -106,24 +104,9 @@
 /// Carries over operational state that the file does not set, so that applying a file again does
 /// not return a drained zone or a leaving target to service.
 fn preserve_operational_state(document: &Document, current: &Value) -> Document {
-    let mut document = document.clone();
-    let Ok(current) = manifest::from_value(current.clone(), Some(document.kind)) else {
-        return document;
-    };
-    match (&mut document.spec, &current.spec) {
-        (Spec::AvailabilityZone(zone), Spec::AvailabilityZone(current))
-            if !document.explicit_fields.contains("state") =>
-        {
-            zone.state = current.state;
-        }
-        (Spec::Target(target), Spec::Target(current))
-            if !document.explicit_fields.contains("leaving") =>
-        {
-            target.leaving = current.leaving;
-        }
-        _ => {}
-    }
-    document
+    let current = manifest::from_value(current.clone(), Some(document.kind));
+    let current = current.ok().map(|current| review::to_record(&current));
+    review::with_operational_state(document, current.as_ref())
 }
 
 /// Whether the daemon already has this specification, with defaults filled in, and these labels.
@@ -150,16 +133,7 @@
 /// Validates each document against the daemon's resources and the preceding documents, and prints
 /// what applying it would change.
 async fn dry_run(client: &Client, documents: &[Document]) -> Result<(), Error> {
-    let mut resources = ResourceMap::default();
-    for kind in Kind::ALL {
-        let list = client.read(kind.plural()).await?;
-        let items = list["items"].as_array().cloned().unwrap_or_default();
-        for item in items {
-            if let Ok(document) = manifest::from_value(item, Some(kind)) {
-                resources.insert(document_key(&document), to_record(&document));
-            }
-        }
-    }
+    let mut resources = read_resources(client).await?;
     for document in documents {
         let key = document_key(document);
         let record = to_record(document);
@@ -180,12 +154,17 @@
     Ok(())
 }
 
-fn to_record(document: &Document) -> Record {
-    Record {
-        key: document_key(document),
-        version: document.metadata.resource_version.unwrap_or_default(),
-        generation: document.metadata.generation.unwrap_or(1),
-        labels: document.metadata.labels.clone(),
-        spec: Some(document.spec.clone()),
+/// Reads all resources in force.
+pub(crate) async fn read_resources(client: &Client) -> Result<ResourceMap, Error> {
+    let mut resources = ResourceMap::default();
+    for kind in Kind::ALL {
+        let list = client.read(kind.plural()).await?;
+        let items = list["items"].as_array().cloned().unwrap_or_default();
+        for item in items {
+            if let Ok(document) = manifest::from_value(item, Some(kind)) {
+                resources.insert(document_key(&document), to_record(&document));
+            }
+        }
     }
+    Ok(resources)
 }
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -156,6 +156,9 @@
     /// An accepted change was not in force at every VM before the time-out.
     #[error("accepted, but not yet in force at: {0}")]
     NotInForce(String),
+    /// A resource file differs from the resources in force, in this number of resources.
+    #[error("differs in {0} resources")]
+    Differs(usize),
     /// A file could not be read.
     #[error("cannot read {path}: {source}")]
     File {
@@ -177,7 +180,7 @@
 }
 
 impl Error {
-    /// The process exit status: 2 usage or file, 3 unreachable, 4 refused, 5 conflict, 6 unknown
+    /// The process exit status: 1 a difference, 2 usage or file, 3 unreachable, 4 refused, 5 conflict, 6 unknown
     /// outcome or not in force in time.
     ///
     /// ```
@@ -190,6 +193,7 @@
     /// ```
     pub fn exit_status(&self) -> u8 {
         match self {
+            Error::Differs(_) => 1,
             Error::Usage(_) | Error::File { .. } => 2,
             Error::Connect(_) => 3,
             Error::OutcomeUnknown(_) | Error::NotInForce(_) => 6,
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -12,10 +12,12 @@
 pub mod client;
 pub mod command;
 pub mod output;
+pub mod review;
 
 mod apply;
 mod delete;
 mod describe;
+mod diff;
 mod drain;
 mod explain;
 mod get;
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -116,6 +116,15 @@
     (200, json!({"items": []}))
 }
 
+/// The zone of `ZONE_MANIFEST`, and nothing else.
+fn zones_in_force(_: usize, _: &str, path: &str) -> (u16, Value) {
+    let zone = json!({"metadata": {"name": "z", "resourceVersion": 7}, "spec": {"region": "r"}});
+    match path {
+        "availabilityzones" => (200, json!({"items": [zone]})),
+        _ => (200, json!({"items": []})),
+    }
+}
+
 /// A zone that operators have drained.
 fn drained_zone(_: usize, _: &str, path: &str) -> (u16, Value) {
     match path {
@@ -158,6 +167,10 @@
     // Guards against returning a drained zone to service by applying its file again.
     apply_keeps_a_drained_zone: ("keep", drained_zone, ZONE_MANIFEST, &["apply", "-f", "FILE"], &["GET availabilityzones/z"]);
     apply_restores_a_zone_if_the_file_sets_its_state: ("restore", drained_zone, ZONE_MANIFEST_WITH_STATE, &["apply", "-f", "FILE"], &["GET availabilityzones/z", "PUT availabilityzones/z"]);
+    diff_only_reads: ("diff", zones_in_force, ZONE_MANIFEST, &["diff", "-f", "FILE"], &[
+        "GET configurations", "GET availabilityzones", "GET services", "GET organisations", "GET targets", "GET routes",
+    ]);
+    diff_prints_its_help: ("diff-help", empty_list, "", &["diff", "--help"], &[]);
     get_lists_a_kind: ("get", empty_list, "", &["get", "zones"], &["GET availabilityzones"]);
     get_reads_one_resource: ("one", drained_zone, "", &["get", "zone", "z", "-o", "json"], &["GET availabilityzones/z"]);
     describe_reads_one_resource: ("describe", drained_zone, "", &["describe", "zone", "z"], &["GET availabilityzones/z"]);
@@ -209,6 +222,10 @@
     missing_file_is_2: (empty_list, &["apply", "-f", "/nonexistent"], 2);
     file_with_unknown_field_is_2: (empty_list, &["apply", "-f", &write_manifest("faulty", UNKNOWN_FIELD)], 2);
     dangling_reference_in_a_dry_run_is_2: (empty_list, &["apply", "--dry-run", "-f", &write_manifest("dangling", DANGLING_REFERENCE)], 2);
+    diff_of_a_file_with_differences_is_1: (empty_list, &["diff", "-f", &write_manifest("differs", ZONE_MANIFEST)], 1);
+    diff_of_a_file_with_errors_is_2: (empty_list, &["diff", "-o", "json", "-f", &write_manifest("errors", DANGLING_REFERENCE)], 2);
+    diff_without_a_file_is_2: (empty_list, &["diff"], 2);
+    diff_against_a_refusing_daemon_is_4: (invalid, &["diff", "-f", &write_manifest("refused", ZONE_MANIFEST)], 4);
     refusal_is_4: (invalid, &["drain", "z"], 4);
     watch_that_is_too_old_is_4: (too_old, &["watch", "services"], 4);
     conflict_is_5: (conflict, &["drain", "z"], 5);
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod kernel;
 pub mod lease;
 pub mod length;
+pub mod lint;
 pub mod map;
 pub mod member;
 pub mod outcome;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod manifest;
 pub mod openai;
 pub mod report;
+pub mod resource_file;
 pub mod row_value;
 pub mod sse;
 pub mod table;
--- a/crates/wire/src/manifest.rs
+++ b/crates/wire/src/manifest.rs
@@ -125,14 +125,19 @@
         if value.is_null() {
             continue;
         }
-        if value.to_string().len() > MAX_DOCUMENT_BYTES {
-            return Err(Error::TooLarge);
-        }
-        documents.push(from_value(value, None)?);
+        documents.push(from_sized_value(value)?);
     }
     Ok(documents)
 }
 
+/// Converts one value of a file into a document.
+pub(crate) fn from_sized_value(value: Value) -> Result<Document, Error> {
+    match value.to_string().len() > MAX_DOCUMENT_BYTES {
+        true => Err(Error::TooLarge),
+        false => from_value(value, None),
+    }
+}
+
 /// Converts a JSON value into a document; `kind` as for [`parse`].
 ///
 /// # Errors
@@ -251,7 +256,7 @@
     Error::Field(FieldError::new(field, problem))
 }
 
-fn malformed(error: impl std::fmt::Display) -> Error {
+pub(crate) fn malformed(error: impl std::fmt::Display) -> Error {
     Error::Malformed(redact(&error.to_string()))
 }
 
