Continue broken streams of resumable routes at another target

Callers that returned got events twice, and a stream whose target broke off without a copy of its KV memory was truncated although another target could have continued it.

`Route.resumable` (on the platform `resumable` of a streaming route) now passes the number on, checks the numbers of the events, and runs a broken stream again at another target after the last event delivered, within the route's attempts, the retry budget and the deadline. The kernel decides in `rerun.rs` and charges the rerun with its prompt and what was generated. Other routes and messages are unchanged.

--- a/crates/bench/src/mock_engine.rs
+++ b/crates/bench/src/mock_engine.rs
@@ -365,8 +365,10 @@
             Fault::CrashesOnBody(deadly) => body == deadly.as_bytes(),
             _ => false,
         };
-        let last_event_id =
-            header(&head, "last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+        let last_event_id = match fault {
+            Fault::IgnoresLastEvent => 0,
+            _ => header(&head, "last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0),
+        };
         let ix = {
             let mut shared = self.request_log.lock();
             let executed = refusal_status.is_none() && fault != Fault::ClosesConnections;
@@ -548,6 +550,15 @@
             let event = format!("id: {seq}\ndata: {attempt}.{seq}\n\n");
             let chunk = framing.encode(&event);
             let fault = self.lock().fault;
+            match fault {
+                Fault::ClosesAfter(last) if seq > last => return Ok(false),
+                Fault::ResetsAfter(last) if seq > last => {
+                    stream.set_zero_linger()?;
+                    return Ok(false);
+                }
+                Fault::SkipsEvent(skipped) if seq == skipped => continue,
+                _ => {}
+            }
             if matches!(fault, Fault::DisconnectsAfter(count) if seq > count) {
                 stream.write_all(&chunk.as_bytes()[..chunk.len() / 2]).await?;
                 return Ok(false);
@@ -567,6 +578,13 @@
             }
         }
         self.request_log.release_copy(attempt);
+        if self.lock().fault == Fault::ClosesAfter(event_count) {
+            return Ok(false);
+        }
+        if last_event_id >= event_count {
+            // The caller has all events and gets the end of the stream alone.
+            stream.write_all(head.as_bytes()).await?;
+        }
         framing.finish(stream).await
     }
 }
--- a/crates/bench/src/mock_engine/fault.rs
+++ b/crates/bench/src/mock_engine/fault.rs
@@ -27,6 +27,14 @@
     ReturnsError,
     /// It closes the connection after this number of events, in the middle of the next one.
     DisconnectsAfter(u64),
+    /// It closes the connection after the event with this number, between two events.
+    ClosesAfter(u64),
+    /// It resets the connection after the event with this number.
+    ResetsAfter(u64),
+    /// It omits the event with this number.
+    SkipsEvent(u64),
+    /// It starts every stream at event 1, whatever the caller has received.
+    IgnoresLastEvent,
     /// It executes streams, but sends the head of a response only after this time.
     StartsSilently(Duration),
     /// It stops sending after this number of events and keeps the connection open.
--- a/crates/daemon/src/continuation.rs
+++ b/crates/daemon/src/continuation.rs
@@ -91,7 +91,8 @@
             let source = start.address.clone();
             // The old connection must be closed before another target continues the generation.
             drop(events);
-            let point = ResumePoint { source, kv: KvSource::Copy(handle.clone()), last_event };
+            let kv = Some(KvSource::Copy { source, handle: handle.clone() });
+            let point = ResumePoint { kv, last_event };
             let now = Instant::now();
             let deadline = last_event_at.unwrap_or(now) + RESUME_TIMEOUT;
             let deadline = deadline.max(now + MIN_RESUME_TIME);
@@ -250,7 +251,8 @@
             session.end_attempt(&next, End::Unsent, None);
             continue;
         }
-        let point = ResumePoint { source: next.address.clone(), kv: KvSource::Standby, last_event };
+        let kv = Some(KvSource::Standby { source: next.address.clone() });
+        let point = ResumePoint { kv, last_event };
         if let OpenResult::Stream(opened) = open(next.clone(), Some(point)).await {
             session.switch_placement(&next);
             return Continuation::Resumed(Placement::new(next, opened.events));
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -243,12 +243,12 @@
 struct ActiveRequest {
     decisions: mpsc::UnboundedSender<Decision>,
     tokens: Arc<AtomicU32>,
-    /// Tokens delivered by earlier placements of the generation.
+    /// Tokens delivered by earlier placements and attempts of the generation.
     earlier_tokens: u32,
 }
 
 impl ActiveRequest {
-    /// Returns the number of tokens delivered by the current placement.
+    /// Returns the number of tokens delivered by the current attempt.
     fn delivered(&self) -> u32 {
         self.tokens.load(Ordering::Relaxed).saturating_sub(self.earlier_tokens)
     }
@@ -386,8 +386,10 @@
     fn deliver(&mut self, outcome: Outcome) {
         match outcome {
             Outcome::Start(start) => {
-                let id = start.id.clone();
-                self.send_decision(&id, Decision::Start(start));
+                if let Some(request) = self.requests.get_mut(&start.id) {
+                    request.earlier_tokens = request.tokens.load(Ordering::Relaxed);
+                }
+                self.send_decision(&start.id.clone(), Decision::Start(start));
             }
             Outcome::Move { from, start } => self.relocate(&from, start),
             Outcome::Refuse { id, refusal } => {
--- a/crates/daemon/src/generation.rs
+++ b/crates/daemon/src/generation.rs
@@ -53,23 +53,36 @@
 /// The copy of its KV cache from which a generation resumes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum KvSource {
-    /// A copy made on request, identified by its handle.
-    Copy(String),
+    /// A copy made on request.
+    Copy {
+        /// `IP:port` of the target that the KV cache is read from.
+        source: String,
+        /// Identifies the copy.
+        handle: String,
+    },
     /// The copy that the standby of the generation already holds.
-    Standby,
+    Standby {
+        /// `IP:port` of the standby.
+        source: String,
+    },
 }
 
 /// The point from which a generation resumes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ResumePoint {
-    /// `IP:port` of the target that the KV cache is read from.
-    pub source: String,
-    /// The copy to resume from.
-    pub kv: KvSource,
+    /// The copy to resume from; without one, the target processes the prompt again.
+    pub kv: Option<KvSource>,
     /// Sequence number of the last event delivered to the caller.
     pub last_event: u64,
 }
 
+/// A stream of a resumable route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Resumable {
+    /// Sequence number of the last event that the caller has from an earlier response.
+    pub last_event: Option<u64>,
+}
+
 /// A request to copy the KV cache of a running generation.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CopyRequest {
--- a/crates/daemon/src/handover.rs
+++ b/crates/daemon/src/handover.rs
@@ -9,7 +9,7 @@
 
 use crate::continuation::Placement;
 use crate::generation::{Event, KvSource, OpenResult, ResumePoint, StreamEnd, TargetClient};
-use crate::stream_proxy::StreamProxy;
+use crate::stream_proxy::{Delivery, StreamProxy};
 
 /// Interval at which a standby that does not answer is asked whether it runs the generation. The
 /// platform allows two targets to run it for 400 ms.
@@ -47,8 +47,8 @@
         Q: Fn(Start) -> QF,
         QF: Future<Output = Option<bool>>,
     {
-        let source = next.address.clone();
-        let point = ResumePoint { source, kv: KvSource::Standby, last_event: self.last_event };
+        let kv = Some(KvSource::Standby { source: next.address.clone() });
+        let point = ResumePoint { kv, last_event: self.last_event };
         let offer = (targets.open)(next.clone(), Some(point));
         let run_check = wait_until_running(&targets.is_running, next.clone());
         tokio::pin!(offer, run_check);
@@ -90,13 +90,14 @@
                     old_events = None;
                 }
                 event = old_event => match event {
-                    Some(Ok(event)) => {
-                        if !self.deliver(event).await {
-                            return Handover::CallerGone;
-                        }
-                    }
+                    Some(Ok(event)) => match self.deliver(event).await {
+                        Delivery::Delivered => {}
+                        Delivery::CallerGone => return Handover::CallerGone,
+                        Delivery::Gap => old_events = None,
+                    },
                     Some(Err(StreamEnd::Truncated)) => old_events = None,
                     Some(Err(StreamEnd::Closed)) if may_be_stopped => old_events = None,
+                    Some(Err(StreamEnd::Closed)) | None if self.ends_early() => old_events = None,
                     Some(Err(StreamEnd::Closed)) | None => return Handover::Complete(start),
                 },
                 () = room, if !has_room => {}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -55,6 +55,7 @@
 mod reattach;
 mod refusal;
 mod relay;
+mod rerun;
 mod response;
 mod snapshot;
 mod status;
--- a/crates/daemon/src/session.rs
+++ b/crates/daemon/src/session.rs
@@ -132,6 +132,11 @@
         self.control.tell(Input::GenerationMoved { from, to });
     }
 
+    /// The id of the current placement.
+    pub(crate) fn id(&self) -> &Id {
+        &self.id
+    }
+
     pub(crate) fn close(&mut self) {
         self.is_open = false;
     }
--- a/crates/daemon/src/stream_proxy.rs
+++ b/crates/daemon/src/stream_proxy.rs
@@ -3,8 +3,9 @@
 //! A stream can move to another target while it runs. The KV cache of the generation is copied
 //! while the old target keeps generating, the rest is copied after the old target has stopped, and
 //! the stream resumes at the new target after the last event delivered to the caller. If a standby
-//! holds the KV cache, the stream resumes there without a copy. The adapter supplies the calls to
-//! targets as closures.
+//! holds the KV cache, the stream resumes there without a copy. A stream of a resumable route that
+//! broke off without a copy is run again after the last event delivered to the caller. The adapter
+//! supplies the calls to targets as closures.
 
 use std::future::Future;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -14,6 +15,8 @@
 use futures_util::{Stream, StreamExt};
 use hornbeamloom_kernel::outcome::Start;
 use hornbeamloom_kernel::request::End;
+use hornbeamloom_kernel::rerun;
+use hornbeamloom_kernel::stream::Accept;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -21,8 +24,8 @@
 use crate::control::{Decision, Input};
 use crate::delivery::ResponseSender;
 use crate::generation::{
-    CopyError, CopyRequest, Event, KvCopy, OpenResult, OpenedStream, ResumePoint, StreamEnd,
-    TargetClient,
+    CopyError, CopyRequest, Event, KvCopy, OpenResult, OpenedStream, Resumable, ResumePoint,
+    StreamEnd, TargetClient,
 };
 use crate::handover::Handover;
 use crate::metrics;
@@ -60,10 +63,11 @@
     result: oneshot::Receiver<Result<KvCopy, CopyError>>,
 }
 
-/// Runs a request whose response is an event stream.
+/// Runs a request whose response is an event stream. `resumable` is given on a resumable route.
 pub async fn run<A, S, O, C, R, Q, OF, CF, RF, QF>(
     mut session: Session,
     targets: TargetClient<O, C, R, Q>,
+    resumable: Option<Resumable>,
     mut response: ResponseSender<A>,
 ) where
     S: Stream<Item = Result<Event, StreamEnd>> + Unpin,
@@ -76,7 +80,10 @@
     Q: Fn(Start) -> QF,
     QF: Future<Output = Option<bool>>,
 {
-    let Some((start, opened)) = open_first(&mut session, &targets.open, &mut response).await else {
+    let caller_last_event = resumable.and_then(|resumable| resumable.last_event);
+    let point = caller_last_event.map(|last_event| ResumePoint { kv: None, last_event });
+    let opened = open_first(&mut session, &targets.open, point.as_ref(), &mut response).await;
+    let Some((start, opened)) = opened else {
         return;
     };
     response.start_stream(opened.head);
@@ -85,8 +92,11 @@
         response,
         copy: targets.copy.clone(),
         release: targets.release.clone(),
-        last_event: 0,
+        resumable,
+        last_event: caller_last_event.unwrap_or(0),
+        target_event: None,
         first_event_ms: None,
+        is_first_event_reported: false,
         last_event_at: None,
         longest_gap: Duration::ZERO,
     };
@@ -98,8 +108,12 @@
                     Handover::Continued(continued) => placement = continued,
                     Handover::Complete(start) => return proxy.complete(&start),
                     Handover::CallerGone => return,
-                    Handover::Lost(start) => return proxy.fail(&start).await,
+                    Handover::Lost(start) => match proxy.rerun(&targets.open, &start).await {
+                        Some(rerun) => placement = rerun,
+                        None => return,
+                    },
                 }
+                proxy.target_event = None;
                 continue;
             }
             PlacementEnd::Complete => return proxy.complete(&placement.start),
@@ -126,9 +140,13 @@
             Continuation::Resumed(placement) => placement,
             Continuation::Lost(start, handle) => {
                 proxy.release_handle(&start, handle);
-                return proxy.fail(&start).await;
+                match proxy.rerun(&targets.open, &start).await {
+                    Some(rerun) => rerun,
+                    None => return,
+                }
             }
         };
+        proxy.target_event = None;
     }
 }
 
@@ -137,6 +155,7 @@
 async fn open_first<A, S, O, OF>(
     session: &mut Session,
     open: &O,
+    point: Option<&ResumePoint>,
     response: &mut ResponseSender<A>,
 ) -> Option<(Start, OpenedStream<A, S>)>
 where
@@ -159,7 +178,7 @@
         };
         let previous = session.begin_attempt(&start);
         let opened = tokio::select! {
-            opened = open(start.clone(), None) => opened,
+            opened = open(start.clone(), point.cloned()) => opened,
             _ = response.closed() => return None,
         };
         match opened {
@@ -187,22 +206,47 @@
     pub(crate) response: ResponseSender<A>,
     copy: C,
     release: R,
-    /// Sequence number of the last event delivered to the caller.
+    /// Set on a resumable route.
+    pub(crate) resumable: Option<Resumable>,
+    /// Sequence number of the last event delivered to the caller, or of the last one that it has from
+    /// an earlier response.
     pub(crate) last_event: u64,
+    /// Sequence number of the last event of the current target.
+    target_event: Option<u64>,
     /// Time from the arrival of the request to the first event, in milliseconds.
-    first_event_ms: Option<u32>,
+    pub(crate) first_event_ms: Option<u32>,
+    /// The first event belongs to an attempt whose end was reported.
+    pub(crate) is_first_event_reported: bool,
     /// When the last event arrived.
     last_event_at: Option<Instant>,
     /// Longest time between two events.
     longest_gap: Duration,
 }
 
+/// What became of an event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Delivery {
+    /// The caller has it.
+    Delivered,
+    /// The caller has disconnected.
+    CallerGone,
+    /// It was not delivered, because an earlier one is missing.
+    Gap,
+}
+
 impl<A, C, R> StreamProxy<A, C, R> {
-    /// Forwards one event. Returns false if the caller has disconnected.
-    pub(crate) async fn deliver(&mut self, event: Event) -> bool {
-        // A target that resumes from a copy may repeat events that the caller already has.
-        if event.seq <= self.last_event && self.last_event > 0 {
-            return true;
+    /// Forwards one event, unless the caller already has it. Targets that resume from a copy, or that
+    /// ignore the point from which a rerun resumes, may repeat events.
+    pub(crate) async fn deliver(&mut self, event: Event) -> Delivery {
+        self.target_event = Some(event.seq);
+        match self.accept(event.seq) {
+            Accept::Deliver => {}
+            Accept::Duplicate => return Delivery::Delivered,
+            Accept::Gap | Accept::OtherGeneration => {
+                let (id, last) = (self.session.id(), self.last_event);
+                log::warn!("request={id} event {} does not follow event {last}", event.seq);
+                return Delivery::Gap;
+            }
         }
         if self.first_event_ms.is_none() {
             let since = self.session.arrived_at.elapsed();
@@ -217,7 +261,50 @@
         }
         self.last_event = event.seq;
         self.session.delivered_tokens.fetch_add(event.tokens, Ordering::Relaxed);
-        self.response.body.send(Ok(event.bytes)).await.is_ok()
+        match self.response.body.send(Ok(event.bytes)).await {
+            Ok(()) => Delivery::Delivered,
+            Err(_) => Delivery::CallerGone,
+        }
+    }
+
+    fn accept(&self, seq: u64) -> Accept {
+        match self.resumable {
+            Some(_) => rerun::accept(self.position(), seq),
+            None if seq <= self.last_event && self.last_event > 0 => Accept::Duplicate,
+            None => Accept::Deliver,
+        }
+    }
+
+    /// Sequence number of the last event that the caller has, if it has any.
+    pub(crate) fn position(&self) -> Option<u64> {
+        match self.first_event_ms {
+            Some(_) => Some(self.last_event),
+            None => self.resumable.and_then(|resumable| resumable.last_event),
+        }
+    }
+
+    /// Whether the target has ended a stream of a resumable route before the last event that the
+    /// caller has, which shows that it did not continue the same stream.
+    pub(crate) fn ends_early(&self) -> bool {
+        self.resumable.is_some() && self.target_event.is_some_and(|seq| seq < self.last_event)
+    }
+
+    pub(crate) fn log_end(&self, start: &Start, end: &'static str) {
+        log::info!(
+            "request={} stream={end} target={} events={} first_ms={} longest_gap_ms={}",
+            start.id,
+            start.target,
+            self.last_event,
+            self.first_event_ms.unwrap_or(0),
+            self.longest_gap.as_millis()
+        );
+    }
+
+    pub(crate) async fn fail(&mut self, start: &Start) {
+        self.log_end(start, "lost");
+        self.session.end_attempt(start, End::Broken, self.first_event_ms);
+        self.session.close();
+        self.response.abort().await;
     }
 }
 
@@ -250,15 +337,16 @@
             };
             tokio::select! {
                 event = placement.events.next() => match event {
-                    Some(Ok(event)) => {
-                        if !self.deliver(event).await {
-                            return PlacementEnd::CallerGone;
-                        }
-                    }
+                    Some(Ok(event)) => match self.deliver(event).await {
+                        Delivery::Delivered => {}
+                        Delivery::CallerGone => return PlacementEnd::CallerGone,
+                        Delivery::Gap => return self.on_truncated(pending),
+                    },
                     Some(Err(StreamEnd::Truncated)) => return self.on_truncated(pending),
                     Some(Err(StreamEnd::Closed)) => {
                         return self.on_closed(placement, pending).await;
                     }
+                    None if self.ends_early() => return self.on_truncated(pending),
                     None => {
                         self.release_pending(placement, pending);
                         return PlacementEnd::Complete;
@@ -408,11 +496,11 @@
         let deadline = Instant::now() + DRAIN_TIMEOUT;
         while self.last_event < last_generated {
             match tokio::time::timeout_at(deadline, placement.events.next()).await {
-                Ok(Some(Ok(event))) => {
-                    if !self.deliver(event).await {
-                        return false;
-                    }
-                }
+                Ok(Some(Ok(event))) => match self.deliver(event).await {
+                    Delivery::Delivered => {}
+                    Delivery::CallerGone => return false,
+                    Delivery::Gap => break,
+                },
                 // A stopped target ends its stream without completing it.
                 Ok(Some(Err(_)) | None) | Err(_) => break,
             }
@@ -445,7 +533,7 @@
         pending: Option<PendingCopy>,
     ) -> PlacementEnd {
         let stop = pending.filter(|pending| pending.stops_source);
-        if placement.may_be_stopped {
+        if placement.may_be_stopped || self.ends_early() {
             return self.on_truncated(stop);
         }
         let Some(mut stop) = stop else {
@@ -490,26 +578,9 @@
 
     fn complete(&mut self, start: &Start) {
         self.log_end(start, "complete");
-        self.session.end_attempt(start, End::Complete, self.first_event_ms);
-        self.session.close();
-    }
-
-    fn log_end(&self, start: &Start, end: &'static str) {
-        log::info!(
-            "request={} stream={end} target={} events={} first_ms={} longest_gap_ms={}",
-            start.id,
-            start.target,
-            self.last_event,
-            self.first_event_ms.unwrap_or(0),
-            self.longest_gap.as_millis()
-        );
-    }
-
-    async fn fail(&mut self, start: &Start) {
-        self.log_end(start, "lost");
-        self.session.end_attempt(start, End::Broken, self.first_event_ms);
+        let first_event_ms = self.unreported_first_event_ms();
+        self.session.end_attempt(start, End::Complete, first_event_ms);
         self.session.close();
-        self.response.abort().await;
     }
 }
 
--- a/crates/kernel/src/accounting.rs
+++ b/crates/kernel/src/accounting.rs
@@ -188,7 +188,7 @@
 
 /// Refunds the prompt that was charged for a grant that was not used.
 fn refund_prompt(pool: &mut Pool, running: &InFlightRequest, now: Millis) {
-    if running.ask.generated_tokens > 0 {
+    if running.ask.has_kv_copy() {
         return;
     }
     let prompt = u64::from(running.ask.prompt_tokens);
--- a/crates/kernel/src/attempt.rs
+++ b/crates/kernel/src/attempt.rs
@@ -11,6 +11,7 @@
 use crate::peer::{Grant, Message, Progress, Release, Running};
 use crate::pool;
 use crate::request::{End, Id};
+use crate::rerun::Verdict;
 use crate::store::StoredResponse;
 use crate::{claim, quarantine, relocate, standby};
 
@@ -358,7 +359,14 @@
         Some(_) => 0,
         None => ended.tokens.max(run.tokens),
     };
-    let next = next_step(ended.end, tokens, request.is_at_most_once);
+    let verdict = relocate::decide_rerun(state, request, ended.end, tokens, now, out);
+    let next = match verdict {
+        Verdict::Other => next_step(ended.end, tokens, request.is_at_most_once),
+        // What follows is a new run of the remainder, as if nothing had been delivered.
+        Verdict::Rerun => next_step(ended.end, 0, false),
+        Verdict::Truncate(_) if tokens == 0 => NextStep::Fail(Ran::Unknown),
+        Verdict::Truncate(_) => NextStep::Fail(Ran::Yes),
+    };
     let next_placement = request.next_placement.clone();
     send_release(state, request, run, ended, tokens, out);
     let text = format!("{:?} on {} after {tokens} tokens", ended.end, run.target);
@@ -369,6 +377,9 @@
         NextStep::Cancel => cancel(state, ended.id, now, out),
         NextStep::Retry { reason, spends_budget } => {
             let has_run = matches!(ended.end, End::Broken | End::Died | End::Failed);
+            if verdict == Verdict::Rerun {
+                relocate::prepare_rerun(state, ended.id, tokens);
+            }
             retry_attempt(state, ended.id, reason, spends_budget, has_run, now, out);
         }
         NextStep::Fail(ran) => {
--- a/crates/kernel/src/entry.rs
+++ b/crates/kernel/src/entry.rs
@@ -68,6 +68,8 @@
     pub(crate) may_have_run: bool,
     /// Number of attempts that may have been executed at least in part.
     pub(crate) executed_attempts: u32,
+    /// Targets on which a request of a resumable route has run, each once.
+    pub(crate) run_targets: Vec<Name>,
     /// Options of the route that the request matched.
     pub(crate) options: RouteOptions,
     /// The request waits in queues. Until it is set, pools that cannot start the request
@@ -115,6 +117,7 @@
             is_at_most_once: true,
             may_have_run: false,
             executed_attempts: 0,
+            run_targets: Vec::new(),
             options: running.options,
             waits_in_queues: false,
             relocation_source: Some(source),
@@ -129,6 +132,27 @@
             timer: None,
         }
     }
+
+    /// Records that the request has run on `target`.
+    pub(crate) fn record_run(&mut self, target: &Name) {
+        if self.options.resumable && !self.run_targets.contains(target) {
+            self.run_targets.push(target.clone());
+        }
+    }
+
+    /// Takes over what limits a rerun of the generation from the placement that it has moved from.
+    pub(crate) fn inherit_runs(&mut self, moved: Request) {
+        self.run_targets = moved.run_targets;
+        if let Phase::Running(run) = &moved.phase {
+            self.record_run(run.target());
+        }
+        self.is_at_most_once = moved.is_at_most_once;
+        self.executed_attempts = moved.executed_attempts;
+        self.retries = moved.retries;
+        self.target_deaths = moved.target_deaths;
+        self.arrived = moved.arrived;
+        self.has_cleared_exclusions = false;
+    }
 }
 
 /// The phase of a request.
@@ -269,6 +293,7 @@
         spills: false,
         standby_target: None,
         generated_tokens: 0,
+        is_recomputed: false,
     };
     let timeout_ms = view.options.queue_timeout_ms.unwrap_or(service.queue_ms);
     Ok(Request {
@@ -278,6 +303,7 @@
         is_at_most_once: !matches!(view.idempotency, Idempotency::Idempotent),
         may_have_run: false,
         executed_attempts: 0,
+        run_targets: Vec::new(),
         options: view.options,
         waits_in_queues: false,
         preferred_zone: state.identity.zone.clone(),
--- a/crates/kernel/src/ingress.rs
+++ b/crates/kernel/src/ingress.rs
@@ -87,6 +87,7 @@
 ///     attempts: 1,
 ///     priority: 0,
 ///     public: false,
+///     resumable: false,
 /// };
 /// assert_eq!(ingress::pick_service(&route, 5).map(|name| &**name), Some("old-desk"));
 /// assert_eq!(ingress::pick_service(&route, 95).map(|name| &**name), Some("new-desk"));
@@ -122,5 +123,6 @@
         spills: true,
         balances_zones: true,
         relocatable: relocatable && route.streaming,
+        resumable: route.resumable && route.streaming,
     }
 }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -65,6 +65,7 @@
 pub mod reconcile;
 pub mod report;
 pub mod request;
+pub mod rerun;
 pub mod resource;
 pub mod retry;
 pub mod route;
--- a/crates/kernel/src/peer.rs
+++ b/crates/kernel/src/peer.rs
@@ -264,6 +264,11 @@
     #[serde(default)]
     #[serde(rename = "made")]
     pub generated_tokens: u32,
+    /// Whether the target processes the prompt and these tokens anew, because it gets no copy of the
+    /// KV memory.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    #[serde(rename = "recomputed")]
+    pub is_recomputed: bool,
     /// Targets that must not be selected.
     pub exclude: Vec<Name>,
 }
@@ -397,6 +402,7 @@
     ///     spills: false,
     ///     standby_target: None,
     ///     generated_tokens: 0,
+    ///     is_recomputed: false,
     ///     exclude: Vec::new(),
     /// };
     /// assert_eq!(ask.arrived(Millis(1_000)), Millis(700));
@@ -404,4 +410,9 @@
     pub fn arrived(&self, now: Millis) -> Millis {
         Millis(now.0.saturating_sub(self.waited_ms))
     }
+
+    /// Whether the generation has a copy of its KV memory, so that no prompt is processed.
+    pub(crate) fn has_kv_copy(&self) -> bool {
+        self.generated_tokens > 0 && !self.is_recomputed
+    }
 }
--- a/crates/kernel/src/prefill.rs
+++ b/crates/kernel/src/prefill.rs
@@ -28,8 +28,7 @@
     let in_flight = view.pool.targets[ix].in_flight.iter();
     let running = in_flight.filter_map(|id| view.pool.in_flight.get(id));
     // A relocated generation brings its KV memory along.
-    let pending =
-        running.filter(|running| running.tokens == 0 && running.ask.generated_tokens == 0);
+    let pending = running.filter(|running| running.tokens == 0 && !running.ask.has_kv_copy());
     pending.map(|running| running.ask.prompt_tokens)
 }
 
--- a/crates/kernel/src/queue.rs
+++ b/crates/kernel/src/queue.rs
@@ -207,7 +207,7 @@
         let served = self.organisation(&queued.ask.organisation, now).service_counter;
         self.virtual_time = self.virtual_time.max(served);
         // The prompt of a relocated generation was charged for its first target.
-        if queued.ask.generated_tokens == 0 {
+        if !queued.ask.has_kv_copy() {
             self.charge(&queued.ask.organisation, u64::from(queued.ask.prompt_tokens), now);
         }
         Some(queued)
--- a/crates/kernel/src/relocate.rs
+++ b/crates/kernel/src/relocate.rs
@@ -1,5 +1,5 @@
-//! Relocates generations whose target is leaving to another target: control plug-in of the entry
-//! VM.
+//! Relocates generations whose target is leaving to another target, and prepares the rerun of streams
+//! that broke off: control plug-in of the entry VM.
 //!
 //! Each target that a generation runs on is a *placement* of its request, with its own id and its
 //! own entry in the owner's in-flight table. The next placement asks for a start like a new request
@@ -17,7 +17,8 @@
 use crate::peer::Message;
 use crate::plugin::control;
 use crate::pool::SHORT_TOKENS;
-use crate::request::Id;
+use crate::request::{End, Id};
+use crate::rerun::{self, Verdict};
 
 /// Longest wait of a placement for its start, in milliseconds. An engine that is reclaimed leaves
 /// within about two seconds of its notice.
@@ -112,6 +113,7 @@
     ask.attempt = 0;
     ask.prompt_tokens += tokens;
     ask.generated_tokens += tokens;
+    ask.is_recomputed = false;
     ask.exclude = vec![run.target().clone()];
     ask.standby_target = run.standby().map(|standby| standby.target.clone());
     let standby_target = ask.standby_target.as_ref().and_then(|target| state.intent.target(target));
@@ -151,12 +153,15 @@
 /// The generation has moved to its next placement.
 fn on_moved(state: &mut State, from: &Id, to: &Id, tokens: u32, now: Millis, out: &mut Outbox) {
     attempt::release_moved(state, from, tokens, out);
-    state.entry.remove(from);
+    let moved = state.entry.remove(from);
     let Some(next) = state.entry.requests.get_mut(to) else {
         return out.count(Counter::Ignored("moved_to_unknown_leg"));
     };
     next.relocation_source = None;
     next.may_have_run = true;
+    if let Some(moved) = moved.filter(|moved| moved.options.resumable) {
+        next.inherit_runs(moved);
+    }
     if let Phase::Running(run) = &next.phase {
         let text = format!("continues on {} after {tokens} tokens", run.target());
         out.count(Counter::Event("relocated"));
@@ -166,6 +171,67 @@
     state.relocations.due = Some(now.after(SCAN_INTERVAL_MS));
 }
 
+/// Decides whether a stream is run again on another target, and logs this for a resumable one that
+/// broke off.
+pub(crate) fn decide_rerun(
+    state: &State,
+    request: &Request,
+    end: End,
+    tokens: u32,
+    now: Millis,
+    out: &mut Outbox,
+) -> Verdict {
+    let Phase::Running(run) = &request.phase else {
+        return Verdict::Other;
+    };
+    let mut targets = request.run_targets.clone();
+    if !targets.contains(run.target()) {
+        targets.push(run.target().clone());
+    }
+    let ask = &request.ask;
+    let view = rerun::View {
+        end,
+        is_resumable: request.options.resumable,
+        is_unused_placement: request.relocation_source.is_some(),
+        tokens,
+        earlier_tokens: ask.generated_tokens,
+        executed_attempts: request.executed_attempts,
+        targets: &targets,
+        max_attempts: request.options.max_attempts,
+        has_suspected_part: state.quarantine.parts().has_suspect(&ask.parts),
+        is_quarantined: state.quarantine.refuses(ask, now),
+    };
+    let verdict = rerun::decide(&view);
+    if verdict != Verdict::Other {
+        out.log(format!(
+            "request={} target={} stream broke: {verdict:?} end={end:?} tokens={tokens} \
+             earlier_tokens={} executed={} targets={} limit={:?} suspected={} age_ms={}",
+            ask.id,
+            run.target(),
+            view.earlier_tokens,
+            view.executed_attempts + 1,
+            targets.len(),
+            view.max_attempts,
+            view.has_suspected_part,
+            now.since(request.arrived)
+        ));
+    }
+    verdict
+}
+
+/// Changes the ask of a broken stream to one for what its caller lacks.
+pub(crate) fn prepare_rerun(state: &mut State, id: &Id, tokens: u32) {
+    let Some(request) = state.entry.requests.get_mut(id) else {
+        return;
+    };
+    if let Phase::Running(run) = &request.phase {
+        let target = run.target().clone();
+        request.record_run(&target);
+    }
+    request.next_placement = None;
+    rerun::charge(&mut request.ask, tokens);
+}
+
 /// Gives up a placement that was not started. Another one may be requested while the current target
 /// still serves.
 pub(crate) fn on_placement_refused(
--- a/crates/kernel/src/request.rs
+++ b/crates/kernel/src/request.rs
@@ -172,6 +172,9 @@
     pub balances_zones: bool,
     /// The generation can continue on another target from its KV cache.
     pub relocatable: bool,
+    /// A stream that broke off can be continued on another target after the last event that the
+    /// caller has, without its KV cache.
+    pub resumable: bool,
 }
 
 /// How an attempt on a target ended.
--- a/crates/kernel/src/resource.rs
+++ b/crates/kernel/src/resource.rs
@@ -308,6 +308,10 @@
     /// Whether requests need no caller key.
     #[serde(default)]
     pub public: bool,
+    /// Whether a target can continue a stream after the event whose number it is sent. Only for
+    /// streams; their requests may be executed more than once.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub resumable: bool,
 }
 
 /// Names of the policies used at the scheduling stages.
--- a/crates/kernel/src/schedule.rs
+++ b/crates/kernel/src/schedule.rs
@@ -183,6 +183,7 @@
         spills: false,
         standby_target: None,
         generated_tokens: 0,
+        is_recomputed: false,
         exclude: Vec::new(),
     };
     let reserved = view.pool.reservation.as_ref().map(|reserved| reserved.target_ix);
--- a/crates/kernel/src/validate.rs
+++ b/crates/kernel/src/validate.rs
@@ -352,6 +352,9 @@
     if !spec.shares.is_empty() && spec.shares.iter().all(|share| share.weight == 0) {
         errors.add("spec.shares", "expected a weight above 0");
     }
+    if spec.resumable && !spec.streaming {
+        errors.add("spec.resumable", "only a streaming route can be resumable");
+    }
     errors.range("spec.timeoutMs", spec.timeout_ms, 1..=MAX_QUEUE_MS);
     errors.range("spec.targetLatencyMs", spec.target_latency_ms, 1..=MAX_QUEUE_MS);
     errors.range("spec.attempts", spec.attempts, 1..=MAX_COUNT);
--- a/crates/kernel/tests/common/mod.rs
+++ b/crates/kernel/tests/common/mod.rs
@@ -363,7 +363,7 @@
         self.arrive_with_options(n, fingerprint, idempotency, RouteOptions::default());
     }
 
-    fn arrive_with_options(
+    pub fn arrive_with_options(
         &mut self,
         n: u64,
         fingerprint: u64,
--- a/crates/kernel/tests/ingress.rs
+++ b/crates/kernel/tests/ingress.rs
@@ -32,6 +32,7 @@
         attempts: 2,
         priority: 4,
         public: false,
+        resumable: false,
     }
 }
 
--- a/crates/kernel/tests/pool/spill.rs
+++ b/crates/kernel/tests/pool/spill.rs
@@ -72,6 +72,30 @@
     assert!(harness.is_waiting(&waiting));
 }
 
+/// Checks how many of five requests start on one engine while none of them has a first token. Two that
+/// are run again, without a copy of their KV memory, run there already.
+fn pending_reruns(is_recomputed: bool, expected: usize) {
+    let mut harness = harness(target(40, 40, 100_000));
+    for _ in 0..2 {
+        let mut ask = harness.new_ask("parlour-1");
+        (ask.generated_tokens, ask.is_recomputed) = (8, is_recomputed);
+        harness.send(&ask);
+    }
+    for _ in 0..5 {
+        let mut ask = harness.new_ask("parlour-1");
+        ask.spills = true;
+        harness.send(&ask);
+    }
+    assert_eq!(harness.running().len(), expected);
+}
+
+cases! {
+    pending_reruns;
+    // Guards against prompts that are not counted because their request has output.
+    reruns_are_pending_prompts: (true, 2);
+    relocated_generations_are_no_pending_prompts: (false, 4);
+}
+
 /// Checks how many of five requests start on one engine while none of them has a first token.
 fn pending_prompts(spills: bool, made: u32, expected: usize) {
     let mut harness = harness(target(40, 40, 100_000));
--- a/crates/kernel/tests/validate.rs
+++ b/crates/kernel/tests/validate.rs
@@ -3,7 +3,7 @@
 use hornbeamloom_kernel::ids::Revision;
 use hornbeamloom_kernel::resource::{
     AvailabilityZone, Configuration, Key, Kind, Organisation, Policy, Protocol, Record,
-    ResourceMap, Service, Spec, Target, ZoneState,
+    ResourceMap, Route, Service, Share, Spec, Target, ZoneState,
 };
 use hornbeamloom_kernel::validate::{self, references};
 
@@ -63,6 +63,24 @@
     Spec::Target(spec)
 }
 
+fn route(change: fn(&mut Route)) -> Spec {
+    let mut spec = Route {
+        host: "menu.example".to_owned(),
+        path_prefix: "/drafts/".to_owned(),
+        shares: vec![Share { service: "menu-model".into(), weight: 1 }],
+        rerun: Default::default(),
+        streaming: true,
+        timeout_ms: 6_000,
+        target_latency_ms: 1_500,
+        attempts: 2,
+        priority: 0,
+        public: false,
+        resumable: true,
+    };
+    change(&mut spec);
+    Spec::Route(spec)
+}
+
 fn configuration(change: fn(&mut Configuration)) -> Spec {
     let mut spec = Configuration::default();
     change(&mut spec);
@@ -126,6 +144,9 @@
     port_zero_fails: ("t", target(|t| t.address = "127.0.0.1:0".into()), &["spec.address"]);
     cold_limit_zero_fails: ("t", target(|t| t.cold_limit = 0), &["spec.coldLimit"]);
     cold_above_warm_fails: ("t", target(|t| t.cold_limit = 9), &["spec.coldLimit"]);
+    resumable_stream_passes: ("r", route(|_| {}), &[]);
+    // Guards against calls that run again although their route only marks them as resumable.
+    resumable_route_without_streaming_fails: ("r", route(|r| r.streaming = false), &["spec.resumable"]);
     kv_percent_zero_fails: ("c", configuration(|c| c.kv_percent = 0), &["spec.kvPercent"]);
     kv_percent_101_fails: ("c", configuration(|c| c.kv_percent = 101), &["spec.kvPercent"]);
     model_without_version_fails: ("c", configuration(|c| c.models = vec!["m".into()]), &["spec.models[0]"]);
@@ -167,3 +188,12 @@
     service_comes_after_configurations: (service(|s| s.configuration = Some("c".into())));
     target_comes_after_services_and_zones: (target(|_| {}));
 }
+
+/// Guards against a route that the preceding build, which rejects fields that it does not know, cannot
+/// read although it is not resumable.
+#[test]
+fn route_that_is_not_resumable_is_encoded_as_before() {
+    let encoded = |change: fn(&mut Route)| serde_json::to_string(&route(change)).unwrap();
+    assert!(!encoded(|r| r.resumable = false).contains("resumable"));
+    assert!(encoded(|_| {}).contains("\"resumable\":true"));
+}
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -85,6 +85,7 @@
         spills: false,
         standby_target: None,
         generated_tokens: 0,
+        is_recomputed: false,
     }
 }
 
@@ -230,6 +231,7 @@
     delta_is_read_back: (delta());
     pull_is_read_back: (Message::Pull { from: Revision(3) });
     ask_is_read_back: (Message::Ask(ask()));
+    ask_of_a_rerun_is_read_back: (Message::Ask(Ask { generated_tokens: 8, is_recomputed: true, ..ask() }));
     grant_is_read_back: (grant());
     refusal_is_read_back: (refuse());
     progress_is_read_back: (progress());
@@ -244,6 +246,13 @@
     table_update_is_read_back: (table_updates());
 }
 
+/// Guards against asks that differ from those of the preceding build although nothing is run again.
+#[test]
+fn ask_of_another_request_is_encoded_as_before() {
+    let bytes = frame::encode("entry-b1", &Message::Ask(ask())).unwrap();
+    assert!(!bytes.windows(10).any(|window| window == b"recomputed"));
+}
+
 /// Guards against input that terminates the reader, or that is accepted as a frame of this version.
 fn is_skipped(bytes: Vec<u8>, label: &str) {
     let error = frame::decode(&bytes).unwrap_err();
