--- a/crates/kernel/tests/rerun.rs
+++ b/crates/kernel/tests/rerun.rs
@@ -188,6 +188,19 @@
         &["retry TargetBroken", "release 1 on t1 Broken to e2", "ask e2 for 1 except t1",
           "withdraw 1 from e2"],
     );
+    // Guards against a stream that is lost with the owner of its pool.
+    a_silent_owner_sends_the_rerun_elsewhere: (
+        2,
+        &[Step::StopAnswering("e2"), Step::End(1, End::Broken, 40), Step::Wait(1_500)],
+        &["retry TargetBroken", "release 1 on t1 Broken to e2", "ask e2 for 1 except t1",
+          "retry AskTimeout", "withdraw 1 from e2", "ask e3 for 1 except t1"],
+    );
+    // Guards against a rerun that outlasts the shutdown of its VM.
+    a_shutdown_refuses_a_rerun_that_may_outlast_it: (
+        2,
+        &[Step::LeaveWithin(1_000), Step::End(1, End::Broken, 40)],
+        &["refuse 1 ShuttingDown ran Unknown", "release 1 on t1 Broken to e2"],
+    );
     // Guards against a stream that is held open when every pool refuses it.
     a_rerun_that_no_pool_takes_is_refused: (
         2,
--- a/tests/fleet/resumption.rs
+++ b/tests/fleet/resumption.rs
@@ -3,12 +3,13 @@
 
 use std::time::{Duration, Instant};
 
+use futures_util::future::join_all;
 use hornbeamloom_bench::fleet::{config, route_entry, Fleet};
 use hornbeamloom_bench::mock_engine::{Engine, Fault, Framing, ReceivedRequest};
 use hornbeamloom_kernel::cases;
 
 use crate::harness::{
-    block_on, new_attempt_id, new_request, send, start_engines, start_fleet,
+    block_on, call, new_attempt_id, new_request, send, start_engines, start_fleet,
     start_fleet_with_standbys, wait_until, wait_until_served, CallerResponse, CALLER_KEY,
 };
 use crate::relocation::{drain, wait_for_busy_engine};
@@ -16,8 +17,10 @@
 const EVENT_COUNT: u64 = 30;
 const STREAM_BODY: &str = "events=30";
 
-/// Sets the `draft` route to be resumable, with a number of targets that a request may run on.
-async fn make_resumable(fleet: &Fleet, max_attempts: u32) {
+/// Sets the `draft` route to be resumable, with a number of targets that a request may run on, and waits
+/// until the daemon knows all engines: a stream has a standby, or another target for its rerun, only
+/// where the daemon knows of one.
+async fn make_resumable(fleet: &Fleet, engines: &[Engine], max_attempts: u32) {
     let mut config = config(2, &[CALLER_KEY, "k2"]);
     config["routes"][0]["resumable"] = true.into();
     config["routes"][0]["max_attempts"] = max_attempts.into();
@@ -26,13 +29,22 @@
     config["routes"].as_array_mut().expect("routes are a list").push(route);
     fleet.put_config(&config);
     wait_until_served(fleet, "/second/1").await;
+    wait_until("all engines run streams", || async {
+        // Streams that run at a time are spread over all engines that the daemon knows.
+        join_all((0..2 * engines.len()).map(|_| call(fleet, "/second/1", b"events=1"))).await;
+        let requests = fleet.request_log.requests();
+        let has_served =
+            |engine: &Engine| requests.iter().any(|request| request.engine == engine.name());
+        engines.iter().all(has_served)
+    })
+    .await;
 }
 
 /// Starts a fleet with a resumable route and a number of engines.
 async fn start_resumable(engines: usize, max_attempts: u32) -> (Fleet, Vec<Engine>) {
     let fleet = start_fleet().await;
     let engines = start_engines(&fleet, engines).await;
-    make_resumable(&fleet, max_attempts).await;
+    make_resumable(&fleet, &engines, max_attempts).await;
     (fleet, engines)
 }
 
@@ -303,7 +315,7 @@
     block_on(async {
         let fleet = start_fleet_with_standbys().await;
         let engines = start_engines(&fleet, 2).await;
-        make_resumable(&fleet, 2).await;
+        make_resumable(&fleet, &engines, 2).await;
         let attempt_id = new_attempt_id();
         let request = new_request(&fleet, 0, "/draft/1", &attempt_id).body("events=60");
         let inject = async {
