Do not rerun a stream whose prompt came under suspicion meanwhile

In the test with prompts that crash engines, the first request crashed two of them: the death of an engine is known a few milliseconds after the break, when the decision to run the stream again has been made. The suspicion of a prompt part is now checked again before the ask and when the grant is used.

All kernel cases of rerun.rs pass (45). In a fleet run at a machine load of 28, 192 of 193 tests passed; hints::request_beyond_the_limit_of_all_targets_is_refused_at_once failed (refused after 980 ms) and passed in five single runs.

--- a/crates/kernel/src/ask.rs
+++ b/crates/kernel/src/ask.rs
@@ -8,7 +8,7 @@
 use crate::outcome::{Counter, Reason, Refusal, RetryReason};
 use crate::peer::{Ask, Message};
 use crate::request::Id;
-use crate::{retry, route};
+use crate::{relocate, retry, route};
 
 /// Time after which an unanswered ask is sent again, in milliseconds.
 const RESEND_MS: u64 = 500;
@@ -117,6 +117,10 @@
     if state.quarantine.refuses(&request.ask, now) {
         return entry::refuse(state, id, Refusal::new(Reason::Quarantined), now, out);
     }
+    if relocate::is_suspected_rerun(state, request) {
+        out.log(format!("request={id} not run again: its prompt is suspected"));
+        return entry::refuse(state, id, Refusal::new(Reason::TargetFailed), now, out);
+    }
     let view = entry::route_view(state, request, &unresponsive);
     match route::next_destination(&view, &request.ask, &request.tried_zones) {
         Some(destination) => ask_pool(state, id, destination, now, out),
--- a/crates/kernel/src/attempt.rs
+++ b/crates/kernel/src/attempt.rs
@@ -73,7 +73,7 @@
     Expired,
     /// Its zone was taken out, or its target is leaving or wants no request of this VM.
     Left,
-    /// The body has been quarantined since the ask was sent.
+    /// Since the ask was sent, the body has been quarantined, or the prompt of a rerun suspected.
     Quarantined,
     /// This VM was paused and may not know yet that a zone or target has left. No attempt starts
     /// before the given time.
@@ -148,7 +148,8 @@
     if is_leaving || is_out || state.intent.is_zone_out(&grant.pool.zone) {
         return Err(Unusable::Left);
     }
-    if state.quarantine.refuses(&request.ask, now) {
+    let is_suspected = relocate::is_suspected_rerun(state, request);
+    if is_suspected || state.quarantine.refuses(&request.ask, now) {
         return Err(Unusable::Quarantined);
     }
     Ok(())
--- a/crates/kernel/src/relocate.rs
+++ b/crates/kernel/src/relocate.rs
@@ -219,6 +219,14 @@
     verdict
 }
 
+/// Whether a part of the prompt came under suspicion after the attempt of a stream without output had
+/// broken off. The death of its target is known some milliseconds later than the break.
+pub(crate) fn is_suspected_rerun(state: &State, request: &Request) -> bool {
+    let is_rerun = request.options.resumable && request.executed_attempts > 0;
+    let ask = &request.ask;
+    is_rerun && ask.generated_tokens == 0 && state.quarantine.parts().has_suspect(&ask.parts)
+}
+
 /// Changes the ask of a broken stream to one for what its caller lacks.
 pub(crate) fn prepare_rerun(state: &mut State, id: &Id, tokens: u32) {
     let Some(request) = state.entry.requests.get_mut(id) else {
--- a/crates/kernel/tests/rerun.rs
+++ b/crates/kernel/tests/rerun.rs
@@ -251,6 +251,31 @@
     a_sound_request_continues: (8, 0, true);
 }
 
+/// Guards against a prompt that crashes a second target because the death of the first one becomes known
+/// only while the rerun waits for its back-off or its grant.
+fn suspicion_stops_a_rerun(before: &[Step], after: &[Step], is_started: bool) {
+    let mut harness = started(2, &[9]);
+    harness.run(&[Step::End(1, End::Broken, 0)]);
+    harness.run(before);
+    let mut running = common::suspects(&[70]);
+    running[0].parts = vec![9];
+    let death = Death { target: "t1".into(), start_id: 1, running, age_ms: 0 };
+    harness.receive("e2", Message::Death(death));
+    harness.run(after);
+    let has_started = harness.trace.iter().any(|line| line == "start 1 on t2");
+    assert_eq!(has_started, is_started, "{:?}", harness.trace);
+    let is_refused = harness.trace.iter().any(|line| line.starts_with("refuse 1 "));
+    assert_eq!(is_refused, !is_started, "{:?}", harness.trace);
+}
+
+hornbeamloom_kernel::cases! {
+    suspicion_stops_a_rerun;
+
+    a_death_known_during_the_back_off: (&[], &[Step::Wait(100)], false);
+    a_death_known_before_the_grant: (&[Step::Wait(100)], &[Step::Grant(1, "e2", "t2")], false);
+    a_death_known_after_the_start: (&[Step::Wait(100), Step::Grant(1, "e2", "t2")], &[], true);
+}
+
 /// Guards against reruns without a bound when many targets break at once: the budget of retries is
 /// shared by all requests.
 #[test]
--- a/tests/fleet/resumption.rs
+++ b/tests/fleet/resumption.rs
@@ -388,3 +388,37 @@
         assert_eq!(runs(&fleet, &response).len(), 1);
     });
 }
+
+/// Engines that may crash before the part that crashes them is refused: three show the cause, and a
+/// fourth decides where another part has as many deaths.
+const MAX_CRASHES: usize = 4;
+
+/// Guards against reruns that hide the crashes of engines from the quarantine, or carry a deadly prompt
+/// from engine to engine.
+#[test]
+fn prompt_part_that_crashes_engines_is_refused_in_spite_of_reruns() {
+    block_on(async {
+        let (fleet, engines) = start_resumable(8, 2).await;
+        engines.iter().for_each(|engine| engine.set_fault(Fault::CrashesOnPart("dead")));
+        let send_prompt = |parts: String| {
+            let attempt_id = new_attempt_id();
+            // No two requests are alike, so that only their parts can show the cause.
+            let path = format!("/draft/{attempt_id}");
+            let request = new_request(&fleet, 0, &path, &attempt_id).body("events=3");
+            send(request.header("x-prompt-prefix", parts), attempt_id)
+        };
+        let mut last = send_prompt("aa:10,1:5".to_owned()).await;
+        for number in 0..12 {
+            last = send_prompt(format!("aa:10,dead:10,{number:x}:5")).await;
+            let sound = send_prompt(format!("aa:10,bb:10,{number:x}:5")).await;
+            assert_eq!((number, sound.status), (number, 200));
+        }
+        assert_eq!((last.status, runs(&fleet, &last).len()), (503, 0));
+        let is_deadly = |request: &&ReceivedRequest| {
+            let parts = request.header("x-prompt-prefix");
+            request.executed && parts.is_some_and(|parts| parts.contains("dead"))
+        };
+        let crashes = fleet.request_log.requests().iter().filter(is_deadly).count();
+        assert!(crashes <= MAX_CRASHES, "{crashes} engines crashed");
+    });
+}
