Admit and order requests by slack

Under a shortage an entry VM asked one pool after another and let a request wait 100 ms in each queue, so that no queue was long enough to be ordered, asks multiplied, and a refusal told no accurate time.

With the order policy slack, a request to a model service waits in the queue of one pool. Its scheduler orders by priority, fair share and latest useful start, predicts the start from the rate at which room was freed, and lets the request wait, names a pool that can start it earlier, or refuses it with the time at which the backlog is served. Room is reserved for callers that were told to return. Schedulers of a service tell each other their load four times a second.

--- a/crates/kernel/src/accounting.rs
+++ b/crates/kernel/src/accounting.rs
@@ -13,6 +13,7 @@
 use crate::prompt_part;
 use crate::request::{Class, End, Id};
 use crate::schedule;
+use crate::slack_queue;
 use crate::takeover::{self, Rights};
 use crate::target::{CacheBatch, LivenessChange, PollError, Report, REPORT_LAG_MS};
 
@@ -49,7 +50,11 @@
     }
     if pool.queue.find(&ask.id).is_some() {
         // Nothing has changed that would let it start.
-        return pool.queue.renew(ask, now);
+        let timed = slack_queue::timed(pool, ask);
+        return pool.queue.renew(timed.as_ref().unwrap_or(ask), now);
+    }
+    if let Some(ask) = slack_queue::timed(pool, ask) {
+        return handle_timed_ask(state, from, &ask, now, out);
     }
     enqueue(state, from, ask, now, out);
     schedule::run(state, &ask.pool, now, out);
@@ -58,6 +63,15 @@
     }
 }
 
+/// Handles a request that is admitted by slack; `ask.max_wait_ms` is the time for which it may wait.
+fn handle_timed_ask(state: &mut State, from: &str, ask: &Ask, now: Millis, out: &mut Outbox) {
+    let pool = state.pools.get_mut(&ask.pool);
+    let may_return = pool.is_some_and(|pool| pool.outlook.take_return(ask, now));
+    enqueue(state, from, ask, now, out);
+    schedule::run(state, &ask.pool, now, out);
+    slack_queue::review(state, &ask.pool, &ask.id, Some(may_return), now, out);
+}
+
 /// Refuses a request that could not start at once, so that its entry VM asks another pool.
 fn refuse_queued(state: &mut State, from: &str, ask: &Ask, now: Millis, out: &mut Outbox) {
     let queue = state.pools.get_mut(&ask.pool).map(|pool| &mut pool.queue);
@@ -162,7 +176,7 @@
 
 fn refuse(to: &Name, id: &Id, attempt: u32, refusal: Refusal, out: &mut Outbox) {
     let id = id.clone();
-    out.send(to, Message::Refuse { id, attempt, refusal });
+    out.send(to, Message::Refuse { id, attempt, refusal, advice: None });
 }
 
 /// Handles the withdrawal of a request.
@@ -311,6 +325,9 @@
         }
         _ => {}
     }
+    if let Some(first_ms) = release.first_token_ms.filter(|_| running.has_no_earlier_output()) {
+        pool.outlook.record_first_token(running.ask.class, first_ms);
+    }
     let target = &mut pool.targets[running.target_ix];
     if target.name != release.target {
         return;
@@ -491,6 +508,10 @@
         let Some(queued) = pool.queue.remove(&id) else {
             continue;
         };
+        if queued.ask.slack.is_some() && pool.orders_by_slack() {
+            slack_queue::refuse_overdue(pool, decisions, &queued, now, out);
+            continue;
+        }
         let refusal = Refusal::new(Reason::QueueDeadline).with_retry_after(retry_after);
         decisions.record(now, &id, format!("refused: {}", refusal.reason.as_str()));
         refuse(&id.vm, &id, queued.ask.attempt, refusal, out);
--- a/crates/kernel/src/ask.rs
+++ b/crates/kernel/src/ask.rs
@@ -6,9 +6,10 @@
 use crate::kernel::{Outbox, State};
 use crate::map::Map;
 use crate::outcome::{Counter, Reason, Refusal, RetryReason};
-use crate::peer::{Ask, Message};
-use crate::request::Id;
-use crate::{retry, route};
+use crate::peer::{Advice, Ask, Message, Slack};
+use crate::request::{Id, RouteOptions};
+use crate::resource::{Configuration, Protocol, Service};
+use crate::{retry, route, slack};
 
 /// Time after which an unanswered ask is sent again, in milliseconds.
 const RESEND_MS: u64 = 500;
@@ -22,6 +23,13 @@
 const MIN_SPILL_OWNER_TIMEOUT_MS: u64 = 75;
 /// Time for which an owner that did not answer is not asked again, in milliseconds.
 const UNRESPONSIVE_MS: u64 = 3_000;
+/// Time after which an unanswered ask of a request that is admitted by slack is sent again, in
+/// milliseconds. An owner acknowledges one ask in 250 ms.
+const SLACK_RESEND_MS: u64 = 300;
+/// Owner timeout of such a request, in milliseconds.
+const SLACK_OWNER_TIMEOUT_MS: u64 = 600;
+/// A caller honours a delay before a retry up to one part in this many of the time it has left.
+const RETRY_AFTER_DIVISOR: u64 = 3;
 /// Longest wait in one queue for a request that other pools may start, in milliseconds. Targets of
 /// the other pools become free meanwhile.
 const SPILL_QUEUE_MS: u64 = 100;
@@ -159,7 +167,7 @@
     let Some(request) = state.entry.requests.get(id) else {
         return false;
     };
-    if !request.options.spills || request.waits_in_queues {
+    if !request.options.spills || request.waits_in_queues || request.advised_zone.is_some() {
         return false;
     }
     let unresponsive = state.entry.owners.unresponsive(now);
@@ -175,6 +183,9 @@
 
 /// Time after which an unanswered ask is reconsidered, in milliseconds.
 fn timer_delay_ms(request: &Request) -> u64 {
+    if request.ask.slack.is_some() {
+        return SLACK_RESEND_MS;
+    }
     match (request.options.spills, request.ask.spills) {
         (true, true) => owner_timeout_ms(request),
         (true, false) => SPILL_QUEUE_MS,
@@ -186,6 +197,9 @@
 ///
 /// A request that may spill is answered immediately, so the timeout is shorter.
 fn owner_timeout_ms(request: &Request) -> u64 {
+    if request.ask.slack.is_some() {
+        return SLACK_OWNER_TIMEOUT_MS;
+    }
     match (request.options.spills, request.options.queue_timeout_ms) {
         (true, Some(timeout_ms)) => {
             (timeout_ms / 2).clamp(MIN_SPILL_OWNER_TIMEOUT_MS, SPILL_OWNER_TIMEOUT_MS)
@@ -209,7 +223,10 @@
     asking.last_sent = now;
     request.ask.waited_ms = now.since(request.arrived);
     request.ask.max_wait_ms = request.deadline.since(now);
-    if request.options.spills {
+    if let (Some(slack), Some(timeout_ms)) = (&mut request.ask.slack, request.options.timeout_ms) {
+        let left_ms = timeout_ms.saturating_sub(request.ask.waited_ms);
+        slack.max_retry_after_ms = left_ms / RETRY_AFTER_DIVISOR;
+    } else if request.options.spills {
         request.ask.max_wait_ms = request.ask.max_wait_ms.min(SPILL_QUEUE_MS);
     }
     let mut ask = request.ask.clone();
@@ -236,7 +253,9 @@
     }
     // No pool can start the request before its deadline, so it need not wait for that.
     let is_hopeless = request.soonest_start.is_some_and(|at| at > request.deadline);
-    if request.options.spills && now < request.deadline && !is_hopeless {
+    // A scheduler that decides by slack has let the request wait for as long as that helps.
+    let was_decided = request.ask.slack.is_some() && request.first_refusal.is_some();
+    if request.options.spills && now < request.deadline && !is_hopeless && !was_decided {
         // Every pool was asked. From now on the request waits in their queues, one after another.
         request.waits_in_queues = true;
         request.tried_zones.clear();
@@ -328,7 +347,8 @@
     if state.intent.is_zone_out(&ask.pool.zone) {
         return TimerAction::AskAgain;
     }
-    if request.options.spills && !ask.spills && now.since(asking.since) >= SPILL_QUEUE_MS {
+    let waits_briefly = request.options.spills && !ask.spills && ask.slack.is_none();
+    if waits_briefly && now.since(asking.since) >= SPILL_QUEUE_MS {
         return TimerAction::TryNextPool;
     }
     let own_vm = state.members.own();
@@ -413,16 +433,37 @@
     entry::refuse(state, id, refusal, now, out);
 }
 
+/// The terms of a request that is admitted by slack; `None` for any other.
+pub(crate) fn slack_terms(
+    service: &Service,
+    config: Option<&Configuration>,
+    options: &RouteOptions,
+) -> Option<Slack> {
+    let is_on = config.is_some_and(|config| *config.policy.order == *slack::ORDER);
+    let is_route = options.spills && options.queue_timeout_ms.is_some();
+    let timeout_ms = options.timeout_ms.unwrap_or(u64::MAX);
+    let is_admitted = is_on && is_route && service.protocol == Protocol::Model;
+    is_admitted.then_some(Slack { max_retry_after_ms: timeout_ms / RETRY_AFTER_DIVISOR })
+}
+
+/// The refusal of one attempt by an owner.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Answer<'a> {
+    pub(crate) id: &'a Id,
+    pub(crate) attempt: u32,
+    pub(crate) refusal: &'a Refusal,
+    pub(crate) advice: Option<&'a Advice>,
+}
+
 /// An owner refused to start a request.
 pub(crate) fn on_refusal(
     state: &mut State,
     from: &str,
-    id: &Id,
-    attempt: u32,
-    refusal: &Refusal,
+    answer: &Answer<'_>,
     now: Millis,
     out: &mut Outbox,
 ) {
+    let Answer { id, attempt, refusal, advice } = *answer;
     let Some(request) = state.entry.requests.get_mut(id) else {
         return;
     };
@@ -437,10 +478,14 @@
     let reason = refusal.reason;
     let text = format!("{from} refused for {zone}: {}", reason.as_str());
     state.decisions.record(now, id, text);
-    if !is_pool_specific(reason) {
+    if !is_pool_specific(reason) || advice == Some(&Advice::Stop) {
         return entry::refuse(state, id, refusal.clone(), now, out);
     }
     request.tried_zones.push(zone);
+    if let Some(Advice::Ask(zone)) = advice {
+        request.advised_zone = Some(zone.clone());
+        return request_start(state, id, now, out);
+    }
     request.first_refusal.get_or_insert_with(|| refusal.clone());
     let start = match (reason, refusal.retry_after_ms) {
         (Reason::RateLimited, Some(ms)) => now.after(ms),
--- a/crates/kernel/src/attempt.rs
+++ b/crates/kernel/src/attempt.rs
@@ -475,6 +475,7 @@
         return;
     };
     request.tried_zones.clear();
+    request.advised_zone = None;
     request.first_refusal = None;
     request.soonest_start = None;
     if let Phase::Running(run) = &request.phase {
--- a/crates/kernel/src/entry.rs
+++ b/crates/kernel/src/entry.rs
@@ -13,7 +13,7 @@
 use crate::peer::{Ask, Message};
 use crate::plugin::control;
 use crate::request::{Class, Id, Idempotency, RouteOptions, View};
-use crate::{ask, attempt, claim, pool, relocate, retry, route, usage};
+use crate::{ask, attempt, claim, ingress, pool, relocate, retry, route, usage};
 
 /// Limit on requests that this VM handles concurrently. The daemon accepts 4,096 connections by
 /// default.
@@ -73,6 +73,8 @@
     /// The request waits in queues. Until it is set, pools that cannot start the request
     /// immediately are skipped.
     pub(crate) waits_in_queues: bool,
+    /// The zone that the scheduler of another pool named as able to start the request earlier.
+    pub(crate) advised_zone: Option<Name>,
     /// The zone tried first: this VM's for a new request; for a next placement, the zone of the
     /// standby or else of the running placement.
     pub(crate) preferred_zone: Name,
@@ -117,6 +119,7 @@
             executed_attempts: 0,
             options: running.options,
             waits_in_queues: false,
+            advised_zone: None,
             relocation_source: Some(source),
             next_placement: None,
             retries: 0,
@@ -192,9 +195,10 @@
             state.entry.owners.record_answer(from, now);
             attempt::on_grant(state, from, grant, now, out);
         }
-        Message::Refuse { id, attempt, refusal } => {
+        Message::Refuse { id, attempt, refusal, advice } => {
             state.entry.owners.record_answer(from, now);
-            ask::on_refusal(state, from, id, *attempt, refusal, now, out);
+            let answer = ask::Answer { id, attempt: *attempt, refusal, advice: advice.as_ref() };
+            ask::on_refusal(state, from, &answer, now, out);
         }
         Message::Hello { pool, fence } => attempt::send_inventory(state, from, pool, *fence, out),
         _ => {}
@@ -269,8 +273,13 @@
         spills: false,
         standby_target: None,
         generated_tokens: 0,
+        slack: ask::slack_terms(service, config, &view.options),
+    };
+    let timeout_ms = match (ask.slack, view.options.queue_timeout_ms) {
+        // The scheduler subtracts the time to the first token that it expects.
+        (Some(_), Some(queue_ms)) => ingress::latency_target_ms(queue_ms),
+        (_, queue_ms) => queue_ms.unwrap_or(service.queue_ms),
     };
-    let timeout_ms = view.options.queue_timeout_ms.unwrap_or(service.queue_ms);
     Ok(Request {
         ask,
         arrived: now,
@@ -280,6 +289,7 @@
         executed_attempts: 0,
         options: view.options,
         waits_in_queues: false,
+        advised_zone: None,
         preferred_zone: state.identity.zone.clone(),
         relocation_source: None,
         next_placement: None,
@@ -515,11 +525,12 @@
     unresponsive: &'a [Name],
 ) -> route::View<'a> {
     // Copying a KV cache within a zone takes half as long as copying it between zones.
-    let preferred_zone = match request.relocation_source {
-        Some(_) => &request.preferred_zone,
-        None => &state.identity.zone,
+    let preferred_zone = match (&request.relocation_source, &request.advised_zone) {
+        (Some(_), _) => &request.preferred_zone,
+        (None, Some(advised)) => advised,
+        (None, None) => &state.identity.zone,
     };
-    let is_new = request.relocation_source.is_none();
+    let is_new = request.relocation_source.is_none() && request.advised_zone.is_none();
     let usage = Some(&state.entry.usage).filter(|_| request.options.balances_zones && is_new);
     let now = state.entry.last_event_at.unwrap_or_default();
     route::View {
--- a/crates/kernel/src/headroom.rs
+++ b/crates/kernel/src/headroom.rs
@@ -104,6 +104,13 @@
         && !has_memory(view, ask, ix)
 }
 
+/// Returns the KV tokens of a target that neither running nor untracked requests are projected to
+/// use.
+pub(crate) fn free_kv(view: &policy::View<'_>, ix: usize) -> u64 {
+    let used = view.pool.projected_peak_kv(ix, None) + view.pool.untracked_kv(ix, view.now);
+    plannable_kv(view, &view.pool.targets[ix]).saturating_sub(used)
+}
+
 /// Returns the KV tokens of a target that projected use may fill.
 fn plannable_kv(view: &policy::View<'_>, target: &TargetState) -> u64 {
     target.kv_capacity() * u64::from(view.pool.config.kv_percent) / 100
--- a/crates/kernel/src/in_flight.rs
+++ b/crates/kernel/src/in_flight.rs
@@ -53,6 +53,11 @@
         }
     }
 
+    /// Returns whether its generation began here and not on an earlier target.
+    pub(crate) fn has_no_earlier_output(&self) -> bool {
+        self.ask.generated_tokens == 0
+    }
+
     /// Returns whether no output of its generation is known, here or on earlier targets.
     pub fn has_no_output(&self) -> bool {
         self.tokens == 0 && self.ask.generated_tokens == 0
--- a/crates/kernel/src/ingress.rs
+++ b/crates/kernel/src/ingress.rs
@@ -12,6 +12,11 @@
 /// half to process the prompt.
 const QUEUE_TIMEOUT_DIVISOR: u64 = 2;
 
+/// The target latency of a route whose requests have this queue timeout, both in milliseconds.
+pub(crate) fn latency_target_ms(queue_timeout_ms: u64) -> u64 {
+    queue_timeout_ms.saturating_mul(QUEUE_TIMEOUT_DIVISOR)
+}
+
 /// Routes by host and path prefix. A lookup takes one step for each length that the prefixes of the
 /// host have, and none for each route.
 #[derive(Debug, Default)]
--- a/crates/kernel/src/overload.rs
+++ b/crates/kernel/src/overload.rs
@@ -21,6 +21,10 @@
     if pool.queue.len() >= pool.config.pool_queue as usize {
         return refuse(Reason::PoolQueue);
     }
+    // The scheduler decides on these by slack.
+    if ask.slack.is_some() && pool.orders_by_slack() {
+        return Ok(());
+    }
     let wait = pool.start_rate.expected_wait(&pool.queue, ask, view.now);
     if ask.max_wait_ms == 0 || wait.is_some_and(|wait| wait > ask.max_wait_ms) {
         return refuse(Reason::QueueDeadline);
--- a/crates/kernel/src/peer.rs
+++ b/crates/kernel/src/peer.rs
@@ -37,6 +37,9 @@
         attempt: u32,
         /// The reason.
         refusal: Refusal,
+        /// What to do next, if the scheduler knows the load of the other pools.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        advice: Option<Advice>,
     },
     /// Cancels an ask: the request no longer needs to start.
     Withdraw {
@@ -134,6 +137,14 @@
         /// Whether it leaves.
         is_leaving: bool,
     },
+    /// Tells the schedulers of a service's other pools the load of one. Sent four times a second
+    /// where requests are admitted by slack.
+    Load {
+        /// The pool.
+        pool: pool::Key,
+        /// Its load.
+        load: Load,
+    },
     /// Announces that a target running requests of the receiver is about to leave.
     Departing {
         /// The target.
@@ -266,6 +277,40 @@
     pub generated_tokens: u32,
     /// Targets that must not be selected.
     pub exclude: Vec<Name>,
+    /// Present if the scheduler decides by slack how long the request waits in its queue. The first
+    /// token is then due in `max_wait_ms`, and a request that `spills` may be moved.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub slack: Option<Slack>,
+}
+
+/// Terms of a request whose admission is decided by slack.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Slack {
+    /// Longest delay before a retry that the caller honours, in milliseconds.
+    pub max_retry_after_ms: u64,
+}
+
+/// What an entry VM does after a refusal that was decided by slack.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum Advice {
+    /// No pool can start the request in time.
+    Stop,
+    /// The pool of this zone can start the request earlier.
+    Ask(Name),
+}
+
+/// The load of a pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Load {
+    /// Expected wait of a new request, in milliseconds; zero if there is room.
+    pub wait_ms: u64,
+    /// Free room in tokens of KV memory.
+    pub room: u64,
+    /// Tokens of room freed per second; zero if unknown.
+    pub rate: u64,
 }
 
 /// Permission to start one attempt on a target.
@@ -398,6 +443,7 @@
     ///     standby_target: None,
     ///     generated_tokens: 0,
     ///     exclude: Vec::new(),
+    ///     slack: None,
     /// };
     /// assert_eq!(ask.arrived(Millis(1_000)), Millis(700));
     /// ```
--- a/crates/kernel/src/pool.rs
+++ b/crates/kernel/src/pool.rs
@@ -21,6 +21,8 @@
 use crate::request::{Class, Id};
 use crate::resource::{self, Protocol};
 use crate::schedule::{self, ActivePolicies};
+use crate::slack::Outlook;
+use crate::slack_queue;
 use crate::takeover::{self, Hint, Rights, Takeover, VmList, HANDOVER_COOLDOWN_MS};
 use crate::target::{Phase, TargetState};
 
@@ -107,7 +109,8 @@
     pub(crate) last_polled: Option<Millis>,
     pub(crate) last_announced: Option<Millis>,
     pub(crate) start_rate: StartRate,
-    protocol: Protocol,
+    pub(crate) outlook: Outlook,
+    pub(crate) protocol: Protocol,
 }
 
 /// The pools that this VM schedules.
@@ -233,6 +236,7 @@
             takeover::store_snapshot(&mut state.pools, snapshot, now, out)
         }
         Message::Targets { pool, warm, .. } => store_hint(state, pool, warm, now),
+        Message::Load { pool, load } => slack_queue::record_load(state, pool, *load, now),
         Message::Hello { pool, .. } => takeover::forward_hint(state, from, pool, now, out),
         _ => {}
     }
@@ -283,6 +287,7 @@
         polling::poll_targets(state, key, now, out);
         accounting::announce_targets(state, key, now, out);
         schedule::run(state, key, now, out);
+        slack_queue::run_periodic(state, key, now, out);
     }
     let pools = &mut state.pools;
     pools.handed_over.retain(|_, at| now.since(*at) < HANDOVER_COOLDOWN_MS);
@@ -312,6 +317,7 @@
             last_announced: None,
             protocol: Protocol::Model,
             start_rate: StartRate::default(),
+            outlook: Outlook::default(),
         }
     }
 
@@ -482,17 +488,6 @@
         self.queue.charge(&name, 2 * grown, now);
     }
 
-    /// Drops the reservation if its request no longer waits or its target is leaving.
-    pub(crate) fn drop_void_reservation(&mut self) {
-        let is_void = |reservation: &Reservation| {
-            self.queue.find(&reservation.id).is_none()
-                || self.targets.get(reservation.target_ix).is_none_or(TargetState::is_leaving)
-        };
-        if self.reservation.as_ref().is_some_and(is_void) {
-            self.reservation = None;
-        }
-    }
-
     fn is_unused(&self, now: Millis) -> bool {
         // The last holder keeps its state: no other VM can take it over while the store is down.
         !matches!(self.rights, Rights::Holder(_) | Rights::LapsedHolder)
--- a/crates/kernel/src/prefill.rs
+++ b/crates/kernel/src/prefill.rs
@@ -36,7 +36,7 @@
 /// Only a request that may go to another pool is kept away: a late first token is better than none.
 fn filter(view: &policy::View<'_>, ask: &Ask, ix: usize) -> bool {
     let is_engine = view.pool.targets[ix].kv_capacity() > 0;
-    let may_wait = ask.spills && ask.generated_tokens == 0 && is_engine;
+    let may_wait = (ask.spills || ask.slack.is_some()) && ask.generated_tokens == 0 && is_engine;
     !may_wait || pending_prompts(view, ix).count() < MAX_PENDING_PROMPTS
 }
 
--- a/crates/kernel/src/queue.rs
+++ b/crates/kernel/src/queue.rs
@@ -161,6 +161,11 @@
         let waiting = organisation.waiting_mut(class);
         match is_relocated {
             true => waiting.push_front(QueuedRequest::new(ask, now)),
+            false if ask.slack.is_some() => {
+                let queued = QueuedRequest::new(ask, now);
+                let ix = waiting.partition_point(|earlier| earlier.deadline <= queued.deadline);
+                waiting.insert(ix, queued);
+            }
             false => waiting.push_back(QueuedRequest::new(ask, now)),
         }
         let ix = self.index_by_name[&name];
--- a/crates/kernel/src/resource.rs
+++ b/crates/kernel/src/resource.rs
@@ -315,7 +315,7 @@
 #[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase", deny_unknown_fields, default)]
 pub struct Policy {
-    /// The `Order` policy: `fair` or `fifo`.
+    /// The `Order` policy: `fair`, `fifo` or `slack`.
     pub order: Name,
     /// The `Score` policies; their scores are added up.
     pub score: Vec<Name>,
--- a/crates/kernel/src/schedule.rs
+++ b/crates/kernel/src/schedule.rs
@@ -14,7 +14,9 @@
 use crate::quarantine::Registry;
 use crate::request::{Class, Id};
 use crate::resource;
+use crate::slack;
 use crate::takeover;
+use crate::target::TargetState;
 
 /// Number of requests tried from the front of each queue, so that one which must avoid some targets
 /// does not block those behind it.
@@ -100,6 +102,7 @@
     }
     if pool.queue.is_empty() {
         pool.start_rate.reset();
+        pool.outlook.record_empty_queue(now);
     }
 }
 
@@ -184,6 +187,7 @@
         standby_target: None,
         generated_tokens: 0,
         exclude: Vec::new(),
+        slack: None,
     };
     let reserved = view.pool.reservation.as_ref().map(|reserved| reserved.target_ix);
     (0..view.pool.targets.len())
@@ -191,6 +195,13 @@
         .collect()
 }
 
+/// Returns the KV tokens that the pool's open targets have free.
+pub(crate) fn free_room(pool: &Pool, quarantine: &Registry, now: Millis) -> u64 {
+    let view = policy::View { pool, quarantine, now };
+    let open = candidate_targets(&view, Class::Long).into_iter();
+    open.map(|ix| headroom::free_kv(&view, ix)).sum()
+}
+
 fn passes_filters(view: &policy::View<'_>, ask: &Ask, ix: usize) -> bool {
     view.pool.policies.filter.iter().all(|filter| filter(view, ask, ix))
 }
@@ -215,6 +226,9 @@
 /// Counts a bypass of the first request in order, and reserves a target for it after
 /// [`MAX_BYPASSES`] in succession.
 fn record_bypass(pool: &mut Pool, quarantine: &Registry, id: &Id, now: Millis) {
+    if pool.queue.find(id).is_some_and(|queued| slack::may_be_passed(queued, now)) {
+        return;
+    }
     let bypasses = match &pool.bypassed {
         Some((bypassed, bypasses)) if bypassed == id => bypasses + 1,
         _ => 1,
@@ -234,6 +248,19 @@
     pool.reservation = target_ix.map(|target_ix| Reservation { id: id.clone(), class, target_ix });
 }
 
+impl Pool {
+    /// Drops the reservation if its request no longer waits or its target is leaving.
+    pub(crate) fn drop_void_reservation(&mut self) {
+        let is_void = |reservation: &Reservation| {
+            self.queue.find(&reservation.id).is_none()
+                || self.targets.get(reservation.target_ix).is_none_or(TargetState::is_leaving)
+        };
+        if self.reservation.as_ref().is_some_and(is_void) {
+            self.reservation = None;
+        }
+    }
+}
+
 /// Returns the reason for an assignment, for the log of the request.
 fn explain(pool: &Pool, quarantine: &Registry, assignment: &Assignment, now: Millis) -> String {
     let view = policy::View { pool, quarantine, now };
@@ -286,6 +313,7 @@
         usage,
         limit,
     };
+    pool.outlook.record_start(&ask, now);
     let mut running = InFlightRequest::new(ask, assignment.target_ix, now);
     running.grant = Some(grant.clone());
     pool.add_request(running);
--- /dev/null
+++ b/crates/kernel/src/slack_queue.rs
@@ -0,0 +1,145 @@
+//! Applies the decisions of `slack` to the queues of the pools that this VM schedules.
+
+use crate::explain::DecisionLog;
+use crate::ids::{Millis, Name};
+use crate::intent::Intent;
+use crate::kernel::{Outbox, State};
+use crate::outcome::{Counter, Reason, Refusal};
+use crate::peer::{Advice, Ask, Load, Message};
+use crate::pool::{Key, Pool};
+use crate::queue::QueuedRequest;
+use crate::request::Id;
+use crate::schedule;
+use crate::slack::{self, Decision};
+use crate::takeover::Rights;
+
+/// Number of waiting requests that are reviewed in each round, those with the least time first.
+const MAX_REVIEWS: usize = 32;
+
+/// The ask with the time for which the request may wait for its start in place of the time to its
+/// first token, if it is admitted by slack.
+pub(crate) fn timed(pool: &Pool, ask: &Ask) -> Option<Ask> {
+    if ask.slack.is_none() || !pool.orders_by_slack() {
+        return None;
+    }
+    let ask = Ask { class: pool.classify(ask), ..ask.clone() };
+    let max_wait_ms = pool.outlook.useful_wait_ms(&ask);
+    Some(Ask { max_wait_ms, ..ask })
+}
+
+/// Decides on a waiting request. `may_return` is absent if it was admitted earlier, and otherwise
+/// says whether its room was reserved when it was told to retry.
+pub(crate) fn review(
+    state: &mut State,
+    key: &Key,
+    id: &Id,
+    may_return: Option<bool>,
+    now: Millis,
+    out: &mut Outbox,
+) {
+    let State { pools, decisions, .. } = state;
+    let Some(pool) = pools.get_mut(key) else {
+        return;
+    };
+    if may_return == Some(true) {
+        out.count(Counter::Event("slack_return"));
+    }
+    let Some(queued) = pool.queue.find(id).cloned() else {
+        return;
+    };
+    let decision =
+        slack::decide(pool, &queued, may_return.unwrap_or(false), may_return.is_none(), now);
+    let is_unchanged = may_return.is_none() && matches!(decision, Decision::Wait { .. });
+    if !is_unchanged {
+        decisions.record(now, id, slack::explain(pool, &queued, &decision, now));
+    }
+    match decision {
+        Decision::Wait { .. } => {}
+        Decision::Move(zone) => {
+            pool.queue.remove(id);
+            pool.outlook.record_move(&zone, &queued.ask);
+            out.count(Counter::Event("slack_move"));
+            refuse(&queued, Refusal::new(Reason::Busy), Some(Advice::Ask(zone)), out);
+        }
+        Decision::Refuse { retry_after_ms, is_reservable, is_final } => {
+            pool.queue.remove(id);
+            let is_final = is_final || !queued.ask.spills;
+            if is_final && is_reservable {
+                pool.outlook.reserve_return(&queued.ask, retry_after_ms, now);
+            }
+            out.count(Counter::Event("slack_refusal"));
+            let refusal = Refusal::new(Reason::QueueDeadline).with_retry_after(retry_after_ms);
+            refuse(&queued, refusal, is_final.then_some(Advice::Stop), out);
+        }
+    }
+}
+
+/// Refuses a request that has reached its latest useful start and was removed from the queue.
+pub(crate) fn refuse_overdue(
+    pool: &mut Pool,
+    decisions: &mut DecisionLog,
+    queued: &QueuedRequest,
+    now: Millis,
+    out: &mut Outbox,
+) {
+    let (retry_after_ms, is_reservable) = slack::overdue_retry_after(pool, &queued.ask, now);
+    if is_reservable {
+        pool.outlook.reserve_return(&queued.ask, retry_after_ms, now);
+    }
+    let text = format!("slack: latest useful start reached, retry after {retry_after_ms} ms");
+    decisions.record(now, &queued.ask.id, text);
+    out.count(Counter::Event("slack_overdue"));
+    let refusal = Refusal::new(Reason::QueueDeadline).with_retry_after(retry_after_ms);
+    refuse(queued, refusal, Some(Advice::Stop), out);
+}
+
+fn refuse(queued: &QueuedRequest, refusal: Refusal, advice: Option<Advice>, out: &mut Outbox) {
+    let (id, attempt) = (queued.ask.id.clone(), queued.ask.attempt);
+    out.send(&id.vm.clone(), Message::Refuse { id, attempt, refusal, advice });
+}
+
+/// Records the load that the scheduler of another pool has sent.
+pub(crate) fn record_load(state: &mut State, key: &Key, load: Load, now: Millis) {
+    let pools = state.pools.pools.values_mut();
+    for pool in pools.filter(|pool| pool.key.service == key.service && pool.key != *key) {
+        pool.outlook.record_load(&key.zone, load, now);
+    }
+}
+
+/// Sends the pool's load to the schedulers of the service's other pools, and reviews the waiting
+/// requests that have the least time.
+pub(crate) fn run_periodic(state: &mut State, key: &Key, now: Millis, out: &mut Outbox) {
+    let State { pools, intent, quarantine, members, .. } = state;
+    let Some(pool) = pools.get_mut(key).filter(|pool| pool.orders_by_slack()) else {
+        return;
+    };
+    pool.outlook.zones = other_zones(intent, key);
+    if matches!(pool.rights, Rights::Holder(_) | Rights::LapsedHolder) {
+        let load = slack::load(pool, schedule::free_room(pool, quarantine, now), now);
+        for zone in &pool.outlook.zones {
+            let other = Key { service: key.service.clone(), zone: zone.clone() };
+            if let Some((owner, _)) = members.owner(&other) {
+                out.send(owner, Message::Load { pool: key.clone(), load });
+            }
+        }
+    }
+    let waiting = pool.queue.iter().filter(|queued| queued.ask.slack.is_some());
+    let mut waiting: Vec<(Millis, Id)> =
+        waiting.map(|queued| (queued.deadline, queued.ask.id.clone())).collect();
+    waiting.sort();
+    waiting.truncate(MAX_REVIEWS);
+    for (_, id) in &waiting {
+        review(state, key, id, None, now, out);
+    }
+}
+
+/// The other zones in service that have targets of the service.
+fn other_zones(intent: &Intent, key: &Key) -> Vec<Name> {
+    let targets = intent.targets().into_iter().map(|(_, target)| target);
+    let usable = targets.filter(|target| target.service == key.service && !target.leaving);
+    let mut zones: Vec<Name> = usable.map(|target| target.zone.clone()).collect();
+    zones.sort();
+    zones.dedup();
+    zones.retain(|zone| *zone != key.zone && !intent.is_zone_out(zone));
+    zones
+}
--- a/crates/kernel/tests/common/mod.rs
+++ b/crates/kernel/tests/common/mod.rs
@@ -475,7 +475,7 @@
             Step::RefusePlacement(n, from, reason) => {
                 let id = id(n).next_placement();
                 let (attempt, refusal) = (self.last_attempt(id.counter), Refusal::new(reason));
-                self.receive(from, Message::Refuse { id, attempt, refusal });
+                self.receive(from, Message::Refuse { id, attempt, refusal, advice: None });
             }
             Step::EndPlacement(n, end) => {
                 let id = &id(n).next_placement();
@@ -501,7 +501,7 @@
             Step::GrantAttempt(n, attempt, from, target) => self.grant(n, attempt, from, target),
             Step::Refuse(n, from, reason) => {
                 let (id, attempt, refusal) = (id(n), self.last_attempt(n), Refusal::new(reason));
-                let refuse = Message::Refuse { id, attempt, refusal };
+                let refuse = Message::Refuse { id, attempt, refusal, advice: None };
                 self.receive(from, refuse);
             }
             Step::StartSend(n) => {
--- a/crates/kernel/tests/entry.rs
+++ b/crates/kernel/tests/entry.rs
@@ -449,6 +449,7 @@
         spills: false,
         standby_target: None,
         generated_tokens: 0,
+        slack: None,
     };
     for _ in 0..asks {
         harness.receive("e3", Message::Ask(ask.clone()));
--- a/crates/kernel/tests/fleet/mod.rs
+++ b/crates/kernel/tests/fleet/mod.rs
@@ -12,11 +12,12 @@
 use hornbeamloom_kernel::ids::{Fence, Incarnation, Millis, Name, Revision};
 use hornbeamloom_kernel::kernel::{Identity, Kernel};
 use hornbeamloom_kernel::map::Map;
-use hornbeamloom_kernel::outcome::{Counter, Outcome};
+use hornbeamloom_kernel::outcome::{Counter, Outcome, Refusal, Start};
 use hornbeamloom_kernel::peer::{Delta, Message};
 use hornbeamloom_kernel::pool::Key;
 use hornbeamloom_kernel::reach::Path;
 use hornbeamloom_kernel::reconcile::Order;
+use hornbeamloom_kernel::request::Id;
 use hornbeamloom_kernel::resource::{self, Kind, Record, Spec};
 use hornbeamloom_kernel::store::{
     self, Answer, Call, Condition, Family, Op, Value, Write, WriteResult,
@@ -56,6 +57,12 @@
     pub probes: Vec<Name>,
     /// The VMs that relay its connections to targets.
     pub relays: Vec<Name>,
+    /// The attempts that it was told to start.
+    pub starts: Vec<Start>,
+    /// The requests that it refused.
+    pub refusals: Vec<(Id, Refusal)>,
+    /// The targets whose reports it asked for.
+    pub polls: Vec<Name>,
     /// Number of messages sent.
     pub sent_messages: u64,
     pub max_gossip_items: usize,
@@ -135,6 +142,9 @@
             orders: Vec::new(),
             probes: Vec::new(),
             relays: Vec::new(),
+            starts: Vec::new(),
+            refusals: Vec::new(),
+            polls: Vec::new(),
             sent_messages: 0,
             max_gossip_items: 0,
             clock_offset_ms,
@@ -244,6 +254,9 @@
         match outcome {
             Outcome::Send { address: to, message, .. } => self.send(ix, &to, message),
             Outcome::Store(call) => self.call_store(ix, call),
+            Outcome::Start(start) => self.nodes[ix].starts.push(start),
+            Outcome::Refuse { id, refusal } => self.nodes[ix].refusals.push((id, refusal)),
+            Outcome::Poll { target, .. } => self.nodes[ix].polls.push(target),
             Outcome::Probe { target, .. } => self.nodes[ix].probes.push(target),
             Outcome::SetPath(path) => {
                 self.nodes[ix].relays = match &path {
--- a/crates/kernel/tests/pool/harness.rs
+++ b/crates/kernel/tests/pool/harness.rs
@@ -425,6 +425,7 @@
             spills: false,
             standby_target: None,
             generated_tokens: 0,
+            slack: None,
         }
     }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -21,7 +21,7 @@
 const CBOR_ARRAY: u8 = 4;
 
 /// Kinds of message that this version decodes.
-pub const KINDS: [&str; 20] = [
+pub const KINDS: [&str; 21] = [
     "gossip",
     "delta",
     "pull",
@@ -42,6 +42,7 @@
     "backpressure",
     "subscribe",
     "table_updates",
+    "load",
 ];
 
 /// A decoded frame.
@@ -119,6 +120,7 @@
         Message::Subscribe { .. } => "subscribe",
         Message::TableUpdates { .. } => "table_updates",
         Message::Departing { .. } => "departing",
+        Message::Load { .. } => "load",
         Message::Backpressure { .. } => "backpressure",
     }
 }
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -5,8 +5,8 @@
 use hornbeamloom_kernel::ids::{Fence, Incarnation, Millis, Revision};
 use hornbeamloom_kernel::outcome::{Reason, Refusal};
 use hornbeamloom_kernel::peer::{
-    Ask, Death, Delta, Gossip, Grant, Heartbeat, MemberEntry, MemberStatus, Message, Progress,
-    Release, Running, Suspect,
+    Advice, Ask, Death, Delta, Gossip, Grant, Heartbeat, Load, MemberEntry, MemberStatus, Message,
+    Progress, Release, Running, Slack, Suspect,
 };
 use hornbeamloom_kernel::pool::Key;
 use hornbeamloom_kernel::request::{Class, End, Id};
@@ -85,6 +85,7 @@
         spills: false,
         standby_target: None,
         generated_tokens: 0,
+        slack: None,
     }
 }
 
@@ -126,6 +127,7 @@
         id: id(),
         attempt: 1,
         refusal: Refusal::new(Reason::PoolQueue).with_retry_after(900),
+        advice: Some(Advice::Ask("riga-b".into())),
     }
 }
 
@@ -193,6 +195,28 @@
     Message::TableUpdates { sent: Millis(5), incarnation: Incarnation(3), updates }
 }
 
+const TERMS: Slack = Slack { max_retry_after_ms: 2_000 };
+const LOAD: Load = Load { wait_ms: 40, room: 9_000, rate: 70_000 };
+
+/// Guards against fields of admission by slack in the messages of a deployment without it, which
+/// are the same as in earlier versions.
+fn is_unchanged(message: Message, field: &str) {
+    let bytes = frame::encode("entry-b1", &message).unwrap();
+    let is_there = bytes.windows(field.len()).any(|window| window == field.as_bytes());
+    assert!(!is_there, "{field} is encoded");
+}
+
+cases! {
+    is_unchanged;
+    ask_without_terms_is_unchanged: (Message::Ask(ask()), "slack");
+    refusal_without_advice_is_unchanged: (Message::Refuse {
+        id: id(),
+        attempt: 1,
+        refusal: Refusal::new(Reason::Busy),
+        advice: None,
+    }, "advice");
+}
+
 fn sample_messages() -> Vec<Message> {
     vec![
         gossip(),
@@ -230,6 +254,8 @@
     delta_is_read_back: (delta());
     pull_is_read_back: (Message::Pull { from: Revision(3) });
     ask_is_read_back: (Message::Ask(ask()));
+    ask_on_terms_is_read_back: (Message::Ask(Ask { slack: Some(TERMS), ..ask() }));
+    load_is_read_back: (Message::Load { pool: pool(), load: LOAD });
     grant_is_read_back: (grant());
     refusal_is_read_back: (refuse());
     progress_is_read_back: (progress());
