Predict starts from the ends of running requests

The rate of past starts misled admission by slack after a burst, because generations that started together end together: callers were told to return within one second of each other and were refused again. The scheduler now forecasts the room of each target from the progress of what runs there, tells each refused caller a time after those told before, and lets a caller that returned as told start late instead of refusing it a second time. Pending prompts still limit starts while memory is free, and there the rate is used.

--- a/crates/kernel/src/accounting.rs
+++ b/crates/kernel/src/accounting.rs
@@ -13,9 +13,9 @@
 use crate::prompt_part;
 use crate::request::{Class, End, Id};
 use crate::schedule;
-use crate::slack_queue;
 use crate::takeover::{self, Rights};
 use crate::target::{CacheBatch, LivenessChange, PollError, Report, REPORT_LAG_MS};
+use crate::{slack, slack_queue};
 
 /// Interval at which a holder announces its targets to the VMs of the zone.
 const ANNOUNCE_INTERVAL_MS: u64 = 1_000;
@@ -69,7 +69,7 @@
     let may_return = pool.is_some_and(|pool| pool.outlook.take_return(ask, now));
     enqueue(state, from, ask, now, out);
     schedule::run(state, &ask.pool, now, out);
-    slack_queue::review(state, &ask.pool, &ask.id, Some(may_return), now, out);
+    slack_queue::decide_new(state, &ask.pool, &ask.id, may_return, now, out);
 }
 
 /// Refuses a request that could not start at once, so that its entry VM asks another pool.
@@ -327,6 +327,10 @@
     }
     if let Some(first_ms) = release.first_token_ms.filter(|_| running.has_no_earlier_output()) {
         pool.outlook.record_first_token(running.ask.class, first_ms);
+        if release.end == End::Complete && release.tokens >= slack::MIN_PACE_TOKENS {
+            let ms = now.since(running.granted_at).saturating_sub(first_ms.into());
+            pool.outlook.record_pace(release.tokens, ms);
+        }
     }
     let target = &mut pool.targets[running.target_ix];
     if target.name != release.target {
@@ -490,7 +494,7 @@
 /// Ends requests that have waited too long or whose entry VM has been silent for too long.
 pub(crate) fn expire(state: &mut State, key: &Key, now: Millis, out: &mut Outbox) {
     let latest = latest_incarnations(state);
-    let State { pools, decisions, .. } = state;
+    let State { pools, decisions, quarantine, .. } = state;
     let Some(pool) = pools.get_mut(key) else {
         return;
     };
@@ -509,7 +513,7 @@
             continue;
         };
         if queued.ask.slack.is_some() && pool.orders_by_slack() {
-            slack_queue::refuse_overdue(pool, decisions, &queued, now, out);
+            slack_queue::refuse_overdue(pool, quarantine, decisions, &queued, now, out);
             continue;
         }
         let refusal = Refusal::new(Reason::QueueDeadline).with_retry_after(retry_after);
--- a/crates/kernel/src/ask.rs
+++ b/crates/kernel/src/ask.rs
@@ -9,7 +9,7 @@
 use crate::peer::{Advice, Ask, Message, Slack};
 use crate::request::{Id, RouteOptions};
 use crate::resource::{Configuration, Protocol, Service};
-use crate::{retry, route, slack};
+use crate::{ingress, retry, route, slack};
 
 /// Time after which an unanswered ask is sent again, in milliseconds.
 const RESEND_MS: u64 = 500;
@@ -226,6 +226,12 @@
     if let (Some(slack), Some(timeout_ms)) = (&mut request.ask.slack, request.options.timeout_ms) {
         let left_ms = timeout_ms.saturating_sub(request.ask.waited_ms);
         slack.max_retry_after_ms = left_ms / RETRY_AFTER_DIVISOR;
+        // An attempt after a failed one may be late.
+        if request.retries == 0 {
+            let queue_ms = request.options.queue_timeout_ms.unwrap_or(0);
+            let due_ms = ingress::latency_target_ms(queue_ms).min(timeout_ms);
+            request.ask.max_wait_ms = due_ms.saturating_sub(request.ask.waited_ms);
+        }
     } else if request.options.spills {
         request.ask.max_wait_ms = request.ask.max_wait_ms.min(SPILL_QUEUE_MS);
     }
--- a/crates/kernel/src/entry.rs
+++ b/crates/kernel/src/entry.rs
@@ -276,8 +276,8 @@
         slack: ask::slack_terms(service, config, &view.options),
     };
     let timeout_ms = match (ask.slack, view.options.queue_timeout_ms) {
-        // The scheduler subtracts the time to the first token that it expects.
-        (Some(_), Some(queue_ms)) => ingress::latency_target_ms(queue_ms),
+        // The scheduler refuses it when it would start too late, and later if it was told to retry.
+        (Some(_), Some(queue_ms)) => 2 * ingress::latency_target_ms(queue_ms),
         (_, queue_ms) => queue_ms.unwrap_or(service.queue_ms),
     };
     Ok(Request {
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -67,6 +67,7 @@
 pub mod request;
 pub mod resource;
 pub mod retry;
+pub mod room;
 pub mod route;
 pub mod slack;
 pub mod store;
--- a/crates/kernel/src/queue.rs
+++ b/crates/kernel/src/queue.rs
@@ -26,6 +26,8 @@
     pub last_asked: Millis,
     /// When it is refused if it still waits.
     pub deadline: Millis,
+    /// Time after the deadline for which it may wait as well, in milliseconds.
+    pub grace_ms: u64,
 }
 
 impl QueuedRequest {
@@ -34,9 +36,15 @@
             arrived: ask.arrived(now),
             last_asked: now,
             deadline: now.after(ask.max_wait_ms),
+            grace_ms: 0,
             ask,
         }
     }
+
+    /// Returns when it is refused if it still waits, with the time after its deadline.
+    pub(crate) fn last_start(&self) -> Millis {
+        self.deadline.after(self.grace_ms)
+    }
 }
 
 /// The queue and the service counter of one organisation in a pool.
@@ -182,6 +190,17 @@
             .unwrap_or(self.virtual_time)
     }
 
+    /// Lets a request wait for `grace_ms` after its deadline.
+    pub(crate) fn allow_late(&mut self, id: &Id, grace_ms: u64) {
+        let Some(&(ix, class)) = self.positions.get(id) else {
+            return;
+        };
+        let waiting = self.organisations[ix].waiting_mut(class);
+        if let Some(queued) = waiting.iter_mut().find(|queued| queued.ask.id == *id) {
+            queued.grace_ms = grace_ms;
+        }
+    }
+
     /// Records that a request was asked for again, and applies its new deadline and attempt.
     pub(crate) fn renew(&mut self, ask: &Ask, now: Millis) {
         let Some(&(ix, class)) = self.positions.get(&ask.id) else {
@@ -269,7 +288,7 @@
 
     /// Returns the requests that have reached their deadline.
     pub(crate) fn overdue(&self, now: Millis) -> Vec<Id> {
-        self.select(|queued| queued.deadline <= now)
+        self.select(|queued| queued.last_start() <= now)
     }
 
     /// Drops organisations that were idle for long and whose counter is not ahead of the virtual
--- a/crates/kernel/src/schedule.rs
+++ b/crates/kernel/src/schedule.rs
@@ -195,11 +195,14 @@
         .collect()
 }
 
-/// Returns the KV tokens that the pool's open targets have free.
-pub(crate) fn free_room(pool: &Pool, quarantine: &Registry, now: Millis) -> u64 {
+/// Returns the free KV tokens of each target, zero for one that takes no request.
+pub(crate) fn free_room(pool: &Pool, quarantine: &Registry, now: Millis) -> Vec<u64> {
     let view = policy::View { pool, quarantine, now };
-    let open = candidate_targets(&view, Class::Long).into_iter();
-    open.map(|ix| headroom::free_kv(&view, ix)).sum()
+    let mut free = vec![0; pool.targets.len()];
+    for ix in candidate_targets(&view, Class::Long) {
+        free[ix] = headroom::free_kv(&view, ix);
+    }
+    free
 }
 
 fn passes_filters(view: &policy::View<'_>, ask: &Ask, ix: usize) -> bool {
--- a/crates/kernel/src/slack.rs
+++ b/crates/kernel/src/slack.rs
@@ -16,6 +16,7 @@
 use crate::request::{Class, Id};
 use crate::resource::Protocol;
 use crate::retry;
+use crate::room::{self, Forecast};
 
 /// Name of the `Order` policy that switches on admission by slack.
 pub const ORDER: &str = "slack";
@@ -60,6 +61,10 @@
 const MEAN_DIVISOR: i64 = 8;
 const DEVIATION_DIVISOR: i64 = 4;
 const DEVIATIONS: i64 = 2;
+/// Smoothing of the time for each token.
+const PACE_DIVISOR: u64 = 8;
+/// Fewest tokens of a generation that shows the time for each token.
+pub(crate) const MIN_PACE_TOKENS: u32 = 64;
 /// A waiting request is refused early only if its expected wait exceeds its time left by this
 /// factor, because predictions vary.
 const EARLY_REFUSAL_FACTOR: u64 = 2;
@@ -182,6 +187,11 @@
         }
     }
 
+    fn mean_ms(self) -> u64 {
+        u64::try_from(self.mean_ms).unwrap_or(0)
+    }
+
+    /// The time within which nearly all first tokens come.
     fn expected_ms(self) -> u64 {
         u64::try_from(self.mean_ms + DEVIATIONS * self.deviation_ms).unwrap_or(0)
     }
@@ -220,6 +230,10 @@
 pub struct Outlook {
     rate: RoomRate,
     first_tokens: [Option<FirstToken>; 2],
+    /// Smoothed time for each output token, in microseconds.
+    pace_us: Option<u64>,
+    /// Room that the latest start took.
+    latest_size: u64,
     returns: Vec<Return>,
     /// The other zones with targets of the service.
     pub(crate) zones: Vec<Name>,
@@ -229,7 +243,8 @@
 impl Outlook {
     /// Records that a request got room.
     pub(crate) fn record_start(&mut self, ask: &Ask, now: Millis) {
-        self.rate.record(size(ask), now);
+        self.latest_size = size(ask);
+        self.rate.record(self.latest_size, now);
     }
 
     /// Records that no request waits.
@@ -243,6 +258,22 @@
         *known = Some(FirstToken::update(*known, first_ms));
     }
 
+    /// Records that a generation took `ms` from its first token to its end.
+    pub(crate) fn record_pace(&mut self, tokens: u32, ms: u64) {
+        let Some(sample_us) = (ms * 1_000).checked_div(u64::from(tokens)) else {
+            return;
+        };
+        let known_us = self.pace_us.unwrap_or(sample_us);
+        self.pace_us = Some((known_us * (PACE_DIVISOR - 1) + sample_us) / PACE_DIVISOR);
+    }
+
+    /// When the targets with these free tokens have room; `None` before a generation has ended.
+    pub(crate) fn forecast(&self, pool: &Pool, free: Vec<u64>, now: Millis) -> Option<Forecast> {
+        let pace_us = self.pace_us?;
+        let first_ms = self.first_tokens.map(|known| known.map_or(0, FirstToken::mean_ms));
+        Some(room::forecast(pool, free, first_ms, pace_us, now))
+    }
+
     /// Records the load of the pool in another zone.
     pub(crate) fn record_load(&mut self, zone: &Name, load: Load, now: Millis) {
         self.loads.retain(|zone, _| self.zones.contains(zone));
@@ -364,40 +395,63 @@
     },
 }
 
-/// Decides on a request that waits in the queue of `pool`; `may_return` says that its room was
-/// reserved when it was told to retry, and `is_review` that it was admitted earlier.
-pub(crate) fn decide(
-    pool: &Pool,
-    queued: &QueuedRequest,
-    may_return: bool,
-    is_review: bool,
+/// What a decision on a waiting request depends on.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Review<'a> {
+    /// The request.
+    pub(crate) queued: &'a QueuedRequest,
+    /// When the targets have room, if that is known.
+    pub(crate) forecast: Option<&'a Forecast>,
+    /// It was admitted earlier, or its room was reserved when it was told to retry.
+    pub(crate) is_admitted: bool,
+}
+
+impl Review<'_> {
+    fn new_work(&self, pool: &Pool) -> u64 {
+        let Review { queued, .. } = self;
+        work_ahead(&pool.queue, &queued.ask, queued.deadline) + size(&queued.ask)
+    }
+}
+
+/// Time until `work` tokens of requests like `ask` have started. Where memory is free the engines'
+/// reading of prompts limits the starts, which the rate shows.
+fn time_for(
+    outlook: &Outlook,
+    forecast: Option<&Forecast>,
+    work: u64,
+    size: u64,
     now: Millis,
-) -> Decision {
-    let (ask, outlook) = (&queued.ask, &pool.outlook);
-    let left_ms = queued.deadline.since(now);
-    let work = work_ahead(&pool.queue, ask, queued.deadline) + size(ask);
-    let reserved = match may_return || is_review {
+) -> Option<u64> {
+    let by_room = forecast.and_then(|forecast| forecast.time_for(work, size));
+    by_room.filter(|ms| *ms > 0).or_else(|| outlook.rate.time_for(work, now))
+}
+
+/// Decides on a request that waits in the queue of `pool`.
+pub(crate) fn decide(pool: &Pool, review: &Review<'_>, now: Millis) -> Decision {
+    let (queued, outlook) = (review.queued, &pool.outlook);
+    let ask = &queued.ask;
+    let left_ms = queued.last_start().since(now);
+    let work = review.new_work(pool);
+    let reserved = match review.is_admitted {
         true => 0,
         false => outlook.reserved(ask, Some(queued.deadline), now),
     };
-    let expected_ms = outlook.rate.time_for(work + reserved, now);
+    let time_for = |work| time_for(outlook, review.forecast, work, size(ask), now);
+    let expected_ms = time_for(work + reserved);
     if ask.spills {
         if let Some(zone) = better_zone(outlook, ask, expected_ms, left_ms, now) {
             return Decision::Move(zone);
         }
     }
-    let limit_ms = match may_return || is_review {
+    let limit_ms = match review.is_admitted {
         true => left_ms.saturating_mul(EARLY_REFUSAL_FACTOR),
         false => left_ms,
     };
     let Some(expected) = expected_ms.filter(|expected| *expected > limit_ms) else {
         return Decision::Wait { expected_ms };
     };
-    let others = outlook.known_loads(now).map(|(_, known)| known.wait_ms());
-    let all = outlook.reserved(ask, None, now);
-    let served_ms = outlook.rate.time_for(work + all, now).unwrap_or(expected);
-    let soonest_ms = others.chain([served_ms]).min().unwrap_or(served_ms);
-    let (retry_after_ms, is_reservable) = retry_after(ask, soonest_ms, left_ms);
+    let served_ms = time_for(work + outlook.reserved(ask, None, now)).unwrap_or(expected);
+    let (retry_after_ms, is_reservable) = retry_after(ask, served_ms, left_ms);
     let is_final = outlook.known_loads(now).count() == outlook.zones.len();
     Decision::Refuse { retry_after_ms, is_reservable, is_final }
 }
@@ -428,13 +482,16 @@
 
 /// The time to tell the caller of a request that has reached its latest useful start, and whether
 /// room can be reserved for its return.
-pub(crate) fn overdue_retry_after(pool: &Pool, ask: &Ask, now: Millis) -> (u64, bool) {
+pub(crate) fn overdue_retry_after(
+    pool: &Pool,
+    ask: &Ask,
+    forecast: Option<&Forecast>,
+    now: Millis,
+) -> (u64, bool) {
     let outlook = &pool.outlook;
     let work = work_ahead(&pool.queue, ask, now) + size(ask) + outlook.reserved(ask, None, now);
-    let served_ms = outlook.rate.time_for(work, now).unwrap_or(MIN_RETRY_AFTER_MS);
-    let others = outlook.known_loads(now).map(|(_, known)| known.wait_ms());
-    let soonest_ms = others.chain([served_ms]).min().unwrap_or(served_ms);
-    retry_after(ask, soonest_ms, ask.max_wait_ms)
+    let served_ms = time_for(outlook, forecast, work, size(ask), now);
+    retry_after(ask, served_ms.unwrap_or(MIN_RETRY_AFTER_MS), ask.max_wait_ms)
 }
 
 /// The time to tell a caller, and whether room can be reserved for its return: the time at which
@@ -450,27 +507,26 @@
     retry::draw(id.incarnation.0 ^ crate::random::hash(&[&id.vm]), id.counter)
 }
 
-/// The load of a pool, for the schedulers of the service's other pools.
-pub(crate) fn load(pool: &Pool, room: u64, now: Millis) -> Load {
+/// The load of a pool with `room` free tokens, for the schedulers of the service's other pools.
+pub(crate) fn load(pool: &Pool, room: u64, forecast: Option<&Forecast>, now: Millis) -> Load {
+    let outlook = &pool.outlook;
     let waiting: u64 = pool.queue.iter().map(|queued| size(&queued.ask)).sum();
     let soon = now.after(MAX_LOAD_AGE_MS);
-    let returning = pool
-        .outlook
-        .returns
-        .iter()
-        .filter(|waited| waited.due <= soon && now.since(waited.due) <= RETURN_GRACE_MS);
-    let reserved: u64 = returning.map(|waited| waited.tokens).sum();
-    let rate = pool.outlook.rate.get(now);
+    let is_soon = |waited: &&Return| waited.due <= soon && now.since(waited.due) <= RETURN_GRACE_MS;
+    let reserved: u64 = outlook.returns.iter().filter(is_soon).map(|waited| waited.tokens).sum();
+    let rate = outlook.rate.get(now);
     let rate = rate.map_or(0, |(tokens, span_ms)| tokens.saturating_mul(1_000) / span_ms);
-    // Returns may use the room that is free now; what is left of it is for moves.
-    let room = if pool.queue.is_empty() { room.saturating_sub(reserved) } else { 0 };
-    let is_open = pool.queue.is_empty() && room > 0;
-    let work = waiting + reserved;
-    let wait_ms = match is_open {
-        true => 0,
-        false => pool.outlook.rate.time_for(work, now).unwrap_or(SHORT_WAIT_MS).max(1),
+    // Returns use the room that is free now; what is left of it is for moves.
+    let room = match pool.queue.is_empty() {
+        true => room.saturating_sub(reserved),
+        false => 0,
     };
-    Load { wait_ms, room, rate }
+    if room > 0 {
+        return Load { wait_ms: 0, room, rate };
+    }
+    let work = waiting + reserved + outlook.latest_size;
+    let wait_ms = time_for(outlook, forecast, work, outlook.latest_size, now);
+    Load { wait_ms: wait_ms.unwrap_or(SHORT_WAIT_MS).max(1), room, rate }
 }
 
 /// A line on the inputs of a decision, for the log of the request.
--- a/crates/kernel/src/slack_queue.rs
+++ b/crates/kernel/src/slack_queue.rs
@@ -7,10 +7,12 @@
 use crate::outcome::{Counter, Reason, Refusal};
 use crate::peer::{Advice, Ask, Load, Message};
 use crate::pool::{Key, Pool};
+use crate::quarantine::Registry;
 use crate::queue::QueuedRequest;
 use crate::request::Id;
+use crate::room::Forecast;
 use crate::schedule;
-use crate::slack::{self, Decision};
+use crate::slack::{self, Decision, Review};
 use crate::takeover::Rights;
 
 /// Number of waiting requests that are reviewed in each round, those with the least time first.
@@ -27,12 +29,39 @@
     Some(Ask { max_wait_ms, ..ask })
 }
 
+/// Decides on a request that has just been admitted to the queue and could not start at once;
+/// `may_return` says whether its room was reserved when it was told to retry.
+pub(crate) fn decide_new(
+    state: &mut State,
+    key: &Key,
+    id: &Id,
+    may_return: bool,
+    now: Millis,
+    out: &mut Outbox,
+) {
+    let State { pools, quarantine, .. } = state;
+    let Some(pool) = pools.get_mut(key) else {
+        return;
+    };
+    if may_return {
+        out.count(Counter::Event("slack_return"));
+        // Late is better for its caller than a second refusal.
+        let grace_ms = pool.queue.find(id).map_or(0, |queued| queued.ask.max_wait_ms);
+        pool.queue.allow_late(id, grace_ms);
+    }
+    if pool.queue.find(id).is_some() {
+        let forecast = forecast(pool, quarantine, now);
+        review(state, key, id, forecast.as_ref(), Some(may_return), now, out);
+    }
+}
+
 /// Decides on a waiting request. `may_return` is absent if it was admitted earlier, and otherwise
 /// says whether its room was reserved when it was told to retry.
-pub(crate) fn review(
+fn review(
     state: &mut State,
     key: &Key,
     id: &Id,
+    forecast: Option<&Forecast>,
     may_return: Option<bool>,
     now: Millis,
     out: &mut Outbox,
@@ -41,14 +70,12 @@
     let Some(pool) = pools.get_mut(key) else {
         return;
     };
-    if may_return == Some(true) {
-        out.count(Counter::Event("slack_return"));
-    }
     let Some(queued) = pool.queue.find(id).cloned() else {
         return;
     };
-    let decision =
-        slack::decide(pool, &queued, may_return.unwrap_or(false), may_return.is_none(), now);
+    let is_admitted = may_return != Some(false);
+    let review = Review { queued: &queued, forecast, is_admitted };
+    let decision = slack::decide(pool, &review, now);
     let is_unchanged = may_return.is_none() && matches!(decision, Decision::Wait { .. });
     if !is_unchanged {
         decisions.record(now, id, slack::explain(pool, &queued, &decision, now));
@@ -74,15 +101,23 @@
     }
 }
 
+fn forecast(pool: &Pool, quarantine: &Registry, now: Millis) -> Option<Forecast> {
+    let free = schedule::free_room(pool, quarantine, now);
+    pool.outlook.forecast(pool, free, now)
+}
+
 /// Refuses a request that has reached its latest useful start and was removed from the queue.
 pub(crate) fn refuse_overdue(
     pool: &mut Pool,
+    quarantine: &Registry,
     decisions: &mut DecisionLog,
     queued: &QueuedRequest,
     now: Millis,
     out: &mut Outbox,
 ) {
-    let (retry_after_ms, is_reservable) = slack::overdue_retry_after(pool, &queued.ask, now);
+    let forecast = forecast(pool, quarantine, now);
+    let (retry_after_ms, is_reservable) =
+        slack::overdue_retry_after(pool, &queued.ask, forecast.as_ref(), now);
     if is_reservable {
         pool.outlook.reserve_return(&queued.ask, retry_after_ms, now);
     }
@@ -114,8 +149,10 @@
         return;
     };
     pool.outlook.zones = other_zones(intent, key);
+    let forecast = forecast(pool, quarantine, now);
     if matches!(pool.rights, Rights::Holder(_) | Rights::LapsedHolder) {
-        let load = slack::load(pool, schedule::free_room(pool, quarantine, now), now);
+        let room = schedule::free_room(pool, quarantine, now).iter().sum();
+        let load = slack::load(pool, room, forecast.as_ref(), now);
         for zone in &pool.outlook.zones {
             let other = Key { service: key.service.clone(), zone: zone.clone() };
             if let Some((owner, _)) = members.owner(&other) {
@@ -129,7 +166,7 @@
     waiting.sort();
     waiting.truncate(MAX_REVIEWS);
     for (_, id) in &waiting {
-        review(state, key, id, None, now, out);
+        review(state, key, id, forecast.as_ref(), None, now, out);
     }
 }
 
