Test admission by slack under load and failures

Two zones of kernels with callers and engines, without a network: a burst of long or short streams, one far above capacity, a sharp skew between organisations, load in one zone, engines that bear few rejections, a scheduler that dies with a queue, and a VM that dies after its callers were told to retry. Cases for the scheduler's order, moves and refusals.

--- a/crates/kernel/tests/pool/main.rs
+++ b/crates/kernel/tests/pool/main.rs
@@ -9,5 +9,6 @@
 mod memory;
 mod policy;
 mod queue;
+mod slack;
 mod spill;
 mod takeover;
