Start waiting requests as soon as prompts should have been read

A first token is known to the scheduler only with the next progress, up to 500 ms late, so an engine with two prompts that count as unread took no third: requests that wait in one queue started at two in that time. With admission by slack, a prompt counts as read after the time within which first tokens come, and pools with waiting requests are scheduled every 50 ms. Sizes of requests are those that the scheduler projects, and not the callers' limits.

The adapter setting is tested, and a process-level test checks that streams beyond what starts at once wait and are complete.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -45,6 +45,8 @@
     /// KV memory in use, in percent, below which generations are copied to a standby; applies to
     /// daemons that are started later.
     pub standby_percent: u32,
+    /// How streams are admitted; applies to daemons that are started later.
+    pub admission: &'static str,
     /// Limit of the daemons' shutdown in seconds; applies to daemons that are started later.
     pub shutdown_limit_s: Option<u64>,
     /// Memory in bytes in which the daemons buffer bodies; applies to daemons that are started later.
@@ -113,6 +115,7 @@
             request_log: RequestLog::new(),
             daemons: Vec::new(),
             standby_percent: 0,
+            admission: "fair",
             shutdown_limit_s: None,
             buffer_bytes: None,
             daemon_binary: daemon_binary.to_owned(),
@@ -198,6 +201,7 @@
                     "zones": {"a": "region", "b": "region"},
                     "retries": {"ratio": 0.2, "slack": 50},
                     "standby_percent": self.standby_percent,
+                    "admission": self.admission,
                     "revocation_ms": REVOCATION_MS,
                     "config_apply_ms": CHANGE_APPLY_MS,
                     "drain_ms": CHANGE_APPLY_MS,
--- a/crates/kernel/src/accounting.rs
+++ b/crates/kernel/src/accounting.rs
@@ -66,8 +66,11 @@
 /// Handles a request that is admitted by slack; `ask.max_wait_ms` is the time for which it may wait.
 fn handle_timed_ask(state: &mut State, from: &str, ask: &Ask, now: Millis, out: &mut Outbox) {
     let pool = state.pools.get_mut(&ask.pool);
-    let may_return = pool.is_some_and(|pool| pool.outlook.take_return(ask, now));
+    let may_return = pool.is_some_and(|pool| slack_queue::take_return(pool, ask, now));
     enqueue(state, from, ask, now, out);
+    if let Some(pool) = state.pools.get_mut(&ask.pool) {
+        slack_queue::record_size(pool, ask);
+    }
     schedule::run(state, &ask.pool, now, out);
     slack_queue::decide_new(state, &ask.pool, &ask.id, may_return, now, out);
 }
--- a/crates/kernel/src/ask.rs
+++ b/crates/kernel/src/ask.rs
@@ -259,8 +259,11 @@
     }
     // No pool can start the request before its deadline, so it need not wait for that.
     let is_hopeless = request.soonest_start.is_some_and(|at| at > request.deadline);
-    // A scheduler that decides by slack has let the request wait for as long as that helps.
-    let was_decided = request.ask.slack.is_some() && request.first_refusal.is_some();
+    // A scheduler that decides by slack has let the request wait for as long as that helps, while
+    // one of an earlier version answers `busy` at once.
+    let is_decision = |refusal: &Refusal| refusal.reason != Reason::Busy;
+    let was_decided =
+        request.ask.slack.is_some() && request.first_refusal.as_ref().is_some_and(is_decision);
     if request.options.spills && now < request.deadline && !is_hopeless && !was_decided {
         // Every pool was asked. From now on the request waits in their queues, one after another.
         request.waits_in_queues = true;
--- a/crates/kernel/src/pool.rs
+++ b/crates/kernel/src/pool.rs
@@ -124,6 +124,7 @@
     policy_plugins: Vec<policy::Plugin>,
     intent_generation: u64,
     next_periodic: Millis,
+    pub(crate) next_waiting_run: Option<Millis>,
 }
 
 impl Pools {
@@ -137,6 +138,7 @@
             policy_plugins,
             intent_generation: 0,
             next_periodic: Millis(0),
+            next_waiting_run: None,
         }
     }
 
@@ -193,7 +195,8 @@
 
 fn wakeup(state: &State) -> Option<Millis> {
     let pools = &state.pools;
-    (!pools.pools.is_empty()).then_some(pools.next_periodic)
+    let periodic = (!pools.pools.is_empty()).then_some(pools.next_periodic);
+    periodic.into_iter().chain(pools.next_waiting_run).min()
 }
 
 fn handle(state: &mut State, event: &Event<'_>, now: Millis, out: &mut Outbox) {
@@ -218,6 +221,7 @@
         activate_held_pools(state, now, out);
         run_periodic(state, now, out);
     }
+    slack_queue::run_waiting(state, now, out);
 }
 
 fn handle_message(state: &mut State, from: &str, message: &Message, now: Millis, out: &mut Outbox) {
--- a/crates/kernel/src/prefill.rs
+++ b/crates/kernel/src/prefill.rs
@@ -9,6 +9,9 @@
 
 /// Number of pending prompts on a target from which on a request that may spill goes elsewhere.
 const MAX_PENDING_PROMPTS: usize = 2;
+/// Number of prompts without a known first token from which on no request starts, however long ago
+/// they began: the target may be slower than others.
+const MAX_UNKNOWN_PROMPTS: usize = 4 * MAX_PENDING_PROMPTS;
 /// Weight of pending prompts against memory in use, both as parts of the target's memory. Prompts
 /// are a small part of it, and their prefill takes most of the time to the first token.
 const PENDING_PROMPT_WEIGHT: u64 = 4;
@@ -37,7 +40,27 @@
 fn filter(view: &policy::View<'_>, ask: &Ask, ix: usize) -> bool {
     let is_engine = view.pool.targets[ix].kv_capacity() > 0;
     let may_wait = (ask.spills || ask.slack.is_some()) && ask.generated_tokens == 0 && is_engine;
-    !may_wait || pending_prompts(view, ix).count() < MAX_PENDING_PROMPTS
+    !may_wait
+        || (pending_prompts(view, ix).count() < MAX_PENDING_PROMPTS)
+        || (ask.slack.is_some() && has_read_prompts(view, ix))
+}
+
+/// Returns whether the target should have read all but one of its pending prompts by now.
+///
+/// A first token is known only with the next progress, up to 500 ms late. Requests that wait in one
+/// queue would otherwise start no faster than two in that time.
+fn has_read_prompts(view: &policy::View<'_>, ix: usize) -> bool {
+    let in_flight = view.pool.targets[ix].in_flight.iter();
+    let running = in_flight.filter_map(|id| view.pool.in_flight.get(id));
+    let (mut unknown, mut unread) = (0, 0);
+    for running in running.filter(|running| running.has_no_output()) {
+        let first_ms = view.pool.outlook.first_token_ms(running.ask.class);
+        unknown += 1;
+        unread += usize::from(
+            first_ms.is_none_or(|first_ms| view.now.since(running.granted_at) < first_ms),
+        );
+    }
+    unread < MAX_PENDING_PROMPTS && unknown < MAX_UNKNOWN_PROMPTS
 }
 
 fn score(view: &policy::View<'_>, _ask: &Ask, ix: usize) -> i64 {
--- a/crates/kernel/src/queue.rs
+++ b/crates/kernel/src/queue.rs
@@ -28,6 +28,9 @@
     pub deadline: Millis,
     /// Time after the deadline for which it may wait as well, in milliseconds.
     pub grace_ms: u64,
+    /// KV tokens that it is expected to use. Known for requests that are admitted by slack; the
+    /// prompt for others.
+    pub projected_kv: u64,
 }
 
 impl QueuedRequest {
@@ -37,6 +40,7 @@
             last_asked: now,
             deadline: now.after(ask.max_wait_ms),
             grace_ms: 0,
+            projected_kv: ask.prompt_tokens.into(),
             ask,
         }
     }
@@ -190,14 +194,14 @@
             .unwrap_or(self.virtual_time)
     }
 
-    /// Lets a request wait for `grace_ms` after its deadline.
-    pub(crate) fn allow_late(&mut self, id: &Id, grace_ms: u64) {
+    /// Changes a waiting request; its place in the queue stays.
+    pub(crate) fn update(&mut self, id: &Id, change: impl FnOnce(&mut QueuedRequest)) {
         let Some(&(ix, class)) = self.positions.get(id) else {
             return;
         };
         let waiting = self.organisations[ix].waiting_mut(class);
         if let Some(queued) = waiting.iter_mut().find(|queued| queued.ask.id == *id) {
-            queued.grace_ms = grace_ms;
+            change(queued);
         }
     }
 
--- a/crates/kernel/src/schedule.rs
+++ b/crates/kernel/src/schedule.rs
@@ -316,7 +316,7 @@
         usage,
         limit,
     };
-    pool.outlook.record_start(&ask, now);
+    pool.outlook.record_start(queued.projected_kv, now);
     let mut running = InFlightRequest::new(ask, assignment.target_ix, now);
     running.grant = Some(grant.clone());
     pool.add_request(running);
--- a/crates/kernel/src/slack.rs
+++ b/crates/kernel/src/slack.rs
@@ -31,8 +31,6 @@
 const FAIR_STEP_TOKENS: u64 = 4_000;
 /// Thousandths of a token in the service counters.
 const SERVICE_SCALE: u64 = 1_000;
-/// Output assumed for a request without a limit, in tokens.
-const UNKNOWN_OUTPUT_TOKENS: u32 = 256;
 /// A request moves to another pool only if it gains at least this much, in milliseconds. A move
 /// takes two messages, and the load of the other pool is up to 250 ms old.
 const MOVE_GAIN_MS: u64 = 250;
@@ -113,12 +111,6 @@
     ask.priority.unwrap_or(ask.class as u8)
 }
 
-/// The room that a request takes, in tokens of KV memory.
-fn size(ask: &Ask) -> u64 {
-    let output = ask.max_tokens.unwrap_or(UNKNOWN_OUTPUT_TOKENS);
-    u64::from(ask.prompt_tokens) + u64::from(output)
-}
-
 /// Whether a waiting request has so much time that others may pass it.
 pub(crate) fn may_be_passed(queued: &QueuedRequest, now: Millis) -> bool {
     queued.ask.slack.is_some() && queued.deadline.since(now) > now.since(queued.arrived)
@@ -241,9 +233,9 @@
 }
 
 impl Outlook {
-    /// Records that a request got room.
-    pub(crate) fn record_start(&mut self, ask: &Ask, now: Millis) {
-        self.latest_size = size(ask);
+    /// Records that a request got room of `size` tokens.
+    pub(crate) fn record_start(&mut self, size: u64, now: Millis) {
+        self.latest_size = size;
         self.rate.record(self.latest_size, now);
     }
 
@@ -258,6 +250,12 @@
         *known = Some(FirstToken::update(*known, first_ms));
     }
 
+    /// The time within which a first token comes, by the class of the request; `None` before one was
+    /// observed.
+    pub(crate) fn first_token_ms(&self, class: Class) -> Option<u64> {
+        self.first_tokens[class as usize].map(FirstToken::expected_ms)
+    }
+
     /// Records that a generation took `ms` from its first token to its end.
     pub(crate) fn record_pace(&mut self, tokens: u32, ms: u64) {
         let Some(sample_us) = (ms * 1_000).checked_div(u64::from(tokens)) else {
@@ -282,9 +280,9 @@
     }
 
     /// Records that a request was told to ask the pool of another zone.
-    pub(crate) fn record_move(&mut self, zone: &Name, ask: &Ask) {
+    pub(crate) fn record_move(&mut self, zone: &Name, queued: &QueuedRequest) {
         if let Some(known) = self.loads.get_mut(zone) {
-            known.moved_tokens += size(ask);
+            known.moved_tokens += queued.projected_kv;
         }
     }
 
@@ -299,10 +297,10 @@
         ask.max_wait_ms.saturating_sub(first_ms)
     }
 
-    /// Takes the reservation of a request that returns as told; false if there is none like it.
-    pub(crate) fn take_return(&mut self, ask: &Ask, now: Millis) -> bool {
+    /// Takes the reservation of a request of `tokens` that returns as told; false if there is none
+    /// like it.
+    pub(crate) fn take_return(&mut self, ask: &Ask, tokens: u64, now: Millis) -> bool {
         self.returns.retain(|waited| now.since(waited.due) <= RETURN_GRACE_MS);
-        let tokens = size(ask);
         let is_like = |waited: &Return| {
             waited.due <= now.after(RETURN_EARLY_MS)
                 && waited.priority == priority(ask)
@@ -313,11 +311,17 @@
     }
 
     /// Reserves room for a request that is told to retry after `retry_after_ms`.
-    pub(crate) fn reserve_return(&mut self, ask: &Ask, retry_after_ms: u64, now: Millis) {
+    pub(crate) fn reserve_return(
+        &mut self,
+        queued: &QueuedRequest,
+        retry_after_ms: u64,
+        now: Millis,
+    ) {
         self.returns.retain(|waited| now.since(waited.due) <= RETURN_GRACE_MS);
         if self.returns.len() < MAX_RETURNS {
             let due = now.after(retry_after_ms);
-            self.returns.push(Return { due, priority: priority(ask), tokens: size(ask) });
+            let (priority, tokens) = (priority(&queued.ask), queued.projected_kv);
+            self.returns.push(Return { due, priority, tokens });
         }
     }
 
@@ -343,7 +347,8 @@
 ///
 /// More urgent requests all go first. While the request's own organisation gets what it has ahead,
 /// each other organisation gets no more than its fair share.
-fn work_ahead(queue: &Queue, ask: &Ask, deadline: Millis) -> u64 {
+fn work_ahead(queue: &Queue, request: &QueuedRequest) -> u64 {
+    let (ask, deadline) = (&request.ask, request.deadline);
     let mut urgent = 0;
     let mut own = 0;
     let mut others: Vec<(u64, u64)> = Vec::new();
@@ -354,9 +359,9 @@
             for queued in organisation.waiting(class) {
                 let is_before = !is_own || queued.deadline <= deadline;
                 match priority(&queued.ask).cmp(&priority(ask)) {
-                    std::cmp::Ordering::Less => urgent += size(&queued.ask),
+                    std::cmp::Ordering::Less => urgent += queued.projected_kv,
                     std::cmp::Ordering::Equal if queued.ask.id != ask.id && is_before => {
-                        equal += size(&queued.ask);
+                        equal += queued.projected_kv;
                     }
                     _ => {}
                 }
@@ -369,7 +374,7 @@
         }
     }
     let weight = queue.get(&ask.organisation).map_or(1, |own| u64::from(own.weight)).max(1);
-    let share = own + size(ask);
+    let share = own + request.projected_kv;
     let others = others.iter().map(|(tokens, other)| (*tokens).min(share * other / weight));
     urgent + own + others.sum::<u64>()
 }
@@ -409,7 +414,7 @@
 impl Review<'_> {
     fn new_work(&self, pool: &Pool) -> u64 {
         let Review { queued, .. } = self;
-        work_ahead(&pool.queue, &queued.ask, queued.deadline) + size(&queued.ask)
+        work_ahead(&pool.queue, queued) + queued.projected_kv
     }
 }
 
@@ -436,10 +441,10 @@
         true => 0,
         false => outlook.reserved(ask, Some(queued.deadline), now),
     };
-    let time_for = |work| time_for(outlook, review.forecast, work, size(ask), now);
+    let time_for = |work| time_for(outlook, review.forecast, work, queued.projected_kv, now);
     let expected_ms = time_for(work + reserved);
     if ask.spills {
-        if let Some(zone) = better_zone(outlook, ask, expected_ms, left_ms, now) {
+        if let Some(zone) = better_zone(outlook, queued.projected_kv, expected_ms, left_ms, now) {
             return Decision::Move(zone);
         }
     }
@@ -459,7 +464,7 @@
 /// The zone whose pool can start the request clearly earlier, or in time when this one cannot.
 fn better_zone(
     outlook: &Outlook,
-    ask: &Ask,
+    size: u64,
     expected_ms: Option<u64>,
     left_ms: u64,
     now: Millis,
@@ -468,7 +473,7 @@
         return None;
     }
     let has_room =
-        |known: &KnownLoad| known.load.wait_ms == 0 && known.room() >= ROOM_MARGIN * size(ask);
+        |known: &KnownLoad| known.load.wait_ms == 0 && known.room() >= ROOM_MARGIN * size;
     let roomy = outlook.known_loads(now).filter(|(_, known)| has_room(known));
     if let Some((zone, _)) = roomy.max_by_key(|(_, known)| known.room()) {
         return Some(zone.clone());
@@ -484,13 +489,14 @@
 /// room can be reserved for its return.
 pub(crate) fn overdue_retry_after(
     pool: &Pool,
-    ask: &Ask,
+    queued: &QueuedRequest,
     forecast: Option<&Forecast>,
     now: Millis,
 ) -> (u64, bool) {
     let outlook = &pool.outlook;
-    let work = work_ahead(&pool.queue, ask, now) + size(ask) + outlook.reserved(ask, None, now);
-    let served_ms = time_for(outlook, forecast, work, size(ask), now);
+    let (ask, size) = (&queued.ask, queued.projected_kv);
+    let work = work_ahead(&pool.queue, queued) + size + outlook.reserved(ask, None, now);
+    let served_ms = time_for(outlook, forecast, work, size, now);
     retry_after(ask, served_ms.unwrap_or(MIN_RETRY_AFTER_MS), ask.max_wait_ms)
 }
 
@@ -510,7 +516,7 @@
 /// The load of a pool with `room` free tokens, for the schedulers of the service's other pools.
 pub(crate) fn load(pool: &Pool, room: u64, forecast: Option<&Forecast>, now: Millis) -> Load {
     let outlook = &pool.outlook;
-    let waiting: u64 = pool.queue.iter().map(|queued| size(&queued.ask)).sum();
+    let waiting: u64 = pool.queue.iter().map(|queued| queued.projected_kv).sum();
     let soon = now.after(MAX_LOAD_AGE_MS);
     let is_soon = |waited: &&Return| waited.due <= soon && now.since(waited.due) <= RETURN_GRACE_MS;
     let reserved: u64 = outlook.returns.iter().filter(is_soon).map(|waited| waited.tokens).sum();
@@ -555,7 +561,7 @@
     format!(
         "slack: {verdict}; {} ms left, {} tokens ahead, {} returns, others: {}",
         queued.deadline.since(now),
-        work_ahead(&pool.queue, &queued.ask, queued.deadline),
+        work_ahead(&pool.queue, queued),
         outlook.returns.len(),
         loads.join(", "),
     )
--- a/crates/kernel/src/slack_queue.rs
+++ b/crates/kernel/src/slack_queue.rs
@@ -17,6 +17,9 @@
 
 /// Number of waiting requests that are reviewed in each round, those with the least time first.
 const MAX_REVIEWS: usize = 32;
+/// Interval at which a pool with waiting requests is scheduled, in milliseconds. An engine reads a
+/// prompt of 2,500 tokens in about 180 ms.
+const WAITING_INTERVAL_MS: u64 = 50;
 
 /// The ask with the time for which the request may wait for its start in place of the time to its
 /// first token, if it is admitted by slack.
@@ -29,6 +32,18 @@
     Some(Ask { max_wait_ms, ..ask })
 }
 
+/// Takes the reservation of a request that returns as told; false if there is none like it.
+pub(crate) fn take_return(pool: &mut Pool, ask: &Ask, now: Millis) -> bool {
+    let size = pool.projected_kv(ask);
+    pool.outlook.take_return(ask, size, now)
+}
+
+/// Records the room that a queued request takes.
+pub(crate) fn record_size(pool: &mut Pool, ask: &Ask) {
+    let size = pool.projected_kv(ask);
+    pool.queue.update(&ask.id, |queued| queued.projected_kv = size);
+}
+
 /// Decides on a request that has just been admitted to the queue and could not start at once;
 /// `may_return` says whether its room was reserved when it was told to retry.
 pub(crate) fn decide_new(
@@ -47,7 +62,7 @@
         out.count(Counter::Event("slack_return"));
         // Late is better for its caller than a second refusal.
         let grace_ms = pool.queue.find(id).map_or(0, |queued| queued.ask.max_wait_ms);
-        pool.queue.allow_late(id, grace_ms);
+        pool.queue.update(id, |queued| queued.grace_ms = grace_ms);
     }
     if pool.queue.find(id).is_some() {
         let forecast = forecast(pool, quarantine, now);
@@ -84,7 +99,7 @@
         Decision::Wait { .. } => {}
         Decision::Move(zone) => {
             pool.queue.remove(id);
-            pool.outlook.record_move(&zone, &queued.ask);
+            pool.outlook.record_move(&zone, &queued);
             out.count(Counter::Event("slack_move"));
             refuse(&queued, Refusal::new(Reason::Busy), Some(Advice::Ask(zone)), out);
         }
@@ -92,7 +107,7 @@
             pool.queue.remove(id);
             let is_final = is_final || !queued.ask.spills;
             if is_final && is_reservable {
-                pool.outlook.reserve_return(&queued.ask, retry_after_ms, now);
+                pool.outlook.reserve_return(&queued, retry_after_ms, now);
             }
             out.count(Counter::Event("slack_refusal"));
             let refusal = Refusal::new(Reason::QueueDeadline).with_retry_after(retry_after_ms);
@@ -117,9 +132,9 @@
 ) {
     let forecast = forecast(pool, quarantine, now);
     let (retry_after_ms, is_reservable) =
-        slack::overdue_retry_after(pool, &queued.ask, forecast.as_ref(), now);
+        slack::overdue_retry_after(pool, queued, forecast.as_ref(), now);
     if is_reservable {
-        pool.outlook.reserve_return(&queued.ask, retry_after_ms, now);
+        pool.outlook.reserve_return(queued, retry_after_ms, now);
     }
     let text = format!("slack: latest useful start reached, retry after {retry_after_ms} ms");
     decisions.record(now, &queued.ask.id, text);
@@ -170,6 +185,26 @@
     }
 }
 
+/// Schedules the pools with waiting requests again after a short time, because prompts are taken as
+/// read without an event that says so.
+pub(crate) fn run_waiting(state: &mut State, now: Millis, out: &mut Outbox) {
+    if state.pools.next_waiting_run.is_some_and(|at| at <= now) {
+        state.pools.next_waiting_run = None;
+        for key in waiting_pools(state) {
+            schedule::run(state, &key, now, out);
+        }
+    }
+    if state.pools.next_waiting_run.is_none() && !waiting_pools(state).is_empty() {
+        state.pools.next_waiting_run = Some(now.after(WAITING_INTERVAL_MS));
+    }
+}
+
+fn waiting_pools(state: &State) -> Vec<Key> {
+    let pools = state.pools.iter();
+    let waiting = pools.filter(|pool| pool.orders_by_slack() && !pool.queue.is_empty());
+    waiting.map(|pool| pool.key.clone()).collect()
+}
+
 /// The other zones in service that have targets of the service.
 fn other_zones(intent: &Intent, key: &Key) -> Vec<Name> {
     let targets = intent.targets().into_iter().map(|(_, target)| target);
--- a/tests/fleet/harness.rs
+++ b/tests/fleet/harness.rs
@@ -55,6 +55,13 @@
     fleet
 }
 
+/// Starts a fleet of one daemon in zone `a` that admits streams by slack.
+pub async fn start_fleet_with_slack() -> Fleet {
+    let fleet = launch_fleet(|fleet| fleet.admission = "slack").await;
+    fleet.put_config(&config(1, &[CALLER_KEY]));
+    fleet
+}
+
 /// Starts a fleet of one daemon in zone `a` without a configuration.
 pub async fn start_unconfigured_fleet() -> Fleet {
     launch_fleet(|_| {}).await
--- a/tests/fleet/request_path.rs
+++ b/tests/fleet/request_path.rs
@@ -1,12 +1,14 @@
 //! The path of a request through the platform adapter.
 
+use futures_util::future::join_all;
 use hornbeamloom_kernel::cases;
 use reqwest::Method;
 use serde_json::{json, Value};
 
 use crate::harness::{
     block_on, call, new_attempt_id, new_request, send, start_engines, start_fleet,
-    start_plain_targets, start_unconfigured_fleet, wait_until, wait_until_served, CALLER_KEY,
+    start_fleet_with_slack, start_plain_targets, start_unconfigured_fleet, wait_until,
+    wait_until_served, CALLER_KEY,
 };
 use hornbeamloom_bench::fleet::{config, route_entry};
 use hornbeamloom_bench::upload::Upload;
@@ -24,6 +26,20 @@
     });
 }
 
+/// Guards against streams beyond the places of the engines that are refused although they can wait,
+/// and against ones that are lost in the queue.
+#[test]
+fn streams_admitted_by_slack_wait_for_a_place() {
+    block_on(async {
+        let fleet = start_fleet_with_slack().await;
+        start_engines(&fleet, 1).await;
+        let calls = (0..24).map(|_| call(&fleet, "/draft/1", b"events=40"));
+        for response in join_all(calls).await {
+            response.assert_stream(40);
+        }
+    });
+}
+
 /// Guards against requests that are modified on the way to an engine, and against callers that set
 /// headers which only the system may set.
 #[test]
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -81,6 +81,8 @@
     fractions_in_amounts_and_times_pass_the_check: (9, "fractions", ("zone: z", FRACTIONS), 0);
     negative_amount_fails_the_check: (10, "negative", ("zone: z", "zone: z\nadapter: {name: fleet, settings: {readiness: '127.0.0.1:9', zones: {z: r}, retries: {ratio: 0.2, slack: -1}}}"), 2);
     time_that_is_no_number_fails_the_check: (11, "nan", ("zone: z", "zone: z\nadapter: {name: fleet, settings: {readiness: '127.0.0.1:9', zones: {z: r}, retries: {ratio: 0.2, slack: 1}, drain_ms: .nan}}"), 2);
+    admission_by_slack_passes_the_check: (12, "slack", ("zone: z", "zone: z\nadapter: {name: fleet, settings: {readiness: '127.0.0.1:9', zones: {z: r}, retries: {ratio: 0.2, slack: 1}, admission: slack}}"), 0);
+    unknown_admission_fails_the_check: (13, "admission", ("zone: z", "zone: z\nadapter: {name: fleet, settings: {readiness: '127.0.0.1:9', zones: {z: r}, retries: {ratio: 0.2, slack: 1}, admission: lifo}}"), 2);
     missing_vm_fails_the_check: (3, "no-vm", ("vm: entry-1\n", ""), 2);
 }
 
