Learn first-token times from the grant

The platform's adapter reports the time to a first token from the arrival of the request. With requests that wait in queues this includes the wait, so the expected time grew with the backlog, prompts counted as unread for longer, and starts slowed down: with one engine, streams waited 2.4 s beside two running ones. The scheduler subtracts the wait before its grant.

--- a/crates/kernel/src/accounting.rs
+++ b/crates/kernel/src/accounting.rs
@@ -328,7 +328,9 @@
         }
         _ => {}
     }
-    if let Some(first_ms) = release.first_token_ms.filter(|_| running.has_no_earlier_output()) {
+    let is_timed = running.ask.slack.is_some();
+    let first_ms = release.first_token_ms.filter(|_| is_timed);
+    if let Some(first_ms) = first_ms.and_then(|first_ms| running.first_token_ms(first_ms)) {
         pool.outlook.record_first_token(running.ask.class, first_ms);
         if release.end == End::Complete && release.tokens >= slack::MIN_PACE_TOKENS {
             let ms = now.since(running.granted_at).saturating_sub(first_ms.into());
--- a/crates/kernel/src/in_flight.rs
+++ b/crates/kernel/src/in_flight.rs
@@ -27,6 +27,9 @@
     pub projected_kv: u64,
     /// When it was granted, or its grant was last renewed.
     pub granted_at: Millis,
+    /// How long it had waited by then since it arrived, in milliseconds; zero if another scheduler
+    /// granted it.
+    pub waited_ms: u64,
     /// When the entry VM last reported that it runs; the time of the grant before that.
     pub last_heard: Millis,
     /// The entry VM has reported that it runs.
@@ -46,6 +49,7 @@
             tokens: 0,
             projected_kv: 0,
             granted_at: now,
+            waited_ms: 0,
             last_heard: now,
             confirmed: false,
             silent_since: None,
@@ -53,9 +57,13 @@
         }
     }
 
-    /// Returns whether its generation began here and not on an earlier target.
-    pub(crate) fn has_no_earlier_output(&self) -> bool {
-        self.ask.generated_tokens == 0
+    /// Returns the milliseconds from its grant to its first token, of which the adapter of routes
+    /// reports those from its arrival; `None` if its generation began on an earlier target or
+    /// another scheduler granted it.
+    pub(crate) fn first_token_ms(&self, reported_ms: u32) -> Option<u32> {
+        let is_known = self.ask.generated_tokens == 0 && self.grant.is_some();
+        let waited_ms = u32::try_from(self.waited_ms).unwrap_or(u32::MAX);
+        is_known.then(|| reported_ms.saturating_sub(waited_ms))
     }
 
     /// Returns whether no output of its generation is known, here or on earlier targets.
--- a/crates/kernel/src/prefill.rs
+++ b/crates/kernel/src/prefill.rs
@@ -41,7 +41,7 @@
     let is_engine = view.pool.targets[ix].kv_capacity() > 0;
     let may_wait = (ask.spills || ask.slack.is_some()) && ask.generated_tokens == 0 && is_engine;
     !may_wait
-        || (pending_prompts(view, ix).count() < MAX_PENDING_PROMPTS)
+        || pending_prompts(view, ix).count() < MAX_PENDING_PROMPTS
         || (ask.slack.is_some() && has_read_prompts(view, ix))
 }
 
--- a/crates/kernel/src/schedule.rs
+++ b/crates/kernel/src/schedule.rs
@@ -318,6 +318,7 @@
     };
     pool.outlook.record_start(queued.projected_kv, now);
     let mut running = InFlightRequest::new(ask, assignment.target_ix, now);
+    running.waited_ms = now.since(queued.arrived);
     running.grant = Some(grant.clone());
     pool.add_request(running);
     pool.start_rate.record(now);
