--- a/crates/kernel/src/queue.rs
+++ b/crates/kernel/src/queue.rs
@@ -26,6 +26,11 @@
     pub last_asked: Millis,
     /// When it is refused if it still waits.
     pub deadline: Millis,
+    /// Time after the deadline for which it may wait as well, in milliseconds.
+    pub grace_ms: u64,
+    /// KV tokens that it is expected to use. Known for requests that are admitted by slack; the
+    /// prompt for others.
+    pub projected_kv: u64,
 }
 
 impl QueuedRequest {
@@ -34,9 +39,16 @@
             arrived: ask.arrived(now),
             last_asked: now,
             deadline: now.after(ask.max_wait_ms),
+            grace_ms: 0,
+            projected_kv: ask.prompt_tokens.into(),
             ask,
         }
     }
+
+    /// Returns when it is refused if it still waits, with the time after its deadline.
+    pub(crate) fn last_start(&self) -> Millis {
+        self.deadline.after(self.grace_ms)
+    }
 }
 
 /// The queue and the service counter of one organisation in a pool.
@@ -161,6 +173,11 @@
         let waiting = organisation.waiting_mut(class);
         match is_relocated {
             true => waiting.push_front(QueuedRequest::new(ask, now)),
+            false if ask.slack.is_some() => {
+                let queued = QueuedRequest::new(ask, now);
+                let ix = waiting.partition_point(|earlier| earlier.deadline <= queued.deadline);
+                waiting.insert(ix, queued);
+            }
             false => waiting.push_back(QueuedRequest::new(ask, now)),
         }
         let ix = self.index_by_name[&name];
@@ -177,6 +194,17 @@
             .unwrap_or(self.virtual_time)
     }
 
+    /// Changes a waiting request; its place in the queue stays.
+    pub(crate) fn update(&mut self, id: &Id, change: impl FnOnce(&mut QueuedRequest)) {
+        let Some(&(ix, class)) = self.positions.get(id) else {
+            return;
+        };
+        let waiting = self.organisations[ix].waiting_mut(class);
+        if let Some(queued) = waiting.iter_mut().find(|queued| queued.ask.id == *id) {
+            change(queued);
+        }
+    }
+
     /// Records that a request was asked for again, and applies its new deadline and attempt.
     pub(crate) fn renew(&mut self, ask: &Ask, now: Millis) {
         let Some(&(ix, class)) = self.positions.get(&ask.id) else {
@@ -264,7 +292,7 @@
 
     /// Returns the requests that have reached their deadline.
     pub(crate) fn overdue(&self, now: Millis) -> Vec<Id> {
-        self.select(|queued| queued.deadline <= now)
+        self.select(|queued| queued.last_start() <= now)
     }
 
     /// Drops organisations that were idle for long and whose counter is not ahead of the virtual
--- a/crates/kernel/tests/entry.rs
+++ b/crates/kernel/tests/entry.rs
@@ -450,6 +450,7 @@
         standby_target: None,
         generated_tokens: 0,
         is_recomputed: false,
+        slack: None,
     };
     for _ in 0..asks {
         harness.receive("e3", Message::Ask(ask.clone()));
--- a/crates/kernel/tests/pool/harness.rs
+++ b/crates/kernel/tests/pool/harness.rs
@@ -426,6 +426,7 @@
             standby_target: None,
             generated_tokens: 0,
             is_recomputed: false,
+            slack: None,
         }
     }
 
