Add version roll-outs

An operator can order that the traffic of a service moves to another software version. Each scheduler of a pool exposes the new version within a share of its own grants and only while the deciding VM confirms it; VMs count outcomes by version, route and target, and the holder of a lease in the store judges them and writes the verdict conditionally.

Roll-outs are enabled by adapter.settings.rollout; without it nothing changes.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -22,6 +22,11 @@
 /// milliseconds, as on the platform's sites.
 const CHANGE_APPLY_MS: u64 = 2_000;
 
+/// Largest share of requests that a new version may get, as on the platform's sites.
+const CANARY_SHARE: f64 = 0.1;
+/// Time within which a bad version gets no more requests, in milliseconds, as on the platform's sites.
+const ROLLBACK_MS: u64 = 5_000;
+
 /// One running daemon.
 #[derive(Debug)]
 pub struct Daemon {
@@ -49,6 +54,8 @@
     pub shutdown_limit_s: Option<u64>,
     /// Memory in bytes in which the daemons buffer bodies; applies to daemons that are started later.
     pub buffer_bytes: Option<u64>,
+    /// Whether version roll-outs are enabled; applies to daemons that are started later.
+    pub has_rollouts: bool,
     daemon_binary: PathBuf,
     dir: PathBuf,
     peer_addresses: Vec<SocketAddr>,
@@ -115,6 +122,7 @@
             standby_percent: 0,
             shutdown_limit_s: None,
             buffer_bytes: None,
+            has_rollouts: false,
             daemon_binary: daemon_binary.to_owned(),
             dir: dir.to_owned(),
             peer_addresses: Vec::new(),
@@ -149,6 +157,28 @@
         self.store.put("servers", engine.name(), entry.as_bytes());
     }
 
+    /// Writes the entry of a target that runs `version` to the store.
+    pub fn put_version(&self, engine: &Engine, service: &str, zone: &str, version: &str) {
+        let mut entry = target_entry(engine, service, zone, "ready");
+        entry["version"] = version.into();
+        self.store.put("servers", engine.name(), entry.to_string().as_bytes());
+    }
+
+    /// Orders the roll-out of a service to `version`.
+    pub fn order_rollout(&self, service: &str, version: &str, duration_s: u64) {
+        let order = json!({"service": service, "to": version, "duration_s": duration_s});
+        self.store.put("op", &format!("rollout/{service}"), order.to_string().as_bytes());
+    }
+
+    /// The state that the system reports of the roll-out of a service, and its version.
+    pub fn rollout_status(&self, service: &str) -> Option<(String, String)> {
+        let key = format!("rollout/{service}");
+        let (_, value) = self.store.table("status").into_iter().find(|(row, _)| *row == key)?;
+        let status: Value = serde_json::from_slice(&value).ok()?;
+        let text = |field: &str| status[field].as_str().map(str::to_owned);
+        Some((text("state")?, text("to")?))
+    }
+
     /// Starts an engine and writes its entry to the store, in state `ready`.
     ///
     /// # Errors
@@ -177,7 +207,7 @@
         let seeds: Vec<String> =
             self.peer_addresses.iter().take(3).map(ToString::to_string).collect();
         let platform = format!("http://{}", self.store.address());
-        let settings = json!({
+        let mut settings = json!({
             "vm": vm,
             "zone": zone,
             "listen": {
@@ -204,6 +234,10 @@
                 },
             },
         });
+        if self.has_rollouts {
+            settings["adapter"]["settings"]["rollout"] =
+                json!({"share": CANARY_SHARE, "tolerance": 50, "rollback_ms": ROLLBACK_MS});
+        }
         let path = self.dir.join(format!("{vm}.yaml"));
         let text = serde_yaml_ng::to_string(&settings)
             .map_err(|error| Error::Failed(error.to_string()))?;
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -9,7 +9,6 @@
 
 use hornbeamloom_kernel::backpressure::Signal;
 use hornbeamloom_kernel::event::{Event, TokenCount, Vm};
-use hornbeamloom_kernel::feed;
 use hornbeamloom_kernel::ids::{Millis, Name, Revision};
 use hornbeamloom_kernel::intent::Intent;
 use hornbeamloom_kernel::kernel::{Kernel, State};
@@ -17,10 +16,10 @@
 use hornbeamloom_kernel::outcome::{Counter, Outcome, Refusal, Start};
 use hornbeamloom_kernel::peer::{Delta, Message};
 use hornbeamloom_kernel::reach::Path;
-use hornbeamloom_kernel::reconcile;
 use hornbeamloom_kernel::request::{End, Id, Idempotency, RouteOptions, View};
 use hornbeamloom_kernel::store::{Answer, CallId, StoredResponse};
 use hornbeamloom_kernel::target::{CacheBatch, PollError, Report};
+use hornbeamloom_kernel::{feed, reconcile, rollout};
 use tokio::sync::{mpsc, oneshot, watch};
 use xtra::prelude::*;
 
@@ -180,6 +179,8 @@
     TableUnavailable,
     /// The platform's list of VMs.
     Vms(Vec<Vm>),
+    /// The roll-out orders in the operator's table.
+    Rollouts(Vec<rollout::Order>),
     /// An operator lifted the quarantine of the body with this fingerprint.
     LiftQuarantine(u64),
     /// A graceful shutdown has begun; callers are directed to other VMs. If it has a limit, every
@@ -572,6 +573,7 @@
             }
             Input::TableUnavailable => self.handle_event(Event::TableUnavailable),
             Input::Vms(vms) => self.handle_event(Event::Vms(&vms)),
+            Input::Rollouts(orders) => self.handle_event(Event::Rollouts(&orders)),
             Input::LiftQuarantine(fingerprint) => {
                 self.handle_event(Event::LiftQuarantine { fingerprint })
             }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -85,6 +85,14 @@
         Counter::Ignored(what) => {
             ::metrics::counter!("hornbeamloom_ignored_total", "input" => what).increment(1);
         }
+        Counter::RolloutRequest(version) => {
+            ::metrics::counter!("hornbeamloom_rollout_requests_total", "version" => version)
+                .increment(1);
+        }
+        Counter::RolloutVerdict(verdict) => {
+            ::metrics::counter!("hornbeamloom_rollout_verdicts_total", "verdict" => verdict)
+                .increment(1);
+        }
         Counter::Event(what) => {
             ::metrics::counter!("hornbeamloom_events_total", "event" => what).increment(1);
         }
--- a/crates/kernel/src/accounting.rs
+++ b/crates/kernel/src/accounting.rs
@@ -100,6 +100,7 @@
     !pool.zone_is_out
         && !target.is_leaving()
         && target.is_healthy(now)
+        && pool.is_version_open(ix, now)
         && pool.concurrency_limit(target) > 0
 }
 
@@ -180,6 +181,9 @@
     let is_unused = pool.in_flight.get(id).is_some_and(|running| !running.confirmed);
     if is_unused {
         if let Some(running) = pool.remove_request(id, now) {
+            if let Some(exposure) = &mut pool.exposure {
+                exposure.revoke_grant(&running);
+            }
             refund_prompt(pool, &running, now);
         }
     }
@@ -259,7 +263,7 @@
         has_broken_early = release.end == End::Broken && release.tokens == 0 && is_silent;
         let tokens = release.tokens.max(u32::from(release.end == End::Complete));
         output = first_output(pool, id, tokens);
-        end_request(pool, release, now);
+        end_request(pool, release, now, out);
     }
     if release.end != End::Unsent {
         pool.in_flight.mark_ended(id, release.attempt);
@@ -298,11 +302,22 @@
 }
 
 /// Removes a granted request and records how it ended.
-fn end_request(pool: &mut Pool, release: &Release, now: Millis) {
+fn end_request(pool: &mut Pool, release: &Release, now: Millis, out: &mut Outbox) {
     pool.record_progress(&release.id, release.tokens, now);
     let Some(running) = pool.remove_request(&release.id, now) else {
         return;
     };
+    if let Some(exposure) = &mut pool.exposure {
+        if exposure.record_end(&running, release.end) {
+            out.count(Counter::Event("rollout_breaker"));
+            out.warn(format!(
+                "request={} rollout service={} breaker: the version fails here{}",
+                release.id,
+                pool.key.service,
+                exposure.describe()
+            ));
+        }
+    }
     match release.end {
         End::Unsent | End::Rejected => refund_prompt(pool, &running, now),
         End::Complete => {
--- a/crates/kernel/src/attempt.rs
+++ b/crates/kernel/src/attempt.rs
@@ -142,7 +142,9 @@
     let is_blocked = state.backpressure.is_blocked(&grant.target, start_id, now);
     // An owner that does not reach the store grants targets that are gone.
     let is_gone = target.is_none() && state.discovery.is_removed(&grant.target, now);
-    let is_leaving = is_blocked || is_gone || target.is_some_and(|target| target.leaving);
+    let is_refused = state.rollouts.refuses(&state.intent, &grant.pool.service, &grant.target);
+    let is_leaving =
+        is_blocked || is_gone || is_refused || target.is_some_and(|target| target.leaving);
     let is_out = target.is_some_and(|target| state.intent.is_zone_out(&target.zone));
     if is_leaving || is_out || state.intent.is_zone_out(&grant.pool.zone) {
         return Err(Unusable::Left);
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -5,7 +5,7 @@
 use crate::request::{End, Id, View};
 use crate::store::{Answer, CallId};
 use crate::target::{CacheBatch, PollError, Report};
-use crate::{backpressure, feed, reconcile, store};
+use crate::{backpressure, feed, reconcile, rollout, store};
 
 /// An input to the kernel.
 #[derive(Debug, Clone, Copy)]
@@ -151,6 +151,8 @@
     TableUnavailable,
     /// The platform's list of VMs.
     Vms(&'a [Vm]),
+    /// The roll-out orders in the operator's table: all of them, whenever any row has changed.
+    Rollouts(&'a [rollout::Order]),
     /// An operator lifted a quarantine.
     LiftQuarantine {
         /// The body.
--- a/crates/kernel/src/in_flight.rs
+++ b/crates/kernel/src/in_flight.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use crate::ids::{Fence, Millis};
+use crate::ids::{Fence, Millis, Name, Revision};
 use crate::map::Map;
 use crate::peer::{Ask, Grant};
 use crate::request::Id;
@@ -35,6 +35,10 @@
     pub silent_since: Option<Millis>,
     /// The grant, to be sent again; `None` if another scheduler granted it.
     pub grant: Option<Grant>,
+    /// The target's version when it was granted.
+    pub(crate) version: Option<Name>,
+    /// The roll-out order under which it was granted here, if any.
+    pub(crate) order: Option<Revision>,
 }
 
 impl InFlightRequest {
@@ -50,6 +54,8 @@
             confirmed: false,
             silent_since: None,
             grant: None,
+            version: None,
+            order: None,
         }
     }
 
--- a/crates/kernel/src/ingress.rs
+++ b/crates/kernel/src/ingress.rs
@@ -5,6 +5,7 @@
 use crate::ids::Name;
 use crate::intent::Intent;
 use crate::map::Map;
+use crate::random::hash;
 use crate::request::RouteOptions;
 use crate::resource::Route;
 
@@ -122,5 +123,6 @@
         spills: true,
         balances_zones: true,
         relocatable: relocatable && route.streaming,
+        route: hash(&[&route.host, &route.path_prefix]) as u32,
     }
 }
--- a/crates/kernel/src/intent.rs
+++ b/crates/kernel/src/intent.rs
@@ -422,7 +422,9 @@
             keys.chain(services).sum()
         }
         Some(Spec::Service(service)) => service.once_methods.iter().map(String::len).sum(),
-        Some(Spec::Target(target)) => target.address.len(),
+        Some(Spec::Target(target)) => {
+            target.address.len() + target.version.as_ref().map_or(0, |version| version.len())
+        }
         Some(Spec::Configuration(configuration)) => {
             let names = configuration.models.iter().chain(&configuration.adapters);
             names.map(|name| name.len()).sum()
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -9,7 +9,7 @@
 use crate::plugin::{control, policy};
 use crate::{
     backpressure, claim, departure, discovery, entry, explain, feed, freshness, intent, lease,
-    member, pool, quarantine, reach, reconcile, relocate,
+    member, pool, quarantine, reach, reconcile, relocate, rollout_control,
 };
 
 /// The identity of this VM, from its settings.
@@ -109,6 +109,8 @@
     pub(crate) discovery: discovery::Discovery,
     /// Generations whose target is leaving.
     pub(crate) relocations: relocate::ScanState,
+    /// Version roll-outs.
+    pub rollouts: rollout_control::Rollouts,
     /// Targets that the schedulers of their pools have reported as leaving.
     pub(crate) departures: departure::Notices,
     /// The platform's tables and which VM reads each of them.
@@ -149,6 +151,7 @@
             freshness: freshness::Freshness::default(),
             discovery: discovery::Discovery::default(),
             relocations: relocate::ScanState::default(),
+            rollouts: rollout_control::Rollouts::default(),
             departures: departure::Notices::default(),
             feeds: feed::Feeds::default(),
             members: member::Membership::new(&identity),
--- a/crates/kernel/src/outcome.rs
+++ b/crates/kernel/src/outcome.rs
@@ -299,6 +299,10 @@
     Retry(RetryReason),
     /// An input was ignored, with a fixed label.
     Ignored(&'static str),
+    /// A request sent during a roll-out, with `new` or `old` for the version of its target.
+    RolloutRequest(&'static str),
+    /// A verdict on a roll-out, with a fixed label.
+    RolloutVerdict(&'static str),
     /// Another event, with a fixed label.
     Event(&'static str),
 }
--- a/crates/kernel/src/peer.rs
+++ b/crates/kernel/src/peer.rs
@@ -5,7 +5,7 @@
 use crate::ids::{Fence, Incarnation, Millis, Name, Revision};
 use crate::outcome::Refusal;
 use crate::request::{Class, End, Id};
-use crate::{feed, pool, resource};
+use crate::{feed, pool, resource, rollout, rollout_count};
 
 /// A message between two daemons.
 #[derive(Debug, Clone, PartialEq)]
@@ -134,6 +134,30 @@
         /// Whether it leaves.
         is_leaving: bool,
     },
+    /// Tells the deciding VM of a roll-out the outcomes that the sender has seen since the order.
+    RolloutReport {
+        /// The service.
+        service: Name,
+        /// Version of the order's row.
+        order: Revision,
+        /// The totals.
+        report: rollout_count::Report,
+    },
+    /// Tells the phase of a roll-out; sent by its deciding VM, and in answer to an earlier phase.
+    RolloutPhase {
+        /// The service.
+        service: Name,
+        /// Version of the order's row.
+        order: Revision,
+        /// The phase.
+        phase: rollout::Phase,
+        /// Time since the order as known to the sender, in milliseconds.
+        elapsed_ms: u64,
+        /// Whether the sender decides on the roll-out.
+        decides: bool,
+        /// Incarnation and `sent` time of the report that this answers, if it answers one.
+        answers: Option<(Incarnation, Millis)>,
+    },
     /// Announces that a target running requests of the receiver is about to leave.
     Departing {
         /// The target.
--- a/crates/kernel/src/pool.rs
+++ b/crates/kernel/src/pool.rs
@@ -20,6 +20,7 @@
 use crate::rate::StartRate;
 use crate::request::{Class, Id};
 use crate::resource::{self, Protocol};
+use crate::rollout_pool::{Exposure, Plan};
 use crate::schedule::{self, ActivePolicies};
 use crate::takeover::{self, Hint, Rights, Takeover, VmList, HANDOVER_COOLDOWN_MS};
 use crate::target::{Phase, TargetState};
@@ -107,6 +108,8 @@
     pub(crate) last_polled: Option<Millis>,
     pub(crate) last_announced: Option<Millis>,
     pub(crate) start_rate: StartRate,
+    /// The roll-out of the service, if one was ordered.
+    pub(crate) exposure: Option<Exposure>,
     protocol: Protocol,
 }
 
@@ -117,6 +120,8 @@
     pub(crate) vm_list: VmList,
     pub(crate) snapshots: BTreeMap<Key, (Snapshot, Millis)>,
     pub(crate) hints: Map<Key, Hint>,
+    /// Roll-out plans by service.
+    pub(crate) plans: Map<Name, Plan>,
     handed_over: BTreeMap<Key, Millis>,
     policy_plugins: Vec<policy::Plugin>,
     intent_generation: u64,
@@ -130,6 +135,7 @@
             vm_list: VmList::default(),
             snapshots: BTreeMap::new(),
             hints: Map::default(),
+            plans: Map::default(),
             handed_over: BTreeMap::new(),
             policy_plugins,
             intent_generation: 0,
@@ -175,10 +181,11 @@
 
     /// Returns the pool `key` and creates it if this VM does not schedule it yet.
     pub(crate) fn get_or_create(&mut self, key: &Key, intent: &Intent, now: Millis) -> &mut Pool {
-        let Pools { pools, policy_plugins, hints, .. } = self;
+        let Pools { pools, policy_plugins, hints, plans, .. } = self;
         pools.entry(key.clone()).or_insert_with(|| {
             let mut pool = Pool::new(key, now);
             pool.refresh(intent, policy_plugins, hints.get(key), now);
+            pool.apply_plan(plans.get(&key.service));
             pool
         })
     }
@@ -232,24 +239,12 @@
         Message::Handover(snapshot) => {
             takeover::store_snapshot(&mut state.pools, snapshot, now, out)
         }
-        Message::Targets { pool, warm, .. } => store_hint(state, pool, warm, now),
+        Message::Targets { pool, warm, .. } => takeover::store_hint(state, pool, warm, now),
         Message::Hello { pool, .. } => takeover::forward_hint(state, from, pool, now, out),
         _ => {}
     }
 }
 
-/// Stores which targets the holder announced as warm, for fallback and for a takeover.
-fn store_hint(state: &mut State, key: &Key, warm: &[Name], now: Millis) {
-    if state.intent.service(&key.service).is_none() || key.zone != state.identity.zone {
-        return;
-    }
-    let hint = Hint { warm: warm.iter().cloned().collect(), received_at: now };
-    if let Some(pool) = state.pools.get_mut(key) {
-        pool.apply_hint(&hint, now);
-    }
-    state.pools.hints.insert(key.clone(), hint);
-}
-
 /// Applies the resources in force to every pool.
 fn refresh_pools(state: &mut State, now: Millis) {
     let State { pools, intent, .. } = state;
@@ -312,6 +307,7 @@
             last_announced: None,
             protocol: Protocol::Model,
             start_rate: StartRate::default(),
+            exposure: None,
         }
     }
 
@@ -565,7 +561,7 @@
     /// Applies the holder's announcement of warm targets where this VM has no knowledge of its own.
     ///
     /// A new holder gets its predecessor's announcement from others; reports must then confirm it.
-    fn apply_hint(&mut self, hint: &Hint, now: Millis) {
+    pub(crate) fn apply_hint(&mut self, hint: &Hint, now: Millis) {
         if self.is_holder() {
             let is_new = self.takeover.as_ref().is_some_and(|new| new.is_recent(hint.received_at));
             let targets =
--- a/crates/kernel/src/relocate.rs
+++ b/crates/kernel/src/relocate.rs
@@ -32,6 +32,13 @@
     due: Option<Millis>,
 }
 
+impl ScanState {
+    /// Makes the next event scan for generations to relocate.
+    pub(crate) fn request_scan(&mut self, now: Millis) {
+        self.due = Some(now);
+    }
+}
+
 inventory::submit! {
     control::Plugin { name: "relocate", rank: 55, handle, wakeup: |state| state.relocations.due }
 }
@@ -83,7 +90,9 @@
         return false;
     };
     let is_leaving = state.intent.target(run.target()).is_none_or(|target| target.leaving);
-    is_relocatable && (is_leaving || state.departures.is_departing(run.target(), now))
+    let is_retired = state.rollouts.retires(&state.intent, &request.ask.pool.service, run.target());
+    let is_departing = state.departures.is_departing(run.target(), now);
+    is_relocatable && (is_leaving || is_departing || is_retired)
 }
 
 /// Whether a part of the request's prompt is suspected or quarantined.
--- a/crates/kernel/src/request.rs
+++ b/crates/kernel/src/request.rs
@@ -172,6 +172,8 @@
     pub balances_zones: bool,
     /// The generation can continue on another target from its KV cache.
     pub relocatable: bool,
+    /// Identifies the route among those of its service, for counts by route; zero without one.
+    pub route: u32,
 }
 
 /// How an attempt on a target ended.
--- a/crates/kernel/src/resource.rs
+++ b/crates/kernel/src/resource.rs
@@ -250,6 +250,9 @@
     /// The desired role, for example `decode`; if unset, the role is left unchanged.
     #[serde(default)]
     pub role: Option<Name>,
+    /// The software version that it runs, if known; roll-outs tell versions apart by it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<Name>,
 }
 
 /// A service behind a route, and its share of the route's requests.
--- a/crates/kernel/src/schedule.rs
+++ b/crates/kernel/src/schedule.rs
@@ -14,6 +14,7 @@
 use crate::quarantine::Registry;
 use crate::request::{Class, Id};
 use crate::resource;
+use crate::rollout_pool::Exposure;
 use crate::takeover;
 
 /// Number of requests tried from the front of each queue, so that one which must avoid some targets
@@ -250,13 +251,14 @@
         .collect();
     let target = &pool.targets[assignment.target_ix];
     format!(
-        "granted {}: best of {} open targets ({}), {} running of {}, waited {} ms",
+        "granted {}: best of {} open targets ({}), {} running of {}, waited {} ms{}",
         target.name,
         open.count(),
         scores.join(", "),
         pool.occupancy(assignment.target_ix),
         pool.concurrency_limit(target),
         now.since(queued.arrived),
+        pool.exposure.as_ref().map(Exposure::describe).unwrap_or_default(),
     )
 }
 
@@ -288,6 +290,11 @@
     };
     let mut running = InFlightRequest::new(ask, assignment.target_ix, now);
     running.grant = Some(grant.clone());
+    running.version = pool.targets[assignment.target_ix].spec.version.clone();
+    if let Some(exposure) = &mut pool.exposure {
+        running.order = Some(exposure.plan.order);
+        exposure.record_grant(&running);
+    }
     pool.add_request(running);
     pool.start_rate.record(now);
     Some(grant)
--- a/crates/kernel/src/store.rs
+++ b/crates/kernel/src/store.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{Fence, Incarnation, Name, Revision};
-use crate::pool;
+use crate::{pool, rollout};
 
 /// Correlates an answer with its call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -83,6 +83,10 @@
     Quarantine(u64),
     /// A weight-store load slot.
     Slot(u32),
+    /// The lease of the VM that decides on the roll-out of a service.
+    RolloutLease(Name),
+    /// The status row of the roll-out of a service, which the operator reads.
+    RolloutStatus(Name),
 }
 
 /// A typed record value.
@@ -97,6 +101,8 @@
     Quarantine(Quarantine),
     /// A load slot.
     Slot(Slot),
+    /// The status of a roll-out.
+    RolloutStatus(rollout::Status),
 }
 
 /// The ownership of a pool.
--- a/crates/kernel/src/takeover.rs
+++ b/crates/kernel/src/takeover.rs
@@ -310,6 +310,18 @@
     out.send(&from.into(), message);
 }
 
+/// Stores which targets the holder announced as warm, for fallback and for a takeover.
+pub(crate) fn store_hint(state: &mut State, key: &Key, warm: &[Name], now: Millis) {
+    if state.intent.service(&key.service).is_none() || key.zone != state.identity.zone {
+        return;
+    }
+    let hint = Hint { warm: warm.iter().cloned().collect(), received_at: now };
+    if let Some(pool) = state.pools.get_mut(key) {
+        pool.apply_hint(&hint, now);
+    }
+    state.pools.hints.insert(key.clone(), hint);
+}
+
 /// Handles the list of requests that a VM runs in a pool.
 pub(crate) fn handle_inventory(
     state: &mut State,
--- a/crates/kernel/src/validate.rs
+++ b/crates/kernel/src/validate.rs
@@ -307,6 +307,9 @@
     if let Some(role) = &spec.role {
         errors.name("spec.role", role);
     }
+    if let Some(version) = &spec.version {
+        errors.text("spec.version", version);
+    }
 }
 
 fn configuration(spec: &Configuration, errors: &mut FieldErrors) {
--- a/crates/kernel/tests/common/mod.rs
+++ b/crates/kernel/tests/common/mod.rs
@@ -232,6 +232,7 @@
             fencing: true,
             leaving: false,
             role: None,
+            version: None,
         };
         records.push(record(Kind::Target, name, Spec::Target(spec)));
     }
--- a/crates/kernel/tests/discovery.rs
+++ b/crates/kernel/tests/discovery.rs
@@ -52,6 +52,7 @@
         fencing: false,
         leaving,
         role: None,
+        version: None,
     }))
 }
 
--- a/crates/kernel/tests/fleet/mod.rs
+++ b/crates/kernel/tests/fleet/mod.rs
@@ -12,7 +12,7 @@
 use hornbeamloom_kernel::ids::{Fence, Incarnation, Millis, Name, Revision};
 use hornbeamloom_kernel::kernel::{Identity, Kernel};
 use hornbeamloom_kernel::map::Map;
-use hornbeamloom_kernel::outcome::{Counter, Outcome};
+use hornbeamloom_kernel::outcome::{Counter, Outcome, Start};
 use hornbeamloom_kernel::peer::{Delta, Message};
 use hornbeamloom_kernel::pool::Key;
 use hornbeamloom_kernel::reach::Path;
@@ -52,6 +52,8 @@
     pub store_latency_ms: u64,
     pub counts: Map<String, u64>,
     pub orders: Vec<(Millis, Order)>,
+    /// Attempts that it started.
+    pub starts: Vec<Start>,
     /// The targets that it probed.
     pub probes: Vec<Name>,
     /// The VMs that relay its connections to targets.
@@ -133,6 +135,7 @@
             store_latency_ms: STORE_LATENCY_MS,
             counts: Map::default(),
             orders: Vec::new(),
+            starts: Vec::new(),
             probes: Vec::new(),
             relays: Vec::new(),
             sent_messages: 0,
@@ -244,6 +247,7 @@
         match outcome {
             Outcome::Send { address: to, message, .. } => self.send(ix, &to, message),
             Outcome::Store(call) => self.call_store(ix, call),
+            Outcome::Start(start) => self.nodes[ix].starts.push(start),
             Outcome::Probe { target, .. } => self.nodes[ix].probes.push(target),
             Outcome::SetPath(path) => {
                 self.nodes[ix].relays = match &path {
--- a/crates/kernel/tests/fuzz/harness.rs
+++ b/crates/kernel/tests/fuzz/harness.rs
@@ -241,6 +241,7 @@
             fencing: true,
             leaving: is_leaving && self.fault != Fault::LeavingHidden,
             role: None,
+            version: None,
         });
         let revision = self.declare(name, spec);
         let withdrawn = is_leaving.then_some((revision, self.now));
--- a/crates/kernel/tests/pool/harness.rs
+++ b/crates/kernel/tests/pool/harness.rs
@@ -38,6 +38,7 @@
         fencing: true,
         leaving: false,
         role: None,
+        version: None,
     }
 }
 
--- a/crates/kernel/tests/validate.rs
+++ b/crates/kernel/tests/validate.rs
@@ -58,6 +58,7 @@
         fencing: false,
         leaving: false,
         role: None,
+        version: None,
     };
     change(&mut spec);
     Spec::Target(spec)
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -21,7 +21,7 @@
 const CBOR_ARRAY: u8 = 4;
 
 /// Kinds of message that this version decodes.
-pub const KINDS: [&str; 20] = [
+pub const KINDS: [&str; 22] = [
     "gossip",
     "delta",
     "pull",
@@ -42,6 +42,8 @@
     "backpressure",
     "subscribe",
     "table_updates",
+    "rollout_report",
+    "rollout_phase",
 ];
 
 /// A decoded frame.
@@ -118,6 +120,8 @@
         Message::Targets { .. } => "targets",
         Message::Subscribe { .. } => "subscribe",
         Message::TableUpdates { .. } => "table_updates",
+        Message::RolloutReport { .. } => "rollout_report",
+        Message::RolloutPhase { .. } => "rollout_phase",
         Message::Departing { .. } => "departing",
         Message::Backpressure { .. } => "backpressure",
     }
--- a/crates/wire/src/table.rs
+++ b/crates/wire/src/table.rs
@@ -24,6 +24,8 @@
 const CLAIM_PREFIX: &str = "/hornbeamloom/claims/";
 const QUARANTINE_PREFIX: &str = "/hornbeamloom/quarantine/";
 const SLOT_PREFIX: &str = "/hornbeamloom/slots/";
+const ROLLOUT_LEASE_PREFIX: &str = "/hornbeamloom/rollout-leases/";
+const ROLLOUT_STATUS_PREFIX: &str = "/hornbeamloom/rollouts/";
 
 /// Percent-encoded characters of a key segment: all but letters, digits, `-`, `_` and `.`.
 const SEGMENT_ENCODE_SET: &AsciiSet = &NON_ALPHANUMERIC.remove(b'-').remove(b'_').remove(b'.');
@@ -80,6 +82,12 @@
         }
         Key::Quarantine(fingerprint) => format!("{QUARANTINE_PREFIX}{fingerprint:016x}"),
         Key::Slot(slot) => format!("{SLOT_PREFIX}{slot}"),
+        Key::RolloutLease(service) => {
+            format!("{ROLLOUT_LEASE_PREFIX}{}", encode_segment(service))
+        }
+        Key::RolloutStatus(service) => {
+            format!("{ROLLOUT_STATUS_PREFIX}{}", encode_segment(service))
+        }
     }
 }
 
@@ -100,6 +108,12 @@
     if let Some(rest) = path.strip_prefix(QUARANTINE_PREFIX) {
         return u64::from_str_radix(rest, 16).ok().map(Key::Quarantine);
     }
+    if let Some(service) = path.strip_prefix(ROLLOUT_LEASE_PREFIX) {
+        return Some(Key::RolloutLease(decode_segment(service)?.into()));
+    }
+    if let Some(service) = path.strip_prefix(ROLLOUT_STATUS_PREFIX) {
+        return Some(Key::RolloutStatus(decode_segment(service)?.into()));
+    }
     path.strip_prefix(SLOT_PREFIX)?.parse().ok().map(Key::Slot)
 }
 
--- a/tests/fleet/harness.rs
+++ b/tests/fleet/harness.rs
@@ -55,6 +55,14 @@
     fleet
 }
 
+/// Starts a fleet of two daemons in zone `a` that carry out version roll-outs.
+pub async fn start_fleet_with_rollouts() -> Fleet {
+    let mut fleet = launch_fleet(|fleet| fleet.has_rollouts = true).await;
+    fleet.start_daemon("vm-2", "a").expect("the daemon starts");
+    fleet.put_config(&config(1, &[CALLER_KEY]));
+    fleet
+}
+
 /// Starts a fleet of one daemon in zone `a` without a configuration.
 pub async fn start_unconfigured_fleet() -> Fleet {
     launch_fleet(|_| {}).await
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -12,5 +12,6 @@
 mod relocation;
 mod request_path;
 mod restored_store;
+mod rollouts;
 mod store;
 mod target_faults;
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -5,7 +5,7 @@
 use std::process::{Child, Command, Output, Stdio};
 use std::time::{Duration, Instant};
 
-use hornbeamloom_bench::deployment::render;
+use hornbeamloom_bench::deployment::{render, render_with_sections};
 
 /// Time limit for a condition that must become true.
 const TEST_TIMEOUT: Duration = Duration::from_secs(60);
@@ -49,9 +49,15 @@
     assert_eq!(stderr_lines(&output).len(), expected, "{output:?}");
 }
 
-/// Checks that the daemon accepts the settings of the deployment.
+/// Checks that the daemon accepts the settings of the deployment, without the bounds that only some
+/// sites have and with them.
 fn deployment_is_accepted(name: &str, bound: &str) {
-    let text = render(include_str!("../deploy/settings.yaml"), bound);
+    let template = include_str!("../deploy/settings.yaml");
+    settings_are_accepted(name, render(template, bound));
+    settings_are_accepted(&format!("{name}-all"), render_with_sections(template, bound));
+}
+
+fn settings_are_accepted(name: &str, text: Option<String>) {
     let path = write_settings(name, &text.expect("the platform defines each placeholder"));
     let output = daemon_command(&path).arg("--check").output().expect("the daemon starts");
     assert_eq!(output.status.code(), Some(0), "{output:?}");
@@ -66,6 +72,13 @@
     deployment_with_whole_fractions: ("deploy-point", "8.0");
 }
 
+/// Guards against settings that change for a site without roll-outs.
+#[test]
+fn deployment_without_rollouts_has_no_settings_for_them() {
+    let text = render(include_str!("../deploy/settings.yaml"), "8");
+    assert!(text.is_some_and(|text| text.ends_with("    drain_ms: 8\n")));
+}
+
 /// Settings of the platform adapter with fractions, very short and very long times.
 const FRACTIONS: &str = "zone: z\nadapter: {name: fleet, settings: {readiness: '127.0.0.1:9', zones: {z: r}, retries: {ratio: 0.2, slack: 12.6}, revocation_ms: 5000.5, config_apply_ms: 430, drain_ms: 86400000.0}}";
 
@@ -81,6 +94,8 @@
     fractions_in_amounts_and_times_pass_the_check: (9, "fractions", ("zone: z", FRACTIONS), 0);
     negative_amount_fails_the_check: (10, "negative", ("zone: z", "zone: z\nadapter: {name: fleet, settings: {readiness: '127.0.0.1:9', zones: {z: r}, retries: {ratio: 0.2, slack: -1}}}"), 2);
     time_that_is_no_number_fails_the_check: (11, "nan", ("zone: z", "zone: z\nadapter: {name: fleet, settings: {readiness: '127.0.0.1:9', zones: {z: r}, retries: {ratio: 0.2, slack: 1}, drain_ms: .nan}}"), 2);
+    // Guards against an exposure of more than all requests because a percentage was given.
+    share_above_one_fails_the_check: (12, "share", ("zone: z", "zone: z\nadapter: {name: fleet, settings: {readiness: '127.0.0.1:9', zones: {z: r}, retries: {ratio: 0.2, slack: 1}, rollout: {share: 10, tolerance: 50, rollback_ms: 5000}}}"), 2);
     missing_vm_fails_the_check: (3, "no-vm", ("vm: entry-1\n", ""), 2);
 }
 
