--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -11,6 +11,8 @@
 use hornbeamloom_kernel::pool::Key;
 use hornbeamloom_kernel::request::{Class, End, Id};
 use hornbeamloom_kernel::resource::{self, Kind, Record, Spec};
+use hornbeamloom_kernel::rollout::Phase;
+use hornbeamloom_kernel::rollout_count::{Cell, Report};
 use hornbeamloom_wire::frame::{self, Error};
 use quickcheck::{Arbitrary, Gen};
 
@@ -209,12 +211,46 @@
         backpressure(),
         subscribe(),
         table_updates(),
+        rollout_report(),
+        rollout_phase(),
         Message::Pull { from: Revision(3) },
         Message::Withdraw { pool: pool(), id: id() },
         Message::Hello { pool: pool(), fence: Fence(5) },
     ]
 }
 
+fn rollout_report() -> Message {
+    let cell = Cell {
+        route: 9,
+        target: "engine-1".into(),
+        complete: 5,
+        failed: 1,
+        first: vec![(13, 4), (14, 1)],
+        pace: vec![(26, 3)],
+    };
+    let report = Report {
+        incarnation: Incarnation(2),
+        sent: Millis(700),
+        sequence: 6,
+        phase: Phase::Promoting,
+        elapsed_ms: 650,
+        running_old: 3,
+        cells: vec![cell],
+    };
+    Message::RolloutReport { service: "menu-model".into(), order: Revision(7), report }
+}
+
+fn rollout_phase() -> Message {
+    Message::RolloutPhase {
+        service: "menu-model".into(),
+        order: Revision(7),
+        phase: Phase::Reverting,
+        elapsed_ms: 650,
+        decides: true,
+        answers: Some((Incarnation(2), Millis(700))),
+    }
+}
+
 /// Guards against a message that one daemon encodes and another cannot decode.
 fn is_read_back(message: Message) {
     let bytes = frame::encode("entry-b1", &message).unwrap();
@@ -242,6 +278,8 @@
     acknowledgement_is_read_back: (Message::Ack { pool: pool() });
     table_subscription_is_read_back: (subscribe());
     table_update_is_read_back: (table_updates());
+    rollout_report_is_read_back: (rollout_report());
+    rollout_phase_is_read_back: (rollout_phase());
 }
 
 /// Guards against input that terminates the reader, or that is accepted as a frame of this version.
