--- a/crates/kernel/src/ask.rs
+++ b/crates/kernel/src/ask.rs
@@ -6,13 +6,10 @@
 use crate::kernel::{Outbox, State};
 use crate::map::Map;
 use crate::outcome::{Counter, Reason, Refusal, RetryReason};
-use crate::peer::{Ask, Message};
-use crate::request::Id;
-use crate::{relocate, retry, route};
 use crate::peer::{Advice, Ask, Message, Slack};
 use crate::request::{Id, RouteOptions};
 use crate::resource::{Configuration, Protocol, Service};
-use crate::{ingress, retry, route, slack};
+use crate::{ingress, relocate, retry, route, slack};
 
 /// Time after which an unanswered ask is sent again, in milliseconds.
 const RESEND_MS: u64 = 500;
--- a/crates/kernel/src/request.rs
+++ b/crates/kernel/src/request.rs
@@ -175,6 +175,8 @@
     /// A stream that broke off can be continued on another target after the last event that the
     /// caller has, without its KV cache.
     pub resumable: bool,
+    /// Identifies the route among those of its service, for counts by route; zero without one.
+    pub route: u32,
 }
 
 /// How an attempt on a target ended.
--- a/crates/kernel/tests/fleet/mod.rs
+++ b/crates/kernel/tests/fleet/mod.rs
@@ -53,12 +53,12 @@
     pub store_latency_ms: u64,
     pub counts: Map<String, u64>,
     pub orders: Vec<(Millis, Order)>,
+    /// Attempts that it started.
+    pub starts: Vec<Start>,
     /// The targets that it probed.
     pub probes: Vec<Name>,
     /// The VMs that relay its connections to targets.
     pub relays: Vec<Name>,
-    /// The attempts that it was told to start.
-    pub starts: Vec<Start>,
     /// The requests that it refused.
     pub refusals: Vec<(Id, Refusal)>,
     /// The targets whose reports it asked for.
@@ -140,9 +140,9 @@
             store_latency_ms: STORE_LATENCY_MS,
             counts: Map::default(),
             orders: Vec::new(),
+            starts: Vec::new(),
             probes: Vec::new(),
             relays: Vec::new(),
-            starts: Vec::new(),
             refusals: Vec::new(),
             polls: Vec::new(),
             sent_messages: 0,
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -21,7 +21,7 @@
 const CBOR_ARRAY: u8 = 4;
 
 /// Kinds of message that this version decodes.
-pub const KINDS: [&str; 21] = [
+pub const KINDS: [&str; 23] = [
     "gossip",
     "delta",
     "pull",
@@ -43,6 +43,8 @@
     "subscribe",
     "table_updates",
     "load",
+    "rollout_report",
+    "rollout_phase",
 ];
 
 /// A decoded frame.
@@ -119,6 +121,8 @@
         Message::Targets { .. } => "targets",
         Message::Subscribe { .. } => "subscribe",
         Message::TableUpdates { .. } => "table_updates",
+        Message::RolloutReport { .. } => "rollout_report",
+        Message::RolloutPhase { .. } => "rollout_phase",
         Message::Departing { .. } => "departing",
         Message::Load { .. } => "load",
         Message::Backpressure { .. } => "backpressure",
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -14,5 +14,6 @@
 mod request_path;
 mod restored_store;
 mod resumption;
+mod rollouts;
 mod store;
 mod target_faults;
