Spread load over pools that are chosen from stale usage reports

Entry VMs choose the pool of a request from usage reports up to 5 s old. With the rule least-used, all VMs of a zone move to the same emptier zone at once, and a VM knows only the pools that granted it something.

The usage of pools is passed on with Targets and Progress, which are sent already; the new field is omitted where spread is off.

Tests of kernel and wire pass.

--- a/crates/kernel/src/accounting.rs
+++ b/crates/kernel/src/accounting.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use crate::attempt;
 use crate::event::Vm;
 use crate::ids::{Incarnation, Millis, Name};
 use crate::in_flight::{InFlightRequest, GRANT_TTL_MS, SILENCE_TIMEOUT_MS};
@@ -560,7 +561,12 @@
         });
         targets.map(|target| target.name.clone()).collect::<Vec<Name>>()
     };
-    let message = Message::Targets { pool: key.clone(), warm: names(true), cold: names(false) };
+    let (warm, cold) = (names(true), names(false));
+    if state.intent.spreads_load(&key.service) {
+        state.entry.usage.record(key, pool.usage_permille(now), now);
+    }
+    let usage = attempt::known_usage(state, &key.service, now);
+    let message = Message::Targets { pool: key.clone(), warm, cold, usage };
     for vm in vms {
         out.send(&vm, message.clone());
     }
--- a/crates/kernel/src/ask.rs
+++ b/crates/kernel/src/ask.rs
@@ -8,7 +8,7 @@
 use crate::outcome::{Counter, Reason, Refusal, RetryReason};
 use crate::peer::{Ask, Message};
 use crate::request::Id;
-use crate::{retry, route};
+use crate::{retry, route, spread};
 
 /// Time after which an unanswered ask is sent again, in milliseconds.
 const RESEND_MS: u64 = 500;
@@ -133,11 +133,13 @@
     out: &mut Outbox,
 ) {
     let spills = has_other_pool(state, id, &destination, now);
+    let basis = record_choice(state, id, &destination, now, out);
     let Some(request) = state.entry.requests.get_mut(id) else {
         return;
     };
     let fallback = if destination.is_fallback { " in fallback" } else { "" };
-    let text = format!("asked {} for {}{fallback}", destination.to, destination.pool.zone);
+    let basis = basis.map(|usage| format!("; usage {usage}")).unwrap_or_default();
+    let text = format!("asked {} for {}{fallback}{basis}", destination.to, destination.pool.zone);
     state.decisions.record(now, id, text);
     request.ask.attempt += 1;
     request.ask.pool = destination.pool;
@@ -153,6 +155,29 @@
     send_ask(state, id, now, out);
 }
 
+/// Records where a request is sent and returns the usage that the choice was based on, if it was.
+fn record_choice(
+    state: &mut State,
+    id: &Id,
+    destination: &route::Destination,
+    now: Millis,
+    out: &mut Outbox,
+) -> Option<String> {
+    let request = state.entry.requests.get(id)?;
+    let view = entry::route_view(state, request, &[]);
+    let basis = route::describe_usage(&view, &request.ask)?;
+    let shift = route::next_shift(&view, &request.ask);
+    let zone = &destination.pool.zone;
+    if request.tried_zones.is_empty() && *zone != state.identity.zone {
+        out.count(Counter::Event("spread_to_other_zone"));
+    }
+    let size = spread::size_permille(&state.intent, &request.ask, zone);
+    let usage = &mut state.entry.usage;
+    usage.set_shift(&destination.pool.service, shift);
+    usage.record_send(&destination.pool, size, now);
+    Some(basis)
+}
+
 /// Whether another pool can be asked immediately if the pool of `destination` cannot start the
 /// request.
 fn has_other_pool(state: &State, id: &Id, destination: &route::Destination, now: Millis) -> bool {
--- a/crates/kernel/src/attempt.rs
+++ b/crates/kernel/src/attempt.rs
@@ -8,11 +8,11 @@
 use crate::ids::{Fence, Millis, Name};
 use crate::kernel::{Outbox, State};
 use crate::outcome::{Counter, Outcome, Ran, Reason, Refusal, RetryReason, Standby, Start};
-use crate::peer::{Grant, Message, Progress, Release, Running};
+use crate::peer::{Grant, Message, Progress, Release, Running, UsageReport};
 use crate::pool;
 use crate::request::{End, Id};
 use crate::store::StoredResponse;
-use crate::{claim, quarantine, relocate, standby};
+use crate::{claim, quarantine, relocate, spread, standby};
 
 /// Limit on the attempts of one request that fail after a grant.
 const MAX_RETRIES: u32 = 8;
@@ -154,7 +154,7 @@
 }
 
 fn start_attempt(state: &mut State, from: &str, grant: &Grant, now: Millis, out: &mut Outbox) {
-    state.entry.usage.record(&grant.pool, grant.usage, now);
+    record_usage(state, grant, now);
     let start_id = state.intent.target(&grant.target).map_or(0, |target| target.start_id);
     state.backpressure.record_grant(grant, from, start_id, now);
     let standby = standby::choose_standby(state, grant, now);
@@ -188,6 +188,17 @@
     });
 }
 
+/// Records the usage of the pool that a grant contains.
+fn record_usage(state: &mut State, grant: &Grant, now: Millis) {
+    let usage = &mut state.entry.usage;
+    usage.record(&grant.pool, grant.usage, now);
+    if let Some(request) = state.entry.requests.get(&grant.id) {
+        // The usage in a grant does not contain the granted request.
+        let size = spread::size_permille(&state.intent, &request.ask, &grant.pool.zone);
+        usage.record_send(&grant.pool, size, now);
+    }
+}
+
 /// Releases a grant that cannot be used and asks again, unless the body is quarantined.
 fn decline_grant(
     state: &mut State,
@@ -276,8 +287,16 @@
     vms
 }
 
+/// The usage of a service's pools to pass on, if VMs spread its load.
+pub(crate) fn known_usage(state: &State, service: &str, now: Millis) -> Vec<UsageReport> {
+    match state.intent.spreads_load(service) {
+        true => state.entry.usage.reports(service, now),
+        false => Vec::new(),
+    }
+}
+
 /// Reports progress to each owner for the requests of its pool.
-pub(crate) fn on_progress(state: &mut State, counts: &[TokenCount], out: &mut Outbox) {
+pub(crate) fn on_progress(state: &mut State, counts: &[TokenCount], now: Millis, out: &mut Outbox) {
     let mut batches: BTreeMap<(Name, pool::Key), Vec<Progress>> = BTreeMap::new();
     for count in counts {
         let Some(request) = state.entry.requests.get_mut(&count.id) else {
@@ -304,7 +323,8 @@
         }
     }
     for ((vm, pool), entries) in batches {
-        out.send(&vm, Message::Progress { pool, entries });
+        let usage = known_usage(state, &pool.service, now);
+        out.send(&vm, Message::Progress { pool, entries, usage });
     }
 }
 
--- a/crates/kernel/src/entry.rs
+++ b/crates/kernel/src/entry.rs
@@ -165,7 +165,7 @@
         Event::RequestArrived(view) => on_arrival(state, view, now, out),
         Event::CallerDisconnected { id } => attempt::on_caller_disconnected(state, id, now, out),
         Event::SendStarted { id, attempt } => attempt::on_send_started(state, id, *attempt),
-        Event::Progress(counts) => attempt::on_progress(state, counts, out),
+        Event::Progress(counts) => attempt::on_progress(state, counts, now, out),
         Event::AttemptEnded { id, attempt, end, tokens, first_token_ms, stored } => {
             let ended = attempt::AttemptEnd {
                 id,
--- a/crates/kernel/src/intent.rs
+++ b/crates/kernel/src/intent.rs
@@ -17,6 +17,7 @@
 use crate::plugin::control;
 use crate::pool;
 use crate::resource::{self, Kind, Record, Spec};
+use crate::spread;
 
 /// Number of peers to which a new revision is pushed at once. The others learn of it through gossip
 /// or read it from the store.
@@ -193,6 +194,11 @@
         self.configuration(named.unwrap_or("default"))
     }
 
+    /// Whether VMs choose among the pools of `service` by [`crate::spread`].
+    pub(crate) fn spreads_load(&self, service: &str) -> bool {
+        self.configuration_for(service).is_some_and(|config| *config.policy.pools == *spread::NAME)
+    }
+
     /// All active targets, sorted by name.
     pub fn targets(&self) -> Vec<(&Name, &resource::Target)> {
         let declared = &self.by_kind[Kind::Target as usize];
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -68,10 +68,12 @@
 pub mod resource;
 pub mod retry;
 pub mod route;
+pub mod spread;
 pub mod store;
 pub mod stream;
 pub mod takeover;
 pub mod target;
+pub mod usage;
 pub mod validate;
 
 mod accounting;
@@ -108,4 +110,3 @@
 mod slots;
 mod standby;
 mod table_copy;
-mod usage;
--- a/crates/kernel/src/peer.rs
+++ b/crates/kernel/src/peer.rs
@@ -51,6 +51,9 @@
         pool: pool::Key,
         /// One entry per running request.
         entries: Vec<Progress>,
+        /// What the sender knows of the usage of the service's pools, where it is passed on.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        usage: Vec<UsageReport>,
     },
     /// An attempt ended.
     Release(Release),
@@ -96,6 +99,9 @@
         warm: Vec<Name>,
         /// Names of cold targets.
         cold: Vec<Name>,
+        /// What the owner knows of the usage of the service's pools, where it is passed on.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        usage: Vec<UsageReport>,
     },
     /// Asks a VM of the zone how current its copies of the platform's tables are, for the rows that
     /// the sender lacks, and for updates from now on.
@@ -295,6 +301,18 @@
     pub limit: Option<u64>,
 }
 
+/// The usage of a service's pool in one zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct UsageReport {
+    /// The zone.
+    pub zone: Name,
+    /// Usage in thousandths.
+    pub usage: u32,
+    /// Time since the pool's owner computed it, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// Progress of a running request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Progress {
--- a/crates/kernel/src/pool.rs
+++ b/crates/kernel/src/pool.rs
@@ -221,7 +221,8 @@
     match message {
         Message::Ask(ask) => accounting::handle_ask(state, from, ask, now, out),
         Message::Withdraw { pool, id } => accounting::handle_withdraw(state, pool, id, now, out),
-        Message::Progress { pool, entries } => {
+        Message::Progress { pool, entries, usage } => {
+            state.entry.usage.record_reports(&pool.service, usage, now);
             accounting::handle_progress(state, from, pool, entries, now, out);
         }
         Message::Release(release) => accounting::handle_release(state, release, now, out),
@@ -232,7 +233,10 @@
         Message::Handover(snapshot) => {
             takeover::store_snapshot(&mut state.pools, snapshot, now, out)
         }
-        Message::Targets { pool, warm, .. } => store_hint(state, pool, warm, now),
+        Message::Targets { pool, warm, usage, .. } => {
+            state.entry.usage.record_reports(&pool.service, usage, now);
+            store_hint(state, pool, warm, now);
+        }
         Message::Hello { pool, .. } => takeover::forward_hint(state, from, pool, now, out),
         _ => {}
     }
--- a/crates/kernel/src/resource.rs
+++ b/crates/kernel/src/resource.rs
@@ -321,12 +321,19 @@
     pub score: Vec<Name>,
     /// `Admit` and `Filter` policies that are switched off, for baselines and tests.
     pub off: Vec<Name>,
+    /// How a VM chooses among the pools of a service: `least-used` or `spread`.
+    #[serde(skip_serializing_if = "is_least_used")]
+    pub pools: Name,
+}
+
+fn is_least_used(pools: &Name) -> bool {
+    **pools == *"least-used"
 }
 
 impl Default for Policy {
     fn default() -> Policy {
         let score = vec!["kvload".into(), "affinity".into()];
-        Policy { order: "fair".into(), score, off: Vec::new() }
+        Policy { order: "fair".into(), score, off: Vec::new(), pools: "least-used".into() }
     }
 }
 
--- a/crates/kernel/src/route.rs
+++ b/crates/kernel/src/route.rs
@@ -5,8 +5,10 @@
 use crate::member;
 use crate::peer::Ask;
 use crate::pool;
+use crate::random;
 use crate::retry::draw;
-use crate::usage::PoolUsage;
+use crate::spread;
+use crate::usage::{Estimate, PoolUsage};
 
 /// Difference in usage, in thousandths, from which a request leaves its zone. It is more than two
 /// long prompts add on the engines of one zone.
@@ -84,11 +86,55 @@
     zones.rotate_left(shift % count);
     zones.sort_by_key(|zone| distance(view, zone));
     if let Some(usage) = view.usage {
-        prefer_less_used(view, usage, ask, &mut zones);
+        match view.intent.spreads_load(&ask.pool.service) {
+            true => spread_load(view, usage, ask, &mut zones),
+            false => prefer_less_used(view, usage, ask, &mut zones),
+        }
     }
     zones
 }
 
+/// Moves the zone that [`spread::choose`] selects to the front.
+fn spread_load(view: &View<'_>, usage: &PoolUsage, ask: &Ask, zones: &mut [Name]) {
+    let nearby = zones.iter().filter(|zone| distance(view, zone) != Distance::OtherRegion).count();
+    let estimates = estimate_zones(view, usage, ask, &zones[..nearby]);
+    // Requests with the same body and counter must not make the same choice on all VMs.
+    let seed = ask.fingerprint ^ random::hash(&[&ask.id.vm]);
+    let draws = [0, 1].map(|ix| draw(seed, ask.id.counter.wrapping_mul(2) + ix));
+    let has_own = zones.first().is_some_and(|zone| **zone == *view.preferred_zone);
+    let shift = usage.shift(&ask.pool.service);
+    let chosen = spread::choose(&spread::View { pools: &estimates, has_own, shift, draws });
+    if chosen < nearby {
+        zones[..=chosen].rotate_right(1);
+    }
+}
+
+fn estimate_zones(view: &View<'_>, usage: &PoolUsage, ask: &Ask, zones: &[Name]) -> Vec<Estimate> {
+    let pools: Vec<pool::Key> =
+        zones.iter().map(|zone| pool::Key::new(&ask.pool.service, zone)).collect();
+    usage.estimates(&pools, view.now)
+}
+
+/// The part of the requests for the service of `ask` that is to leave the zone from now on.
+pub fn next_shift(view: &View<'_>, ask: &Ask) -> spread::Shift {
+    let Some(usage) = view.usage else {
+        return spread::Shift::default();
+    };
+    let zones = candidate_zones(view, ask);
+    let is_nearby = |zone: &&Name| distance(view, zone) != Distance::OtherRegion;
+    let mut nearby: Vec<Name> = zones.iter().filter(is_nearby).cloned().collect();
+    nearby.sort_by_key(|zone| distance(view, zone));
+    let estimates = estimate_zones(view, usage, ask, &nearby);
+    usage.shift(&ask.pool.service).next(&estimates, view.now)
+}
+
+/// The usage that the choice of a pool for `ask` is based on, for the log; `None` if it is not.
+pub(crate) fn describe_usage(view: &View<'_>, ask: &Ask) -> Option<String> {
+    let usage = view.usage.filter(|_| view.intent.spreads_load(&ask.pool.service))?;
+    let zones = candidate_zones(view, ask);
+    Some(spread::describe(&zones, &estimate_zones(view, usage, ask, &zones)))
+}
+
 /// Moves a zone of the same region to the front if its usage is much lower than that of the first.
 ///
 /// Work that stays within a zone continues while the zone is partitioned, so requests leave their
--- a/crates/kernel/src/takeover.rs
+++ b/crates/kernel/src/takeover.rs
@@ -306,6 +306,7 @@
         pool: key.clone(),
         warm: hint.warm.iter().cloned().collect(),
         cold: Vec::new(),
+        usage: Vec::new(),
     };
     out.send(&from.into(), message);
 }
--- a/crates/kernel/src/validate.rs
+++ b/crates/kernel/src/validate.rs
@@ -10,6 +10,7 @@
     AvailabilityZone, Configuration, Key, Kind, Organisation, Record, ResourceMap, Route, Service,
     Spec, Target,
 };
+use crate::spread;
 
 /// Maximum size of a record or document in bytes.
 pub const MAX_DOCUMENT_BYTES: usize = 64 * 1024;
@@ -38,6 +39,8 @@
 /// Built-in `Score` policies.
 const SCORE_POLICIES: &[&str] =
     &["kvload", "affinity", "prefill", "round-robin", "least-outstanding"];
+/// Ways to choose among the pools of a service.
+const POOL_POLICIES: &[&str] = &["least-used", spread::NAME];
 /// Built-in `Admit` and `Filter` policies, which can be switched off.
 const SWITCHABLE_POLICIES: &[&str] =
     &["overload", "quarantine", "ramp", "headroom", "eligible", "isolate", "prefill"];
@@ -375,6 +378,9 @@
         }
     }
     let is_switchable = |stage: &Stage| matches!(stage, Stage::Admit(_) | Stage::Filter(_));
+    if !POOL_POLICIES.contains(&&*spec.pools) {
+        errors.add("spec.policy.pools", "expected least-used or spread");
+    }
     for (ix, name) in spec.off.iter().enumerate() {
         if !SWITCHABLE_POLICIES.contains(&&**name) && !registered(name, is_switchable) {
             let field = format!("spec.policy.off[{ix}]");
--- a/crates/kernel/tests/pool/harness.rs
+++ b/crates/kernel/tests/pool/harness.rs
@@ -44,7 +44,12 @@
 pub fn config(order: &str, score: &[&str], off: &[&str]) -> Configuration {
     let names = |names: &[&str]| names.iter().map(|name| Name::from(*name)).collect();
     Configuration {
-        policy: resource::Policy { order: order.into(), score: names(score), off: names(off) },
+        policy: resource::Policy {
+            order: order.into(),
+            score: names(score),
+            off: names(off),
+            ..resource::Policy::default()
+        },
         ..Configuration::default()
     }
 }
@@ -144,7 +149,7 @@
     pub fn announce_warm(&mut self, warm: &[&str]) {
         let warm = warm.iter().map(|name| Name::from(*name)).collect();
         let (pool, cold) = (key(), Vec::new());
-        self.receive("entry-0", Message::Targets { pool, warm, cold });
+        self.receive("entry-0", Message::Targets { pool, warm, cold, usage: Vec::new() });
     }
 
     /// Announces another VM of the zone to the kernel, so that messages can be sent to it.
@@ -396,7 +401,7 @@
             })
             .collect();
         let pool = key();
-        self.receive(ENTRY, Message::Progress { pool, entries });
+        self.receive(ENTRY, Message::Progress { pool, entries, usage: Vec::new() });
         self.asks.retain(|id, _| !granted.contains(id));
         let asks: Vec<Ask> = self.asks.values().cloned().collect();
         for ask in asks {
--- a/crates/kernel/tests/pool/takeover.rs
+++ b/crates/kernel/tests/pool/takeover.rs
@@ -196,7 +196,7 @@
     let entry =
         hornbeamloom_kernel::peer::Progress { incarnation: Incarnation(9), counter: 77, tokens: 3 };
     let (pool, entries) = (key(), vec![entry]);
-    harness.receive(ENTRY, Message::Progress { pool, entries });
+    harness.receive(ENTRY, Message::Progress { pool, entries, usage: Vec::new() });
     harness.ask_many("parlour-1", 8);
     assert_eq!(harness.running_on("engine-cold").len(), 0);
     let request = Running {
@@ -344,7 +344,7 @@
     assert_eq!(told.len(), 3);
     let (warm, cold) = (vec!["engine-2".into()], vec!["engine-1".into()]);
     let pool = key();
-    assert_eq!(told[0], Message::Targets { pool, warm, cold });
+    assert_eq!(told[0], Message::Targets { pool, warm, cold, usage: Vec::new() });
 }
 
 /// Without the announcement a new holder would restart the ramp of every target.
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -6,7 +6,7 @@
 use hornbeamloom_kernel::outcome::{Reason, Refusal};
 use hornbeamloom_kernel::peer::{
     Ask, Death, Delta, Gossip, Grant, Heartbeat, MemberEntry, MemberStatus, Message, Progress,
-    Release, Running, Suspect,
+    Release, Running, Suspect, UsageReport,
 };
 use hornbeamloom_kernel::pool::Key;
 use hornbeamloom_kernel::request::{Class, End, Id};
@@ -118,6 +118,7 @@
     Message::Progress {
         pool: pool(),
         entries: vec![Progress { incarnation: Incarnation(0x18f), counter: 42, tokens: 7 }],
+        usage: Vec::new(),
     }
 }
 
@@ -150,7 +151,8 @@
 }
 
 fn targets() -> Message {
-    Message::Targets { pool: pool(), warm: vec!["engine-1".into()], cold: vec!["engine-2".into()] }
+    let (warm, cold) = (vec!["engine-1".into()], vec!["engine-2".into()]);
+    Message::Targets { pool: pool(), warm, cold, usage: Vec::new() }
 }
 
 fn backpressure() -> Message {
@@ -272,6 +274,19 @@
     oversized_input_is_skipped: (vec![0; frame::MAX_BYTES + 1], "frame_oversized");
 }
 
+/// Guards against bytes on the wire that differ from those of VMs which do not pass on usage.
+#[test]
+fn usage_that_is_not_passed_on_is_omitted() {
+    let passed_on = UsageReport { zone: "riga-b".into(), usage: 400, age_ms: 90 };
+    let targets = |usage| Message::Targets { pool: pool(), warm: vec![], cold: vec![], usage };
+    let has_usage = |message: &Message| {
+        let bytes = frame::encode("entry-b1", message).expect("a small message");
+        bytes.windows(5).any(|window| window == b"usage")
+    };
+    assert!(!has_usage(&progress()) && !has_usage(&targets(vec![])));
+    assert!(has_usage(&targets(vec![passed_on])));
+}
+
 /// Guards against a message that the peer would reject for its size.
 #[test]
 fn oversized_message_is_not_encoded() {
@@ -279,6 +294,7 @@
         pool: pool(),
         warm: vec!["engine".into(); frame::MAX_BYTES / 6],
         cold: Vec::new(),
+        usage: Vec::new(),
     };
     assert!(matches!(
         frame::encode("entry-b1", &message),
