Place prompts by the pauses they cause and by the speed of targets

A stream is late when a prompt is processed on its engine while that engine is slow; the scheduler knew neither the pace of targets nor the bound on pauses.

VMs measure the gaps between events of the streams that they forward and send them with Progress; the scheduler keeps a decayed time per event, time per prompt token and worst pause of each target. The score policy pauses ranks targets whose streams would break Route.targetPauseMs below all others, and fast targets first for long generations; it closes none. It is off by default (platform: placement.pauses), and its fields are omitted where it is off.

The effect on late streams is not measured here.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -45,6 +45,8 @@
     /// KV memory in use, in percent, below which generations are copied to a standby; applies to
     /// daemons that are started later.
     pub standby_percent: u32,
+    /// The adapter setting `placement`; applies to daemons that are started later.
+    pub placement: Value,
     /// Limit of the daemons' shutdown in seconds; applies to daemons that are started later.
     pub shutdown_limit_s: Option<u64>,
     /// Memory in bytes in which the daemons buffer bodies; applies to daemons that are started later.
@@ -113,6 +115,7 @@
             request_log: RequestLog::new(),
             daemons: Vec::new(),
             standby_percent: 0,
+            placement: json!({}),
             shutdown_limit_s: None,
             buffer_bytes: None,
             daemon_binary: daemon_binary.to_owned(),
@@ -121,6 +124,11 @@
         })
     }
 
+    /// The log of a daemon so far; empty before it starts.
+    pub fn log(&self, vm: &str) -> String {
+        std::fs::read_to_string(self.dir.join(format!("{vm}.log"))).unwrap_or_default()
+    }
+
     /// Writes the operator's configuration to the store.
     pub fn put_config(&self, config: &Value) {
         self.store.put("op", "config", config.to_string().as_bytes());
@@ -198,6 +206,7 @@
                     "zones": {"a": "region", "b": "region"},
                     "retries": {"ratio": 0.2, "slack": 50},
                     "standby_percent": self.standby_percent,
+                    "placement": self.placement,
                     "revocation_ms": REVOCATION_MS,
                     "config_apply_ms": CHANGE_APPLY_MS,
                     "drain_ms": CHANGE_APPLY_MS,
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -502,6 +502,8 @@
         terms: request.terms,
         decisions,
         tokens: delivered_tokens.clone(),
+        // The events of this interface are those of the relay, not of one target.
+        pace: Arc::default(),
     };
     let task = RequestTask {
         id: id.clone(),
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -3,7 +3,7 @@
 //! All changes to control state happen on this thread. Adapters send typed inputs; the actor routes
 //! the kernel's outcomes back to them. No code here performs network I/O.
 
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::AtomicU32;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,8 +24,9 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use xtra::prelude::*;
 
+use crate::active_request::ActiveRequest;
 use crate::clock::BootInstant;
-use crate::metrics;
+use crate::{metrics, pace};
 
 /// Interval between progress reports of running requests to the kernel, in milliseconds.
 const PROGRESS_INTERVAL_MS: u64 = 500;
@@ -57,6 +58,8 @@
     pub decisions: mpsc::UnboundedSender<Decision>,
     /// Number of output tokens delivered; updated by the traffic task.
     pub tokens: Arc<AtomicU32>,
+    /// Gaps between events; updated by the traffic task.
+    pub pace: Arc<pace::Meter>,
 }
 
 /// Whether a request may be executed more than once.
@@ -239,21 +242,6 @@
     }
 }
 
-/// A running request of this VM.
-struct ActiveRequest {
-    decisions: mpsc::UnboundedSender<Decision>,
-    tokens: Arc<AtomicU32>,
-    /// Tokens delivered by earlier placements of the generation.
-    earlier_tokens: u32,
-}
-
-impl ActiveRequest {
-    /// Returns the number of tokens delivered by the current placement.
-    fn delivered(&self) -> u32 {
-        self.tokens.load(Ordering::Relaxed).saturating_sub(self.earlier_tokens)
-    }
-}
-
 /// Routes the outcomes that an adapter accepts to its inbox.
 pub(crate) struct OutcomeRoute {
     pub(crate) accepts: fn(&Outcome) -> bool,
@@ -438,23 +426,15 @@
             return;
         }
         self.last_progress_at = now;
-        let counts: Vec<TokenCount> = self
-            .requests
-            .iter()
-            .map(|(id, request)| TokenCount { id: id.clone(), tokens: request.delivered() })
-            .collect();
+        let counts: Vec<TokenCount> =
+            self.requests.iter().map(|(id, request)| request.count(id)).collect();
         if !counts.is_empty() {
             self.handle_event(Event::Progress(&counts));
         }
     }
 
     fn accept_request(&mut self, arrival: Arrival) {
-        let request = ActiveRequest {
-            decisions: arrival.decisions.clone(),
-            tokens: arrival.tokens.clone(),
-            earlier_tokens: 0,
-        };
-        self.requests.insert(arrival.id.clone(), request);
+        self.requests.insert(arrival.id.clone(), ActiveRequest::new(&arrival));
         self.handle_event(Event::RequestArrived(View {
             id: &arrival.id,
             organisation: &arrival.organisation,
@@ -490,11 +470,7 @@
         let Some(request) = self.requests.get(from) else {
             return;
         };
-        let next = ActiveRequest {
-            decisions: request.decisions.clone(),
-            tokens: request.tokens.clone(),
-            earlier_tokens: request.tokens.load(Ordering::Relaxed),
-        };
+        let next = request.next_placement();
         self.requests.insert(start.id.clone(), next);
         self.send_decision(from, Decision::Move(start));
     }
@@ -505,7 +481,7 @@
         };
         let tokens = request.delivered();
         if let Some(next) = self.requests.get_mut(to) {
-            next.earlier_tokens = request.tokens.load(Ordering::Relaxed);
+            next.continue_from(&request);
         }
         self.handle_event(Event::GenerationMoved { from, to, tokens });
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod link;
 pub mod log_writer;
 pub mod memory;
+pub mod pace;
 pub mod peer_server;
 pub mod peers;
 pub mod run;
@@ -40,6 +41,7 @@
 pub mod stream_proxy;
 pub mod tunnel;
 
+mod active_request;
 mod api_error;
 mod attempt;
 mod continuation;
--- a/crates/daemon/src/session.rs
+++ b/crates/daemon/src/session.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use crate::control::{Arrival, Control, Decision, Input, RerunPolicy};
+use crate::pace::Meter;
 
 /// A request as an adapter submits it.
 #[derive(Debug)]
@@ -44,6 +45,7 @@
     id: Id,
     pub(crate) decisions: mpsc::UnboundedReceiver<Decision>,
     pub(crate) delivered_tokens: Arc<AtomicU32>,
+    pub(crate) pace: Arc<Meter>,
     pub(crate) arrived_at: Instant,
     may_have_run: Arc<AtomicBool>,
     is_open: bool,
@@ -54,6 +56,7 @@
     pub fn new(control: &Control, request: Request) -> Session {
         let (sender, decisions) = mpsc::unbounded_channel();
         let delivered_tokens = Arc::new(AtomicU32::new(0));
+        let pace = Arc::<Meter>::default();
         let id = request.id.clone();
         control.tell(Input::RequestArrived(Box::new(Arrival {
             id: request.id,
@@ -68,12 +71,14 @@
             terms: request.terms,
             decisions: sender,
             tokens: delivered_tokens.clone(),
+            pace: pace.clone(),
         })));
         Session {
             control: control.clone(),
             id,
             decisions,
             delivered_tokens,
+            pace,
             arrived_at: Instant::now(),
             may_have_run: Arc::default(),
             is_open: true,
--- a/crates/daemon/src/stream_proxy.rs
+++ b/crates/daemon/src/stream_proxy.rs
@@ -89,9 +89,11 @@
         first_event_ms: None,
         last_event_at: None,
         longest_gap: Duration::ZERO,
+        is_first_event: true,
     };
     let mut placement = Placement::new(start, opened.events);
     loop {
+        proxy.is_first_event = true;
         let placement_end = match proxy.forward_events(&mut placement).await {
             PlacementEnd::OfferToStandby(next) => {
                 match proxy.offer_to_standby(&targets, placement, next).await {
@@ -195,6 +197,8 @@
     last_event_at: Option<Instant>,
     /// Longest time between two events.
     longest_gap: Duration,
+    /// The current target has not sent an event yet.
+    is_first_event: bool,
 }
 
 impl<A, C, R> StreamProxy<A, C, R> {
@@ -214,7 +218,12 @@
             let gap = now - previous;
             metrics::record_token_gap(gap);
             self.longest_gap = self.longest_gap.max(gap);
+            // The gap before the first event of a next target is not that target's pace.
+            if !self.is_first_event {
+                self.session.pace.record(gap);
+            }
         }
+        self.is_first_event = false;
         self.last_event = event.seq;
         self.session.delivered_tokens.fetch_add(event.tokens, Ordering::Relaxed);
         self.response.body.send(Ok(event.bytes)).await.is_ok()
--- a/crates/kernel/src/attempt.rs
+++ b/crates/kernel/src/attempt.rs
@@ -8,11 +8,11 @@
 use crate::ids::{Fence, Millis, Name};
 use crate::kernel::{Outbox, State};
 use crate::outcome::{Counter, Outcome, Ran, Reason, Refusal, RetryReason, Standby, Start};
-use crate::peer::{Grant, Message, Progress, Release, Running, UsageReport};
+use crate::peer::{Grant, Message, Progress, Release, Running, TargetPace, UsageReport};
 use crate::pool;
 use crate::request::{End, Id};
 use crate::store::StoredResponse;
-use crate::{claim, quarantine, relocate, spread, standby};
+use crate::{claim, pace, pauses, quarantine, relocate, spread, standby};
 
 /// Limit on the attempts of one request that fail after a grant.
 const MAX_RETRIES: u32 = 8;
@@ -297,7 +297,8 @@
 
 /// Reports progress to each owner for the requests of its pool.
 pub(crate) fn on_progress(state: &mut State, counts: &[TokenCount], now: Millis, out: &mut Outbox) {
-    let mut batches: BTreeMap<(Name, pool::Key), Vec<Progress>> = BTreeMap::new();
+    let mut batches: BTreeMap<(Name, pool::Key), (Vec<Progress>, Vec<TargetPace>)> =
+        BTreeMap::new();
     for count in counts {
         let Some(request) = state.entry.requests.get_mut(&count.id) else {
             continue;
@@ -319,12 +320,16 @@
         };
         for vm in in_flight_vms(state, &request.ask.pool, run) {
             let batch = batches.entry((vm, request.ask.pool.clone()));
-            batch.or_default().push(entry);
+            let (entries, readings) = batch.or_default();
+            entries.push(entry);
+            if pauses::is_on(&state.intent, &request.ask.pool.service) {
+                pace::add_reading(readings, &run.target, count.pace);
+            }
         }
     }
-    for ((vm, pool), entries) in batches {
+    for ((vm, pool), (entries, pace)) in batches {
         let usage = known_usage(state, &pool.service, now);
-        out.send(&vm, Message::Progress { pool, entries, usage });
+        out.send(&vm, Message::Progress { pool, entries, usage, pace });
     }
 }
 
--- a/crates/kernel/src/entry.rs
+++ b/crates/kernel/src/entry.rs
@@ -196,6 +196,9 @@
             state.entry.owners.record_answer(from, now);
             ask::on_refusal(state, from, id, *attempt, refusal, now, out);
         }
+        Message::Progress { pool, usage, .. } | Message::Targets { pool, usage, .. } => {
+            state.entry.usage.record_reports(&pool.service, usage, now);
+        }
         Message::Hello { pool, fence } => attempt::send_inventory(state, from, pool, *fence, out),
         _ => {}
     }
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -1,6 +1,7 @@
 //! The inputs of the kernel, as borrowed views.
 
 use crate::ids::{Millis, Name, Revision};
+use crate::pace::Reading;
 use crate::peer::{Delta, Message};
 use crate::request::{End, Id, View};
 use crate::store::{Answer, CallId};
@@ -174,6 +175,8 @@
     pub id: Id,
     /// Tokens delivered so far.
     pub tokens: u32,
+    /// Its events since the last report of progress.
+    pub pace: Reading,
 }
 
 /// One VM in the platform's list.
--- a/crates/kernel/src/ingress.rs
+++ b/crates/kernel/src/ingress.rs
@@ -84,6 +84,7 @@
 ///     streaming: false,
 ///     timeout_ms: 800,
 ///     target_latency_ms: 300,
+///     target_pause_ms: None,
 ///     attempts: 1,
 ///     priority: 0,
 ///     public: false,
--- a/crates/kernel/src/peer.rs
+++ b/crates/kernel/src/peer.rs
@@ -54,6 +54,9 @@
         /// What the sender knows of the usage of the service's pools, where it is passed on.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         usage: Vec<UsageReport>,
+        /// What the sender read from targets since its last message, where it is measured.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pace: Vec<TargetPace>,
     },
     /// An attempt ended.
     Release(Release),
@@ -301,6 +304,20 @@
     pub limit: Option<u64>,
 }
 
+/// Events that a VM read from a target's streams within an interval.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct TargetPace {
+    /// The target.
+    pub target: Name,
+    /// Number of gaps between events.
+    pub gaps: u32,
+    /// Sum of these gaps, in milliseconds.
+    pub total_ms: u32,
+    /// The longest of them, in milliseconds.
+    pub worst_ms: u32,
+}
+
 /// The usage of a service's pool in one zone.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/kernel/src/pool.rs
+++ b/crates/kernel/src/pool.rs
@@ -13,6 +13,7 @@
 use crate::kv_growth::{likely_kv_use, KvGrowth};
 use crate::length::Lengths;
 use crate::map::Map;
+use crate::pace::Paces;
 use crate::peer::{Ask, Message};
 use crate::plugin::{control, policy};
 use crate::polling;
@@ -107,6 +108,8 @@
     pub(crate) last_polled: Option<Millis>,
     pub(crate) last_announced: Option<Millis>,
     pub(crate) start_rate: StartRate,
+    /// How fast the targets deliver.
+    pub paces: Paces,
     protocol: Protocol,
 }
 
@@ -221,8 +224,7 @@
     match message {
         Message::Ask(ask) => accounting::handle_ask(state, from, ask, now, out),
         Message::Withdraw { pool, id } => accounting::handle_withdraw(state, pool, id, now, out),
-        Message::Progress { pool, entries, usage } => {
-            state.entry.usage.record_reports(&pool.service, usage, now);
+        Message::Progress { pool, entries, .. } => {
             accounting::handle_progress(state, from, pool, entries, now, out);
         }
         Message::Release(release) => accounting::handle_release(state, release, now, out),
@@ -233,10 +235,7 @@
         Message::Handover(snapshot) => {
             takeover::store_snapshot(&mut state.pools, snapshot, now, out)
         }
-        Message::Targets { pool, warm, usage, .. } => {
-            state.entry.usage.record_reports(&pool.service, usage, now);
-            store_hint(state, pool, warm, now);
-        }
+        Message::Targets { pool, warm, .. } => store_hint(state, pool, warm, now),
         Message::Hello { pool, .. } => takeover::forward_hint(state, from, pool, now, out),
         _ => {}
     }
@@ -267,8 +266,7 @@
 
 /// Creates the pools whose leases this VM holds and updates its rights in them.
 fn activate_held_pools(state: &mut State, now: Millis, out: &mut Outbox) {
-    let held = state.leases.held(now).into_iter();
-    let keys: Vec<Key> = held.map(|(key, _)| key.clone()).collect();
+    let keys: Vec<Key> = state.leases.held(now).iter().map(|(key, _)| (*key).clone()).collect();
     for key in keys {
         if !state.pools.was_handed_over(&key, now) {
             let State { pools, intent, .. } = state;
@@ -316,6 +314,7 @@
             last_announced: None,
             protocol: Protocol::Model,
             start_rate: StartRate::default(),
+            paces: Paces::default(),
         }
     }
 
--- a/crates/kernel/src/resource.rs
+++ b/crates/kernel/src/resource.rs
@@ -299,6 +299,9 @@
     /// Latency target in milliseconds, for the complete response or, for a stream, its first event.
     #[serde(default = "timeout_ms")]
     pub target_latency_ms: u64,
+    /// Longest pause between two events of a stream, in milliseconds; no limit if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub target_pause_ms: Option<u64>,
     /// Maximum number of targets on which one request may run.
     #[serde(default = "one")]
     pub attempts: u32,
--- a/crates/kernel/src/schedule.rs
+++ b/crates/kernel/src/schedule.rs
@@ -6,7 +6,8 @@
 use crate::ids::Millis;
 use crate::in_flight::InFlightRequest;
 use crate::kernel::{Outbox, State};
-use crate::outcome::Refusal;
+use crate::outcome::{Counter, Refusal};
+use crate::pauses;
 use crate::peer::{Ask, Grant, Message};
 use crate::plugin::policy;
 use crate::pool::{Key, Pool, Reservation};
@@ -92,9 +93,13 @@
             record_bypass(pool, quarantine, bypassed, now);
         }
         let explanation = explain(pool, quarantine, &assignment, now);
+        let puts_bound_at_risk = puts_bound_at_risk(pool, quarantine, &assignment, now);
         let Some(grant) = issue_grant(pool, &assignment, now) else {
             break;
         };
+        if puts_bound_at_risk {
+            out.count(Counter::Event("pause_bound_at_risk"));
+        }
         decisions.record(now, &grant.id, explanation);
         out.send(&grant.id.vm.clone(), Message::Grant(grant));
     }
@@ -234,6 +239,18 @@
     pool.reservation = target_ix.map(|target_ix| Reservation { id: id.clone(), class, target_ix });
 }
 
+/// Returns whether an assignment is likely to break the pause bound of streams on its target.
+fn puts_bound_at_risk(
+    pool: &Pool,
+    quarantine: &Registry,
+    assignment: &Assignment,
+    now: Millis,
+) -> bool {
+    let view = policy::View { pool, quarantine, now };
+    let queued = pool.queue.find(&assignment.id);
+    queued.is_some_and(|queued| pauses::breaks_bound(&view, &queued.ask, assignment.target_ix))
+}
+
 /// Returns the reason for an assignment, for the log of the request.
 fn explain(pool: &Pool, quarantine: &Registry, assignment: &Assignment, now: Millis) -> String {
     let view = policy::View { pool, quarantine, now };
@@ -250,13 +267,14 @@
         .collect();
     let target = &pool.targets[assignment.target_ix];
     format!(
-        "granted {}: best of {} open targets ({}), {} running of {}, waited {} ms",
+        "granted {}: best of {} open targets ({}), {} running of {}, waited {} ms{}",
         target.name,
         open.count(),
         scores.join(", "),
         pool.occupancy(assignment.target_ix),
         pool.concurrency_limit(target),
         now.since(queued.arrived),
+        pauses::describe(pool, assignment.target_ix, now),
     )
 }
 
--- a/crates/kernel/src/validate.rs
+++ b/crates/kernel/src/validate.rs
@@ -357,6 +357,12 @@
     }
     errors.range("spec.timeoutMs", spec.timeout_ms, 1..=MAX_QUEUE_MS);
     errors.range("spec.targetLatencyMs", spec.target_latency_ms, 1..=MAX_QUEUE_MS);
+    if let Some(pause_ms) = spec.target_pause_ms {
+        errors.range("spec.targetPauseMs", pause_ms, 1..=MAX_QUEUE_MS);
+        if !spec.streaming {
+            errors.add("spec.targetPauseMs", "expected only with streaming");
+        }
+    }
     errors.range("spec.attempts", spec.attempts, 1..=MAX_COUNT);
     errors.range("spec.priority", spec.priority, 0..=MAX_PRIORITY);
 }
--- a/crates/kernel/tests/common/mod.rs
+++ b/crates/kernel/tests/common/mod.rs
@@ -509,7 +509,7 @@
                 self.handle(Event::SendStarted { id, attempt });
             }
             Step::Progress(n, tokens) => {
-                let counts = [TokenCount { id: id(n), tokens }];
+                let counts = [TokenCount { id: id(n), tokens, pace: Default::default() }];
                 self.handle(Event::Progress(&counts));
             }
             Step::End(n, end, tokens) => self.end_attempt(n, end, tokens, None),
--- a/crates/kernel/tests/fuzz/harness/clock.rs
+++ b/crates/kernel/tests/fuzz/harness/clock.rs
@@ -94,8 +94,9 @@
         if self.now >= self.vms[vm].next_progress_at {
             self.vms[vm].next_progress_at = self.now + PROGRESS_MS;
             let open = self.vms[vm].open_streams.keys();
-            let counts: Vec<TokenCount> =
-                open.map(|id| TokenCount { id: id.clone(), tokens: 0 }).collect();
+            let counts: Vec<TokenCount> = open
+                .map(|id| TokenCount { id: id.clone(), tokens: 0, pace: Default::default() })
+                .collect();
             self.handle_event(vm, Event::Progress(&counts));
         }
         if self.now >= self.vms[vm].next_list_at {
--- a/crates/kernel/tests/ingress.rs
+++ b/crates/kernel/tests/ingress.rs
@@ -29,6 +29,7 @@
         streaming: true,
         timeout_ms: 6_000,
         target_latency_ms: 1_500,
+        target_pause_ms: None,
         attempts: 2,
         priority: 4,
         public: false,
--- a/crates/kernel/tests/pool/harness.rs
+++ b/crates/kernel/tests/pool/harness.rs
@@ -401,7 +401,7 @@
             })
             .collect();
         let pool = key();
-        self.receive(ENTRY, Message::Progress { pool, entries, usage: Vec::new() });
+        self.receive(ENTRY, Message::Progress { pool, entries, usage: vec![], pace: vec![] });
         self.asks.retain(|id, _| !granted.contains(id));
         let asks: Vec<Ask> = self.asks.values().cloned().collect();
         for ask in asks {
--- a/crates/kernel/tests/pool/main.rs
+++ b/crates/kernel/tests/pool/main.rs
@@ -7,6 +7,7 @@
 mod fair;
 mod harness;
 mod memory;
+mod pauses;
 mod policy;
 mod queue;
 mod spill;
--- a/crates/kernel/tests/pool/takeover.rs
+++ b/crates/kernel/tests/pool/takeover.rs
@@ -196,7 +196,7 @@
     let entry =
         hornbeamloom_kernel::peer::Progress { incarnation: Incarnation(9), counter: 77, tokens: 3 };
     let (pool, entries) = (key(), vec![entry]);
-    harness.receive(ENTRY, Message::Progress { pool, entries, usage: Vec::new() });
+    harness.receive(ENTRY, Message::Progress { pool, entries, usage: vec![], pace: vec![] });
     harness.ask_many("parlour-1", 8);
     assert_eq!(harness.running_on("engine-cold").len(), 0);
     let request = Running {
--- a/crates/kernel/tests/validate.rs
+++ b/crates/kernel/tests/validate.rs
@@ -2,8 +2,8 @@
 
 use hornbeamloom_kernel::ids::Revision;
 use hornbeamloom_kernel::resource::{
-    AvailabilityZone, Configuration, Key, Kind, Organisation, Policy, Protocol, Record,
-    ResourceMap, Service, Spec, Target, ZoneState,
+    AvailabilityZone, Configuration, Key, Kind, Organisation, Policy, Protocol, Record, Rerun,
+    ResourceMap, Route, Service, Share, Spec, Target, ZoneState,
 };
 use hornbeamloom_kernel::validate::{self, references};
 
@@ -131,12 +131,40 @@
     model_without_version_fails: ("c", configuration(|c| c.models = vec!["m".into()]), &["spec.models[0]"]);
     model_with_version_passes: ("c", configuration(|c| c.models = vec!["m@2".into()]), &[]);
     unknown_order_fails: ("c", policy(|p| p.order = "lifo".into()), &["spec.policy.order"]);
+    unknown_choice_of_pools_fails: ("c", policy(|p| p.pools = "luck".into()), &["spec.policy.pools"]);
+    spread_and_pauses_pass: ("c", policy(|p| { p.pools = "spread".into(); p.score.push("pauses".into()); }), &[]);
     unknown_score_fails: ("c", policy(|p| p.score = vec!["luck".into()]), &["spec.policy.score[0]"]);
     filter_is_no_score: ("c", policy(|p| p.score = vec!["ramp".into()]), &["spec.policy.score[0]"]);
     score_cannot_be_switched_off: ("c", policy(|p| p.off = vec!["kvload".into()]), &["spec.policy.off[0]"]);
     baseline_policies_pass: ("c", policy(|p| { p.order = "fifo".into(); p.off = vec!["ramp".into(), "headroom".into()]; }), &[]);
 }
 
+/// Guards against a bound on pauses that can never apply, and against a value of zero.
+fn pause_bound(streaming: bool, target_pause_ms: Option<u64>, expected: &[&str]) {
+    let spec = Route {
+        host: "bookings.example".to_owned(),
+        path_prefix: "/".to_owned(),
+        shares: vec![Share { service: "menu-model".into(), weight: 1 }],
+        rerun: Rerun::Never,
+        streaming,
+        timeout_ms: 39_000,
+        target_latency_ms: 1_800,
+        target_pause_ms,
+        attempts: 1,
+        priority: 1,
+        public: false,
+    };
+    reports_errors_at("r", Spec::Route(spec), expected);
+}
+
+hornbeamloom_kernel::cases! {
+    pause_bound;
+    a_stream_may_have_one: (true, Some(180), &[]);
+    a_stream_needs_none: (true, None, &[]);
+    zero_fails: (true, Some(0), &["spec.targetPauseMs"]);
+    other_responses_have_no_pauses: (false, Some(180), &["spec.targetPauseMs"]);
+}
+
 /// Guards against deletions that would leave dangling references.
 fn has_referrers(kind: Kind, name: &str, expected: &[&str]) {
     let name = name.into();
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -119,6 +119,7 @@
         pool: pool(),
         entries: vec![Progress { incarnation: Incarnation(0x18f), counter: 42, tokens: 7 }],
         usage: Vec::new(),
+        pace: Vec::new(),
     }
 }
 
@@ -274,17 +275,19 @@
     oversized_input_is_skipped: (vec![0; frame::MAX_BYTES + 1], "frame_oversized");
 }
 
-/// Guards against bytes on the wire that differ from those of VMs which do not pass on usage.
+/// Guards against bytes on the wire that differ from those of VMs which neither pass on usage nor
+/// measure the pace of targets.
 #[test]
-fn usage_that_is_not_passed_on_is_omitted() {
-    let passed_on = UsageReport { zone: "riga-b".into(), usage: 400, age_ms: 90 };
+fn optional_measurements_are_omitted() {
+    let usage = UsageReport { zone: "riga-b".into(), usage: 400, age_ms: 90 };
     let targets = |usage| Message::Targets { pool: pool(), warm: vec![], cold: vec![], usage };
-    let has_usage = |message: &Message| {
+    let contains = |message: &Message, field: &str| {
         let bytes = frame::encode("entry-b1", message).expect("a small message");
-        bytes.windows(5).any(|window| window == b"usage")
+        bytes.windows(field.len()).any(|window| window == field.as_bytes())
     };
-    assert!(!has_usage(&progress()) && !has_usage(&targets(vec![])));
-    assert!(has_usage(&targets(vec![passed_on])));
+    assert!(!contains(&progress(), "usage") && !contains(&progress(), "pace"));
+    assert!(!contains(&targets(vec![]), "usage"));
+    assert!(contains(&targets(vec![usage]), "usage"));
 }
 
 /// Guards against a message that the peer would reject for its size.
--- a/tests/fleet/harness.rs
+++ b/tests/fleet/harness.rs
@@ -8,6 +8,7 @@
 use futures_util::future::join_all;
 use hornbeamloom_bench::fleet::{config, Fleet, ATTEMPT_ID_HEADER};
 use hornbeamloom_bench::mock_engine::Engine;
+use serde_json::json;
 
 /// Caller key that the standard configuration accepts.
 pub const CALLER_KEY: &str = "k1";
@@ -55,6 +56,17 @@
     fleet
 }
 
+/// Starts a fleet of one daemon in zone `a` that places requests by the pace of targets and spreads
+/// load.
+pub async fn start_fleet_with_placement() -> Fleet {
+    let placement = json!({"pauses": true, "spread": true});
+    let fleet = launch_fleet(|fleet| fleet.placement = placement).await;
+    let mut config = config(1, &[CALLER_KEY]);
+    config["routes"][0]["target_itl_ms"] = 180.into();
+    fleet.put_config(&config);
+    fleet
+}
+
 /// Starts a fleet of one daemon in zone `a` without a configuration.
 pub async fn start_unconfigured_fleet() -> Fleet {
     launch_fleet(|_| {}).await
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod hints;
 mod lifecycle;
 mod memory;
+mod placement;
 mod prompt_parts;
 mod relayed_connections;
 mod relocation;
