--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -52,6 +52,8 @@
     pub standby_percent: u32,
     /// How streams are admitted; applies to daemons that are started later.
     pub admission: &'static str,
+    /// The adapter setting `placement`; applies to daemons that are started later.
+    pub placement: Value,
     /// Limit of the daemons' shutdown in seconds; applies to daemons that are started later.
     pub shutdown_limit_s: Option<u64>,
     /// Memory in bytes in which the daemons buffer bodies; applies to daemons that are started later.
@@ -123,6 +125,7 @@
             daemons: Vec::new(),
             standby_percent: 0,
             admission: "fair",
+            placement: json!({}),
             shutdown_limit_s: None,
             buffer_bytes: None,
             has_rollouts: false,
@@ -132,6 +135,11 @@
         })
     }
 
+    /// The log of a daemon so far; empty before it starts.
+    pub fn log(&self, vm: &str) -> String {
+        std::fs::read_to_string(self.dir.join(format!("{vm}.log"))).unwrap_or_default()
+    }
+
     /// Writes the operator's configuration to the store.
     pub fn put_config(&self, config: &Value) {
         self.store.put("op", "config", config.to_string().as_bytes());
@@ -232,6 +240,7 @@
                     "retries": {"ratio": 0.2, "slack": 50},
                     "standby_percent": self.standby_percent,
                     "admission": self.admission,
+                    "placement": self.placement,
                     "revocation_ms": REVOCATION_MS,
                     "config_apply_ms": CHANGE_APPLY_MS,
                     "drain_ms": CHANGE_APPLY_MS,
--- a/crates/kernel/src/entry.rs
+++ b/crates/kernel/src/entry.rs
@@ -192,7 +192,7 @@
         Event::RequestArrived(view) => on_arrival(state, view, now, out),
         Event::CallerDisconnected { id } => attempt::on_caller_disconnected(state, id, now, out),
         Event::SendStarted { id, attempt } => attempt::on_send_started(state, id, *attempt),
-        Event::Progress(counts) => attempt::on_progress(state, counts, out),
+        Event::Progress(counts) => attempt::on_progress(state, counts, now, out),
         Event::AttemptEnded { id, attempt, end, tokens, first_token_ms, stored } => {
             let ended = attempt::AttemptEnd {
                 id,
@@ -224,6 +224,9 @@
             let answer = ask::Answer { id, attempt: *attempt, refusal, advice: advice.as_ref() };
             ask::on_refusal(state, from, &answer, now, out);
         }
+        Message::Progress { pool, usage, .. } | Message::Targets { pool, usage, .. } => {
+            state.entry.usage.record_reports(&pool.service, usage, now);
+        }
         Message::Hello { pool, fence } => attempt::send_inventory(state, from, pool, *fence, out),
         _ => {}
     }
--- a/crates/kernel/src/peer.rs
+++ b/crates/kernel/src/peer.rs
@@ -54,6 +54,12 @@
         pool: pool::Key,
         /// One entry per running request.
         entries: Vec<Progress>,
+        /// What the sender knows of the usage of the service's pools, where it is passed on.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        usage: Vec<UsageReport>,
+        /// What the sender read from targets since its last message, where it is measured.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pace: Vec<TargetPace>,
     },
     /// An attempt ended.
     Release(Release),
@@ -99,6 +105,9 @@
         warm: Vec<Name>,
         /// Names of cold targets.
         cold: Vec<Name>,
+        /// What the owner knows of the usage of the service's pools, where it is passed on.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        usage: Vec<UsageReport>,
     },
     /// Asks a VM of the zone how current its copies of the platform's tables are, for the rows that
     /// the sender lacks, and for updates from now on.
@@ -369,6 +378,32 @@
     pub limit: Option<u64>,
 }
 
+/// Events that a VM read from a target's streams within an interval.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct TargetPace {
+    /// The target.
+    pub target: Name,
+    /// Number of gaps between events.
+    pub gaps: u32,
+    /// Sum of these gaps, in milliseconds.
+    pub total_ms: u32,
+    /// The longest of them, in milliseconds.
+    pub worst_ms: u32,
+}
+
+/// The usage of a service's pool in one zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct UsageReport {
+    /// The zone.
+    pub zone: Name,
+    /// Usage in thousandths.
+    pub usage: u32,
+    /// Time since the pool's owner computed it, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// Progress of a running request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Progress {
--- a/crates/kernel/src/pool.rs
+++ b/crates/kernel/src/pool.rs
@@ -13,6 +13,7 @@
 use crate::kv_growth::{likely_kv_use, KvGrowth};
 use crate::length::Lengths;
 use crate::map::Map;
+use crate::pace::Paces;
 use crate::peer::{Ask, Message};
 use crate::plugin::{control, policy};
 use crate::polling;
@@ -113,6 +114,8 @@
     pub(crate) outlook: Outlook,
     /// The roll-out of the service, if one was ordered.
     pub(crate) exposure: Option<Exposure>,
+    /// How fast the targets deliver.
+    pub paces: Paces,
     pub(crate) protocol: Protocol,
 }
 
@@ -235,7 +238,7 @@
     match message {
         Message::Ask(ask) => accounting::handle_ask(state, from, ask, now, out),
         Message::Withdraw { pool, id } => accounting::handle_withdraw(state, pool, id, now, out),
-        Message::Progress { pool, entries } => {
+        Message::Progress { pool, entries, .. } => {
             accounting::handle_progress(state, from, pool, entries, now, out);
         }
         Message::Release(release) => accounting::handle_release(state, release, now, out),
@@ -266,8 +269,7 @@
 
 /// Creates the pools whose leases this VM holds and updates its rights in them.
 fn activate_held_pools(state: &mut State, now: Millis, out: &mut Outbox) {
-    let held = state.leases.held(now).into_iter();
-    let keys: Vec<Key> = held.map(|(key, _)| key.clone()).collect();
+    let keys: Vec<Key> = state.leases.held(now).iter().map(|(key, _)| (*key).clone()).collect();
     for key in keys {
         if !state.pools.was_handed_over(&key, now) {
             let State { pools, intent, .. } = state;
@@ -318,6 +320,7 @@
             start_rate: StartRate::default(),
             outlook: Outlook::default(),
             exposure: None,
+            paces: Paces::default(),
         }
     }
 
--- a/crates/kernel/src/resource.rs
+++ b/crates/kernel/src/resource.rs
@@ -302,6 +302,9 @@
     /// Latency target in milliseconds, for the complete response or, for a stream, its first event.
     #[serde(default = "timeout_ms")]
     pub target_latency_ms: u64,
+    /// Longest pause between two events of a stream, in milliseconds; no limit if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub target_pause_ms: Option<u64>,
     /// Maximum number of targets on which one request may run.
     #[serde(default = "one")]
     pub attempts: u32,
@@ -328,12 +331,19 @@
     pub score: Vec<Name>,
     /// `Admit` and `Filter` policies that are switched off, for baselines and tests.
     pub off: Vec<Name>,
+    /// How a VM chooses among the pools of a service: `least-used` or `spread`.
+    #[serde(skip_serializing_if = "is_least_used")]
+    pub pools: Name,
+}
+
+fn is_least_used(pools: &Name) -> bool {
+    **pools == *"least-used"
 }
 
 impl Default for Policy {
     fn default() -> Policy {
         let score = vec!["kvload".into(), "affinity".into()];
-        Policy { order: "fair".into(), score, off: Vec::new() }
+        Policy { order: "fair".into(), score, off: Vec::new(), pools: "least-used".into() }
     }
 }
 
--- a/crates/kernel/src/validate.rs
+++ b/crates/kernel/src/validate.rs
@@ -10,6 +10,7 @@
     AvailabilityZone, Configuration, Key, Kind, Organisation, Record, ResourceMap, Route, Service,
     Spec, Target,
 };
+use crate::spread;
 
 /// Maximum size of a record or document in bytes.
 pub const MAX_DOCUMENT_BYTES: usize = 64 * 1024;
@@ -38,6 +39,8 @@
 /// Built-in `Score` policies.
 const SCORE_POLICIES: &[&str] =
     &["kvload", "affinity", "prefill", "round-robin", "least-outstanding"];
+/// Ways to choose among the pools of a service.
+const POOL_POLICIES: &[&str] = &["least-used", spread::NAME];
 /// Built-in `Admit` and `Filter` policies, which can be switched off.
 const SWITCHABLE_POLICIES: &[&str] =
     &["overload", "quarantine", "ramp", "headroom", "eligible", "isolate", "prefill"];
@@ -360,6 +363,12 @@
     }
     errors.range("spec.timeoutMs", spec.timeout_ms, 1..=MAX_QUEUE_MS);
     errors.range("spec.targetLatencyMs", spec.target_latency_ms, 1..=MAX_QUEUE_MS);
+    if let Some(pause_ms) = spec.target_pause_ms {
+        errors.range("spec.targetPauseMs", pause_ms, 1..=MAX_QUEUE_MS);
+        if !spec.streaming {
+            errors.add("spec.targetPauseMs", "expected only with streaming");
+        }
+    }
     errors.range("spec.attempts", spec.attempts, 1..=MAX_COUNT);
     errors.range("spec.priority", spec.priority, 0..=MAX_PRIORITY);
 }
@@ -381,6 +390,9 @@
         }
     }
     let is_switchable = |stage: &Stage| matches!(stage, Stage::Admit(_) | Stage::Filter(_));
+    if !POOL_POLICIES.contains(&&*spec.pools) {
+        errors.add("spec.policy.pools", "expected least-used or spread");
+    }
     for (ix, name) in spec.off.iter().enumerate() {
         if !SWITCHABLE_POLICIES.contains(&&**name) && !registered(name, is_switchable) {
             let field = format!("spec.policy.off[{ix}]");
--- a/crates/kernel/tests/slack/play.rs
+++ b/crates/kernel/tests/slack/play.rs
@@ -156,6 +156,8 @@
             spills: true,
             balances_zones: true,
             relocatable: false,
+            resumable: false,
+            route: 0,
         };
         let view = request::View {
             id: &id,
@@ -279,7 +281,11 @@
             let here = self.running.iter().filter(|one| *one.vm == *vm);
             let counts = here.map(|one| {
                 let events = now.saturating_sub(one.first_at) / EVENT_MS;
-                TokenCount { id: one.id.clone(), tokens: events as u32 * EVENT_TOKENS }
+                TokenCount {
+                    id: one.id.clone(),
+                    tokens: events as u32 * EVENT_TOKENS,
+                    pace: Default::default(),
+                }
             });
             let counts: Vec<TokenCount> = counts.collect();
             self.fleet.event_at(vm, Event::Progress(&counts));
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -6,7 +6,7 @@
 use hornbeamloom_kernel::outcome::{Reason, Refusal};
 use hornbeamloom_kernel::peer::{
     Advice, Ask, Death, Delta, Gossip, Grant, Heartbeat, Load, MemberEntry, MemberStatus, Message,
-    Progress, Release, Running, Slack, Suspect,
+    Progress, Release, Running, Slack, Suspect, UsageReport,
 };
 use hornbeamloom_kernel::pool::Key;
 use hornbeamloom_kernel::request::{Class, End, Id};
@@ -122,6 +122,8 @@
     Message::Progress {
         pool: pool(),
         entries: vec![Progress { incarnation: Incarnation(0x18f), counter: 42, tokens: 7 }],
+        usage: Vec::new(),
+        pace: Vec::new(),
     }
 }
 
@@ -155,7 +157,8 @@
 }
 
 fn targets() -> Message {
-    Message::Targets { pool: pool(), warm: vec!["engine-1".into()], cold: vec!["engine-2".into()] }
+    let (warm, cold) = (vec!["engine-1".into()], vec!["engine-2".into()]);
+    Message::Targets { pool: pool(), warm, cold, usage: Vec::new() }
 }
 
 fn backpressure() -> Message {
@@ -345,6 +348,21 @@
     oversized_input_is_skipped: (vec![0; frame::MAX_BYTES + 1], "frame_oversized");
 }
 
+/// Guards against bytes on the wire that differ from those of VMs which neither pass on usage nor
+/// measure the pace of targets.
+#[test]
+fn optional_measurements_are_omitted() {
+    let usage = UsageReport { zone: "riga-b".into(), usage: 400, age_ms: 90 };
+    let targets = |usage| Message::Targets { pool: pool(), warm: vec![], cold: vec![], usage };
+    let contains = |message: &Message, field: &str| {
+        let bytes = frame::encode("entry-b1", message).expect("a small message");
+        bytes.windows(field.len()).any(|window| window == field.as_bytes())
+    };
+    assert!(!contains(&progress(), "usage") && !contains(&progress(), "pace"));
+    assert!(!contains(&targets(vec![]), "usage"));
+    assert!(contains(&targets(vec![usage]), "usage"));
+}
+
 /// Guards against a message that the peer would reject for its size.
 #[test]
 fn oversized_message_is_not_encoded() {
@@ -352,6 +370,7 @@
         pool: pool(),
         warm: vec!["engine".into(); frame::MAX_BYTES / 6],
         cold: Vec::new(),
+        usage: Vec::new(),
     };
     assert!(matches!(
         frame::encode("entry-b1", &message),
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -8,6 +8,7 @@
 mod invalid_status;
 mod lifecycle;
 mod memory;
+mod placement;
 mod prompt_parts;
 mod relayed_connections;
 mod relocation;
