Forget the shift of load while the own zone has no target

The shift was updated against the first usable zone, which is not the VM's own while that has no target, so the VM would have started with an arbitrary shift when it came back. It is reset instead. Tests of the choice of pools, entry and pool pass.

--- a/crates/kernel/src/route.rs
+++ b/crates/kernel/src/route.rs
@@ -124,6 +124,9 @@
     let is_nearby = |zone: &&Name| distance(view, zone) != Distance::OtherRegion;
     let mut nearby: Vec<Name> = zones.iter().filter(is_nearby).cloned().collect();
     nearby.sort_by_key(|zone| distance(view, zone));
+    if nearby.first().is_none_or(|zone| **zone != *view.preferred_zone) {
+        return spread::Shift::default();
+    }
     let estimates = estimate_zones(view, usage, ask, &nearby);
     usage.shift(&ask.pool.service).next(&estimates, view.now)
 }
--- a/crates/kernel/src/spread.rs
+++ b/crates/kernel/src/spread.rs
@@ -21,8 +21,8 @@
 /// Age of a report from which a pool may be probed, in milliseconds.
 const PROBE_AGE_MS: u64 = 1_000;
 /// One in this many requests probes the pool with the oldest report. VMs pass reports on, so that a
-/// zone with ten requests per second learns of another one about every other second,
-/// and of the others through it.
+/// zone with ten requests per second learns of another one about every other second, and of the
+/// others through it.
 const PROBE_INTERVAL: u64 = 16;
 /// Longest time for which one difference in usage changes the shift, in milliseconds.
 const MAX_SHIFT_INTERVAL_MS: u64 = 2_000;
@@ -92,8 +92,8 @@
 /// Index of the pool to ask first.
 ///
 /// The pool of the own zone is compared with the less used of two others. A request leaves its zone
-/// with the probability `shift` and one that grows with the difference in usage, so that the
-/// requests of a zone never all leave it at once.
+/// with the probability `shift` and one that grows with the difference in usage, so that a
+/// small difference does not move all requests of a zone at once.
 ///
 /// ```
 /// use hornbeamloom_kernel::spread::{choose, Shift, View};
