--- a/crates/kernel/tests/validate.rs
+++ b/crates/kernel/tests/validate.rs
@@ -73,6 +73,7 @@
         streaming: true,
         timeout_ms: 6_000,
         target_latency_ms: 1_500,
+        target_pause_ms: None,
         attempts: 2,
         priority: 0,
         public: false,
@@ -175,6 +176,7 @@
         attempts: 1,
         priority: 1,
         public: false,
+        resumable: false,
     };
     reports_errors_at("r", Spec::Route(spec), expected);
 }
