--- a/crates/kernel/src/slack.rs
+++ b/crates/kernel/src/slack.rs
@@ -14,7 +14,7 @@
 use crate::pool::Pool;
 use crate::queue::{Queue, QueuedRequest};
 use crate::request::{Class, Id};
-use crate::resource::Protocol;
+use crate::resource::{Protocol, Route};
 use crate::retry;
 use crate::room::{self, Forecast};
 
@@ -67,6 +67,29 @@
 /// factor, because predictions vary.
 const EARLY_REFUSAL_FACTOR: u64 = 2;
 
+/// Whether the routes of a configuration gain by order `slack`: two kinds of stream share a service,
+/// and the more urgent one is due earlier, so that the other one has time to let it pass. Where the
+/// streams that are due later are the more urgent ones, both orders agree on who is first.
+///
+/// ```
+/// use hornbeamloom_kernel::slack;
+///
+/// assert!(!slack::suits(std::iter::empty()));
+/// ```
+pub fn suits<'a>(routes: impl Iterator<Item = &'a Route>) -> bool {
+    let streams: Vec<&Route> = routes.filter(|route| route.streaming).collect();
+    let shares_service = |one: &Route, other: &Route| {
+        one.shares.iter().any(|share| other.shares.iter().any(|o| o.service == share.service))
+    };
+    streams.iter().any(|urgent| {
+        streams.iter().any(|other| {
+            urgent.priority < other.priority
+                && urgent.target_latency_ms < other.target_latency_ms
+                && shares_service(urgent, other)
+        })
+    })
+}
+
 inventory::submit! {
     policy::Plugin { name: ORDER, rank: 30, stage: policy::Stage::Order(order) }
 }
--- a/crates/kernel/tests/slack/main.rs
+++ b/crates/kernel/tests/slack/main.rs
@@ -8,6 +8,8 @@
 
 use hornbeamloom_kernel::cases;
 use hornbeamloom_kernel::pool::Key;
+use hornbeamloom_kernel::resource::{Rerun, Route, Share};
+use hornbeamloom_kernel::slack;
 use play::{Kind, Play, Tally, LONG, SHORT, VMS};
 
 /// Requests per 10 s of long and short streams: a sixth of customer L on a sixth of its engines.
@@ -164,3 +166,35 @@
     // That is less than arrives in a second.
     assert!(play.waiting() < 10, "{} wait", play.waiting());
 }
+
+/// A streaming route by its priority, latency target and service.
+type Stream = (u8, u64, &'static str);
+
+/// Guards against order by slack where the configuration does not call for it, and the reverse.
+fn suits(streams: &[Stream], is_streaming: bool, expected: bool) {
+    let routes = streams.iter().map(|(priority, target_latency_ms, service)| Route {
+        host: "h.example".to_owned(),
+        path_prefix: "/".to_owned(),
+        shares: vec![Share { service: (*service).into(), weight: 1 }],
+        rerun: Rerun::Never,
+        streaming: is_streaming,
+        timeout_ms: 39_000,
+        target_latency_ms: *target_latency_ms,
+        target_pause_ms: None,
+        attempts: 1,
+        priority: *priority,
+        public: false,
+        resumable: false,
+    });
+    let routes: Vec<Route> = routes.collect();
+    assert_eq!(slack::suits(routes.iter()), expected);
+}
+
+cases! {
+    suits;
+    urgent_short_streams_beside_long_ones: (&[(0, 1_500, "m"), (2, 4_000, "m")], true, true);
+    urgent_long_streams_beside_short_ones: (&[(1, 1_500, "m"), (0, 1_800, "m")], true, false);
+    streams_of_one_priority: (&[(0, 1_500, "m"), (0, 4_000, "m")], true, false);
+    streams_of_different_services: (&[(0, 1_500, "m"), (2, 4_000, "n")], true, false);
+    calls_that_are_no_streams: (&[(0, 1_500, "m"), (2, 4_000, "m")], false, false);
+}
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -95,6 +95,7 @@
     negative_amount_fails_the_check: (10, "negative", ("zone: z", "zone: z\nadapter: {name: fleet, settings: {readiness: '127.0.0.1:9', zones: {z: r}, retries: {ratio: 0.2, slack: -1}}}"), 2);
     time_that_is_no_number_fails_the_check: (11, "nan", ("zone: z", "zone: z\nadapter: {name: fleet, settings: {readiness: '127.0.0.1:9', zones: {z: r}, retries: {ratio: 0.2, slack: 1}, drain_ms: .nan}}"), 2);
     admission_by_slack_passes_the_check: (12, "slack", ("zone: z", "zone: z\nadapter: {name: fleet, settings: {readiness: '127.0.0.1:9', zones: {z: r}, retries: {ratio: 0.2, slack: 1}, admission: slack}}"), 0);
+    admission_by_the_routes_passes_the_check: (15, "auto", ("zone: z", "zone: z\nadapter: {name: fleet, settings: {readiness: '127.0.0.1:9', zones: {z: r}, retries: {ratio: 0.2, slack: 1}, admission: auto}}"), 0);
     unknown_admission_fails_the_check: (13, "admission", ("zone: z", "zone: z\nadapter: {name: fleet, settings: {readiness: '127.0.0.1:9', zones: {z: r}, retries: {ratio: 0.2, slack: 1}, admission: lifo}}"), 2);
     // Guards against an exposure of more than all requests because a percentage was given.
     share_above_one_fails_the_check: (14, "share", ("zone: z", "zone: z\nadapter: {name: fleet, settings: {readiness: '127.0.0.1:9', zones: {z: r}, retries: {ratio: 0.2, slack: 1}, rollout: {share: 10, tolerance: 50, rollback_ms: 5000}}}"), 2);
