Continue generations without admission by slack

The ask for the next placement of a generation is copied from that of the running one, with the terms of admission by slack. While its standby could not take it, the first refusal counted as final and the stream was cut. A placement now asks without these terms, as before.

--- a/crates/kernel/src/entry.rs
+++ b/crates/kernel/src/entry.rs
@@ -110,7 +110,8 @@
         timeout_ms: u64,
     ) -> Request {
         Request {
-            ask,
+            // A generation that has started is not admitted anew.
+            ask: Ask { slack: None, ..ask },
             preferred_zone,
             arrived: now,
             deadline: now.after(timeout_ms),
--- a/tests/fleet/harness.rs
+++ b/tests/fleet/harness.rs
@@ -50,7 +50,16 @@
 
 /// Starts a fleet of one daemon in zone `a` whose generations have standbys.
 pub async fn start_fleet_with_standbys() -> Fleet {
-    let fleet = launch_fleet(|fleet| fleet.standby_percent = 90).await;
+    start_fleet_with_standbys_and("fair").await
+}
+
+/// Starts the same fleet with this admission of streams.
+pub async fn start_fleet_with_standbys_and(admission: &'static str) -> Fleet {
+    let fleet = launch_fleet(|fleet| {
+        fleet.standby_percent = 90;
+        fleet.admission = admission;
+    });
+    let fleet = fleet.await;
     fleet.put_config(&config(1, &[CALLER_KEY]));
     fleet
 }
--- a/tests/fleet/relocation.rs
+++ b/tests/fleet/relocation.rs
@@ -8,8 +8,8 @@
 use hornbeamloom_kernel::cases;
 
 use crate::harness::{
-    block_on, call, start_engines, start_fleet, start_fleet_with_standbys, wait_until,
-    CallerResponse, TEST_TIMEOUT,
+    block_on, call, start_engines, start_fleet, start_fleet_with_standbys,
+    start_fleet_with_standbys_and, wait_until, CallerResponse, TEST_TIMEOUT,
 };
 
 /// Number of events of a stream that is long enough for two relocations.
@@ -387,11 +387,10 @@
 }
 
 /// Guards against a generation that is lost because another engine, which has no copy, is granted
-/// before its standby.
-#[test]
-fn stream_waits_for_the_grant_of_its_standby() {
+/// before its standby, or because its continuation is admitted like a new request.
+fn waits_for_the_grant_of_its_standby(admission: &'static str) {
     block_on(async {
-        let fleet = start_fleet_with_standbys().await;
+        let fleet = start_fleet_with_standbys_and(admission).await;
         let engines = start_engines(&fleet, 3).await;
         let response = start_stream(&fleet).await;
         let first = wait_for_busy_engine(&engines, &[]).await;
@@ -415,6 +414,12 @@
     });
 }
 
+cases! {
+    waits_for_the_grant_of_its_standby;
+    stream_waits_for_the_grant_of_its_standby: ("fair");
+    stream_admitted_by_slack_waits_for_the_grant_of_its_standby: ("slack");
+}
+
 /// Guards against copies that occupy memory after the caller disconnected while no engine resumed its
 /// generation.
 #[test]
