--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -164,6 +164,8 @@
     pub platform_address: SocketAddr,
     /// HTTP client for requests to the processes.
     pub client: reqwest::Client,
+    /// Section `limits` of the settings of daemons that are started later.
+    pub limits: Value,
     bench_binary: PathBuf,
     daemon_command: Vec<String>,
     dir: PathBuf,
@@ -187,6 +189,7 @@
             targets: Vec::new(),
             daemons: Vec::new(),
             client: reqwest::Client::new(),
+            limits: json!({}),
             bench_binary: bench_binary.to_owned(),
             daemon_command: vec![bench_binary.display().to_string(), "daemon".to_owned()],
             dir,
@@ -302,6 +305,7 @@
             "peers": seeds,
             "keys": {"operator": [OPERATOR_KEY], "peer": ["peer-key"]},
             "settle_s": 1,
+            "limits": self.limits,
         });
         let path = self.dir.join(format!("{vm}.yaml"));
         let text = serde_yaml_ng::to_string(&settings)
