Bound connections, heads and progress at every port

Nothing bounded the connections of a process, the number of fields of a head at most ports, or the time for which a client may make no progress, so crowds of such clients exhausted descriptors and memory. A table of all open connections, an accept loop for the HTTP ports and settings for the limits are added.

--- a/crates/daemon/src/adapter.rs
+++ b/crates/daemon/src/adapter.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{mpsc, watch, OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
 
+use crate::connections::Connections;
 use crate::control::Control;
 use crate::memory::Account;
 use crate::settings::Settings;
@@ -27,6 +28,8 @@
     pub control: Control,
     /// Memory in which bodies are buffered.
     pub memory: Account,
+    /// The open connections of clients.
+    pub connections: Connections,
     /// The resources in force, published by the control thread.
     pub intent: watch::Receiver<Arc<Intent>>,
     /// How connections to targets are opened, published by the control thread.
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -14,12 +14,14 @@
 use hornbeamloom_kernel::request::{Id, RouteOptions};
 use hornbeamloom_kernel::resource::{self, Protocol};
 use hornbeamloom_wire::openai::{self, Endpoint};
+use hyper_util::service::TowerToHyperService;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use warp::http::{header, HeaderMap, HeaderValue, Method, StatusCode};
 use warp::reply::Response;
 use warp::Filter;
 
+use crate::connections::Port;
 use crate::control::{Arrival, Input, RerunPolicy};
 use crate::engines::{self, ConnectionPermit, Job, RequestTask, Traffic};
 use crate::memory::{self, Buffer};
@@ -27,7 +29,7 @@
 use crate::refusal::{ErrorResponse, REQUEST_ID};
 use crate::relay::{Reader, Relay, REATTACH_GRACE};
 use crate::settings::Settings;
-use crate::{adapter, auth, http, reattach, response};
+use crate::{adapter, auth, http, listener, reattach, response};
 
 /// Sent to callers whose body finds no memory; bodies are held for a second or longer.
 const EXHAUSTED_RETRY_AFTER_MS: u64 = 1_000;
@@ -51,8 +53,7 @@
     let listener = adapter::bind(&address, "callers")?;
     crate::metrics::install().map_err(|error| adapter::Error::Startup(error.to_string()))?;
     let client = http::client().map_err(|error| adapter::Error::Startup(error.to_string()))?;
-    let exit = context.server_shutdown.clone();
-    let traffic = Arc::new(Traffic::new(context, client));
+    let traffic = Arc::new(Traffic::new(context.clone(), client));
     let routes = warp::method()
         .and(warp::path::full())
         .and(warp::query::raw().or(warp::any().map(String::new)).unify())
@@ -65,11 +66,8 @@
                 handle(&traffic, head, body).await
             }
         });
-    let server = warp::serve(routes).incoming(listener).graceful(exit.clone().requested()).run();
-    tokio::spawn(async move {
-        let _permit = exit.register();
-        server.await;
-    });
+    let service = TowerToHyperService::new(warp::service(routes));
+    tokio::spawn(listener::serve(listener, Port::Callers, context, service));
     Ok(())
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -24,12 +24,15 @@
 pub mod adapter;
 pub mod auth;
 pub mod callers;
+pub mod client_limits;
 pub mod clock;
+pub mod connections;
 pub mod control;
 pub mod delivery;
 pub mod generation;
 pub mod http;
 pub mod link;
+pub mod listener;
 pub mod log_writer;
 pub mod memory;
 pub mod peer_server;
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -9,6 +9,7 @@
 use hornbeamloom_kernel::resource::{Key, Kind, Record};
 use hornbeamloom_kernel::validate::{FieldError, MAX_DOCUMENT_BYTES};
 use hornbeamloom_wire::manifest;
+use hyper_util::service::TowerToHyperService;
 use serde_json::{json, Value};
 use warp::http::{HeaderMap, Method, StatusCode};
 use warp::reply::Response;
@@ -16,10 +17,11 @@
 
 use crate::adapter::{self, Context, Error, Inbox, Plugin};
 use crate::api_error::ApiError;
+use crate::connections::Port;
 use crate::control::Input;
 use crate::table::{self, Client};
 use crate::write::{self, Change, WriteError};
-use crate::{auth, metrics, status, watch};
+use crate::{auth, listener, metrics, status, watch};
 
 /// Timeout for receiving a request's body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -39,23 +41,16 @@
     let settings = context.settings.borrow().clone();
     let listener = adapter::bind(&settings.listen.operators, "operators")?;
     let http = table::http_client().map_err(|error| Error::Startup(error.to_string()))?;
-    let server_shutdown = context.server_shutdown.clone();
     let api = Arc::new(Api {
         table: Client::new(http, &settings.platform.table),
         watch_cache: watch::WatchCache::start(
             context.intent.clone(),
             context.server_shutdown.clone(),
         ),
-        context,
-    });
-    let server = warp::serve(routes(api))
-        .incoming(listener)
-        .graceful(server_shutdown.clone().requested())
-        .run();
-    tokio::spawn(async move {
-        let _permit = server_shutdown.register();
-        server.await;
+        context: context.clone(),
     });
+    let service = TowerToHyperService::new(warp::service(routes(api)));
+    tokio::spawn(listener::serve(listener, Port::Operators, context, service));
     Ok(())
 }
 
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -17,6 +17,7 @@
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::WebSocketStream;
 
+use crate::connections::{self, Connections, Meter, Port};
 use crate::link::{self, HEARTBEAT_TIMEOUT, IDLE_TIMEOUT};
 use crate::settings::Settings;
 use crate::tunnel;
@@ -45,6 +46,18 @@
 pub async fn accept<D>(listener: TcpListener, handler: FrameHandler<D>)
 where
     D: Fn(Name, PeerMessage) + Clone + Send + Sync + 'static,
+{
+    let connections = Connections::new(handler.settings.clone());
+    accept_limited(listener, handler, connections).await;
+}
+
+/// Accepts links as [`accept`] does, within the limits of `connections`.
+pub(crate) async fn accept_limited<D>(
+    listener: TcpListener,
+    handler: FrameHandler<D>,
+    connections: Connections,
+) where
+    D: Fn(Name, PeerMessage) + Clone + Send + Sync + 'static,
 {
     let permits = Arc::new(tokio::sync::Semaphore::new(MAX_INBOUND_LINKS));
     loop {
@@ -52,8 +65,8 @@
         let Ok(permit) = permits.clone().acquire_owned().await else {
             return;
         };
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let (stream, address) = match listener.accept().await {
+            Ok(accepted) => accepted,
             Err(error) => {
                 // File descriptors may be exhausted; the delay keeps the loop from spinning.
                 log::warn!("cannot accept a peer connection: {error}");
@@ -61,15 +74,23 @@
                 continue;
             }
         };
+        let Some(admitted) = connections.admit(Port::Peers, address.ip()) else {
+            continue;
+        };
         let handler = handler.clone();
         tokio::spawn(async move {
-            serve(&handler, stream).await;
+            let terms = connections::terms(&handler.settings.borrow().limits);
+            admitted.run(&terms, serve(&handler, stream, &admitted.meter)).await;
             drop(permit);
         });
     }
 }
 
-async fn serve(handler: &FrameHandler<impl Fn(Name, PeerMessage)>, stream: TcpStream) {
+async fn serve(
+    handler: &FrameHandler<impl Fn(Name, PeerMessage)>,
+    stream: TcpStream,
+    meter: &Meter,
+) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
@@ -80,7 +101,11 @@
     let authenticate = |request: &Request, response: Response| {
         request.uri().path().clone_into(&mut path);
         match is_authorized(&settings, request) {
-            true => Ok(response),
+            true => {
+                // Other VMs' connections are never closed to make room for others.
+                meter.begin_request(false);
+                Ok(response)
+            }
             false => Err(unauthorized()),
         }
     };
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -37,7 +37,7 @@
         tunnels: Some(tunnel::Server::new(&context)),
         on_message: move |sender, message| control.tell(Input::Peer(sender, message)),
     };
-    tokio::spawn(peer_server::accept(listener, handler));
+    tokio::spawn(peer_server::accept_limited(listener, handler, context.connections.clone()));
     tokio::spawn(send_messages(context, inbox));
     Ok(())
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
+use crate::connections::Connections;
 use crate::control::{self, Control, Input, OutcomeRoute};
 use crate::log_writer::LogWriter;
 use crate::memory::Account;
@@ -116,11 +117,13 @@
         let (control, receivers) = control::spawn(Kernel::new(identity.clone()), routes)
             .map_err(|error| adapter::Error::Startup(error.to_string()))?;
         let memory = Account::new(settings.borrow().limits.account_bytes());
+        let connections = Connections::new(settings.clone());
         let context = adapter::Context {
             settings,
             identity,
             control: control.clone(),
             memory: memory.clone(),
+            connections,
             intent: receivers.intent,
             path: receivers.path,
             stopping,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -172,11 +172,35 @@
     /// Memory in bytes in which bodies are buffered; by default 24 MiB or twice `body_bytes`,
     /// whichever is more.
     pub buffer_bytes: Option<u64>,
+    /// Maximum number of open connections of clients at all ports; by default half of the
+    /// descriptors less a reserve, or what fits into `buffer_bytes`, whichever is less.
+    pub open_connections: Option<usize>,
+    /// Maximum number of open connections from one address; unlimited if absent.
+    pub address_connections: Option<usize>,
+    /// Maximum size of a request's head in bytes; an adapter may replace it.
+    pub header_bytes: usize,
+    /// Maximum number of header fields of a request.
+    pub header_fields: usize,
+    /// Period in seconds over which the progress of a body or response is measured.
+    pub progress_s: f64,
+    /// Minimum progress in bytes per second over each period.
+    pub progress_bytes_per_s: u64,
 }
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits { body_bytes: 1 << 20, header_s: 10.0, connections: 4096, buffer_bytes: None }
+        Limits {
+            body_bytes: 1 << 20,
+            header_s: 10.0,
+            connections: 4096,
+            buffer_bytes: None,
+            open_connections: None,
+            address_connections: None,
+            header_bytes: 16 << 10,
+            header_fields: 4096,
+            progress_s: 10.0,
+            progress_bytes_per_s: 512,
+        }
     }
 }
 
--- a/crates/daemon/src/validation.rs
+++ b/crates/daemon/src/validation.rs
@@ -7,7 +7,7 @@
 use hornbeamloom_kernel::ids::Name;
 use hornbeamloom_kernel::map::Set;
 
-use crate::settings::{Error, Settings};
+use crate::settings::{Error, Limits, Settings};
 
 /// Maximum length of a VM or zone name, in bytes.
 const MAX_NAME_BYTES: usize = 63;
@@ -27,6 +27,21 @@
 /// Accepted range of `limits.connections`.
 const CONNECTIONS_RANGE: RangeInclusive<u64> = 1..=65_536;
 
+/// Accepted range of `limits.open_connections` and `limits.address_connections`.
+const OPEN_CONNECTIONS_RANGE: RangeInclusive<u64> = 16..=1_000_000;
+
+/// Accepted range of `limits.header_bytes`; the HTTP library needs a buffer of 8 KiB.
+const HEADER_BYTES_RANGE: RangeInclusive<u64> = 8_192..=1_048_576;
+
+/// Accepted range of `limits.header_fields`; the HTTP library represents no more.
+const HEADER_FIELDS_RANGE: RangeInclusive<u64> = 16..=24_576;
+
+/// Accepted range of `limits.progress_s`, in seconds.
+const PROGRESS_S_RANGE: RangeInclusive<f64> = 1.0..=300.0;
+
+/// Accepted range of `limits.progress_bytes_per_s`.
+const PROGRESS_RATE_RANGE: RangeInclusive<u64> = 1..=1_048_576;
+
 /// Accepted range of `settle_s`, in seconds.
 const SETTLE_S_RANGE: RangeInclusive<f64> = 0.0..=600.0;
 
@@ -67,6 +82,7 @@
         let range = 2 * settings.limits.body_bytes..=MAX_BUFFER_BYTES;
         check_range("limits.buffer_bytes", bytes, &range)?;
     }
+    check_client_limits(&settings.limits)?;
     if let Some(limit) = settings.shutdown_limit_s {
         check_range("shutdown_limit_s", limit, &SHUTDOWN_LIMIT_S_RANGE)?;
         if limit <= settings.settle_s {
@@ -77,6 +93,19 @@
     Ok(())
 }
 
+fn check_client_limits(limits: &Limits) -> CheckResult {
+    if let Some(connections) = limits.open_connections {
+        check_range("limits.open_connections", connections as u64, &OPEN_CONNECTIONS_RANGE)?;
+    }
+    if let Some(connections) = limits.address_connections {
+        check_range("limits.address_connections", connections as u64, &OPEN_CONNECTIONS_RANGE)?;
+    }
+    check_range("limits.header_bytes", limits.header_bytes as u64, &HEADER_BYTES_RANGE)?;
+    check_range("limits.header_fields", limits.header_fields as u64, &HEADER_FIELDS_RANGE)?;
+    check_range("limits.progress_s", limits.progress_s, &PROGRESS_S_RANGE)?;
+    check_range("limits.progress_bytes_per_s", limits.progress_bytes_per_s, &PROGRESS_RATE_RANGE)
+}
+
 fn invalid(field: &'static str, problem: String) -> CheckResult {
     Err(Error::Value { field, problem })
 }
