Charge heads and held events to the memory account

Heads, the events that a stream holds for its caller and the bodies of operators were not counted, and the log queue was bounded in lines only. They are charged or bounded in bytes, and the slowest body is closed when the account is nearly exhausted.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -21,7 +21,7 @@
 use warp::reply::Response;
 use warp::Filter;
 
-use crate::connections::Port;
+use crate::connections::{self, Port};
 use crate::control::{Arrival, Input, RerunPolicy};
 use crate::engines::{self, ConnectionPermit, Job, RequestTask, Traffic};
 use crate::memory::{self, Buffer};
@@ -67,10 +67,14 @@
             }
         });
     let service = TowerToHyperService::new(warp::service(routes));
-    tokio::spawn(listener::serve(listener, Port::Callers, context, service));
+    tokio::spawn(listener::serve(listener, Port::Callers, context, service, no_memory));
     Ok(())
 }
 
+fn no_memory() -> Response {
+    body_not_buffered(memory::Error::Exhausted).http_response("")
+}
+
 /// A request without its body.
 pub(crate) struct RequestHead {
     pub(crate) method: Method,
@@ -312,6 +316,7 @@
 }
 
 fn body_too_large() -> ErrorResponse {
+    connections::count("body");
     ErrorResponse::new(
         StatusCode::PAYLOAD_TOO_LARGE,
         "body_too_large",
@@ -514,7 +519,10 @@
         true => REATTACH_GRACE,
         false => Duration::ZERO,
     };
-    let relay = Arc::new(Relay::new(id, &request.organisation, grace_period));
+    let relay = Arc::new(
+        Relay::new(id, &request.organisation, grace_period)
+            .with_charge(traffic.context.memory.charge()),
+    );
     let reader = relay.attach(0, permit).expect("a new stream starts at 0");
     let control = &traffic.context.control;
     control.tell(Input::RequestArrived(Box::new(arrival)));
--- a/crates/daemon/src/connections.rs
+++ b/crates/daemon/src/connections.rs
@@ -45,6 +45,15 @@
     next_key: u64,
 }
 
+impl Table {
+    fn close(&mut self, key: u64) {
+        if let Some(entry) = self.entries.get_mut(&key) {
+            entry.is_closing = true;
+            entry.meter.close.notify_one();
+        }
+    }
+}
+
 /// The open connections of the process. Clones share them.
 #[derive(Debug, Clone)]
 pub struct Connections {
@@ -113,10 +122,7 @@
                 count("open_connections");
                 return None;
             };
-            if let Some(entry) = table.entries.get_mut(&key) {
-                entry.is_closing = true;
-                entry.meter.close.notify_one();
-            }
+            table.close(key);
         }
         let key = table.next_key;
         table.next_key += 1;
@@ -127,6 +133,22 @@
     }
 }
 
+impl Connections {
+    /// Closes the connection whose body has been arriving most slowly, if one is slow, so that its
+    /// memory becomes free for others.
+    pub fn close_slow_body(&self) {
+        let terms = terms(&self.settings.borrow().limits);
+        let mut table = self.lock();
+        let bodies = table.entries.iter().filter(|(_, entry)| !entry.is_closing);
+        let views = bodies
+            .map(|(key, entry)| (*key, entry.meter.view()))
+            .filter(|(_, view)| view.phase == Phase::Body);
+        if let Some(key) = client_limits::least_useful(views, &terms) {
+            table.close(key);
+        }
+    }
+}
+
 /// An open connection, which counts until this is dropped.
 #[derive(Debug)]
 pub struct Admitted {
--- a/crates/daemon/src/listener.rs
+++ b/crates/daemon/src/listener.rs
@@ -10,7 +10,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::{service_fn, Service};
-use hyper::{Request, Response};
+use hyper::{HeaderMap, Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
@@ -18,6 +18,7 @@
 
 use crate::adapter::Context;
 use crate::connections::{self, Admitted, Meter, Port};
+use crate::memory::Charge;
 
 /// Delay after a failed accept, for example when the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -26,6 +27,10 @@
 /// Number of fields that hyper parses without an allocation, and accepts by default.
 const DEFAULT_MAX_FIELDS: usize = 100;
 
+/// Memory of a header field beside its text, in bytes: its entries in the header map, which doubles
+/// its capacity as it grows, and in the copy that is passed on.
+const FIELD_BYTES: usize = 256;
+
 /// A connection whose reads and writes are recorded.
 #[derive(Debug)]
 pub struct Metered {
@@ -146,6 +151,8 @@
 pub struct ResponseBody<B> {
     body: B,
     meter: Arc<Meter>,
+    /// The memory of the request's head.
+    _head: Charge,
 }
 
 impl<B: Body + Unpin> Body for ResponseBody<B> {
@@ -174,23 +181,52 @@
     }
 }
 
-/// Handles a request with `handle` and records its course in `meter`.
+/// Handles a request with `handle` and records its course. If there is no memory for its head, the
+/// response is that of `refuse`, and the request is not handled.
 pub async fn track<B, F>(
+    context: &Context,
     meter: Arc<Meter>,
     request: Request<Incoming>,
     handle: impl FnOnce(Request<RequestBody>) -> F,
+    refuse: impl FnOnce() -> Response<B>,
 ) -> Response<ResponseBody<B>>
 where
     F: Future<Output = Response<B>>,
 {
     meter.begin_request(!request.body().is_end_stream());
-    let request = request.map(|incoming| RequestBody { incoming, meter: meter.clone() });
-    handle(request).await.map(|body| ResponseBody { body, meter })
+    if context.memory.is_nearly_exhausted() {
+        context.connections.close_slow_body();
+    }
+    let mut head = context.memory.charge();
+    let response = match head.resize(head_bytes(request.headers())) {
+        Ok(()) => {
+            let meter = meter.clone();
+            handle(request.map(|incoming| RequestBody { incoming, meter })).await
+        }
+        Err(_) => {
+            connections::count("head_memory");
+            refuse()
+        }
+    };
+    response.map(|body| ResponseBody { body, meter, _head: head })
+}
+
+/// Memory that a head occupies while its request is handled, in bytes.
+fn head_bytes(headers: &HeaderMap) -> usize {
+    let fields = headers.iter().map(|(name, value)| name.as_str().len() + value.len());
+    fields.map(|bytes| 2 * bytes + FIELD_BYTES).sum()
 }
 
 /// Serves HTTP at a port until the servers shut down, then waits for open connections to close.
-pub(crate) async fn serve<S>(listener: TcpListener, port: Port, context: Context, service: S)
-where
+///
+/// `refuse` makes the response to a request for whose head there is no memory.
+pub(crate) async fn serve<S>(
+    listener: TcpListener,
+    port: Port,
+    context: Context,
+    service: S,
+    refuse: fn() -> warp::reply::Response,
+) where
     S: Service<Request<RequestBody>, Response = warp::reply::Response, Error = Infallible>,
     S: Clone + Send + Sync + 'static,
     S::Future: Send,
@@ -210,7 +246,7 @@
                     let (context, service, guard) =
                         (context.clone(), service.clone(), guard.clone());
                     tokio::spawn(async move {
-                        serve_connection(&context, &admitted, stream, &service).await;
+                        serve_connection(&context, &admitted, stream, &service, refuse).await;
                         drop(guard);
                     });
                 }
@@ -226,8 +262,13 @@
     let _ = all_closed.recv().await;
 }
 
-async fn serve_connection<S>(context: &Context, admitted: &Admitted, stream: TcpStream, service: &S)
-where
+async fn serve_connection<S>(
+    context: &Context,
+    admitted: &Admitted,
+    stream: TcpStream,
+    service: &S,
+    refuse: fn() -> warp::reply::Response,
+) where
     S: Service<Request<RequestBody>, Response = warp::reply::Response, Error = Infallible>,
 {
     let limits = context.settings.borrow().limits.clone();
@@ -241,7 +282,7 @@
                     Err(never) => match never {},
                 }
             };
-            Ok::<_, Infallible>(track(meter, request, handle).await)
+            Ok::<_, Infallible>(track(context, meter, request, handle, refuse).await)
         }
     });
     let connection = builder(limits.header_bytes, limits.header_fields)
--- a/crates/daemon/src/log_writer.rs
+++ b/crates/daemon/src/log_writer.rs
@@ -14,13 +14,15 @@
 //! ```
 
 use std::io::{self, Write};
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
 use std::sync::Arc;
 use std::time::Duration;
 
 /// Queued lines: a few seconds of output of a busy VM, at 200 bytes a line.
 pub(crate) const MAX_QUEUED_LINES: usize = 4_096;
+/// Bytes queued in all lines: lines can contain text that callers choose.
+const MAX_QUEUED_BYTES: usize = 1 << 20;
 /// Maximum duration of a flush, so that a stopped reader does not keep the process from exiting.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -39,6 +41,7 @@
     /// A line whose newline has not been written yet.
     partial: Vec<u8>,
     dropped: Arc<AtomicU64>,
+    queued_bytes: Arc<AtomicUsize>,
 }
 
 impl LogWriter {
@@ -46,11 +49,12 @@
     pub fn new(sink: impl Write + Send + 'static, max_lines: usize) -> LogWriter {
         let (entries, receiver) = sync_channel(max_lines);
         let dropped = Arc::new(AtomicU64::new(0));
-        let drop_counter = dropped.clone();
+        let queued_bytes = Arc::new(AtomicUsize::new(0));
+        let (drop_counter, byte_counter) = (dropped.clone(), queued_bytes.clone());
         let thread = std::thread::Builder::new().name("log".to_owned());
         // If the thread cannot be spawned, lines are dropped and counted.
-        let _ = thread.spawn(move || write_queued(&receiver, sink, &drop_counter));
-        LogWriter { entries, partial: Vec::new(), dropped }
+        let _ = thread.spawn(move || write_queued(&receiver, sink, &drop_counter, &byte_counter));
+        LogWriter { entries, partial: Vec::new(), dropped, queued_bytes }
     }
 
     /// Returns the number of dropped lines not yet reported in the log.
@@ -59,9 +63,10 @@
     }
 
     fn push(&mut self, line: Vec<u8>) {
-        if let Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) =
-            self.entries.try_send(Entry::Line(line))
-        {
+        let length = line.len();
+        let queued = self.queued_bytes.fetch_add(length, Ordering::Relaxed);
+        if queued > MAX_QUEUED_BYTES || self.entries.try_send(Entry::Line(line)).is_err() {
+            self.queued_bytes.fetch_sub(length, Ordering::Relaxed);
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
@@ -89,7 +94,12 @@
 }
 
 /// Writes queued lines to the sink, batching all waiting lines into one call.
-fn write_queued(entries: &Receiver<Entry>, mut sink: impl Write, dropped: &AtomicU64) {
+fn write_queued(
+    entries: &Receiver<Entry>,
+    mut sink: impl Write,
+    dropped: &AtomicU64,
+    queued_bytes: &AtomicUsize,
+) {
     let mut batch = Vec::new();
     let mut flushes = Vec::new();
     while let Ok(first) = entries.recv() {
@@ -99,12 +109,14 @@
                 Entry::Flush(flushed) => flushes.push(flushed),
             }
         }
+        let line_bytes = batch.len();
         let drop_count = dropped.swap(0, Ordering::Relaxed);
         if drop_count > 0 {
             batch.extend_from_slice(format!("log lines dropped={drop_count}\n").as_bytes());
         }
         // A failure to write the log cannot be reported anywhere.
         let _ = sink.write_all(&batch).and_then(|()| sink.flush());
+        queued_bytes.fetch_sub(line_bytes, Ordering::Relaxed);
         batch.clear();
         for flushed in flushes.drain(..) {
             // The flushing thread may have timed out.
--- a/crates/daemon/src/memory.rs
+++ b/crates/daemon/src/memory.rs
@@ -8,6 +8,8 @@
 
 use bytes::Bytes;
 
+use crate::connections;
+
 /// Size up to which a buffer may use the whole account. Longer ones leave a quarter of it free, so
 /// that a few endless bodies cannot keep ordinary requests from being read.
 pub const SMALL_BUFFER_BYTES: usize = 64 << 10;
@@ -72,6 +74,11 @@
         (limit / 4 * 3).max(limit.min(SMALL_BUFFER_BYTES))
     }
 
+    /// Returns whether little more than the part that is left to small buffers is free.
+    pub fn is_nearly_exhausted(&self) -> bool {
+        self.used() > self.totals.limit.load(Ordering::Relaxed) / 8 * 5
+    }
+
     /// Returns an empty buffer for a body of at most `max_bytes`.
     pub fn buffer(&self, max_bytes: usize) -> Buffer {
         Buffer { bytes: Vec::new(), max_bytes, charge: self.charge() }
@@ -93,6 +100,7 @@
         });
         taken.map(drop).map_err(|_| {
             metrics::counter!("hornbeamloom_buffers_refused_total").increment(1);
+            connections::count("memory");
             Error::Exhausted
         })
     }
@@ -123,6 +131,19 @@
     }
 }
 
+impl Charge {
+    /// Changes the charge to `bytes` whether or not the account has them, for memory that is bounded
+    /// by other means and whose owner must go on. New buffers are refused the earlier for it.
+    pub fn set(&mut self, bytes: usize) {
+        let used = &self.account.totals.used;
+        match bytes.checked_sub(self.bytes) {
+            Some(more) => used.fetch_add(more, Ordering::Relaxed),
+            None => used.fetch_sub(self.bytes - bytes, Ordering::Relaxed),
+        };
+        self.bytes = bytes;
+    }
+}
+
 impl Drop for Charge {
     fn drop(&mut self) {
         self.account.totals.used.fetch_sub(self.bytes, Ordering::Relaxed);
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Buf, Bytes};
 use futures_util::{Stream, StreamExt};
 use hornbeamloom_kernel::ids::Revision;
 use hornbeamloom_kernel::resource::{Key, Kind, Record};
@@ -21,7 +21,7 @@
 use crate::control::Input;
 use crate::table::{self, Client};
 use crate::write::{self, Change, WriteError};
-use crate::{auth, listener, metrics, status, watch};
+use crate::{auth, listener, memory, metrics, status, watch};
 
 /// Timeout for receiving a request's body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -50,10 +50,18 @@
         context: context.clone(),
     });
     let service = TowerToHyperService::new(warp::service(routes(api)));
-    tokio::spawn(listener::serve(listener, Port::Operators, context, service));
+    tokio::spawn(listener::serve(listener, Port::Operators, context, service, no_memory));
     Ok(())
 }
 
+fn no_memory() -> Response {
+    no_memory_error().into_response()
+}
+
+fn no_memory_error() -> ApiError {
+    ApiError::new(StatusCode::SERVICE_UNAVAILABLE, "buffers_exhausted")
+}
+
 /// State shared by all requests.
 struct Api {
     context: Context,
@@ -114,7 +122,7 @@
     if !is_operator {
         return Err(ApiError::new(StatusCode::UNAUTHORIZED, "unauthorized"));
     }
-    let body = tokio::time::timeout(BODY_TIMEOUT, read_body(body)).await;
+    let body = tokio::time::timeout(BODY_TIMEOUT, read_body(api, body)).await;
     let body = body.map_err(|_| ApiError::new(StatusCode::REQUEST_TIMEOUT, "body_deadline"))??;
     let request = Request { method, path, query, body };
     dispatch(api, &request).await
@@ -143,19 +151,22 @@
         .into_response()
 }
 
-async fn read_body<S, B>(mut stream: S) -> Result<Bytes, ApiError>
+async fn read_body<S, B>(api: &Api, mut stream: S) -> Result<Bytes, ApiError>
 where
     S: Stream<Item = Result<B, warp::Error>> + Unpin,
     B: Buf,
 {
-    let mut body = BytesMut::new();
+    let mut body = api.context.memory.buffer(MAX_DOCUMENT_BYTES);
     while let Some(chunk) = stream.next().await {
         let mut chunk =
             chunk.map_err(|_| WriteError::Malformed("the body broke off".to_owned()))?;
-        if body.len() + chunk.remaining() > MAX_DOCUMENT_BYTES {
-            return Err(WriteError::TooLarge.into());
+        while chunk.has_remaining() {
+            body.push(chunk.chunk()).map_err(|error| match error {
+                memory::Error::TooLong(_) => WriteError::TooLarge.into(),
+                memory::Error::Exhausted => no_memory_error(),
+            })?;
+            chunk.advance(chunk.chunk().len());
         }
-        body.extend_from_slice(&chunk.copy_to_bytes(chunk.remaining()));
     }
     Ok(body.freeze())
 }
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -18,6 +18,7 @@
 use tokio::time::Instant;
 
 use crate::engines::ConnectionPermit;
+use crate::memory::Charge;
 
 /// Time for a disconnected caller to reconnect before its generation is cancelled.
 pub(crate) const REATTACH_GRACE: Duration = Duration::from_secs(10);
@@ -69,9 +70,18 @@
     finish: Option<Arc<Finish>>,
     /// Number of the newest connection, which is the only one that reads.
     connection: u64,
+    /// Memory of the events held.
+    charge: Option<Charge>,
 }
 
 impl Buffer {
+    fn update_charge(&mut self) {
+        let bytes = self.bytes;
+        if let Some(charge) = &mut self.charge {
+            charge.set(bytes);
+        }
+    }
+
     fn end_seq(&self) -> u64 {
         self.first_seq + self.events.len() as u64
     }
@@ -80,11 +90,12 @@
     fn trim(&mut self) {
         while self.bytes > REPLAY_BUFFER_BYTES && self.first_seq < self.next_read {
             let Some(event) = self.events.pop_front() else {
-                return;
+                break;
             };
             self.bytes -= event.len();
             self.first_seq += 1;
         }
+        self.update_charge();
     }
 }
 
@@ -114,6 +125,12 @@
         }
     }
 
+    /// Charges the events held to `charge`.
+    pub(crate) fn with_charge(self, charge: Charge) -> Relay {
+        self.lock().charge = Some(charge);
+        self
+    }
+
     fn lock(&self) -> MutexGuard<'_, Buffer> {
         // The lock is poisoned only after an invariant was already broken.
         self.buffer.lock().expect("no holder of the lock panics")
