Test limits on single clients, and fuzz the decoders

Single clients that meet one limit each, damaged requests at each port, and damaged frames between VMs. The crowds and their bounds are unchanged.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -121,6 +121,11 @@
         })
     }
 
+    /// The directory with settings and logs.
+    pub fn dir(&self) -> &Path {
+        &self.dir
+    }
+
     /// Writes the operator's configuration to the store.
     pub fn put_config(&self, config: &Value) {
         self.store.put("op", "config", config.to_string().as_bytes());
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -51,7 +51,6 @@
 fn start(context: adapter::Context, _inbox: adapter::Inbox) -> Result<(), adapter::Error> {
     let address = context.settings.borrow().listen.callers.clone();
     let listener = adapter::bind(&address, "callers")?;
-    crate::metrics::install().map_err(|error| adapter::Error::Startup(error.to_string()))?;
     let client = http::client().map_err(|error| adapter::Error::Startup(error.to_string()))?;
     let traffic = Arc::new(Traffic::new(context.clone(), client));
     let routes = warp::method()
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -40,6 +40,7 @@
 fn start(context: Context, _inbox: Inbox) -> Result<(), Error> {
     let settings = context.settings.borrow().clone();
     let listener = adapter::bind(&settings.listen.operators, "operators")?;
+    metrics::install().map_err(|error| Error::Startup(error.to_string()))?;
     let http = table::http_client().map_err(|error| Error::Startup(error.to_string()))?;
     let api = Arc::new(Api {
         table: Client::new(http, &settings.platform.table),
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -321,3 +321,52 @@
     damaged_frames_of_seed_2_never_panic: (2);
     damaged_frames_of_seed_3_never_panic: (3);
 }
+
+/// Number of inputs of a fuzz run: HORNBEAMLOOM_FUZZ_INPUTS, or else few enough for each test run.
+fn fuzz_inputs() -> usize {
+    let inputs = std::env::var("HORNBEAMLOOM_FUZZ_INPUTS").ok();
+    inputs.and_then(|inputs| inputs.parse().ok()).unwrap_or(20_000)
+}
+
+/// Largest resident memory of this process so far, in MiB.
+fn peak_resident_mb() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+    let kib: u64 = line.split_whitespace().next().unwrap().parse().unwrap();
+    kib / 1_024
+}
+
+/// Guards against a panic, and against input of a few bytes that makes the reader allocate what it
+/// announces. Each input is a sample with up to eight faults, the start of one sample with the end of
+/// another, or arbitrary bytes.
+#[test]
+fn fuzzed_frames_never_panic_and_stay_bounded() {
+    const MAX_GROWTH_MB: u64 = 32;
+    let mut gen = Gen::from_size_and_seed(400, 7);
+    let samples: Vec<Vec<u8>> =
+        sample_messages().iter().map(|sample| frame::encode("entry-b1", sample).unwrap()).collect();
+    let before = peak_resident_mb();
+    let mut decoded = 0;
+    for round in 0..fuzz_inputs() {
+        let mut bytes = samples[round % samples.len()].clone();
+        match u8::arbitrary(&mut gen) % 4 {
+            0 => bytes = Vec::arbitrary(&mut gen),
+            1 => {
+                let other = &samples[usize::arbitrary(&mut gen) % samples.len()];
+                bytes.truncate(usize::arbitrary(&mut gen) % bytes.len());
+                bytes.extend_from_slice(&other[usize::arbitrary(&mut gen) % other.len()..]);
+            }
+            _ => {
+                for _ in 0..=u8::arbitrary(&mut gen) % 8 {
+                    if !bytes.is_empty() {
+                        corrupt(&mut bytes, &mut gen);
+                    }
+                }
+            }
+        }
+        decoded += usize::from(frame::decode(&bytes).is_ok());
+    }
+    let growth = peak_resident_mb() - before;
+    println!("{decoded} of {} inputs decoded, {growth} MB more", fuzz_inputs());
+    assert!(growth <= MAX_GROWTH_MB, "{growth} MB more");
+}
--- a/tests/hostile/crowd.rs
+++ b/tests/hostile/crowd.rs
@@ -74,7 +74,17 @@
 ///
 /// Whatever the daemon does to a client is allowed, so errors are ignored.
 pub async fn gather(address: SocketAddr, targets: &[Target], way: Way) -> Vec<TcpStream> {
-    let clients = (0..CLIENTS).map(|number| {
+    gather_some(CLIENTS, address, targets, way).await
+}
+
+/// Connects `count` clients as [`gather`] does.
+pub async fn gather_some(
+    count: usize,
+    address: SocketAddr,
+    targets: &[Target],
+    way: Way,
+) -> Vec<TcpStream> {
+    let clients = (0..count).map(|number| {
         let target = &targets[number % targets.len()];
         async move {
             let mut stream = timeout(SENDING_TIME, TcpStream::connect(address)).await.ok()?.ok()?;
--- a/tests/hostile/main.rs
+++ b/tests/hostile/main.rs
@@ -12,7 +12,9 @@
 #[path = "../fleet/harness.rs"]
 #[allow(dead_code)]
 mod fleet;
+mod fuzz;
 mod site;
+mod time_limits;
 
 use std::sync::{Mutex, PoisonError};
 
--- a/tests/hostile/site.rs
+++ b/tests/hostile/site.rs
@@ -10,7 +10,7 @@
 use hornbeamloom_bench::fleet::{config, Fleet, ATTEMPT_ID_HEADER};
 use hornbeamloom_bench::mock_engine::Engine;
 use hornbeamloom_bench::process::Process;
-use serde_json::json;
+use serde_json::{json, Value};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
@@ -72,11 +72,30 @@
         let program = write_limiting_script();
         let processes = match port {
             Port::AdapterCallers | Port::Readiness => start_adapter(&program).await,
-            Port::OwnCallers | Port::Operators | Port::Peers => start_own(&program).await,
+            Port::OwnCallers | Port::Operators | Port::Peers => {
+                start_own(&program, json!({})).await
+            }
         };
         Site { port, processes }
     }
 
+    /// Starts a daemon with the own interface and further limits.
+    pub async fn start_with_limits(port: Port, limits: Value) -> Site {
+        Site { port, processes: start_own(&write_limiting_script(), limits).await }
+    }
+
+    /// The metrics of a daemon with the own interface.
+    pub async fn metrics(&self) -> String {
+        let Processes::Own(cluster) = &self.processes else {
+            return String::new();
+        };
+        let url = format!("http://{}/metrics", cluster.daemons[0].operator_address);
+        let Ok(response) = reqwest::Client::new().get(url).send().await else {
+            return String::new();
+        };
+        response.text().await.unwrap_or_default()
+    }
+
     /// The address of the port.
     pub fn address(&self) -> SocketAddr {
         match (&self.processes, self.port) {
@@ -209,6 +228,16 @@
         status.is_some_and(|line| line.starts_with(&format!("HTTP/1.1 {expected} ")))
     }
 
+    /// Number of panics in the daemon's log.
+    pub fn panics(&self) -> usize {
+        let log = match &self.processes {
+            Processes::Own(cluster) => cluster.dir().join("entry-a1.log"),
+            Processes::Adapter(fleet, _) => fleet.dir().join("vm-1.log"),
+        };
+        let text = std::fs::read(log).expect("the log is read");
+        String::from_utf8_lossy(&text).matches("panicked at").count()
+    }
+
     /// Panics unless the daemon lives, has stayed within its limits and has answered.
     pub fn assert_survived(&self, most_descriptors: usize, is_answered: bool) {
         let resident_mb = self.process().peak_resident_mb();
@@ -269,9 +298,11 @@
     path
 }
 
-async fn start_own(program: &Path) -> Processes {
+async fn start_own(program: &Path, limits: Value) -> Processes {
     let mut site = cluster::start_platform().with_daemon_binary(program);
-    site.limits = json!({"body_bytes": MAX_BODY_BYTES, "buffer_bytes": BUFFER_MB << 20});
+    site.limits = limits;
+    site.limits["body_bytes"] = MAX_BODY_BYTES.into();
+    site.limits["buffer_bytes"] = (BUFFER_MB << 20).into();
     site.start_daemon("entry-a1", "lodz-a").expect("the daemon starts");
     cluster::declare_resources(&site, &[("entry-a1", "lodz-a")]).await;
     let engine = cluster::warm_engine("engine-a1", "lodz-a");
