--- a/crates/daemon/src/client_limits.rs
+++ b/crates/daemon/src/client_limits.rs
@@ -10,7 +10,7 @@
 /// write buffers at their limit of 16 KiB each. The buffers for bodies are as large again.
 const CONNECTION_BYTES: u64 = 32 << 10;
 /// Number of connections that the default admits however small the buffers for bodies are.
-const MIN_CONNECTIONS: u64 = 256;
+const MIN_CONNECTIONS: u64 = 1_024;
 /// Time after which a client that moves nothing, or less than the minimum rate, may be closed to make
 /// room, in milliseconds. The time limits on progress are longer.
 const SLOW_MS: u64 = 1_000;
@@ -65,7 +65,7 @@
 /// use hornbeamloom_daemon::client_limits::default_connections;
 ///
 /// // The smallest VM, and one with few descriptors.
-/// assert_eq!(default_connections(3_075, 24 << 20), 768);
+/// assert_eq!(default_connections(3_075, 24 << 20), 1_024);
 /// assert_eq!(default_connections(256, 4 << 20), 96);
 /// ```
 pub fn default_connections(descriptors: u64, buffer_bytes: u64) -> usize {
--- a/crates/daemon/src/memory.rs
+++ b/crates/daemon/src/memory.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use memmap2::MmapMut;
 
 use crate::connections;
 
@@ -14,6 +15,9 @@
 /// that a few endless bodies cannot keep ordinary requests from being read.
 pub const SMALL_BUFFER_BYTES: usize = 64 << 10;
 
+/// Step by which the charge of a longer buffer grows.
+const STEP_BYTES: usize = 64 << 10;
+
 /// Why bytes cannot be buffered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(thiserror::Error)]
@@ -81,7 +85,7 @@
 
     /// Returns an empty buffer for a body of at most `max_bytes`.
     pub fn buffer(&self, max_bytes: usize) -> Buffer {
-        Buffer { bytes: Vec::new(), max_bytes, charge: self.charge() }
+        Buffer { storage: Storage::Small(Vec::new()), max_bytes, charge: self.charge() }
     }
 
     /// Returns a charge of zero bytes.
@@ -150,10 +154,30 @@
     }
 }
 
+/// The bytes of a buffer.
+#[derive(Debug)]
+enum Storage {
+    /// Up to [`SMALL_BUFFER_BYTES`], on the heap.
+    Small(Vec<u8>),
+    /// Longer ones have a mapping of their own for the longest body admitted, of which the system
+    /// provides the pages that were written. Buffers of this size that grow on the heap leave it
+    /// fragmented: the resident memory was 2.5 times the account.
+    Mapped { pages: MmapMut, length: usize },
+}
+
+impl Storage {
+    fn as_slice(&self) -> &[u8] {
+        match self {
+            Storage::Small(bytes) => bytes,
+            Storage::Mapped { pages, length } => &pages[..*length],
+        }
+    }
+}
+
 /// A body that is received in pieces of any size and kept in one allocation.
 #[derive(Debug)]
 pub struct Buffer {
-    bytes: Vec<u8>,
+    storage: Storage,
     max_bytes: usize,
     charge: Charge,
 }
@@ -165,14 +189,27 @@
     ///
     /// The body is too long or the account is exhausted; nothing is appended then.
     pub fn push(&mut self, piece: &[u8]) -> Result<(), Error> {
-        let needed = self.bytes.len() + piece.len();
+        let held = self.storage.as_slice().len();
+        let needed = held + piece.len();
         self.check_length(needed)?;
-        if needed > self.bytes.capacity() {
-            let capacity = needed.max(2 * self.bytes.capacity()).min(self.max_bytes);
-            self.charge.resize(capacity)?;
-            self.bytes.reserve_exact(capacity - self.bytes.len());
+        if needed > self.charge.bytes {
+            self.charge.resize(charged_bytes(needed, self.max_bytes))?;
+        }
+        if let (Storage::Small(bytes), true) = (&self.storage, needed > SMALL_BUFFER_BYTES) {
+            let mut pages = MmapMut::map_anon(self.max_bytes).map_err(|_| Error::Exhausted)?;
+            pages[..held].copy_from_slice(bytes);
+            self.storage = Storage::Mapped { pages, length: held };
+        }
+        match &mut self.storage {
+            Storage::Small(bytes) => {
+                bytes.reserve_exact(self.charge.bytes.max(needed) - held);
+                bytes.extend_from_slice(piece);
+            }
+            Storage::Mapped { pages, length } => {
+                pages[held..needed].copy_from_slice(piece);
+                *length = needed;
+            }
         }
-        self.bytes.extend_from_slice(piece);
         Ok(())
     }
 
@@ -190,15 +227,26 @@
 
     /// Returns the body, which is charged until its last clone is dropped.
     pub fn freeze(mut self) -> Bytes {
-        self.bytes.shrink_to_fit();
+        if let Storage::Small(bytes) = &mut self.storage {
+            bytes.shrink_to_fit();
+        }
         // A smaller charge is always granted.
-        let _ = self.charge.resize(self.bytes.len());
+        let _ = self.charge.resize(self.storage.as_slice().len());
         Bytes::from_owner(self)
     }
 }
 
 impl AsRef<[u8]> for Buffer {
     fn as_ref(&self) -> &[u8] {
-        &self.bytes
+        self.storage.as_slice()
     }
 }
+
+/// The bytes charged for a buffer that needs `needed`: small ones double, long ones grow by steps.
+fn charged_bytes(needed: usize, max_bytes: usize) -> usize {
+    let bytes = match needed <= SMALL_BUFFER_BYTES {
+        true => needed.next_power_of_two(),
+        false => needed.next_multiple_of(STEP_BYTES),
+    };
+    bytes.min(max_bytes)
+}
