Bound what clients that do not behave can take, at every port

Settings limits.open_connections, address_connections, header_bytes, header_fields, progress_s and progress_bytes_per_s; counter hornbeamloom_client_limits_total{reason}. A request target without a path made warp panic, which the fuzz test found; it is refused with 400.

--- a/crates/daemon/src/listener.rs
+++ b/crates/daemon/src/listener.rs
@@ -10,7 +10,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::{service_fn, Service};
-use hyper::{HeaderMap, Request, Response};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
@@ -276,7 +276,13 @@
     let handler = service_fn(|request| {
         let meter = admitted.meter.clone();
         async move {
-            let handle = |request| async move {
+            let handle = |request: Request<RequestBody>| async move {
+                // warp panics on a target without a path, such as that of CONNECT.
+                if request.uri().path_and_query().is_none() {
+                    let mut response = warp::reply::Response::default();
+                    *response.status_mut() = StatusCode::BAD_REQUEST;
+                    return response;
+                }
                 match service.call(request).await {
                     Ok(response) => response,
                     Err(never) => match never {},
--- a/crates/daemon/tests/log_writer.rs
+++ b/crates/daemon/tests/log_writer.rs
@@ -89,3 +89,21 @@
     });
     lines.sum()
 }
+
+/// Guards against a queue that is bounded in lines only: lines contain text that callers choose.
+#[test]
+fn long_lines_are_bounded_in_bytes() {
+    const LINE_BYTES: usize = 16 << 10;
+    let (sink, written, permit) = sink();
+    let mut writer = LogWriter::new(sink, LINES);
+    let line = "x".repeat(LINE_BYTES - 1) + "\n";
+    for _ in 0..LINES {
+        writer.write_all(line.as_bytes()).unwrap();
+    }
+    let dropped = writer.dropped() as usize;
+    drop(permit);
+    writer.flush().unwrap();
+    // The sink may have taken a first batch before it blocked.
+    assert!((LINES - dropped) * LINE_BYTES <= 4 << 20, "{dropped} of {LINES} lines dropped");
+    assert!(written.lock().unwrap().len() >= LINE_BYTES);
+}
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -66,6 +66,13 @@
     zero_header_time_is_refused: ("header_s: 10", "header_s: 0", &["limits.header_s"]);
     zero_connections_are_refused: ("connections: 4096", "connections: 0", &["limits.connections"]);
     buffers_for_less_than_two_bodies_are_refused: ("4096}", "4096, buffer_bytes: 2097151}", &["limits.buffer_bytes", "2097152"]);
+    few_open_connections_are_refused: ("4096}", "4096, open_connections: 15}", &["limits.open_connections", "16"]);
+    few_connections_of_an_address_are_refused: ("4096}", "4096, address_connections: 0}", &["limits.address_connections"]);
+    short_heads_are_refused: ("4096}", "4096, header_bytes: 8191}", &["limits.header_bytes", "8192"]);
+    few_header_fields_are_refused: ("4096}", "4096, header_fields: 15}", &["limits.header_fields"]);
+    more_header_fields_than_a_map_holds_are_refused: ("4096}", "4096, header_fields: 24577}", &["limits.header_fields"]);
+    short_progress_period_is_refused: ("4096}", "4096, progress_s: 0.9}", &["limits.progress_s"]);
+    zero_progress_is_refused: ("4096}", "4096, progress_bytes_per_s: 0}", &["limits.progress_bytes_per_s"]);
     long_settle_time_is_refused: ("settle_s: 10", "settle_s: 1000", &["settle_s"]);
     shutdown_limit_within_settle_time_is_refused: ("shutdown_limit_s: null", "shutdown_limit_s: 10", &["shutdown_limit_s"]);
     shutdown_limit_that_is_not_a_number_is_refused: ("shutdown_limit_s: null", "shutdown_limit_s: .nan", &["shutdown_limit_s"]);
--- a/tests/hostile/crowd.rs
+++ b/tests/hostile/crowd.rs
@@ -74,17 +74,7 @@
 ///
 /// Whatever the daemon does to a client is allowed, so errors are ignored.
 pub async fn gather(address: SocketAddr, targets: &[Target], way: Way) -> Vec<TcpStream> {
-    gather_some(CLIENTS, address, targets, way).await
-}
-
-/// Connects `count` clients as [`gather`] does.
-pub async fn gather_some(
-    count: usize,
-    address: SocketAddr,
-    targets: &[Target],
-    way: Way,
-) -> Vec<TcpStream> {
-    let clients = (0..count).map(|number| {
+    let clients = (0..CLIENTS).map(|number| {
         let target = &targets[number % targets.len()];
         async move {
             let mut stream = timeout(SENDING_TIME, TcpStream::connect(address)).await.ok()?.ok()?;
@@ -96,6 +86,15 @@
     join_all(clients).await.into_iter().flatten().collect()
 }
 
+/// Connects one client and has it misbehave until the daemon has closed its connection.
+pub async fn misbehave_until_closed(address: SocketAddr, target: &Target, way: Way) {
+    let mut stream = TcpStream::connect(address).await.expect("the daemon listens");
+    // An error shows that the connection is closed.
+    let _ = misbehave(&mut stream, target, way).await;
+    let mut received = vec![0; 64 << 10];
+    while matches!(stream.read(&mut received).await, Ok(1..)) {}
+}
+
 async fn misbehave(stream: &mut TcpStream, target: &Target, way: Way) -> std::io::Result<()> {
     let with_length = |length| target.head(&format!("Content-Length: {length}\r\n\r\n"));
     let chunked = target.head("Transfer-Encoding: chunked\r\n\r\n");
--- a/tests/hostile/fuzz.rs
+++ b/tests/hostile/fuzz.rs
@@ -15,14 +15,15 @@
 use tokio::time::timeout;
 
 use crate::crowd::Target;
-use crate::site::{Port, Site};
+use crate::site::{first_line, Port, Site};
 use crate::{fleet, ONE_AT_A_TIME};
 
 /// Inputs of the short run for each port.
 const SHORT_RUN: usize = 2_000;
 /// Number of connections at a time.
 const CLIENTS: usize = 32;
-/// Inputs on one connection, unless the daemon closes it.
+/// Inputs on one connection. Those that follow one after which the daemon closes it are counted as
+/// sent, but are not decoded.
 const INPUTS_PER_CONNECTION: usize = 16;
 /// Time for the responses to the inputs of one connection. A damaged request may leave the daemon to
 /// wait for the rest, so the client closes its side first.
@@ -98,6 +99,24 @@
     });
 }
 
+/// Guards against a panic in a route on a target that has no path, which only long runs find.
+#[test]
+fn requests_without_a_path_are_refused() {
+    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    fleet::block_on(async {
+        for port in [Port::OwnCallers, Port::Operators] {
+            let site = Site::start(port).await;
+            for method in ["CONNECT", "POST"] {
+                let request = format!("{method} x:1 HTTP/1.1\r\nHost: x\r\n\r\n");
+                let line = first_line(site.address(), &request).await;
+                let line = line.expect("the daemon responds");
+                assert!(line.starts_with("HTTP/1.1 400 "), "{method}: {line}");
+            }
+            assert_eq!(site.panics(), 0, "a task of the daemon has panicked");
+        }
+    });
+}
+
 /// Sends requests on one connection until the daemon closes it, and reads what it responds.
 async fn exchange(
     source: IpAddr,
--- a/tests/hostile/site.rs
+++ b/tests/hostile/site.rs
@@ -272,7 +272,7 @@
 }
 
 /// Sends a request on a connection of its own and returns the first line of the response.
-async fn first_line(address: SocketAddr, request: &str) -> Option<String> {
+pub async fn first_line(address: SocketAddr, request: &str) -> Option<String> {
     let mut stream = TcpStream::connect(address).await.ok()?;
     stream.write_all(request.as_bytes()).await.ok()?;
     let mut received = Vec::new();
--- a/tests/hostile/time_limits.rs
+++ b/tests/hostile/time_limits.rs
@@ -31,11 +31,8 @@
     let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
     fleet::block_on(async {
         let site = Site::start_with_limits(port, limits).await;
-        let mut clients = crowd::gather_some(1, site.address(), &site.targets()[..1], way).await;
-        let mut client = clients.remove(0);
-        let mut received = vec![0; 64 << 10];
-        // The client reads what it has not read yet, up to the end.
-        let closed = async { while matches!(client.read(&mut received).await, Ok(1..)) {} };
+        let targets = site.targets();
+        let closed = crowd::misbehave_until_closed(site.address(), &targets[0], way);
         timeout(cluster::TEST_TIMEOUT, closed).await.expect("the daemon closes the connection");
         let counter = format!("hornbeamloom_client_limits_total{{reason=\"{reason}\"}}");
         cluster::wait_until("the reason is counted", || async {
