Move the outcomes of roll-outs and slack out of accounting

What the roll-out and the forecast record of an ended request stands beside them now, and the check of event numbers beside the rerun.

--- a/crates/daemon/src/rerun.rs
+++ b/crates/daemon/src/rerun.rs
@@ -5,6 +5,8 @@
 
 use hornbeamloom_kernel::outcome::Start;
 use hornbeamloom_kernel::request::End;
+use hornbeamloom_kernel::rerun;
+use hornbeamloom_kernel::stream::Accept;
 
 use crate::continuation::Placement;
 use crate::control::Decision;
@@ -73,6 +75,29 @@
 }
 
 impl<A, C, R> StreamProxy<A, C, R> {
+    /// Classifies an event; only those of resumable routes are checked for gaps.
+    pub(crate) fn accept(&self, seq: u64) -> Accept {
+        match self.resumable {
+            Some(_) => rerun::accept(self.position(), seq),
+            None if seq <= self.last_event && self.last_event > 0 => Accept::Duplicate,
+            None => Accept::Deliver,
+        }
+    }
+
+    /// Sequence number of the last event that the caller has, if it has any.
+    pub(crate) fn position(&self) -> Option<u64> {
+        match self.first_event_ms {
+            Some(_) => Some(self.last_event),
+            None => self.resumable.and_then(|resumable| resumable.last_event),
+        }
+    }
+
+    /// Whether the target has ended a stream of a resumable route before the last event that the
+    /// caller has, which shows that it did not continue the same stream.
+    pub(crate) fn ends_early(&self) -> bool {
+        self.resumable.is_some() && self.target_event.is_some_and(|seq| seq < self.last_event)
+    }
+
     /// Runs a stream that broke off again at another target. Returns `None` once the stream was
     /// truncated or the caller has disconnected. The connection to the old target must be closed.
     pub(crate) async fn rerun<S, O, OF>(&mut self, open: &O, broken: &Start) -> Option<Placement<S>>
--- a/crates/daemon/src/stream_proxy.rs
+++ b/crates/daemon/src/stream_proxy.rs
@@ -15,7 +15,6 @@
 use futures_util::{Stream, StreamExt};
 use hornbeamloom_kernel::outcome::Start;
 use hornbeamloom_kernel::request::End;
-use hornbeamloom_kernel::rerun;
 use hornbeamloom_kernel::stream::Accept;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -214,7 +213,7 @@
     /// an earlier response.
     pub(crate) last_event: u64,
     /// Sequence number of the last event of the current target.
-    target_event: Option<u64>,
+    pub(crate) target_event: Option<u64>,
     /// Time from the arrival of the request to the first event, in milliseconds.
     pub(crate) first_event_ms: Option<u32>,
     /// The first event belongs to an attempt whose end was reported.
@@ -276,28 +275,6 @@
         }
     }
 
-    fn accept(&self, seq: u64) -> Accept {
-        match self.resumable {
-            Some(_) => rerun::accept(self.position(), seq),
-            None if seq <= self.last_event && self.last_event > 0 => Accept::Duplicate,
-            None => Accept::Deliver,
-        }
-    }
-
-    /// Sequence number of the last event that the caller has, if it has any.
-    pub(crate) fn position(&self) -> Option<u64> {
-        match self.first_event_ms {
-            Some(_) => Some(self.last_event),
-            None => self.resumable.and_then(|resumable| resumable.last_event),
-        }
-    }
-
-    /// Whether the target has ended a stream of a resumable route before the last event that the
-    /// caller has, which shows that it did not continue the same stream.
-    pub(crate) fn ends_early(&self) -> bool {
-        self.resumable.is_some() && self.target_event.is_some_and(|seq| seq < self.last_event)
-    }
-
     pub(crate) fn log_end(&self, start: &Start, end: &'static str) {
         log::info!(
             "request={} stream={end} target={} events={} first_ms={} longest_gap_ms={}",
--- a/crates/kernel/src/accounting.rs
+++ b/crates/kernel/src/accounting.rs
@@ -2,21 +2,17 @@
 
 use std::collections::BTreeSet;
 
-use crate::attempt;
 use crate::event::Vm;
 use crate::ids::{Incarnation, Millis, Name};
 use crate::in_flight::{InFlightRequest, GRANT_TTL_MS, SILENCE_TIMEOUT_MS};
 use crate::kernel::{Outbox, State};
 use crate::outcome::{Counter, Reason, Refusal};
 use crate::peer::{Ask, Death, MemberStatus, Message, Progress, Release, Suspect};
-use crate::polling;
 use crate::pool::{self, Key, Pool};
-use crate::prompt_part;
 use crate::request::{Class, End, Id};
-use crate::schedule;
 use crate::takeover::{self, Rights};
 use crate::target::{CacheBatch, LivenessChange, PollError, Report, REPORT_LAG_MS};
-use crate::{slack, slack_queue};
+use crate::{attempt, polling, prompt_part, rollout_pool, schedule, slack_queue};
 
 /// Interval at which a holder announces its targets to the VMs of the zone.
 const ANNOUNCE_INTERVAL_MS: u64 = 1_000;
@@ -325,17 +321,7 @@
     let Some(running) = pool.remove_request(&release.id, now) else {
         return;
     };
-    if let Some(exposure) = &mut pool.exposure {
-        if exposure.record_end(&running, release.end) {
-            out.count(Counter::Event("rollout_breaker"));
-            out.warn(format!(
-                "request={} rollout service={} breaker: the version fails here{}",
-                release.id,
-                pool.key.service,
-                exposure.describe()
-            ));
-        }
-    }
+    rollout_pool::record_end(pool, &running, release, out);
     match release.end {
         End::Unsent | End::Rejected => refund_prompt(pool, &running, now),
         End::Complete => {
@@ -344,15 +330,7 @@
         }
         _ => {}
     }
-    let is_timed = running.ask.slack.is_some();
-    let first_ms = release.first_token_ms.filter(|_| is_timed);
-    if let Some(first_ms) = first_ms.and_then(|first_ms| running.first_token_ms(first_ms)) {
-        pool.outlook.record_first_token(running.ask.class, first_ms);
-        if release.end == End::Complete && release.tokens >= slack::MIN_PACE_TOKENS {
-            let ms = now.since(running.granted_at).saturating_sub(first_ms.into());
-            pool.outlook.record_pace(release.tokens, ms);
-        }
-    }
+    slack_queue::record_end(pool, &running, release, now);
     let target = &mut pool.targets[running.target_ix];
     if target.name != release.target {
         return;
--- a/crates/kernel/src/rollout_pool.rs
+++ b/crates/kernel/src/rollout_pool.rs
@@ -2,7 +2,9 @@
 
 use crate::ids::{Millis, Name, Revision};
 use crate::in_flight::InFlightRequest;
-use crate::peer::Ask;
+use crate::kernel::Outbox;
+use crate::outcome::Counter;
+use crate::peer::{Ask, Release};
 use crate::plugin::policy;
 use crate::pool::Pool;
 use crate::request::End;
@@ -193,3 +195,24 @@
     });
     view.pool.is_version_open(target, view.now) && (is_first(ask) || !is_exposed)
 }
+
+/// Records how a granted request ended, and tells when the new version is closed because of it.
+pub(crate) fn record_end(
+    pool: &mut Pool,
+    running: &InFlightRequest,
+    release: &Release,
+    out: &mut Outbox,
+) {
+    let Some(exposure) = &mut pool.exposure else {
+        return;
+    };
+    if exposure.record_end(running, release.end) {
+        out.count(Counter::Event("rollout_breaker"));
+        out.warn(format!(
+            "request={} rollout service={} breaker: the version fails here{}",
+            release.id,
+            pool.key.service,
+            exposure.describe()
+        ));
+    }
+}
--- a/crates/kernel/src/slack_queue.rs
+++ b/crates/kernel/src/slack_queue.rs
@@ -2,14 +2,15 @@
 
 use crate::explain::DecisionLog;
 use crate::ids::{Millis, Name};
+use crate::in_flight::InFlightRequest;
 use crate::intent::Intent;
 use crate::kernel::{Outbox, State};
 use crate::outcome::{Counter, Reason, Refusal};
-use crate::peer::{Advice, Ask, Load, Message};
+use crate::peer::{Advice, Ask, Load, Message, Release};
 use crate::pool::{Key, Pool};
 use crate::quarantine::Registry;
 use crate::queue::QueuedRequest;
-use crate::request::Id;
+use crate::request::{End, Id};
 use crate::room::Forecast;
 use crate::schedule;
 use crate::slack::{self, Decision, Review};
@@ -215,3 +216,21 @@
     zones.retain(|zone| *zone != key.zone && !intent.is_zone_out(zone));
     zones
 }
+
+/// Records how fast a target served a request that was admitted by slack.
+pub(crate) fn record_end(
+    pool: &mut Pool,
+    running: &InFlightRequest,
+    release: &Release,
+    now: Millis,
+) {
+    let first_ms = release.first_token_ms.filter(|_| running.ask.slack.is_some());
+    let Some(first_ms) = first_ms.and_then(|first_ms| running.first_token_ms(first_ms)) else {
+        return;
+    };
+    pool.outlook.record_first_token(running.ask.class, first_ms);
+    if release.end == End::Complete && release.tokens >= slack::MIN_PACE_TOKENS {
+        let ms = now.since(running.granted_at).saturating_sub(first_ms.into());
+        pool.outlook.record_pace(release.tokens, ms);
+    }
+}
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -76,7 +76,7 @@
 #[test]
 fn deployment_without_rollouts_has_no_settings_for_them() {
     let text = render(include_str!("../deploy/settings.yaml"), "8");
-    assert!(text.is_some_and(|text| text.ends_with("    drain_ms: 8\n")));
+    assert!(text.is_some_and(|text| text.ends_with("    drain_ms: 8\n    admission: auto\n")));
 }
 
 /// Settings of the platform adapter with fractions, very short and very long times.
