Place by pauses where the routes of a configuration ask for it

One template serves all deployments, and earlier ones must be served as before. placement.pauses takes auto, which follows the same rule as admission: auto; the template uses it.

--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -76,7 +76,8 @@
 #[test]
 fn deployment_without_rollouts_has_no_settings_for_them() {
     let text = render(include_str!("../deploy/settings.yaml"), "8");
-    assert!(text.is_some_and(|text| text.ends_with("    drain_ms: 8\n    admission: auto\n")));
+    assert!(text.is_some_and(|text| text
+        .ends_with("    drain_ms: 8\n    admission: auto\n    placement: {pauses: auto}\n")));
 }
 
 /// Settings of the platform adapter with fractions, very short and very long times.
@@ -95,7 +96,7 @@
     negative_amount_fails_the_check: (10, "negative", ("zone: z", "zone: z\nadapter: {name: fleet, settings: {readiness: '127.0.0.1:9', zones: {z: r}, retries: {ratio: 0.2, slack: -1}}}"), 2);
     time_that_is_no_number_fails_the_check: (11, "nan", ("zone: z", "zone: z\nadapter: {name: fleet, settings: {readiness: '127.0.0.1:9', zones: {z: r}, retries: {ratio: 0.2, slack: 1}, drain_ms: .nan}}"), 2);
     admission_by_slack_passes_the_check: (12, "slack", ("zone: z", "zone: z\nadapter: {name: fleet, settings: {readiness: '127.0.0.1:9', zones: {z: r}, retries: {ratio: 0.2, slack: 1}, admission: slack}}"), 0);
-    admission_by_the_routes_passes_the_check: (15, "auto", ("zone: z", "zone: z\nadapter: {name: fleet, settings: {readiness: '127.0.0.1:9', zones: {z: r}, retries: {ratio: 0.2, slack: 1}, admission: auto}}"), 0);
+    admission_by_the_routes_passes_the_check: (15, "auto", ("zone: z", "zone: z\nadapter: {name: fleet, settings: {readiness: '127.0.0.1:9', zones: {z: r}, retries: {ratio: 0.2, slack: 1}, admission: auto, placement: {pauses: auto, spread: true}}}"), 0);
     unknown_admission_fails_the_check: (13, "admission", ("zone: z", "zone: z\nadapter: {name: fleet, settings: {readiness: '127.0.0.1:9', zones: {z: r}, retries: {ratio: 0.2, slack: 1}, admission: lifo}}"), 2);
     // Guards against an exposure of more than all requests because a percentage was given.
     share_above_one_fails_the_check: (14, "share", ("zone: z", "zone: z\nadapter: {name: fleet, settings: {readiness: '127.0.0.1:9', zones: {z: r}, retries: {ratio: 0.2, slack: 1}, rollout: {share: 10, tolerance: 50, rollback_ms: 5000}}}"), 2);
