Show a request that ran and is answered 503

Cause: a back end's own 503 without X-Not-Executed is passed on to the client, to whom it promises that the request has not run.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -208,11 +208,15 @@
 
 
 class BackEnd(Server):
-    """A server of a plain service. `runs` has each request that it ran: time, attempt and headers."""
+    """A server of a plain service. `runs` has each request that it ran: time, attempt, line, status.
+
+    While `fails` returns true for a request, the server runs it and then answers 503 of its own.
+    Without `X-Not-Executed`, this does not say that the request has not run.
+    """
 
     def __init__(self, store, name, service, zone):
         self.store, self.name, self.service, self.zone = store, name, service, zone
-        self.born, self.runs = int(time.time() * 1000), []
+        self.born, self.runs, self.fails = int(time.time() * 1000), [], lambda: False
 
     async def register(self):
         entry = {
@@ -226,9 +230,11 @@
         echo = [("X-Attempt-Id", attempt)]
         if headers.get("x-expected-instance") != self.name:
             return encode(421, b"", [*echo, ("X-Not-Executed", "1")])
-        self.runs.append((now(), attempt, headers))
-        await asyncio.sleep(0.03)
-        return encode(200, f"{self.name} {attempt} {line}".encode(), [*echo, ("X-Response-Signature", "s")])
+        status = 503 if self.fails() else 200
+        self.runs.append((now(), attempt, line, status))
+        await asyncio.sleep(0.06)
+        body = f"{self.name} {attempt} {line}".encode()
+        return encode(status, body, [*echo, ("X-Response-Signature", "s")])
 
 
 class Engine(Server):
