--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -21,6 +22,7 @@
 TEMPLATE = os.path.join(ROOT, "deploy", "settings.yaml")
 STARTED = time.monotonic()
 HOST = "h.example"
+TAKEN_PORTS = set()
 
 # The bounds of nekro-centrala.
 BOUNDS = {
@@ -43,12 +45,14 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
+    """Free ports below those that the system gives to outgoing channels, each handed out once."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(20_000, 32_000)
+        with socket.socket() as probe:
+            if port not in TAKEN_PORTS and probe.connect_ex(("127.0.0.1", port)) != 0:
+                TAKEN_PORTS.add(port)
+                ports.append(port)
     return ports
 
 
