Show a success without the digest

Cause: the adapter passes a 2xx answer on without a check that it has X-Response-Signature, so that a back end with wrong bytes in that header makes a success of an answer that does not count.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -214,13 +214,16 @@
 class BackEnd(Server):
     """A server of a plain service. `runs` has each request that it ran: time, attempt, line, status.
 
-    While `fails` returns true for a request, the server runs it and then answers 503 of its own.
-    Without `X-Not-Executed`, this does not say that the request has not run.
+    When `fails` returns true for a request, the server runs it and then answers 503 of its own.
+    Without `X-Not-Executed`, this does not say that the request has not run. When `spoils` returns
+    true, a byte of its answer is wrong, in the name of the header with the digest.
     """
 
     def __init__(self, store, name, service, zone):
         self.store, self.name, self.service, self.zone = store, name, service, zone
-        self.born, self.runs, self.fails = int(time.time() * 1000), [], lambda: False
+        self.born, self.runs = int(time.time() * 1000), []
+        self.fails = self.spoils = lambda: False
+        self.spoiled = set()
 
     async def register(self):
         entry = {
@@ -238,7 +241,11 @@
         self.runs.append((now(), attempt, line, status))
         await asyncio.sleep(0.06)
         body = f"{self.name} {attempt} {line}".encode()
-        return encode(status, body, [*echo, ("X-Response-Signature", "s")])
+        answer = encode(status, body, [*echo, ("X-Response-Signature", f"s-{attempt}")])
+        if self.spoils():
+            self.spoiled.add(attempt)
+            return answer.replace(b"X-Response-Signature", b"X-Response-Signatuse", 1)
+        return answer
 
 
 class Engine(Server):
@@ -464,8 +471,8 @@
 
 
 class Answer:
-    def __init__(self, sent, status, body):
-        self.sent, self.status, self.body = sent, status, body
+    def __init__(self, sent, status, body, headers=None):
+        self.sent, self.status, self.body, self.headers = sent, status, body, headers or {}
 
 
 async def request(port, method, path, attempt, key, deadline_ms=1500, body="body", headers=()):
@@ -486,8 +493,8 @@
             writer.close()
 
     try:
-        line, _, received = await asyncio.wait_for(exchange(), deadline_ms / 1000 + 1)
-        return Answer(sent, int(line.split(" ")[1]), received)
+        line, found, received = await asyncio.wait_for(exchange(), deadline_ms / 1000 + 1)
+        return Answer(sent, int(line.split(" ")[1]), received, found)
     except (asyncio.TimeoutError, *BROKEN):
         return Answer(sent, 0, b"")
 
