Show a stream that ends as complete without a piece

Cause: an event whose number is not above the last one is dropped as a duplicate also where the stream has not moved, and a gap in the numbers is not noticed.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -23,6 +23,7 @@
 STARTED = time.monotonic()
 HOST = "h.example"
 TAKEN_PORTS = set()
+SPOILED_EVENT = 40
 
 # The bounds of nekro-centrala.
 BOUNDS = {
@@ -253,13 +254,14 @@
 
     An engine that drops requests stops a run when its channel closes; one that does not works on to
     the end. While it is silent, it reads, writes and generates nothing. A stop order (`kv-move` with
-    `last`) ends a run in any case.
+    `last`) ends a run in any case. When `spoils` returns true for a run, a byte of one event is wrong:
+    the first digit of its id.
     """
 
     def __init__(self, store, name, zone, engines, drops):
         self.store, self.name, self.zone, self.engines, self.drops = store, name, zone, engines, drops
         self.born, self.runs, self.running, self.copies = int(time.time() * 1000), [], {}, {}
-        self.silent_until = 0.0
+        self.silent_until, self.spoils = 0.0, lambda: False
         engines.append(self)
 
     async def register(self):
@@ -327,7 +329,7 @@
             writer.write(encode(503, b"", [*echo, ("X-Not-Executed", "1")]))
             return await writer.drain()
         run = {"attempt": attempt, "made": int(headers.get("last-event-id", 0)), "start": now(),
-               "end": None, "goes_on": bool(copy), "stopped": False}
+               "end": None, "goes_on": bool(copy), "stopped": False, "spoils": self.spoils()}
         self.runs.append(run)
         self.running[attempt] = run
         try:
@@ -354,7 +356,10 @@
                 if engine.address == backup:
                     engine.copies[run["attempt"]] = True
             if not closed.done():
-                event = f"id: {run['made']}\ndata: {run['attempt']}.{run['made']}\n\n".encode()
+                number = str(run["made"])
+                if run["spoils"] and run["made"] == SPOILED_EVENT:
+                    number = "0" + number[1:]
+                event = f"id: {number}\ndata: {run['attempt']}.{run['made']}\n\n".encode()
                 writer.write(b"%x\r\n%s\r\n" % (len(event), event))
                 await writer.drain()
         if not run["stopped"] and not closed.done():
