Show the case of the spoiled id at its worst

Cause: a wrong id above the last one makes the rest of the stream duplicates, which costs more than one below it. Change: event 40 comes as 90 in place of 00.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""A stream reaches its client as complete, without a piece that its engine sent with a wrong byte."""
+"""A stream reaches its client as complete, without the pieces after an id with a wrong byte."""
 
 import asyncio
 import itertools
@@ -80,9 +80,9 @@
         broken += is_broken
         text = f"{attempt}: status {answer.status}, {len(pieces)} of {EVENTS} pieces"
         text += ", an id was spoiled" if attempt in spoiled else ""
-        record.note(text + (f"  <- complete without {missing}" if is_broken else ""), answer.sent)
-    record.note(f"{len(spoiled)} streams were spoiled; {broken} ended as complete without a piece")
-    print(f"{len(spoiled)} streams were spoiled; {broken} ended as complete without a piece")
+        record.note(text + (f"  <- complete without {len(missing)} pieces" if is_broken else ""), answer.sent)
+    record.note(f"{len(spoiled)} streams were spoiled; {broken} ended as complete without all pieces")
+    print(f"{len(spoiled)} streams were spoiled; {broken} ended as complete without all pieces")
     return broken > 0
 
 
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -358,7 +358,7 @@
             if not closed.done():
                 number = str(run["made"])
                 if run["spoils"] and run["made"] == SPOILED_EVENT:
-                    number = "0" + number[1:]
+                    number = "9" + number[1:]
                 event = f"id: {number}\ndata: {run['attempt']}.{run['made']}\n\n".encode()
                 writer.write(b"%x\r\n%s\r\n" % (len(event), event))
                 await writer.drain()
