Review 3: stand-ins take other ports, and end in order

Cause: ports that the system hands out can be taken between choice and use. Change: ports below that range, the temporary folder is removed, a script that is told to end ends what it started.

--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -6,10 +6,13 @@
 """
 
 import asyncio
+import atexit
 import base64
 import json
 import os
+import random
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -22,9 +25,15 @@
 
 
 def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """A free port below those that the system hands out by itself."""
+    while True:
+        port = random.randrange(20_000, 32_000)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
 
 
 class Record:
@@ -448,7 +457,17 @@
 
 
 def temporary_folder():
-    return tempfile.mkdtemp(prefix="review-3-")
+    folder = tempfile.mkdtemp(prefix="review-3-")
+    atexit.register(shutil.rmtree, folder, ignore_errors=True)
+    return folder
+
+
+def end_in_order(*_):
+    sys.exit(2)
+
+
+# A script that is told to end still ends what it has started.
+signal.signal(signal.SIGTERM, end_in_order)
 
 
 def has_trouble():
