--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -235,7 +235,12 @@
         if opened_at.elapsed() > HEARTBEAT_TIMEOUT {
             backoff = MIN_BACKOFF;
         }
-        log::debug!("peer={} link ended: {error}", endpoint().address);
+        let level = match error {
+            // Frames sent meanwhile may be lost.
+            Error::TimedOut => log::Level::Info,
+            _ => log::Level::Debug,
+        };
+        log::log!(level, "peer={} link ended: {error}", endpoint().address);
         tokio::time::sleep(jitter::shortened(backoff)).await;
         backoff = (backoff * 2).min(MAX_BACKOFF);
     }
