Read the tables when peers do not answer a search

Cause: when connections between VMs fall silent, the queries of a search or their answers are lost. After three attempts within 300 ms, the VM asked nobody for 5 s, and read the tables itself only after 3 to 4.5 s without an answer from any peer; a single answer, even one that was not current, began that time anew. A VM that reached the store was thus late with a change by several seconds.

Change: a search records which of the VMs asked have answered. If most of them have not by 150 ms after the last attempt of a round, the VM reads the tables itself. Between rounds it probes its parent every 500 ms and does the same. The search moves to a module of its own. Peers that answer but are outdated change nothing, so few VMs of a zone read while the store is away.

--- a/crates/kernel/src/feed.rs
+++ b/crates/kernel/src/feed.rs
@@ -8,9 +8,9 @@
 //! again, then the VMs of the zone in hash order, in rounds of a few attempts that each ask twice as
 //! many VMs as the one before. The store may turn away most VMs of a zone, and one that it serves is
 //! then still asked in time. All VMs of a zone ask in the same order, so a root that crashes, hangs
-//! or is partitioned is replaced by a few substitutes. Only a VM that no peer answers reads the
-//! tables for itself alone. The number of store calls thus grows with the number of zones and not
-//! with that of VMs.
+//! or is partitioned is replaced by a few substitutes. Only a VM that most of the peers asked do not
+//! answer reads the tables for itself alone. The number of store calls thus grows with the number of
+//! zones and not with that of VMs.
 //!
 //! Delayed messages cannot make a copy appear newer than it is: the provider measures ages from the
 //! arrival of a query, and the querying VM applies them to the time at which it sent the query,
@@ -26,6 +26,7 @@
 use crate::plugin::control;
 use crate::random::hash;
 use crate::rank;
+use crate::search::{Query, Search, Step};
 use crate::table_copy::{TableCopy, TABLES};
 
 pub use crate::table_copy::{Row, Rows, Table, TableUpdate};
@@ -39,17 +40,7 @@
 /// Time in milliseconds after a query for which the sender is sent updates.
 const SUBSCRIPTION_MS: u64 = 5_000;
 /// Time in milliseconds after a query with `needs_read` for which the receiver reads the tables.
-const SUBSTITUTE_MS: u64 = 5_000;
-/// Number of attempts in a round of a search. Each asks twice as many VMs as the one before, the
-/// first one a single VM.
-const ATTEMPTS_PER_ROUND: u32 = 3;
-/// Pause in milliseconds between the attempts of a round. It covers a read of the tables. The age
-/// limit leaves a part of the time within which a change must be in force, and the first round has
-/// to end within that part.
-const ATTEMPT_PAUSE_MS: u64 = 150;
-/// Pause in milliseconds after a round. The VMs asked in vain no longer read when the next one
-/// begins, so the number of VMs of a zone that read at a time is limited.
-const ROUND_PAUSE_MS: u64 = SUBSTITUTE_MS;
+pub(crate) const SUBSTITUTE_MS: u64 = 5_000;
 /// Time in milliseconds after its start in which a VM with seeds neither reads the tables nor asks
 /// others to, so that it first learns of the VMs of its zone.
 const JOIN_DELAY_MS: u64 = 600;
@@ -60,9 +51,6 @@
 const JOIN_QUERY_PAUSE_MS: u64 = 400;
 /// Interval in milliseconds at which a VM checks whether it has learned of others.
 const JOIN_RECHECK_MS: u64 = 100;
-/// Time in milliseconds after a query without an answer from any peer after which a VM with outdated
-/// copies reads the tables for itself. Half as much again is added as jitter.
-const SILENCE_MS: u64 = 3_000;
 /// Takes the place of the service name in the rendezvous hash that orders the VMs of a zone.
 const TREE_RANK_KEY: &str = "feeds";
 
@@ -124,13 +112,6 @@
     age_limit_ms: u64,
 }
 
-/// A search for a provider while the copies are outdated.
-#[derive(Debug, Clone, Copy)]
-struct Search {
-    attempt: u32,
-    next_at: Millis,
-}
-
 /// Local copies of the tables, and how they are kept up to date.
 #[derive(Debug, Default)]
 pub struct Feeds {
@@ -145,9 +126,7 @@
     provider: Option<Name>,
     search: Option<Search>,
     last_query_at: Option<Millis>,
-    /// When the first query was sent that no peer has answered since.
-    unanswered_since: Option<Millis>,
-    /// Until when this VM reads the tables because others asked it to.
+    /// Until when this VM reads the tables because others asked it to or do not answer it.
     substitute_until: Option<Millis>,
     wake_at: Option<Millis>,
 }
@@ -343,7 +322,9 @@
     let limit = state.feeds.replication.map_or(0, |replication| replication.age_limit_ms);
     let is_current = |feeds: &Feeds| feeds.current_until(limit).is_some_and(|until| now <= until);
     let was_current = is_current(&state.feeds);
-    state.feeds.unanswered_since = None;
+    if let Some(search) = &mut state.feeds.search {
+        search.record_answer(from);
+    }
     let mut is_news = false;
     for update in updates {
         is_news |= merge_peer_update(state, sent, update, now, out);
@@ -418,26 +399,25 @@
     feeds.parent = parent;
     match until {
         Some(_) => {
-            if feeds.search.take().is_some() {
+            if let Some(search) = feeds.search.take() {
                 let provider = feeds.provider.as_deref().unwrap_or("-");
-                out.log(format!("table copies current again provider={provider}"));
+                out.log(format!("table copies current again provider={provider} {search}"));
             }
             repeat_queries(feeds, &state.identity, is_new_parent, now, out);
         }
         None => {
-            let search = feeds.search.unwrap_or_else(|| {
+            let mut search = feeds.search.take().unwrap_or_else(|| {
                 out.log(format!("table copies outdated {}", describe_ages(feeds, now)));
-                Search { attempt: 0, next_at: now }
+                Search::new(own, now)
             });
-            feeds.search = Some(search);
-            if is_new_parent && search.attempt == 0 || now >= search.next_at {
-                let search =
+            if is_new_parent && search.is_new() || now >= search.next_at() {
+                search =
                     advance_search(feeds, search, &order, &state.identity, is_joining, now, out);
-                feeds.search = Some(search);
             }
+            feeds.search = Some(search);
         }
     }
-    let needs_direct = needs_direct(feeds, until, own, is_joining, now);
+    let needs_direct = needs_direct(feeds, is_joining, now);
     let is_peer_current =
         feeds.peer_current_until(replication.age_limit_ms).is_some_and(|until| now <= until);
     match (feeds.source, needs_direct) {
@@ -486,8 +466,6 @@
         return;
     }
     feeds.last_query_at = Some(now);
-    let has_recipient = feeds.provider.is_some() || feeds.parent.is_some();
-    feeds.unanswered_since = feeds.unanswered_since.or(Some(now)).filter(|_| has_recipient);
     if let Some(provider) = feeds.provider.as_ref().filter(|vm| Some(*vm) != feeds.parent.as_ref())
     {
         out.send(provider, feeds.query(identity, true, now));
@@ -497,10 +475,10 @@
     }
 }
 
-/// Makes the next attempt to find a provider, beginning with the parent and the root.
+/// Takes the next step of a search for a provider, beginning with the parent and the root.
 fn advance_search(
     feeds: &mut Feeds,
-    search: Search,
+    mut search: Search,
     order: &[&Name],
     identity: &Identity,
     is_joining: bool,
@@ -508,59 +486,46 @@
     out: &mut Outbox,
 ) -> Search {
     feeds.last_query_at = Some(now);
-    let Search { attempt, .. } = search;
-    if let Some(parent) = feeds.parent.as_ref().filter(|_| attempt == 0) {
-        feeds.unanswered_since.get_or_insert(now);
-        out.send(parent, feeds.query(identity, false, now));
-    }
+    let parent = feeds.parent.clone();
     if is_joining {
-        let pause = feeds.parent.as_ref().map_or(JOIN_RECHECK_MS, |_| JOIN_QUERY_PAUSE_MS);
-        return Search { attempt: 0, next_at: now.after(pause) };
-    }
-    for vm in asked_vms(order, attempt) {
-        if *vm == identity.vm {
+        if let Some(parent) = &parent {
+            out.send(parent, feeds.query(identity, false, now));
+        }
+        let pause = parent.map_or(JOIN_RECHECK_MS, |_| JOIN_QUERY_PAUSE_MS);
+        search.postpone(now.after(pause));
+        return search;
+    }
+    match search.advance(order, parent.as_ref(), now) {
+        Step::Ask(queries) => {
+            for Query { vm, needs_read } in queries {
+                if vm == identity.vm {
+                    feeds.substitute_until = Some(now.after(SUBSTITUTE_MS));
+                } else {
+                    out.send(&vm, feeds.query(identity, needs_read, now));
+                }
+            }
+        }
+        Step::Wait => {}
+        Step::Read => {
+            out.log(format!("peers do not answer {search}"));
             feeds.substitute_until = Some(now.after(SUBSTITUTE_MS));
-        } else {
-            feeds.unanswered_since.get_or_insert(now);
-            out.send(vm, feeds.query(identity, true, now));
         }
     }
-    let is_last_of_round = (attempt + 1) % ATTEMPTS_PER_ROUND == 0;
-    let pause = if is_last_of_round { ROUND_PAUSE_MS } else { ATTEMPT_PAUSE_MS };
-    Search { attempt: attempt.saturating_add(1), next_at: now.after(pause) }
-}
-
-/// The VMs that an attempt of a search asks to read the tables.
-fn asked_vms<'a>(order: &'a [&'a Name], attempt: u32) -> impl Iterator<Item = &'a Name> {
-    let vms_per_round = (1_usize << ATTEMPTS_PER_ROUND) - 1;
-    let (round, attempt) = (attempt / ATTEMPTS_PER_ROUND, attempt % ATTEMPTS_PER_ROUND);
-    let count = 1_usize << attempt;
-    let first = (round as usize).saturating_mul(vms_per_round).saturating_add(count - 1);
-    // An order that is shorter than a round starts again.
-    order.iter().copied().cycle().skip(first % order.len().max(1)).take(count.min(order.len()))
+    search
 }
 
-/// Whether this VM has to read the tables: as the root, as a substitute, or because no peer answers.
-fn needs_direct(
-    feeds: &Feeds,
-    until: Option<Millis>,
-    own: &str,
-    is_joining: bool,
-    now: Millis,
-) -> bool {
+/// Whether this VM has to read the tables, as the root or as a substitute.
+fn needs_direct(feeds: &Feeds, is_joining: bool, now: Millis) -> bool {
     let is_root = feeds.parent.is_none() && !is_joining;
     let is_substitute = feeds.substitute_until.is_some_and(|until| now < until);
-    let silence_ms = feeds.unanswered_since.map_or(0, |since| now.since(since));
-    let jitter_ms = hash(&[own]) % (SILENCE_MS / 2);
-    let is_isolated = until.is_none() && silence_ms >= SILENCE_MS + jitter_ms;
-    is_root || is_substitute || is_isolated
+    is_root || is_substitute
 }
 
 fn next_wake(feeds: &Feeds, until: Option<Millis>, now: Millis) -> Millis {
     let next_query_at = feeds.last_query_at.unwrap_or(now).after(QUERY_INTERVAL_MS);
     let due = match (until, &feeds.search) {
         (Some(until), _) => until.after(1).min(next_query_at),
-        (None, Some(search)) => search.next_at,
+        (None, Some(search)) => search.next_at(),
         (None, None) => next_query_at,
     };
     let substitute_end = feeds.substitute_until.filter(|at| *at > now);
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -122,6 +122,7 @@
 mod rollout_watch;
 mod round_robin;
 mod schedule;
+mod search;
 mod slack_queue;
 mod slots;
 mod standby;
--- a/crates/kernel/tests/feed.rs
+++ b/crates/kernel/tests/feed.rs
@@ -161,6 +161,18 @@
         }
     }
 
+    /// Drops the messages between the pairs of VMs that `selects` selects by their numbers.
+    fn silence(&mut self, selects: fn(usize, usize) -> bool) {
+        let vms = self.vms();
+        for (ix, vm) in vms.iter().enumerate() {
+            for (other_ix, other) in vms.iter().enumerate().skip(ix + 1) {
+                if selects(ix, other_ix) {
+                    self.fleet.partition(&[vm], &[other]);
+                }
+            }
+        }
+    }
+
     /// Whether a running VM that reaches the store lacks changes.
     fn lacks_changes(&mut self, vm: &str) -> bool {
         let is_connected = !self.vms_without_store.iter().any(|other| other == vm);
@@ -279,6 +291,30 @@
     with_the_reader_and_a_third_gone: (27, |zone, reader| zone.stop(reader, |ix| ix % 3 == 0));
     in_the_largest_zone_with_the_reader_and_a_third_gone:
         (LARGE_ZONE_VMS, |zone, reader| zone.stop(reader, |ix| ix % 3 == 0));
+    // A search that relies on connections between VMs fails if these are silent.
+    with_the_connections_of_one_vm_silent: (27, |zone, _| zone.silence(|_, ix| ix == 26));
+    with_all_connections_silent: (27, |zone, _| zone.silence(|_, _| true));
+    with_two_thirds_of_the_connections_silent:
+        (27, |zone, _| zone.silence(|ix, other| (ix + other) % 3 != 0));
+    in_the_largest_zone_with_half_of_the_connections_silent:
+        (LARGE_ZONE_VMS, |zone, _| zone.silence(|ix, other| (ix ^ other) % 2 == 0));
+}
+
+/// Guards against a VM that waits for its next round of queries, and asks nobody meanwhile, when the
+/// store is back but the connections between VMs are silent.
+#[test]
+fn change_after_an_outage_reaches_vms_with_silent_connections_in_time() {
+    let mut harness = Harness::new(27);
+    harness.vms_without_store = harness.vms();
+    harness.run(6_000);
+    harness.silence(|_, _| true);
+    harness.run(STEP_MS);
+    harness.vms_without_store.clear();
+    harness.write("engine-2");
+    harness.run(APPLY_LIMIT_MS);
+    let late: Vec<String> =
+        harness.vms().into_iter().filter(|vm| harness.lacks_changes(vm)).collect();
+    assert!(late.is_empty(), "{} VMs lack the change: {late:?}", late.len());
 }
 
 /// Guards against a VM that waits for its zone forever although no other VM answers it.
