Give readers of published values copies instead of guards

Change: `published::Value` returns copies (of an `Arc` for the large values), so no guard outlives a call.

--- a/crates/bench/src/engine.rs
+++ b/crates/bench/src/engine.rs
@@ -15,6 +15,7 @@
 
 use argh::FromArgs;
 use futures_util::stream::{self, Stream, StreamExt};
+use hornbeamloom_daemon::published;
 use serde::Deserialize;
 use serde_json::{json, Value};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -98,7 +99,7 @@
     id: String,
     tag: Arc<str>,
     chat: bool,
-    progress: watch::Receiver<Progress>,
+    progress: published::Value<Progress>,
 }
 
 #[derive(Debug)]
@@ -282,7 +283,7 @@
         let sequence = Sequence::new(id, submit.priority, prompt_tokens, output_length)
             .with_cached_tokens(cached_bytes / BYTES_PER_TOKEN);
         self.batch.push(sequence);
-        let (progress_sender, progress) = watch::channel(Progress::default());
+        let (progress_sender, progress) = published::channel(Progress::default());
         self.progress_senders.insert(id, progress_sender);
         let generation = Generation {
             id: format!("gen-{}-{id}", self.start_id),
@@ -581,7 +582,7 @@
         }
         // An error means that the generation was cancelled: the stream ends without `[DONE]`.
         let ready = |progress: &Progress| progress.emitted > next || progress.done;
-        let progress = *generation.progress.wait_for(ready).await.ok()?;
+        let progress = generation.progress.wait_for(ready).await.ok()?;
         if next >= progress.emitted {
             return Some((sse::Event::default().data("[DONE]"), (generation, next, true)));
         }
--- a/crates/bench/src/mock_engine/stream.rs
+++ b/crates/bench/src/mock_engine/stream.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hornbeamloom_daemon::published;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -51,7 +52,7 @@
         event_count: u64,
         ix: usize,
     ) -> std::io::Result<bool> {
-        let (order, mut orders) = watch::channel(RunOrder::Continue);
+        let (order, mut orders) = published::channel(RunOrder::Continue);
         let run = ActiveRun { events_sent: last_event_id, order, handle: None };
         self.lock().runs.insert(attempt.to_owned(), run);
         let standby =
@@ -68,7 +69,7 @@
         &self,
         stream: &mut TcpStream,
         stream_run: &StreamRun<'_>,
-        orders: &mut watch::Receiver<RunOrder>,
+        orders: &mut published::Value<RunOrder>,
     ) -> std::io::Result<bool> {
         let StreamRun { attempt, last_event_id, event_count, ix, standby } = *stream_run;
         let (framing, hints) = {
@@ -90,7 +91,7 @@
             due += interval;
             tokio::select! {
                 () = tokio::time::sleep_until(due) => {}
-                _ = orders.changed() => match *orders.borrow_and_update() {
+                _ = orders.changed() => match orders.get_and_update() {
                     RunOrder::Stop => return Ok(false),
                     RunOrder::Continue | RunOrder::Complete => interval = Duration::ZERO,
                 },
--- a/crates/bench/src/proxy.rs
+++ b/crates/bench/src/proxy.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use argh::FromArgs;
+use hornbeamloom_daemon::published;
 use serde::Deserialize;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -144,7 +145,7 @@
 
     async fn accept(self, listener: TcpListener) {
         while let Ok((stream, _)) = listener.accept().await {
-            if self.faults.borrow().refuse {
+            if published::latest(&self.faults).refuse {
                 continue;
             }
             let connection = {
@@ -163,7 +164,7 @@
         let _ = (client.set_nodelay(true), upstream.set_nodelay(true));
         let (client_read, client_write) = client.into_split();
         let (upstream_read, upstream_write) = upstream.into_split();
-        let mut faults = self.faults.subscribe();
+        let mut faults = published::Value::new(&self.faults);
         tokio::select! {
             // `try_join!` returns as soon as one direction fails, which closes both.
             _ = async {
@@ -183,11 +184,11 @@
         mut from: OwnedReadHalf,
         mut to: OwnedWriteHalf,
     ) -> Result<(), Closed> {
-        let mut faults = self.faults.subscribe();
+        let mut faults = published::Value::new(&self.faults);
         let mut buf = vec![0; BUFFER_BYTES];
         let mut remaining = None;
         while let Ok(len @ 1..) = from.read(&mut buf).await {
-            let delay = faults.borrow().delay;
+            let delay = faults.get().delay;
             tokio::time::sleep(delay).await;
             faults
                 .wait_for(|faults| can_forward(faults, connection, direction))
--- a/crates/daemon/src/adapter.rs
+++ b/crates/daemon/src/adapter.rs
@@ -9,19 +9,20 @@
 use hornbeamloom_kernel::kernel::Identity;
 use hornbeamloom_kernel::outcome::Outcome;
 use hornbeamloom_kernel::reach::Path;
-use tokio::sync::{mpsc, watch, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
 
 use crate::connections::Connections;
 use crate::control::Control;
 use crate::memory::Account;
+use crate::published;
 use crate::settings::Settings;
 
 /// Shared state passed to every adapter.
 #[derive(Debug, Clone)]
 pub struct Context {
     /// The validated settings; replaced on SIGHUP.
-    pub settings: watch::Receiver<Arc<Settings>>,
+    pub settings: published::Value<Arc<Settings>>,
     /// The identity of this VM in the fleet.
     pub identity: Identity,
     /// Handle to the control thread.
@@ -31,13 +32,13 @@
     /// The open connections of clients.
     pub connections: Connections,
     /// The resources in force, published by the control thread.
-    pub intent: watch::Receiver<Arc<Intent>>,
+    pub intent: published::Value<Arc<Intent>>,
     /// How connections to targets are opened, published by the control thread.
-    pub path: watch::Receiver<Path>,
+    pub path: published::Value<Path>,
     /// Becomes true when a graceful shutdown begins.
-    pub stopping: watch::Receiver<bool>,
+    pub stopping: published::Value<bool>,
     /// When every request needs its response; `None` unless a shutdown with a limit has begun.
-    pub answer_by: watch::Receiver<Option<Instant>>,
+    pub answer_by: published::Value<Option<Instant>>,
     /// Lets servers finish open responses before the process exits.
     pub server_shutdown: ServerShutdown,
 }
@@ -54,8 +55,7 @@
     /// Resolves when every request needs its response because the process is about to end.
     pub async fn final_responses_due(&self) {
         let mut answer_by = self.answer_by.clone();
-        let found = answer_by.wait_for(Option::is_some).await.map(|by| *by);
-        match found.ok().flatten() {
+        match answer_by.wait_for(Option::is_some).await.ok().flatten() {
             Some(by) => tokio::time::sleep_until(by).await,
             // The sender is dropped when the process exits.
             None => std::future::pending().await,
@@ -66,7 +66,7 @@
 /// Coordinates the shutdown of servers, so that open responses finish before the process exits.
 #[derive(Debug, Clone)]
 pub struct ServerShutdown {
-    drained: watch::Receiver<bool>,
+    drained: published::Value<bool>,
     servers: Arc<Semaphore>,
 }
 
@@ -75,7 +75,7 @@
 
 impl ServerShutdown {
     /// Creates a handle whose shutdown is requested when `drained` becomes true.
-    pub fn new(drained: watch::Receiver<bool>) -> ServerShutdown {
+    pub fn new(drained: published::Value<bool>) -> ServerShutdown {
         let servers = Arc::new(Semaphore::new(MAX_SERVERS as usize));
         ServerShutdown { drained, servers }
     }
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -49,7 +49,7 @@
 }
 
 fn start(context: adapter::Context, _inbox: adapter::Inbox) -> Result<(), adapter::Error> {
-    let address = context.settings.borrow().listen.callers.clone();
+    let address = context.settings.get().listen.callers.clone();
     let listener = adapter::bind(&address, "callers")?;
     let client = http::client().map_err(|error| adapter::Error::Startup(error.to_string()))?;
     let traffic = Arc::new(Traffic::new(context.clone(), client));
@@ -195,14 +195,14 @@
 
 fn readiness(traffic: &Traffic) -> Result<Response, ErrorResponse> {
     let context = &traffic.context;
-    if *context.stopping.borrow() {
+    if context.stopping.get() {
         return Err(ErrorResponse::new(
             StatusCode::SERVICE_UNAVAILABLE,
             "stopping",
             "this VM is shutting down",
         ));
     }
-    if context.intent.borrow().revision.0 == 0 {
+    if context.intent.get().revision.0 == 0 {
         return Err(ErrorResponse::new(
             StatusCode::SERVICE_UNAVAILABLE,
             "no_resources",
@@ -215,7 +215,7 @@
 /// Renders the metrics, for operators only: they contain names of organisations and services.
 fn render_metrics(traffic: &Traffic, headers: &HeaderMap) -> Result<Response, ErrorResponse> {
     let key = auth::bearer_token(headers).unwrap_or_default();
-    let settings = traffic.context.settings.borrow();
+    let settings = traffic.context.settings.get();
     match auth::contains_key(&settings.keys.operator, key) {
         true => Ok(Response::new(crate::metrics::render(&traffic.context.memory).into())),
         false => Err(unauthorized()),
@@ -228,7 +228,7 @@
 
 fn authenticate(traffic: &Traffic, headers: &HeaderMap) -> Result<Name, ErrorResponse> {
     let key = auth::bearer_token(headers).unwrap_or_default();
-    let intent = traffic.context.intent.borrow();
+    let intent = traffic.context.intent.get();
     auth::organisation(&intent, key).ok_or(unauthorized())
 }
 
@@ -257,7 +257,7 @@
     S: Stream<Item = Result<B, warp::Error>> + Send,
     B: Buf,
 {
-    let limits = traffic.context.settings.borrow().limits.clone();
+    let limits = traffic.context.settings.get().limits.clone();
     let limit = usize::try_from(limits.body_bytes).unwrap_or(usize::MAX);
     let declared = headers
         .get(header::CONTENT_LENGTH)
@@ -392,7 +392,7 @@
     /// The service that the first segment of `path` names.
     fn new(traffic: &Traffic, path: &str, method: &Method) -> Destination {
         let (service, path) = path.split_once('/').unwrap_or((path, ""));
-        let intent = traffic.context.intent.borrow();
+        let intent = traffic.context.intent.get();
         let runs_at_most_once = intent.service(service).is_some_and(|service| {
             let mut methods = service.once_methods.iter();
             methods.any(|once| once.eq_ignore_ascii_case(method.as_str()))
@@ -414,7 +414,7 @@
     head: &RequestHead,
 ) -> Option<Destination> {
     let host = head.headers.get(header::HOST)?.to_str().ok()?;
-    let intent = traffic.context.intent.borrow();
+    let intent = traffic.context.intent.get();
     let (_, route) = ingress::find_route(&intent, host, &head.path)?;
     let service = ingress::pick_service(route, id.counter)?;
     Some(Destination {
@@ -545,7 +545,7 @@
     service: &str,
     protocol: Protocol,
 ) -> Result<(), ErrorResponse> {
-    let intent = traffic.context.intent.borrow();
+    let intent = traffic.context.intent.get();
     let is_allowed = intent.organisation(organisation).is_some_and(|organisation| {
         organisation.services.is_empty()
             || organisation.services.iter().any(|allowed| &**allowed == service)
--- a/crates/daemon/src/connections.rs
+++ b/crates/daemon/src/connections.rs
@@ -7,9 +7,10 @@
 
 use hornbeamloom_kernel::map::Map;
 use nix::sys::resource::{getrlimit, Resource};
-use tokio::sync::{watch, Notify};
+use tokio::sync::Notify;
 
 use crate::client_limits::{self, Phase, Terms, View};
+use crate::published;
 use crate::settings::{Limits, Settings};
 
 /// Interval between two checks of a connection's progress.
@@ -57,7 +58,7 @@
 /// The open connections of the process. Clones share them.
 #[derive(Debug, Clone)]
 pub struct Connections {
-    settings: watch::Receiver<Arc<Settings>>,
+    settings: published::Value<Arc<Settings>>,
     descriptors: u64,
     table: Arc<Mutex<Table>>,
 }
@@ -80,7 +81,7 @@
 
 impl Connections {
     /// Creates an empty set under the limits of `settings` and of the process.
-    pub fn new(settings: watch::Receiver<Arc<Settings>>) -> Connections {
+    pub fn new(settings: published::Value<Arc<Settings>>) -> Connections {
         let descriptors = getrlimit(Resource::RLIMIT_NOFILE);
         let descriptors = descriptors.map_or(ASSUMED_DESCRIPTORS, |(soft, _)| soft);
         Connections { settings, descriptors, table: Arc::default() }
@@ -94,7 +95,7 @@
     ///
     /// Returns `None` if it has to be closed.
     pub fn admit(&self, port: Port, address: IpAddr) -> Option<Admitted> {
-        let limits = self.settings.borrow().limits.clone();
+        let limits = self.settings.get().limits.clone();
         let most = limits.open_connections.unwrap_or_else(|| {
             client_limits::default_connections(self.descriptors, limits.account_bytes() as u64)
         });
@@ -137,7 +138,7 @@
     /// Closes the connection whose body has been arriving most slowly, if one is slow, so that its
     /// memory becomes free for others.
     pub fn close_slow_body(&self) {
-        let terms = terms(&self.settings.borrow().limits);
+        let terms = terms(&self.settings.get().limits);
         let mut table = self.lock();
         let bodies = table.entries.iter().filter(|(_, entry)| !entry.is_closing);
         let views = bodies
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -25,6 +25,7 @@
 
 use crate::active_request::ActiveRequest;
 use crate::clock::BootInstant;
+use crate::published;
 use crate::{metrics, pace};
 
 /// Interval between progress reports of running requests to the kernel, in milliseconds.
@@ -266,8 +267,8 @@
 
 /// The receiving ends of the actor's output channels.
 pub(crate) struct Receivers {
-    pub(crate) intent: watch::Receiver<Arc<Intent>>,
-    pub(crate) path: watch::Receiver<Path>,
+    pub(crate) intent: published::Value<Arc<Intent>>,
+    pub(crate) path: published::Value<Path>,
     pub(crate) drained: oneshot::Receiver<()>,
 }
 
@@ -276,9 +277,9 @@
     kernel: Kernel,
     routes: Vec<OutcomeRoute>,
 ) -> std::io::Result<(Control, Receivers)> {
-    let (intent_sender, intent) = watch::channel(Arc::new(Intent::default()));
-    let (path_sender, path) = watch::channel(Path::Direct);
-    let (wakeup_sender, wakeup) = watch::channel(Some(Millis(0)));
+    let (intent_sender, intent) = published::channel(Arc::new(Intent::default()));
+    let (path_sender, path) = published::channel(Path::Direct);
+    let (wakeup_sender, wakeup) = published::channel(Some(Millis(0)));
     let (drained_sender, drained) = oneshot::channel();
     let (address, mailbox) = Mailbox::<Actor>::unbounded();
     let started_at = BootInstant::now();
@@ -321,13 +322,13 @@
 /// Sends a `Tick` whenever the kernel's wake-up time or the next progress report is due.
 async fn tick(
     control: Control,
-    mut wakeup: watch::Receiver<Option<Millis>>,
+    mut wakeup: published::Value<Option<Millis>>,
     started_at: BootInstant,
 ) {
     let mut progress_timer = tokio::time::interval(Duration::from_millis(PROGRESS_INTERVAL_MS));
     progress_timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
-        let due = *wakeup.borrow_and_update();
+        let due = wakeup.get_and_update();
         let sleep = async {
             match due {
                 Some(at) => {
--- a/crates/daemon/src/engines.rs
+++ b/crates/daemon/src/engines.rs
@@ -84,7 +84,7 @@
 
     /// Counts a caller against the connection limit; `None` if the limit is reached.
     pub(crate) fn acquire_connection(&self) -> Option<ConnectionPermit> {
-        let limit = self.context.settings.borrow().limits.connections;
+        let limit = self.context.settings.get().limits.connections;
         let permit = ConnectionPermit(self.connections.clone());
         let others = self.connections.fetch_add(1, Ordering::Relaxed);
         (others < limit).then_some(permit)
@@ -252,7 +252,7 @@
     decisions: &mut mpsc::UnboundedReceiver<Decision>,
 ) -> Result<Start, Finish> {
     let queue_ms = {
-        let intent = traffic.context.intent.borrow();
+        let intent = traffic.context.intent.get();
         intent.service(&task.service).map_or(0, |service| service.queue_ms)
     };
     let decision_timeout = Duration::from_millis(queue_ms) + DECISION_MARGIN;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod pace;
 pub mod peer_server;
 pub mod peers;
+pub mod published;
 pub mod run;
 pub mod session;
 pub mod settings;
--- a/crates/daemon/src/listener.rs
+++ b/crates/daemon/src/listener.rs
@@ -271,7 +271,7 @@
 ) where
     S: Service<Request<RequestBody>, Response = warp::reply::Response, Error = Infallible>,
 {
-    let limits = context.settings.borrow().limits.clone();
+    let limits = context.settings.get().limits.clone();
     let terms = connections::terms(&limits);
     let handler = service_fn(|request| {
         let meter = admitted.meter.clone();
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -38,7 +38,7 @@
 }
 
 fn start(context: Context, _inbox: Inbox) -> Result<(), Error> {
-    let settings = context.settings.borrow().clone();
+    let settings = context.settings.get();
     let listener = adapter::bind(&settings.listen.operators, "operators")?;
     metrics::install().map_err(|error| Error::Startup(error.to_string()))?;
     let http = table::http_client().map_err(|error| Error::Startup(error.to_string()))?;
@@ -116,7 +116,7 @@
         return Ok(reply);
     }
     let is_operator = {
-        let settings = api.context.settings.borrow();
+        let settings = api.context.settings.get();
         auth::bearer_token(&headers)
             .is_some_and(|key| auth::contains_key(&settings.keys.operator, key))
     };
@@ -143,7 +143,7 @@
 }
 
 fn readiness(api: &Api) -> Response {
-    let problem = match (*api.context.stopping.borrow(), revision(api)) {
+    let problem = match (api.context.stopping.get(), revision(api)) {
         (true, _) => "shutting down",
         (false, Revision(0)) => "no resources in force",
         (false, _) => return "ready\n".into_response(),
@@ -232,12 +232,12 @@
 }
 
 fn revision(api: &Api) -> Revision {
-    api.context.intent.borrow().revision
+    api.context.intent.get().revision
 }
 
 async fn list_resources(api: &Api, kind: Kind) -> Result<Response, ApiError> {
     let fleet = query_state(api, status::fleet_revisions, "").await?;
-    let intent = api.context.intent.borrow().clone();
+    let intent = api.context.intent.get();
     let mut records: Vec<&Record> = intent
         .records()
         .filter(|record| record.key.kind == kind && record.spec.is_some())
@@ -261,7 +261,7 @@
 
 async fn get_resource(api: &Api, key: &Key) -> Result<Response, ApiError> {
     let fleet = query_state(api, status::fleet_revisions, "").await?;
-    let intent = api.context.intent.borrow().clone();
+    let intent = api.context.intent.get();
     let record = intent.records().find(|record| record.key == *key && record.spec.is_some());
     let record = record.ok_or_else(not_found)?;
     Ok(ok(resource_document(record, &fleet, true)))
@@ -272,7 +272,7 @@
         Some(revision) => watch::Start::After(revision),
         None => watch::Start::Now,
     };
-    let intent = api.context.intent.borrow().clone();
+    let intent = api.context.intent.get();
     let stream = watch::stream(&api.watch_cache, &intent, kind, start);
     let reply = warp::reply::stream(stream);
     Ok(warp::reply::with_header(reply, "content-type", "application/x-ndjson").into_response())
@@ -308,7 +308,7 @@
     change: &Change,
     status: StatusCode,
 ) -> Result<Response, ApiError> {
-    let intent = api.context.intent.borrow().clone();
+    let intent = api.context.intent.get();
     let written = write::apply(&api.table, &intent, key, change).await?;
     let (kind, name, to) = (key.kind.plural(), &key.name, written.delta.to.0);
     log::info!("resource written kind={kind} name={name} revision={to}");
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -9,7 +9,6 @@
 use hornbeamloom_wire::frame;
 use subtle::{Choice, ConstantTimeEq};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
 use tokio::time::{timeout, Instant};
 use tokio_tungstenite::tungstenite::handshake::server::{ErrorResponse, Request, Response};
 use tokio_tungstenite::tungstenite::http::header::AUTHORIZATION;
@@ -19,6 +18,7 @@
 
 use crate::connections::{self, Connections, Meter, Port};
 use crate::link::{self, HEARTBEAT_TIMEOUT, IDLE_TIMEOUT};
+use crate::published;
 use crate::settings::Settings;
 use crate::tunnel;
 
@@ -35,7 +35,7 @@
     /// Name of this VM; frames that claim it as their sender are ignored.
     pub own_vm: Name,
     /// Settings with the accepted peer keys.
-    pub settings: watch::Receiver<Arc<Settings>>,
+    pub settings: published::Value<Arc<Settings>>,
     /// Relays connections to targets; `None` if this VM relays none.
     pub tunnels: Option<tunnel::Server>,
     /// Called with the sender and the decoded message of each frame.
@@ -79,7 +79,7 @@
         };
         let handler = handler.clone();
         tokio::spawn(async move {
-            let terms = connections::terms(&handler.settings.borrow().limits);
+            let terms = connections::terms(&handler.settings.get().limits);
             admitted.run(&terms, serve(&handler, stream, &admitted.meter)).await;
             drop(permit);
         });
@@ -94,7 +94,7 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let settings = handler.settings.borrow().clone();
+    let settings = handler.settings.get();
     let mut path = String::new();
     // The error type is prescribed by tungstenite's callback.
     #[allow(clippy::result_large_err)]
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -28,7 +28,7 @@
 }
 
 fn start(context: Context, inbox: Inbox) -> Result<(), adapter::Error> {
-    let address = context.settings.borrow().listen.peers.clone();
+    let address = context.settings.get().listen.peers.clone();
     let listener = adapter::bind(&address, "peers")?;
     let control = context.control.clone();
     let handler = peer_server::FrameHandler {
@@ -93,7 +93,7 @@
     let settings = context.settings.clone();
     let address = address.clone();
     let endpoint = move || {
-        let key = settings.borrow().keys.peer.first().cloned();
+        let key = settings.get().keys.peer.first().cloned();
         Endpoint { address: address.clone(), key: key.unwrap_or_default() }
     };
     tokio::spawn(link::run(endpoint, queue));
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -45,7 +45,7 @@
 
 fn start(context: Context, inbox: Inbox) -> Result<(), Error> {
     let http = table::http_client().map_err(|error| Error::Startup(error.to_string()))?;
-    let platform = context.settings.borrow().platform.clone();
+    let platform = context.settings.get().platform.clone();
     let table = Client::new(http.clone(), &platform.table);
     let objects = snapshot::ObjectStore::new(http.clone(), &platform.objects);
     tokio::spawn(poll_table(context.clone(), table.clone(), objects.clone()));
@@ -80,7 +80,7 @@
 
 async fn poll_once(context: &Context, table: &Client) -> Result<Input, RequestError> {
     let head = table.head().await?;
-    let current = context.intent.borrow().revision;
+    let current = context.intent.get().revision;
     if head > current {
         let changes = table.changes(current, None).await?;
         return Ok(Input::Changes(changes.to_delta()));
@@ -165,5 +165,5 @@
 
 /// Returns the revision in force on this VM.
 pub(crate) fn current_revision(context: &Context) -> Revision {
-    context.intent.borrow().revision
+    context.intent.get().revision
 }
--- a/crates/daemon/src/poll.rs
+++ b/crates/daemon/src/poll.rs
@@ -73,7 +73,7 @@
 
     /// Drops the state of removed targets, once enough of it may have accumulated.
     fn evict_removed_targets(&self, states: &mut Map<Name, PollState>) {
-        let intent = self.context.intent.borrow();
+        let intent = self.context.intent.get();
         if states.len() > 2 * intent.targets().len() + 16 {
             states.retain(|name, state| state.is_in_flight || intent.target(name).is_some());
         }
@@ -115,7 +115,7 @@
     }
 
     fn is_engine(&self, target: &str) -> bool {
-        let intent = self.context.intent.borrow();
+        let intent = self.context.intent.get();
         let service = intent.target(target).map(|target| &target.service);
         service
             .and_then(|service| intent.service(service))
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -19,6 +19,7 @@
 
 use crate::engines::ConnectionPermit;
 use crate::memory::Charge;
+use crate::published;
 
 /// Time for a disconnected caller to reconnect before its generation is cancelled.
 pub(crate) const REATTACH_GRACE: Duration = Duration::from_secs(10);
@@ -176,19 +177,18 @@
 
     /// Resolves when the caller has been disconnected for the whole grace period.
     pub(crate) async fn abandoned(&self) {
-        let mut changed = self.detached_at.subscribe();
+        let mut detached_at = published::Value::new(&self.detached_at);
         loop {
-            let detached_at = *changed.borrow_and_update();
-            match detached_at {
+            match detached_at.get_and_update() {
                 Some(since) if since.elapsed() >= self.grace_period => return,
                 Some(since) => {
                     tokio::select! {
-                        _ = changed.changed() => {}
+                        _ = detached_at.changed() => {}
                         _ = tokio::time::sleep_until(since + self.grace_period) => {}
                     }
                 }
                 // `self` owns the sender, so this returns only after a change.
-                None => drop(changed.changed().await),
+                None => drop(detached_at.changed().await),
             }
         }
     }
@@ -245,7 +245,7 @@
     /// Waits for the next events or the end. This method is cancel safe.
     pub(crate) async fn next(&mut self) -> ReadItem {
         loop {
-            self.changed.borrow_and_update();
+            self.changed.mark_unchanged();
             if let Some(item) = self.try_next() {
                 return item;
             }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -16,6 +16,7 @@
 use crate::control::{self, Control, Input, OutcomeRoute};
 use crate::log_writer::LogWriter;
 use crate::memory::Account;
+use crate::published;
 use crate::settings::Settings;
 use crate::{adapter, log_writer, settings};
 
@@ -107,16 +108,16 @@
     pub fn start(settings: Settings) -> Result<Daemon, adapter::Error> {
         let identity = build_identity(&settings);
         let plugins = adapter::checked_plugins(&settings)?;
-        let (settings_sender, settings) = watch::channel(Arc::new(settings));
-        let (stopping_sender, stopping) = watch::channel(false);
-        let (answer_by_sender, answer_by) = watch::channel(None);
-        let (drained_sender, drained) = watch::channel(false);
+        let (settings_sender, settings) = published::channel(Arc::new(settings));
+        let (stopping_sender, stopping) = published::channel(false);
+        let (answer_by_sender, answer_by) = published::channel(None);
+        let (drained_sender, drained) = published::channel(false);
         let server_shutdown = adapter::ServerShutdown::new(drained);
         let (routes, inboxes): (Vec<OutcomeRoute>, Vec<adapter::Inbox>) =
             plugins.iter().map(outcome_route).unzip();
         let (control, receivers) = control::spawn(Kernel::new(identity.clone()), routes)
             .map_err(|error| adapter::Error::Startup(error.to_string()))?;
-        let memory = Account::new(settings.borrow().limits.account_bytes());
+        let memory = Account::new(settings.get().limits.account_bytes());
         let connections = Connections::new(settings.clone());
         let context = adapter::Context {
             settings,
@@ -152,14 +153,14 @@
 
     /// Returns the settings in force.
     pub fn settings(&self) -> Arc<Settings> {
-        self.settings.borrow().clone()
+        published::latest(&self.settings)
     }
 
     /// Applies the settings that can change without a restart.
     ///
     /// These are keys, log level and limits; all other settings stay unchanged.
     pub fn reload(&self, new: &Settings) {
-        let settings = self.settings.borrow().with_reloadable_from(new);
+        let settings = published::latest(&self.settings).with_reloadable_from(new);
         if settings != *new {
             log::warn!("changed settings that need a restart were not applied");
         }
@@ -171,7 +172,7 @@
     /// Shuts down gracefully: fails the readiness check, waits the settle time so that the load
     /// balancer stops sending requests, finishes all work and stops.
     pub async fn stop(self) {
-        let settings = self.settings.borrow().clone();
+        let settings = published::latest(&self.settings);
         let limit = settings.shutdown_limit_s.map(Duration::from_secs_f64);
         let answer_within = limit.map(|limit| limit.saturating_sub(FINAL_RESPONSE_MARGIN));
         self.answer_by.send_replace(answer_within.map(|within| Instant::now() + within));
--- a/crates/daemon/src/snapshot.rs
+++ b/crates/daemon/src/snapshot.rs
@@ -107,7 +107,7 @@
 /// `None` if the read or the write failed.
 async fn write_current(context: &Context, store: &ObjectStore) -> Option<Revision> {
     let delta = {
-        let intent = context.intent.borrow();
+        let intent = context.intent.get();
         Delta {
             from: Revision(0),
             to: intent.revision,
--- a/crates/daemon/src/tunnel.rs
+++ b/crates/daemon/src/tunnel.rs
@@ -221,11 +221,11 @@
     }
 
     async fn connect(&self, target: &str) -> Result<TcpStream, &'static str> {
-        if *self.context.path.borrow() != Path::Direct {
+        if self.context.path.get() != Path::Direct {
             return Err(UNABLE);
         }
         let address = {
-            let intent = self.context.intent.borrow();
+            let intent = self.context.intent.get();
             let is_usable = |known: &&Target| !known.leaving && !intent.is_zone_out(&known.zone);
             let known = intent.target(target).filter(is_usable);
             known.ok_or(UNREACHED)?.address.clone()
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -14,6 +14,7 @@
 use tokio::sync::watch;
 
 use crate::adapter::ServerShutdown;
+use crate::published;
 
 /// Number of events retained for watches that resume.
 const MAX_RETAINED_EVENTS: usize = 1_024;
@@ -121,18 +122,18 @@
 #[derive(Debug, Clone)]
 pub(crate) struct WatchCache {
     event_log: Arc<Mutex<EventLog>>,
-    revisions: watch::Receiver<Revision>,
+    revisions: published::Value<Revision>,
     server_shutdown: ServerShutdown,
 }
 
 impl WatchCache {
     /// Spawns the task that records the changes of `intent`.
     pub(crate) fn start(
-        intent: watch::Receiver<Arc<Intent>>,
+        intent: published::Value<Arc<Intent>>,
         server_shutdown: ServerShutdown,
     ) -> WatchCache {
         let event_log = Arc::new(Mutex::new(EventLog::default()));
-        let (sender, revisions) = watch::channel(Revision(0));
+        let (sender, revisions) = published::channel(Revision(0));
         let cache = WatchCache { event_log, revisions, server_shutdown };
         tokio::spawn(run_recorder(cache.clone(), intent, sender));
         cache
@@ -145,12 +146,12 @@
 
 async fn run_recorder(
     cache: WatchCache,
-    mut intent: watch::Receiver<Arc<Intent>>,
+    mut intent: published::Value<Arc<Intent>>,
     revisions: watch::Sender<Revision>,
 ) {
     let mut old = Arc::new(Intent::default());
     loop {
-        let new = intent.borrow_and_update().clone();
+        let new = intent.get_and_update();
         cache.lock().record_diff(&old, &new);
         revisions.send_replace(new.revision);
         old = new;
@@ -228,7 +229,7 @@
         }
         let mut revisions = self.cache.revisions.clone();
         // Marks the current revision as seen, so that a change during `take_events` is not missed.
-        revisions.borrow_and_update();
+        revisions.get_and_update();
         if let Some(text) = self.take_events() {
             return Some(text);
         }
@@ -241,7 +242,7 @@
     /// the shutdown.
     async fn wait_for_events(
         &mut self,
-        mut revisions: watch::Receiver<Revision>,
+        mut revisions: published::Value<Revision>,
     ) -> Option<String> {
         loop {
             tokio::select! {
--- a/crates/daemon/tests/link.rs
+++ b/crates/daemon/tests/link.rs
@@ -8,13 +8,14 @@
     self, Endpoint, OutgoingFrame, Queue, MAX_QUEUED_BYTES, MAX_QUEUED_FRAMES,
 };
 use hornbeamloom_daemon::peer_server::{self, FrameHandler};
+use hornbeamloom_daemon::published;
 use hornbeamloom_daemon::settings::{self, Settings};
 use hornbeamloom_kernel::cases;
 use hornbeamloom_kernel::ids::{Name, Revision};
 use hornbeamloom_kernel::peer::Message;
 use hornbeamloom_wire::frame;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 
 /// Maximum wait for an expected event.
 const TEST_TIMEOUT: Duration = Duration::from_secs(30);
@@ -37,7 +38,7 @@
     let (sender, delivered) = mpsc::unbounded_channel();
     let handler = FrameHandler {
         own_vm: "entry-a1".into(),
-        settings: watch::channel(settings()).1,
+        settings: published::channel(settings()).1,
         tunnels: None,
         on_message: move |from, message| drop(sender.send((from, message))),
     };
