Notice the first return of a store whose eras begin at 0

The rows of the older copy have lower versions and were dropped, but the read still made the VM's copy current, so a revoked key went on and no age limit took effect.

Change: a store that names 0 began with it. A VM that starts after the return sees only the 1; it learns from the versions in its peers' messages that the store has reached a later era than it counts, and from the next response which number was the first. Rows of an earlier era than the copy's, read or from a peer, no longer make the copy current, and a provider states no age to a subscriber of a later era.

The kernel's test fleet now reports applied rows; before, keys were never accepted in it, and updates_for_an_earlier_process_make_no_copy_current could not fail.

--- a/crates/bench/src/mock_store.rs
+++ b/crates/bench/src/mock_store.rs
@@ -64,8 +64,8 @@
     history: VecDeque<Change>,
     /// Changes up to this version have been discarded from the history.
     compacted_version: u64,
-    /// How often the store has come back from a copy.
-    restored: u64,
+    /// The number that the store names as its era.
+    era: u64,
     fault: Fault,
     calls: BTreeMap<String, usize>,
 }
@@ -143,7 +143,8 @@
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let (changed, _) = watch::channel(0);
-        let store = Store { address, state: Arc::default(), changed };
+        let state = State { era: 1, ..State::default() };
+        let store = Store { address, state: Arc::new(Mutex::new(state)), changed };
         let shared_store = store.clone();
         let with_store = move || shared_store.clone();
         let rows = warp::path!("hornbeamloom" / "rows-get")
@@ -171,8 +172,7 @@
         let era_store = with_store();
         let routes =
             rows.or(feed).unify().or(transaction).unify().map(move |response: Response| {
-                let era = 1 + era_store.lock().restored;
-                warp::reply::with_header(response, "store-era", era)
+                warp::reply::with_header(response, "store-era", era_store.lock().era)
             });
         tokio::spawn(warp::serve(routes).incoming(listener).run());
         Ok(store)
@@ -188,6 +188,11 @@
         self.lock().fault = fault;
     }
 
+    /// Sets the number that the store names as its era; it rises by one with each return.
+    pub fn set_era(&self, era: u64) {
+        self.lock().era = era;
+    }
+
     /// Discards the history of changes, so that feeds have to restart from a full read.
     pub fn compact_history(&self) {
         let mut state = self.lock();
@@ -208,7 +213,7 @@
             state.rows = backup.rows.clone();
             state.version = backup.version;
             state.history.retain(|change| change.version <= backup.version);
-            state.restored += 1;
+            state.era += 1;
             state.version
         };
         self.changed.send_replace(version);
--- a/crates/kernel/src/feed.rs
+++ b/crates/kernel/src/feed.rs
@@ -71,6 +71,9 @@
     pub source: FeedSource,
     /// Versions of the local copies, from which a VM that starts to read continues.
     pub versions: Vec<(Table, Revision)>,
+    /// Latest era of the store that this VM has heard of. Calls made from now on are answered in it
+    /// or in a later one.
+    pub era: u64,
 }
 
 impl Assignment {
@@ -81,7 +84,7 @@
     /// use hornbeamloom_kernel::ids::Revision;
     ///
     /// let versions = vec![(Table::Targets, Revision(7))];
-    /// let assignment = Assignment { source: FeedSource::Direct, versions };
+    /// let assignment = Assignment { source: FeedSource::Direct, versions, era: 0 };
     /// assert_eq!(assignment.version(Table::Targets), Some(Revision(7)));
     /// assert_eq!(assignment.version(Table::Resources), None);
     /// ```
@@ -128,6 +131,10 @@
     last_query_at: Option<Millis>,
     /// Until when this VM reads the tables because others asked it to or do not answer it.
     substitute_until: Option<Millis>,
+    /// Latest era of the store in the messages of peers.
+    peer_era: u64,
+    /// The era in the last assignment.
+    assigned_era: u64,
     wake_at: Option<Millis>,
 }
 
@@ -172,10 +179,10 @@
     fn updates_for(&self, subscription: &Subscription) -> Message {
         let update = |&(table, known): &(Table, Revision)| {
             let copy = &self.copies[table as usize];
-            TableUpdate {
-                rows: copy.rows_since(table, known),
-                age_ms: copy.age(subscription.received_at),
-            }
+            // A copy of an earlier era does not contain what the subscriber's does.
+            let age_ms = copy.age(subscription.received_at);
+            let age_ms = age_ms.filter(|_| copy.version.era() >= known.era());
+            TableUpdate { rows: copy.rows_since(table, known), age_ms }
         };
         let updates = subscription.versions.iter().map(update).collect();
         Message::TableUpdates {
@@ -212,6 +219,11 @@
         Message::Subscribe { sent: now, incarnation, known: self.versions(), needs_read }
     }
 
+    fn assignment(&self) -> Assignment {
+        let era = self.assigned_era;
+        Assignment { source: self.source, versions: self.versions(), era }
+    }
+
     /// The versions of all copies.
     fn versions(&self) -> Vec<(Table, Revision)> {
         TABLES.iter().map(|&table| (table, self.copies[table as usize].version)).collect()
@@ -268,6 +280,11 @@
         _ => false,
     };
     let is_due = state.feeds.wake_at.is_some_and(|at| at <= now);
+    let era = state.intent.revision.era().max(state.feeds.peer_era);
+    if state.feeds.assigned_era < era {
+        state.feeds.assigned_era = era;
+        out.push(Outcome::Follow(state.feeds.assignment()));
+    }
     if is_own_event || is_due {
         update(state, now, out);
     }
@@ -277,9 +294,11 @@
 fn merge_read_rows(state: &mut State, rows: &Rows, at: Millis, now: Millis, out: &mut Outbox) {
     let copy = state.feeds.copy_mut(rows.table);
     let in_force = copy.merge(rows, now);
-    copy.current_at = copy.current_at.max(Some(at));
+    // Rows of an earlier era are not merged into a copy of a later one.
+    let at = Some(at).filter(|_| copy.version.era() <= rows.version.era());
+    copy.current_at = copy.current_at.max(at);
     if rows.table == Table::Resources {
-        state.freshness.record_current_when_applied(Some(at), in_force.is_some());
+        state.freshness.record_current_when_applied(at, in_force.is_some());
     }
     if let Some(rows) = in_force {
         out.push(Outcome::ApplyRows(rows));
@@ -298,6 +317,8 @@
     out: &mut Outbox,
 ) -> bool {
     let feeds = &mut state.feeds;
+    let eras = subscription.versions.iter().map(|(_, version)| version.era());
+    feeds.peer_era = feeds.peer_era.max(eras.max().unwrap_or(0));
     out.send(&from.into(), feeds.updates_for(&subscription));
     feeds.mark_sent(&mut subscription);
     feeds.subscribers.insert(from.into(), subscription);
@@ -355,11 +376,13 @@
     out: &mut Outbox,
 ) -> bool {
     let TableUpdate { rows, age_ms } = update;
+    state.feeds.peer_era = state.feeds.peer_era.max(rows.version.era());
     let copy = state.feeds.copy_mut(rows.table);
     let before = copy.current_at;
     let new_rows = copy.merge(rows, now);
-    // With the rows merged, this copy contains everything that the peer's does.
-    let is_complete = copy.version >= rows.from;
+    // With the rows merged, this copy contains everything that the peer's does, unless the peer
+    // has not noticed a return of the store.
+    let is_complete = copy.version >= rows.from && copy.version.era() <= rows.version.era();
     let at = age_ms.filter(|_| is_complete);
     let at = at.map(|age| Millis(sent.0.saturating_add_signed(age.saturating_neg())));
     copy.peer_current_at = copy.peer_current_at.max(at);
@@ -544,5 +567,5 @@
     out.count(Counter::Event(event));
     let provider = feeds.provider.as_deref().unwrap_or("-");
     out.log(format!("{text} provider={provider} {}", describe_ages(feeds, now)));
-    out.push(Outcome::Follow(Assignment { source, versions: feeds.versions() }));
+    out.push(Outcome::Follow(feeds.assignment()));
 }
--- a/crates/kernel/tests/feed.rs
+++ b/crates/kernel/tests/feed.rs
@@ -182,6 +182,13 @@
         is_connected && !node.is_stopped && known < version
     }
 
+    /// Whether a VM takes its resources for current enough to accept keys.
+    fn accepts_keys(&mut self, vm: &str) -> bool {
+        let now = self.fleet.clock(vm);
+        let freshness = &self.fleet.node(vm).kernel.state().freshness;
+        freshness.accepts_keys(FEED_AGE_LIMIT_MS as u32, now)
+    }
+
     /// Number of VMs whose copy contains everything that was written.
     fn up_to_date(&self) -> usize {
         let nodes = self.fleet.nodes.iter();
@@ -461,6 +468,26 @@
     assert_eq!(harness.fleet.node(&reader).kernel.state().feeds.rows(Table::Targets), 2);
 }
 
+/// Guards against a VM that reads rows which it then drops, since its copy is of a later era of the
+/// store, and takes its copy for current all the same.
+#[test]
+fn read_of_an_earlier_era_makes_no_copy_current() {
+    let mut harness = Harness::new(2);
+    let reader = harness.readers().remove(0);
+    let sent = harness.fleet.clock(&reader);
+    let update = |table| {
+        let version = Revision::new(1, 5);
+        let rows = Rows { table, from: Revision(0), version, is_whole: true, rows: Vec::new() };
+        TableUpdate { rows, age_ms: None }
+    };
+    let updates = vec![update(Table::Resources), update(Table::Targets)];
+    let message = &Message::TableUpdates { sent, incarnation: Incarnation(1), updates };
+    harness.fleet.event_at(&reader, Event::Peer { from: "a2", message });
+    assert!(harness.accepts_keys(&reader));
+    harness.run(2 * FEED_AGE_LIMIT_MS);
+    assert!(!harness.accepts_keys(&reader));
+}
+
 /// Guards against a VM that applies updates meant for its earlier process to the clock of its new
 /// one. Its copies then seem to be current for as long as the earlier process ran, as do those of
 /// the VMs that it passes them on to: the zone keeps old resources and accepts revoked keys.
@@ -480,8 +507,6 @@
     harness.vms_without_store = harness.vms();
     harness.run(2 * FEED_AGE_LIMIT_MS);
     for vm in harness.vms() {
-        let now = harness.fleet.clock(&vm);
-        let freshness = &harness.fleet.node(&vm).kernel.state().freshness;
-        assert!(!freshness.accepts_keys(FEED_AGE_LIMIT_MS as u32, now), "{vm} accepts keys");
+        assert!(!harness.accepts_keys(&vm), "{vm} accepts keys");
     }
 }
--- a/crates/kernel/tests/fleet/mod.rs
+++ b/crates/kernel/tests/fleet/mod.rs
@@ -264,6 +264,7 @@
                     Path::Relayed(relays) => relays.iter().map(|relay| relay.vm.clone()).collect(),
                 };
             }
+            Outcome::ApplyRows(rows) => self.event(ix, Event::RowsApplied { table: rows.table }),
             Outcome::Order(order) => {
                 let now = Millis(self.now);
                 self.nodes[ix].orders.push((now, order));
--- a/tests/fleet/harness.rs
+++ b/tests/fleet/harness.rs
@@ -91,6 +91,14 @@
     fleet
 }
 
+/// Starts a fleet of one daemon in zone `a` whose store has never come back from an older copy, and
+/// counts its eras from `first_era`.
+pub async fn start_fleet_with_first_era(first_era: u64) -> Fleet {
+    let fleet = launch_fleet(|fleet| fleet.store.set_era(first_era)).await;
+    fleet.put_config(&config(1, &[CALLER_KEY, "k2"]));
+    fleet
+}
+
 /// Starts a fleet of one daemon in zone `a` without a configuration.
 pub async fn start_unconfigured_fleet() -> Fleet {
     launch_fleet(|_| {}).await
--- a/tests/fleet/restored_store.rs
+++ b/tests/fleet/restored_store.rs
@@ -7,7 +7,8 @@
 use hornbeamloom_kernel::cases;
 
 use crate::harness::{
-    block_on, start_fleet, start_plain_targets, wait_until, wait_until_served, CALLER_KEY,
+    block_on, new_attempt_id, new_request, send, start_fleet, start_fleet_with_first_era,
+    start_plain_targets, wait_until, wait_until_served, CALLER_KEY,
 };
 use crate::store::call_status;
 
@@ -40,9 +41,9 @@
 
 /// Checks that a configuration written after the return takes effect, and that the one which was
 /// lost stays in force until then (I9).
-fn configuration_survives_a_return(versions_issued_after: usize) {
+fn configuration_survives_a_return(first_era: u64, versions_issued_after: usize) {
     block_on(async {
-        let fleet = start_fleet().await;
+        let fleet = start_fleet_with_first_era(first_era).await;
         start_plain_targets(&fleet, 1).await;
         wait_until_served(&fleet, "/look/1").await;
         let backup = fleet.store.back_up();
@@ -69,9 +70,50 @@
     configuration_survives_a_return;
 
     // Guards against VMs that ignore versions which are lower than those from before the return.
-    configuration_with_a_lower_version_is_applied: (0);
+    configuration_with_a_lower_version_is_applied: (1, 0);
     // Guards against VMs that take a version for the one of the same number from before the return.
-    configuration_with_a_reissued_version_is_applied: (40);
+    configuration_with_a_reissued_version_is_applied: (1, 40);
+    // Guards against VMs that take the first return of a store that names its eras from 0 for none.
+    configuration_with_a_lower_version_is_applied_if_eras_begin_at_0: (0, 0);
+    configuration_with_a_reissued_version_is_applied_if_eras_begin_at_0: (0, 40);
+}
+
+/// Checks that a VM which starts after a return of the store applies what the store has from then
+/// on, and so do those that know of the return.
+fn vm_started_after_a_return_applies_changes(first_era: u64, zone: &str) {
+    block_on(async {
+        let mut fleet = start_fleet_with_first_era(first_era).await;
+        start_plain_targets(&fleet, 1).await;
+        wait_until_served(&fleet, "/look/1").await;
+        let backup = fleet.store.back_up();
+        advance_versions(&fleet, 20);
+        restore_store(&fleet, &backup).await;
+        fleet.start_daemon("vm-2", zone).expect("the daemon starts");
+        for (version, keys, status) in [(2, ["k2"], 401), (3, [CALLER_KEY], 200)] {
+            fleet.put_config(&config(version, &keys));
+            wait_until("both VMs apply the configuration", || async {
+                let mut has_applied = true;
+                for daemon in 0..2 {
+                    let attempt_id = new_attempt_id();
+                    let request = new_request(&fleet, daemon, "/look/1", &attempt_id);
+                    has_applied &= send(request, attempt_id).await.status == status;
+                }
+                has_applied
+            })
+            .await;
+        }
+    });
+}
+
+cases! {
+    vm_started_after_a_return_applies_changes;
+
+    vm_of_the_same_zone: (1, "a");
+    vm_of_another_zone: (1, "b");
+    // Guards against VMs that take the era in which they start for the first one, so that they and
+    // the others count eras differently.
+    vm_of_the_same_zone_if_eras_begin_at_0: (0, "a");
+    vm_of_another_zone_if_eras_begin_at_0: (0, "b");
 }
 
 /// Guards against new requests to a draining target whose registration went back to an earlier
