Refuse responses whose body HTTP does not allow

A response of which one byte of the status was wrong reached its caller as a success without its body, and a 101 as a head without an end.

Change: the head of a response is valid if its status is a final one and a 204 announces no body, by a length, chunks or an event stream. Any other is treated like one without a signature: an idempotent request is retried, and the outcome of another is unknown. A 204 that announces nothing is forwarded as before.

--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use futures_util::stream;
-use reqwest::header::CONTENT_LENGTH;
+use reqwest::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use reqwest::{Body, Client, RequestBuilder, Response, StatusCode};
 
 use crate::memory::Buffer;
@@ -91,8 +91,10 @@
         }
     };
     match tokio::time::timeout(timeout, request.send()).await {
-        Ok(Ok(response)) if !is_valid_status(response.status()) => Err(ExchangeError::Broken),
-        Ok(Ok(response)) => Ok(response),
+        Ok(Ok(response)) => match is_valid_head(response.status(), response.headers()) {
+            true => Ok(response),
+            false => Err(ExchangeError::Broken),
+        },
         Ok(Err(error)) if error.is_connect() && is_connection_refused(&error) => {
             Err(ExchangeError::ConnectionRefused)
         }
@@ -103,18 +105,32 @@
     }
 }
 
-/// Whether a status is one of the five classes that HTTP defines. The library accepts any three
-/// digits from 100 on.
+/// Whether a head is that of a final response as HTTP defines it.
+///
+/// The library accepts any three digits from 100 on as a status, and reads no body after a 204, so
+/// one that the head announces would be lost.
 ///
 /// ```
-/// use hornbeamloom_daemon::http::is_valid_status;
-/// use warp::http::StatusCode;
+/// use hornbeamloom_daemon::http::is_valid_head;
+/// use warp::http::{HeaderMap, StatusCode};
 ///
-/// assert!(is_valid_status(StatusCode::from_u16(599).unwrap()));
-/// assert!(!is_valid_status(StatusCode::from_u16(600).unwrap()));
+/// let mut headers = HeaderMap::new();
+/// headers.insert("content-length", "800".parse().unwrap());
+/// assert!(is_valid_head(StatusCode::OK, &headers));
+/// assert!(is_valid_head(StatusCode::NO_CONTENT, &HeaderMap::new()));
+/// assert!(!is_valid_head(StatusCode::NO_CONTENT, &headers));
+/// assert!(!is_valid_head(StatusCode::from_u16(600).unwrap(), &headers));
 /// ```
-pub fn is_valid_status(status: StatusCode) -> bool {
-    (100..600).contains(&status.as_u16())
+pub fn is_valid_head(status: StatusCode, headers: &HeaderMap) -> bool {
+    let is_final = (200..600).contains(&status.as_u16());
+    is_final && (status != StatusCode::NO_CONTENT || !announces_body(headers))
+}
+
+fn announces_body(headers: &HeaderMap) -> bool {
+    let has_length = headers.get(CONTENT_LENGTH).is_some_and(|length| length != "0");
+    let content_type = headers.get(CONTENT_TYPE).map_or(&[][..], HeaderValue::as_bytes);
+    let is_event_stream = content_type.starts_with(b"text/event-stream");
+    has_length || is_event_stream || headers.contains_key(TRANSFER_ENCODING)
 }
 
 /// Sets the length of a body that is passed to [`send`].
