Make room for new clients beside a crowd of slow uploads

Cause: with all connections of a port taken, a new one replaced only an idle connection, or one that moved less than the minimum rate. Connections that had just been accepted counted as idle and were replaced first, before their request was read.

Change: if no connection is of little use, the longest transfer below 32 KiB/s is closed: a body, whose request has not run, before a response. A connection counts as idle for this only after 20 ms, in which an ordinary request arrives, and a younger one goes last. Bodies that arrive faster stay, and so do requests in progress.

--- a/crates/daemon/src/client_limits.rs
+++ b/crates/daemon/src/client_limits.rs
@@ -14,6 +14,12 @@
 /// Time after which a client that moves nothing, or less than the minimum rate, may be closed to make
 /// room, in milliseconds. The time limits on progress are longer.
 const SLOW_MS: u64 = 1_000;
+/// Rate in bytes per second below which a client may be closed to make room for one that finds none
+/// otherwise.
+const CONTENDED_BYTES_PER_S: u64 = 32 << 10;
+/// Time in milliseconds in which a client can send an ordinary request with a small body. Connections
+/// that are closed sooner to make room serve nobody.
+const FRESH_MS: u64 = 20;
 
 /// What a connection is doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -113,7 +119,7 @@
 }
 
 /// Returns the key of the connection that is closed to make room for another: the longest idle one,
-/// or else the slow one that has been quiet for longest. Active ones are never closed for this.
+/// or else the slow one that has been quiet for longest.
 ///
 /// ```
 /// use hornbeamloom_daemon::client_limits::{least_useful, Phase, Terms, View};
@@ -124,7 +130,7 @@
 /// };
 /// let slow = (1, view(Phase::Body, 9_000));
 /// let active = (2, view(Phase::Work, 9_000));
-/// let idle = (3, view(Phase::Idle, 10));
+/// let idle = (3, view(Phase::Idle, 20));
 /// assert_eq!(least_useful([slow, active, idle].into_iter(), &terms), Some(3));
 /// assert_eq!(least_useful([slow, active].into_iter(), &terms), Some(1));
 /// assert_eq!(least_useful([active].into_iter(), &terms), None);
@@ -134,14 +140,47 @@
     candidates.max_by_key(|(rank, _)| *rank).map(|(_, key)| key)
 }
 
+/// Returns the key of the connection that is closed for a new one if none is of little use: the
+/// longest of the bodies that arrive at a low rate, or else of the responses that are taken at one,
+/// or else of the connections that have just been opened. Without it, a crowd just above the minimum
+/// rate keeps everybody else out.
+///
+/// ```
+/// use hornbeamloom_daemon::client_limits::{last_resort, Phase, View};
+///
+/// let view = |phase, ms, bytes| View {
+///     phase, phase_ms: ms, quiet_ms: 10, period_ms: ms, period_bytes: bytes,
+/// };
+/// let upload = (1, view(Phase::Body, 4_000, 1_000_000));
+/// let slow_upload = (2, view(Phase::Body, 2_000, 1_400));
+/// let slow_reader = (3, view(Phase::Response, 3_000, 2_100));
+/// assert_eq!(last_resort([upload, slow_upload, slow_reader].into_iter()), Some(2));
+/// assert_eq!(last_resort([upload].into_iter()), None);
+/// ```
+pub fn last_resort<K>(views: impl Iterator<Item = (K, View)>) -> Option<K> {
+    let ranked = views.filter_map(|(key, view)| {
+        let is_low_rate = view.period_bytes.saturating_mul(1_000)
+            < CONTENDED_BYTES_PER_S.saturating_mul(view.period_ms);
+        let rank = match view.phase {
+            // A request whose body is still arriving has not run.
+            Phase::Body if is_low_rate && view.phase_ms >= FRESH_MS => 2,
+            Phase::Response if is_low_rate && view.phase_ms >= SLOW_MS => 1,
+            Phase::Idle | Phase::Head => 0,
+            Phase::Body | Phase::Response | Phase::Work => return None,
+        };
+        Some(((rank, view.phase_ms), key))
+    });
+    ranked.max_by_key(|(rank, _)| *rank).map(|(_, key)| key)
+}
+
 /// How readily a connection is closed to make room; `None` if it is active.
 fn expendability(view: &View, terms: &Terms) -> Option<(bool, u64)> {
     let is_slow = view.quiet_ms >= SLOW_MS || is_below_rate(view, terms);
     match view.phase {
-        Phase::Idle | Phase::Head => Some((true, view.phase_ms)),
+        Phase::Idle | Phase::Head if view.phase_ms >= FRESH_MS => Some((true, view.phase_ms)),
         Phase::Body | Phase::Response if view.phase_ms >= SLOW_MS && is_slow => {
             Some((false, view.quiet_ms))
         }
-        Phase::Body | Phase::Response | Phase::Work => None,
+        Phase::Idle | Phase::Head | Phase::Body | Phase::Response | Phase::Work => None,
     }
 }
--- a/crates/daemon/src/connections.rs
+++ b/crates/daemon/src/connections.rs
@@ -118,8 +118,10 @@
             let candidates = table.entries.iter().filter(|(_, entry)| {
                 may_close && !entry.is_closing && (!is_port_full || entry.port == port)
             });
-            let views = candidates.map(|(key, entry)| (*key, entry.meter.view()));
-            let Some(key) = client_limits::least_useful(views, &terms(&limits)) else {
+            let views: Vec<_> = candidates.map(|(key, entry)| (*key, entry.meter.view())).collect();
+            let least_useful = client_limits::least_useful(views.iter().copied(), &terms(&limits));
+            let key = least_useful.or_else(|| client_limits::last_resort(views.into_iter()));
+            let Some(key) = key else {
                 count("open_connections");
                 return None;
             };
--- a/tests/hostile/main.rs
+++ b/tests/hostile/main.rs
@@ -17,9 +17,11 @@
 mod time_limits;
 
 use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
 
 use crowd::Way;
 use site::{Port, Site};
+use tokio::time::sleep;
 
 /// Held by the running case: crowds that overlap would take the descriptors of the test process.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
@@ -111,3 +113,32 @@
         site.assert_survived(most_descriptors, is_answered);
     });
 }
+
+/// Time before the first ordinary request, by which the crowd has all connections.
+const CROWD_START: Duration = Duration::from_secs(2);
+const ORDINARY_REQUESTS: usize = 20;
+const ORDINARY_INTERVAL: Duration = Duration::from_millis(200);
+
+hornbeamloom_kernel::cases! {
+    newcomers_are_served;
+
+    // Guard against clients just above the minimum rate that keep everybody else out.
+    own_callers_newcomers_beside_steady_bodies: (Port::OwnCallers, Way::SteadyBody);
+    adapter_callers_newcomers_beside_steady_bodies: (Port::AdapterCallers, Way::SteadyBody);
+}
+
+fn newcomers_are_served(port: Port, way: Way) {
+    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    fleet::block_on(async {
+        let site = Site::start(port).await;
+        let crowd = crowd::persist(site.address(), &site.targets(), way);
+        sleep(CROWD_START).await;
+        let mut served = 0;
+        for _ in 0..ORDINARY_REQUESTS {
+            served += usize::from(site.serves_caller_at_once().await);
+            sleep(ORDINARY_INTERVAL).await;
+        }
+        drop(crowd);
+        assert!(served >= ORDINARY_REQUESTS / 4, "{served} of {ORDINARY_REQUESTS} served");
+    });
+}
--- a/tests/hostile/site.rs
+++ b/tests/hostile/site.rs
@@ -194,6 +194,11 @@
         false
     }
 
+    /// Sends one ordinary request.
+    pub async fn serves_caller_at_once(&self) -> bool {
+        timeout(ATTEMPT_TIMEOUT, self.serves_caller()).await == Ok(true)
+    }
+
     async fn serves_caller(&self) -> bool {
         match &self.processes {
             Processes::Own(cluster) => {
